Lay down the workspace, the design page and the first core types

The project starts from an empty repository. The design page states the requirements, the modules and their interfaces, the owners of state and the messages; the core crate gets the newtypes, shards, filter chain and controller trait that all later code builds on. The workspace builds; nothing runs yet.

--- /dev/null
+++ b/yuccacroft-core/src/lib.rs
@@ -0,0 +1,28 @@
+//! Types and decisions of yuccacroft, free of I/O, clocks and global randomness.
+//!
+//! Time and randomness are arguments everywhere, so that the same decisions serve the running
+//! processes, the tests and the bench. The design is explained in `docs/design.md`.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
+
+#[macro_use]
+mod derive;
+
+pub mod admission;
+pub mod contract;
+pub mod controller;
+pub mod errors;
+pub mod filter;
+pub mod flow;
+pub mod ids;
+pub mod ini;
+pub mod key;
+pub mod member;
+pub mod ownership;
+pub mod placement;
+pub mod request;
+pub mod shards;
+pub mod tag;
+pub mod time;
+pub mod units;
--- /dev/null
+++ b/yuccacroft-core/src/tag.rs
@@ -0,0 +1,103 @@
+//! Owner tags: connection ids that name the agent which owns a flow.
+//!
+//! A tag is an encrypted and authenticated block, so that a caller can neither read where its
+//! upstream is nor aim a packet at another one. See `docs/design.md`, section 3.
+
+use {
+    crate::{
+        ids::{Incarnation, Instance},
+        key::Secret,
+    },
+    aes::{
+        Aes128,
+        cipher::{BlockDecrypt, BlockEncrypt, KeyInit},
+    },
+    siphasher::sip::SipHasher24,
+    std::{
+        fmt::{Debug, Formatter},
+        hash::Hasher,
+    },
+};
+
+/// Length of a tag in bytes, the longest connection id of QUIC version 1 (RFC 9000, 17.2).
+pub const TAG_BYTES: usize = 20;
+
+const BLOCK_START: usize = 1;
+const CHECK_START: usize = 17;
+/// Format in the top two bits of the first byte, kept for a later key or layout change.
+const FORMAT: u8 = 0b0100_0000;
+const FORMAT_MASK: u8 = 0b1100_0000;
+
+/// What a tag says about its flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// The agent that owns the flow.
+    pub instance: Instance,
+    /// The life of the agent in which the flow began.
+    pub incarnation: Incarnation,
+}
+
+/// Encodes and decodes the tags of one service.
+#[derive(Clone)]
+pub struct Cipher {
+    block: Aes128,
+    check: SipHasher24,
+}
+
+impl Cipher {
+    /// Creates the cipher from the tag key of a service.
+    pub fn new(secret: &Secret) -> Self {
+        let (block, check) = secret.halves();
+        Self { block: Aes128::new(&block.into()), check: SipHasher24::new_with_key(&check) }
+    }
+
+    /// Encodes a tag. The nonce must not repeat within one incarnation of the owner.
+    pub fn encode(&self, owner: Owner, nonce: u32) -> [u8; TAG_BYTES] {
+        let mut tag = [0; TAG_BYTES];
+        tag[0] = FORMAT | (nonce as u8 & !FORMAT_MASK);
+        tag[1..7].copy_from_slice(&owner.instance.to_bits().to_be_bytes()[2..]);
+        tag[7..13].copy_from_slice(&owner.incarnation.get().to_be_bytes()[2..]);
+        tag[13..17].copy_from_slice(&nonce.to_be_bytes());
+        let mut block = [0; 16];
+        block.copy_from_slice(&tag[BLOCK_START..CHECK_START]);
+        let mut block = block.into();
+        self.block.encrypt_block(&mut block);
+        tag[BLOCK_START..CHECK_START].copy_from_slice(&block);
+        let check = self.checksum(&tag);
+        tag[CHECK_START..].copy_from_slice(&check);
+        tag
+    }
+
+    /// Decodes a connection id. `None` means that it is no tag of this service.
+    pub fn decode(&self, id: &[u8]) -> Option<Owner> {
+        let tag: &[u8; TAG_BYTES] = id.try_into().ok()?;
+        if tag[0] & FORMAT_MASK != FORMAT || self.checksum(tag) != tag[CHECK_START..] {
+            return None;
+        }
+        let mut block = [0; 16];
+        block.copy_from_slice(&tag[BLOCK_START..CHECK_START]);
+        let mut block = block.into();
+        self.block.decrypt_block(&mut block);
+        Some(Owner {
+            instance: Instance::from_bits(read_48(&block[0..6])),
+            incarnation: Incarnation::new(read_48(&block[6..12])),
+        })
+    }
+
+    fn checksum(&self, tag: &[u8; TAG_BYTES]) -> [u8; TAG_BYTES - CHECK_START] {
+        let mut hasher = self.check;
+        hasher.write(&tag[..CHECK_START]);
+        let hash = hasher.finish().to_be_bytes();
+        [hash[0], hash[1], hash[2]]
+    }
+}
+
+impl Debug for Cipher {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Cipher(..)")
+    }
+}
+
+fn read_48(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0, |value, &byte| value << 8 | u64::from(byte))
+}
--- /dev/null
+++ b/yuccacroft-core/src/time.rs
@@ -0,0 +1,153 @@
+//! Monotonic time and durations, always handed in by the caller.
+
+use {
+    crate::errors::{Error, Result},
+    std::{
+        fmt::{Display, Formatter},
+        ops::{Add, Sub},
+        str::FromStr,
+        time::Duration,
+    },
+};
+
+const MICROS_PER_MILLI: u64 = 1_000;
+const MICROS_PER_SECOND: u64 = 1_000_000;
+const MICROS_PER_MINUTE: u64 = 60 * MICROS_PER_SECOND;
+
+newtype! {
+    /// A point on the monotonic clock of one process, in microseconds. Moments of two processes
+    /// cannot be compared.
+    Moment(u64), "a number of microseconds"
+}
+
+/// A duration in microseconds. As text it carries its unit, for example `250 ms` or `3 s`.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde_with::SerializeDisplay,
+    serde_with::DeserializeFromStr,
+)]
+pub struct Span(u64);
+
+impl Span {
+    /// The empty duration.
+    pub const ZERO: Self = Self(0);
+
+    /// Builds a duration from microseconds.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Builds a duration from milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis.saturating_mul(MICROS_PER_MILLI))
+    }
+
+    /// Builds a duration from seconds.
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs.saturating_mul(MICROS_PER_SECOND))
+    }
+
+    /// Returns the duration in microseconds.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the whole milliseconds.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / MICROS_PER_MILLI
+    }
+
+    /// Multiplies the duration, saturating at the largest one.
+    pub const fn times(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
+}
+
+impl Moment {
+    /// Returns the time from `earlier` to `self`, or zero when `earlier` is the later one.
+    pub const fn since(self, earlier: Self) -> Span {
+        Span(self.get().saturating_sub(earlier.get()))
+    }
+}
+
+impl Add<Span> for Moment {
+    type Output = Self;
+
+    fn add(self, span: Span) -> Self {
+        Self::new(self.get().saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Moment {
+    type Output = Self;
+
+    fn sub(self, span: Span) -> Self {
+        Self::new(self.get().saturating_sub(span.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Span {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl From<Span> for Duration {
+    fn from(span: Span) -> Self {
+        Self::from_micros(span.0)
+    }
+}
+
+impl From<Duration> for Span {
+    fn from(duration: Duration) -> Self {
+        Self(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+impl Display for Span {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        if self.0.is_multiple_of(MICROS_PER_SECOND) {
+            write!(f, "{} s", self.0 / MICROS_PER_SECOND)
+        } else if self.0.is_multiple_of(MICROS_PER_MILLI) {
+            write!(f, "{} ms", self.0 / MICROS_PER_MILLI)
+        } else {
+            write!(f, "{} us", self.0)
+        }
+    }
+}
+
+impl FromStr for Span {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let fail = || Error::expected("a duration such as 250 ms or 3 s", text);
+        let digits = text.trim_end_matches(|c: char| !c.is_ascii_digit());
+        let number: u64 = digits.parse().map_err(|_| fail())?;
+        let unit = match text[digits.len()..].trim() {
+            "us" => 1,
+            "ms" => MICROS_PER_MILLI,
+            "s" => MICROS_PER_SECOND,
+            "min" => MICROS_PER_MINUTE,
+            _ => return Err(fail()),
+        };
+        number.checked_mul(unit).map(Self).ok_or_else(fail)
+    }
+}
