Add the wire formats, the store client, the rpc layer and the thin balancer

The whole path needs a balancer that forwards any packet without flow state. The packet path is a filter chain (address, tag, placement), the contracts and members are controllers with a thin shell.

--- a/yuccacroft-balancer/src/lib.rs
+++ b/yuccacroft-balancer/src/lib.rs
@@ -1,1 +1,11 @@
-//! placeholder
+//! The balancer: the machine that callers reach. It keeps nothing that a flow needs.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
+
+pub mod control;
+pub mod errors;
+pub mod packet;
+pub mod process;
+pub mod relay;
+pub mod service;
--- /dev/null
+++ b/yuccacroft-balancer/src/packet.rs
@@ -0,0 +1,174 @@
+//! The filter chain of packets from callers: address, tag, placement.
+
+use {
+    crate::service::{Routes, Service},
+    std::{
+        net::{SocketAddr, SocketAddrV4},
+        sync::Arc,
+    },
+    yuccacroft_core::{
+        filter::{Chain, Filter, Verdict},
+        flow::{Hop, Packet},
+    },
+    yuccacroft_wire::{
+        capsule::{Header, Kind},
+        invariant::Invariant,
+    },
+};
+
+/// A packet from a caller, without its bytes.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// The caller.
+    pub caller: SocketAddr,
+    /// The address that the caller sent to.
+    pub service: SocketAddr,
+    /// Where replies are sent: the fabric or the caller.
+    pub via: SocketAddr,
+    /// What the packet shows without decryption.
+    pub invariant: Invariant,
+    found: Option<Arc<Service>>,
+}
+
+/// Why a packet goes nowhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Cause {
+    /// No contract covers its destination.
+    Address,
+    /// The service has no member.
+    Members,
+}
+
+/// What becomes of a packet.
+#[derive(Clone, Debug)]
+pub enum Decision {
+    /// It goes to an agent.
+    Forward {
+        /// The agent.
+        target: Hop,
+        /// How the target was found.
+        kind: Kind,
+        /// The service.
+        service: Arc<Service>,
+    },
+    /// It is dropped and counted.
+    Drop(Cause),
+}
+
+impl Cause {
+    /// Returns a short name for metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Address => "address",
+            Self::Members => "members",
+        }
+    }
+}
+
+impl Item {
+    /// Describes a packet.
+    pub fn new(
+        caller: SocketAddr,
+        service: SocketAddr,
+        via: SocketAddr,
+        invariant: Invariant,
+    ) -> Self {
+        Self { caller, service, via, invariant, found: None }
+    }
+
+    /// Builds the capsule header for a forwarded packet.
+    pub fn header(
+        &self,
+        target: Hop,
+        kind: Kind,
+        service: &Service,
+        balancer: SocketAddrV4,
+    ) -> Header {
+        Header {
+            kind,
+            digest: service.digest,
+            incarnation: target.incarnation,
+            revision: service.revision,
+            caller: self.caller,
+            service: self.service,
+            via: self.via,
+            balancer,
+        }
+    }
+}
+
+/// Creates the chain.
+pub fn chain(routes: Arc<Routes>) -> Chain<Item, Decision> {
+    Chain::new(vec![Box::new(Address { routes }), Box::new(Tag), Box::new(Placement)])
+}
+
+/// Finds the service, and with it the keys, from the destination alone.
+struct Address {
+    routes: Arc<Routes>,
+}
+
+/// Sends a packet with a valid tag to its owner.
+struct Tag;
+
+/// Names the candidates of a packet without a tag.
+struct Placement;
+
+impl Filter<Item> for Address {
+    type Decision = Decision;
+
+    fn name(&self) -> &'static str {
+        "address"
+    }
+
+    fn apply(&self, item: &mut Item) -> Verdict<Decision> {
+        item.found = self.routes.by_address(item.service);
+        if item.found.is_some() {
+            Verdict::Continue
+        } else {
+            Verdict::Done(Decision::Drop(Cause::Address))
+        }
+    }
+}
+
+impl Filter<Item> for Tag {
+    type Decision = Decision;
+
+    fn name(&self) -> &'static str {
+        "tag"
+    }
+
+    fn apply(&self, item: &mut Item) -> Verdict<Decision> {
+        let Some(service) = &item.found else { return Verdict::Continue };
+        match service.cipher.decode(item.invariant.id()) {
+            Some(owner) => Verdict::Done(Decision::Forward {
+                target: owner.into(),
+                kind: Kind::Tagged,
+                service: service.clone(),
+            }),
+            None => Verdict::Continue,
+        }
+    }
+}
+
+impl Filter<Item> for Placement {
+    type Decision = Decision;
+
+    fn name(&self) -> &'static str {
+        "placement"
+    }
+
+    fn apply(&self, item: &mut Item) -> Verdict<Decision> {
+        let Some(service) = &item.found else { return Verdict::Continue };
+        let packet =
+            Packet::Untagged { key: service.key(item.invariant.id()), phase: item.invariant.phase };
+        Verdict::Done(place(service, packet))
+    }
+}
+
+fn place(service: &Arc<Service>, packet: Packet) -> Decision {
+    let Packet::Untagged { key, phase } = packet else { return Decision::Drop(Cause::Address) };
+    let chain = service.history.chain(key);
+    let Some(target) = chain.first() else { return Decision::Drop(Cause::Members) };
+    let kind = Kind::Untagged { key, phase, chain, position: 0 };
+    Decision::Forward { target, kind, service: service.clone() }
+}
--- /dev/null
+++ b/yuccacroft-core/src/contract.rs
@@ -0,0 +1,277 @@
+//! Contracts: what a customer reaches, how much it may claim, how its upstreams come and go.
+//!
+//! A contract passes from `Draft` (parsed) to `Checked` (free of faults) to `Accepted` (stored
+//! under a revision). Only an accepted one can be put in force.
+
+pub mod register;
+
+use {
+    crate::{
+        errors::Result,
+        ids::{Change, Customer, Revision, Service},
+        ini::Reader,
+        key::Secret,
+        time::Span,
+        units::{Connections, Slots},
+    },
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeSet, fmt::Write, net::SocketAddr},
+};
+
+const MAX_SLOTS: u32 = 10_000;
+const MAX_CONNECTIONS: u32 = 1_000_000;
+const MAX_UPSTREAMS: u32 = 10_000;
+const MAX_DEADLINE: Span = Span::from_secs(3_600);
+const SERVICE_PREFIX: &str = "service ";
+
+/// What a contract says of one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Terms {
+    /// The name of the service.
+    pub service: Service,
+    /// The addresses at which callers reach the service.
+    pub addresses: Box<[SocketAddr]>,
+    /// Requests that one upstream runs at the same time, unless its agent is told otherwise.
+    pub slots: Slots,
+    /// Connections that one upstream holds at the same time.
+    pub connections: Connections,
+    /// Upstreams that may serve at the same time; each takes one seat of the share.
+    pub upstreams_max: u32,
+    /// Requests that may run at the same time over all upstreams of the service.
+    pub share: Slots,
+    /// Time that a request may take when its caller states none.
+    pub deadline: Span,
+    /// Longest time that a request may wait for a slot.
+    pub wait: Span,
+    /// Time over which a new upstream grows to its full weight.
+    pub warmup: Span,
+    /// Time that running work gets when its upstream leaves.
+    pub drain: Span,
+}
+
+/// A contract that was parsed but not checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Draft(());
+
+/// A contract without faults, ready to be offered to the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Checked(());
+
+/// A contract that the store holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// The revision under which the store accepted it.
+    pub revision: Revision,
+    /// The id of the change that brought it.
+    pub change: Change,
+}
+
+/// The contract of one customer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contract<S> {
+    customer: Customer,
+    key: Secret,
+    capacity: Slots,
+    terms: Box<[Terms]>,
+    state: S,
+}
+
+impl Contract<Draft> {
+    /// Parses a contract. `source` names the text in faults; all faults are reported at once.
+    pub fn parse(source: &str, text: &str) -> Result<Self> {
+        let mut reader = Reader::new(source, text)?;
+        let draft = read(&mut reader);
+        reader.finish()?;
+        Ok(draft.expect("a contract without faults is complete"))
+    }
+
+    /// Checks what concerns more than one key. The rules are listed in `docs/operators.md`.
+    pub fn check(self, source: &str) -> Result<Contract<Checked>> {
+        let mut faults = Faults { source, list: Vec::new() };
+        check_addresses(&self.terms, &mut faults);
+        check_shares(self.capacity, &self.terms, &mut faults);
+        if !faults.list.is_empty() {
+            return Err(crate::errors::Error::Faults(faults.list.into()));
+        }
+        Ok(self.with_state(Checked(())))
+    }
+}
+
+impl Contract<Checked> {
+    /// Marks the contract as held by the store.
+    pub fn accept(self, revision: Revision, change: Change) -> Contract<Accepted> {
+        self.with_state(Accepted { revision, change })
+    }
+}
+
+impl Contract<Accepted> {
+    /// Returns the revision under which the store accepted the contract.
+    pub fn revision(&self) -> Revision {
+        self.state.revision
+    }
+
+    /// Returns the id of the change that brought the contract.
+    pub fn change(&self) -> Change {
+        self.state.change
+    }
+}
+
+impl<S> Contract<S> {
+    fn with_state<T>(self, state: T) -> Contract<T> {
+        let Self { customer, key, capacity, terms, .. } = self;
+        Contract { customer, key, capacity, terms, state }
+    }
+
+    /// Returns the customer.
+    pub fn customer(&self) -> &Customer {
+        &self.customer
+    }
+
+    /// Returns the secret from which the keys of all services are derived.
+    pub fn key(&self) -> &Secret {
+        &self.key
+    }
+
+    /// Returns the requests that may run at the same time over all services.
+    pub fn capacity(&self) -> Slots {
+        self.capacity
+    }
+
+    /// Returns the terms of all services.
+    pub fn terms(&self) -> &[Terms] {
+        &self.terms
+    }
+
+    /// Returns the terms of one service.
+    pub fn service(&self, service: &Service) -> Option<&Terms> {
+        self.terms.iter().find(|terms| terms.service == *service)
+    }
+
+    /// Writes the contract as the INI text that [`Contract::parse`] reads.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let Self { customer, key, capacity, .. } = self;
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "[customer]\nname = {customer}\nkey = {key}\ncapacity = {capacity}");
+        for terms in &self.terms {
+            write_terms(&mut text, terms);
+        }
+        text
+    }
+}
+
+fn write_terms(text: &mut String, terms: &Terms) {
+    let addresses: Vec<_> = terms.addresses.iter().map(ToString::to_string).collect();
+    let _ = writeln!(text, "\n[{SERVICE_PREFIX}{}]", terms.service);
+    let _ = writeln!(text, "addresses = {}", addresses.join(", "));
+    let _ = writeln!(text, "slots = {}", terms.slots);
+    let _ = writeln!(text, "connections = {}", terms.connections);
+    let _ = writeln!(text, "upstreams_max = {}", terms.upstreams_max);
+    let _ = writeln!(text, "share = {}", terms.share);
+    let _ = writeln!(text, "deadline = {}", terms.deadline);
+    let _ = writeln!(text, "wait = {}", terms.wait);
+    let _ = writeln!(text, "warmup = {}", terms.warmup);
+    let _ = writeln!(text, "drain = {}", terms.drain);
+}
+
+struct Faults<'a> {
+    source: &'a str,
+    list: Vec<crate::errors::Fault>,
+}
+
+impl Faults<'_> {
+    fn push(&mut self, section: String, key: &str, expected: String) {
+        self.list.push(crate::errors::Fault {
+            source: self.source.into(),
+            section: section.into(),
+            key: key.into(),
+            expected: expected.into(),
+        });
+    }
+}
+
+fn check_addresses(terms: &[Terms], faults: &mut Faults<'_>) {
+    let mut seen = BTreeSet::new();
+    for terms in terms {
+        for address in &terms.addresses {
+            if !seen.insert(*address) {
+                let section = format!("{SERVICE_PREFIX}{}", terms.service);
+                faults.push(section, "addresses", format!("{address} is used by two services"));
+            }
+        }
+    }
+}
+
+fn check_shares(capacity: Slots, terms: &[Terms], faults: &mut Faults<'_>) {
+    let total: u64 = terms.iter().map(|terms| u64::from(terms.share.get())).sum();
+    if total > u64::from(capacity.get()) {
+        let expected = format!("expected at least {total}, the sum of all shares");
+        faults.push("customer".to_owned(), "capacity", expected);
+    }
+}
+
+/// Reads all sections, so that every fault is noted before the result is looked at.
+fn read(reader: &mut Reader) -> Option<Contract<Draft>> {
+    let customer = reader.required("customer", "name", "a customer name");
+    let key = reader.required("customer", "key", "64 hexadecimal digits");
+    let capacity = reader.required("customer", "capacity", "a number of requests");
+    let sections = reader.sections();
+    let names: Vec<_> = sections.iter().filter_map(|s| s.strip_prefix(SERVICE_PREFIX)).collect();
+    let terms: Vec<_> = names.iter().map(|name| read_terms(reader, name)).collect();
+    let terms: Option<Vec<_>> = terms.into_iter().collect();
+    Some(Contract {
+        customer: customer?,
+        key: key?,
+        capacity: capacity?,
+        terms: terms?.into(),
+        state: Draft(()),
+    })
+}
+
+fn read_terms(reader: &mut Reader, name: &str) -> Option<Terms> {
+    let section = &*format!("{SERVICE_PREFIX}{name}");
+    let service: Option<Service> = name.parse().ok();
+    if service.is_none() {
+        reader.fault(section, "", "expected a service name after \"service\"");
+    }
+    let addresses = reader.list(section, "addresses", "addresses such as 127.0.40.1:4433");
+    let slots = read_bounded(reader, section, "slots", MAX_SLOTS);
+    let connections = read_bounded(reader, section, "connections", MAX_CONNECTIONS);
+    let upstreams_max = read_bounded(reader, section, "upstreams_max", MAX_UPSTREAMS);
+    let share = reader.required(section, "share", "a number of requests");
+    let deadline = read_span(reader, section, "deadline", Span::from_secs(5));
+    let wait = read_span(reader, section, "wait", Span::from_millis(500));
+    let warmup = read_span(reader, section, "warmup", Span::from_secs(10));
+    let drain = read_span(reader, section, "drain", Span::from_secs(30));
+    Some(Terms {
+        service: service?,
+        addresses: addresses.into(),
+        slots: Slots::new(slots?),
+        connections: Connections::new(connections?),
+        upstreams_max: upstreams_max?,
+        share: share?,
+        deadline: deadline?,
+        wait: wait?,
+        warmup: warmup?,
+        drain: drain?,
+    })
+}
+
+fn read_bounded(reader: &mut Reader, section: &str, key: &str, max: u32) -> Option<u32> {
+    let expected = format!("a whole number from 1 to {max}");
+    let value = reader.required(section, key, &expected)?;
+    if !(1..=max).contains(&value) {
+        reader.fault(section, key, &format!("expected {expected}"));
+        return None;
+    }
+    Some(value)
+}
+
+fn read_span(reader: &mut Reader, section: &str, key: &str, default: Span) -> Option<Span> {
+    let value = reader.optional(section, key, "a duration such as 250 ms or 3 s", default)?;
+    if value > MAX_DEADLINE {
+        reader.fault(section, key, &format!("expected at most {MAX_DEADLINE}"));
+        return None;
+    }
+    Some(value)
+}
--- a/yuccacroft-core/src/derive.rs
+++ b/yuccacroft-core/src/derive.rs
@@ -34,7 +34,7 @@
         impl std::str::FromStr for $name {
             type Err = $crate::errors::Error;
 
-            fn from_str(text: &str) -> Result<Self, Self::Err> {
+            fn from_str(text: &str) -> $crate::errors::Result<Self> {
                 text.parse().map(Self).map_err(|_| $crate::errors::Error::expected($expected, text))
             }
         }
@@ -73,7 +73,7 @@
         impl std::str::FromStr for $name {
             type Err = $crate::errors::Error;
 
-            fn from_str(text: &str) -> Result<Self, Self::Err> {
+            fn from_str(text: &str) -> $crate::errors::Result<Self> {
                 if text.len() != 32 {
                     return Err($crate::errors::Error::expected("32 hexadecimal digits", text));
                 }
@@ -118,7 +118,7 @@
         impl std::str::FromStr for $name {
             type Err = $crate::errors::Error;
 
-            fn from_str(text: &str) -> Result<Self, Self::Err> {
+            fn from_str(text: &str) -> $crate::errors::Result<Self> {
                 Self::new(text)
             }
         }
--- a/yuccacroft-core/src/errors.rs
+++ b/yuccacroft-core/src/errors.rs
@@ -59,7 +59,9 @@
 impl Display for Error {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Expected { expected, found } => write!(f, "expected {expected}, found \"{found}\""),
+            Self::Expected { expected, found } => {
+                write!(f, "expected {expected}, found \"{found}\"")
+            }
             Self::Faults(faults) => {
                 for (position, fault) in faults.iter().enumerate() {
                     if position > 0 {
--- a/yuccacroft-core/src/ids.rs
+++ b/yuccacroft-core/src/ids.rs
@@ -60,16 +60,7 @@
 
 /// The address of an agent, which also serves as its identity together with an [`Incarnation`].
 #[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
 )]
 #[serde(transparent)]
 pub struct Instance(SocketAddrV4);
--- a/yuccacroft-core/src/key.rs
+++ b/yuccacroft-core/src/key.rs
@@ -38,8 +38,7 @@
 
     /// Returns the HMAC-SHA256 of the parts, each preceded by its length.
     pub fn sign(&self, parts: &[&[u8]]) -> [u8; SECRET_BYTES] {
-        let mut mac = self.mac(parts);
-        mac.finalize_reset().into_bytes().into()
+        self.mac(parts).finalize().into_bytes().into()
     }
 
     /// Compares a signature in constant time.
@@ -48,7 +47,8 @@
     }
 
     fn mac(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
-        let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).expect("HMAC takes any key length");
+        let mut mac =
+            <Hmac<Sha256> as Mac>::new_from_slice(&self.0).expect("HMAC takes any key length");
         for part in parts {
             mac.update(&(part.len() as u64).to_be_bytes());
             mac.update(part);
@@ -93,16 +93,7 @@
 
 /// A short digest that names one customer's service in capsules.
 #[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
 )]
 #[serde(transparent)]
 pub struct Digest(u64);
--- /dev/null
+++ b/yuccacroft-core/src/member.rs
@@ -0,0 +1,57 @@
+//! Members: the upstreams that announced themselves, as balancers see them.
+
+pub mod roster;
+
+use {
+    crate::{
+        flow::Hop,
+        ids::{Customer, Domain, Incarnation, Instance, Service},
+        units::Weight,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// What an upstream is ready for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Phase {
+    /// It takes new flows.
+    Serving,
+    /// It keeps its flows and takes no new ones.
+    Draining,
+    /// It is gone. The entry stays for a while so that older news cannot bring it back.
+    Left,
+}
+
+/// The entry of one upstream, written by its agent only.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The customer whose contract the agent proved to know.
+    pub customer: Customer,
+    /// The service that the upstream runs.
+    pub service: Service,
+    /// The address of the agent.
+    pub instance: Instance,
+    /// The life of the agent.
+    pub incarnation: Incarnation,
+    /// Counts the changes of this entry within one incarnation.
+    pub version: u32,
+    /// The failure domain of the upstream.
+    pub domain: Domain,
+    /// Its share of new flows.
+    pub weight: Weight,
+    /// What it is ready for.
+    pub phase: Phase,
+}
+
+impl Entry {
+    /// Returns true when `self` replaces `other`, an entry of the same instance. An agent's own
+    /// later word goes before its earlier one, and a later life before all of an earlier one.
+    pub fn supersedes(&self, other: &Self) -> bool {
+        (self.incarnation, self.version) > (other.incarnation, other.version)
+    }
+
+    /// Returns the address and life that a capsule names.
+    pub fn hop(&self) -> Hop {
+        Hop { instance: self.instance, incarnation: self.incarnation }
+    }
+}
--- /dev/null
+++ b/yuccacroft-platform/src/errors.rs
@@ -0,0 +1,29 @@
+//! Errors of the key-value store.
+
+use std::fmt::{Display, Formatter};
+
+/// The result of a store call.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a store call failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// The call did not reach the store; it had no effect.
+    Unreachable(Box<str>),
+    /// The answer was lost. A write may have taken effect; the caller reads back to find out.
+    Uncertain(Box<str>),
+    /// The store refused the call or its answer makes no sense; trying again does not help.
+    Protocol(Box<str>),
+}
+
+impl Display for Error {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unreachable(cause) => write!(f, "store cannot be reached: {cause}"),
+            Self::Uncertain(cause) => write!(f, "answer of the store was lost: {cause}"),
+            Self::Protocol(cause) => write!(f, "store gave an unusable answer: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/yuccacroft-rpc/src/client.rs
@@ -0,0 +1,67 @@
+//! The calling side.
+
+use {
+    crate::{
+        clock,
+        errors::{Error, Result},
+    },
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper_util::{
+        client::legacy::{Client as Pool, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    serde::{Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, time::Duration},
+    yuccacroft_core::key::Secret,
+    yuccacroft_wire::{message, seal},
+};
+
+/// A pool of connections to peers.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+}
+
+impl Client {
+    /// Creates a client. A call that takes longer than `timeout` counts as lost.
+    pub fn new(timeout: Duration) -> Self {
+        // The library must not repeat a call on its own, since the peer may have acted on it.
+        let pool = Pool::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .pool_idle_timeout(Duration::from_secs(15))
+            .build(HttpConnector::new());
+        Self { pool, timeout }
+    }
+
+    /// Sends a message to a path of a peer and reads its answer.
+    pub async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        secret: &Secret,
+        query: &Q,
+    ) -> Result<A> {
+        let body = message::encode(query)?;
+        let request = http::Request::post(format!("http://{peer}{path}"))
+            .header(seal::HEADER, seal::sign(secret, path, clock::wall(), &body))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| Error::Unreachable(error.to_string().into()))?;
+        let exchange = tokio::time::timeout(self.timeout, self.exchange(request));
+        let bytes = exchange.await.map_err(|_| Error::Lost("timeout".into()))??;
+        Ok(message::decode(&bytes)?)
+    }
+
+    async fn exchange(&self, request: http::Request<Full<Bytes>>) -> Result<Bytes> {
+        let response = self.pool.request(request).await.map_err(|error| {
+            let text = error.to_string().into();
+            if error.is_connect() { Error::Unreachable(text) } else { Error::Lost(text) }
+        })?;
+        if !response.status().is_success() {
+            return Err(Error::Refused(response.status()));
+        }
+        let body = Limited::new(response.into_body(), message::MAX_BYTES).collect().await;
+        body.map(|body| body.to_bytes()).map_err(|error| Error::Lost(error.to_string().into()))
+    }
+}
--- /dev/null
+++ b/yuccacroft-rpc/src/clock.rs
@@ -0,0 +1,44 @@
+//! The clocks of a process.
+
+use {
+    std::time::{Instant, SystemTime, UNIX_EPOCH},
+    yuccacroft_core::{
+        ids::Incarnation,
+        time::{Moment, Span},
+    },
+};
+
+/// The monotonic clock of one process, counted from its start.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts the clock.
+    pub fn new() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// Returns the present moment.
+    pub fn now(&self) -> Moment {
+        Moment::default() + Span::from(self.start.elapsed())
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Returns the wall clock since the Unix epoch; it may jump and is used for authenticators and
+/// incarnations only.
+pub fn wall() -> Span {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(Span::ZERO, Span::from)
+}
+
+/// Returns the incarnation of a process that starts now.
+pub fn incarnation() -> Incarnation {
+    Incarnation::new(wall().as_millis())
+}
--- /dev/null
+++ b/yuccacroft-rpc/src/errors.rs
@@ -0,0 +1,41 @@
+//! Errors of calls between processes.
+
+use {
+    http::StatusCode,
+    std::fmt::{Display, Formatter},
+};
+
+/// The result of a call.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a call brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// No connection came about; the peer did not see the call.
+    Unreachable(Box<str>),
+    /// The answer was lost; the peer may have acted on the call.
+    Lost(Box<str>),
+    /// The peer refused the call.
+    Refused(StatusCode),
+    /// A message could not be encoded or decoded.
+    Wire(yuccacroft_wire::errors::Error),
+}
+
+impl Display for Error {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unreachable(cause) => write!(f, "peer cannot be reached: {cause}"),
+            Self::Lost(cause) => write!(f, "answer of the peer was lost: {cause}"),
+            Self::Refused(status) => write!(f, "peer refused the call: {status}"),
+            Self::Wire(error) => write!(f, "message is unusable: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<yuccacroft_wire::errors::Error> for Error {
+    fn from(error: yuccacroft_wire::errors::Error) -> Self {
+        Self::Wire(error)
+    }
+}
--- /dev/null
+++ b/yuccacroft-wire/src/capsule.rs
@@ -0,0 +1,145 @@
+//! The encapsulation of packets between balancers and agents.
+//!
+//! A capsule is one UDP datagram: a version byte, an 8-byte authenticator, the header (postcard)
+//! and the packet as it came. The authenticator covers the header and the length of the packet;
+//! the packet itself is protected by QUIC.
+
+use {
+    crate::errors::{Error, Result},
+    serde::{Deserialize, Serialize},
+    siphasher::sip::SipHasher24,
+    std::{
+        fmt::{Debug, Formatter},
+        hash::Hasher,
+        net::{SocketAddr, SocketAddrV4},
+    },
+    yuccacroft_core::{
+        flow::{Key, Phase},
+        ids::{Incarnation, Revision},
+        key::{Digest, Secret},
+        placement::Chain,
+    },
+};
+
+const VERSION: u8 = 1;
+const MAC_START: usize = 1;
+const HEADER_START: usize = 9;
+/// Upper bound of a capsule's overhead in bytes. With packets of 1,200 bytes the whole stays below
+/// the 1,472 bytes that fit into an unfragmented datagram.
+pub const MAX_OVERHEAD: usize = 200;
+
+/// How the packet found its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// The packet carried a valid owner tag.
+    Tagged,
+    /// The packet was placed by its flow key.
+    Untagged {
+        /// The key of the flow.
+        key: Key,
+        /// Its part in the flow.
+        phase: Phase,
+        /// The candidates for the flow.
+        chain: Chain,
+        /// The position of the receiver on the chain.
+        position: u8,
+    },
+    /// The packet goes back to the caller.
+    Reply,
+}
+
+/// Everything that a capsule says about its packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// How the packet found its way.
+    pub kind: Kind,
+    /// The service that the packet is meant for.
+    pub digest: Digest,
+    /// The life of the agent that the packet is meant for; of the sender in a reply.
+    pub incarnation: Incarnation,
+    /// The revision of the contract that the sender follows.
+    pub revision: Revision,
+    /// The caller's address.
+    pub caller: SocketAddr,
+    /// The service address that the caller uses.
+    pub service: SocketAddr,
+    /// Where the balancer sends replies: the fabric, or the caller itself.
+    pub via: SocketAddr,
+    /// Where agents send replies: the balancer that took the packet in.
+    pub balancer: SocketAddrV4,
+}
+
+/// The authenticator key of one service.
+#[derive(Clone)]
+pub struct Seal(SipHasher24);
+
+/// A decoded capsule whose authenticator was not checked yet, since its key depends on the header.
+#[derive(Debug)]
+pub struct Opened<'a> {
+    /// The header as claimed.
+    pub header: Header,
+    /// The packet.
+    pub payload: &'a [u8],
+    mac: [u8; 8],
+    sealed: &'a [u8],
+}
+
+impl Seal {
+    /// Creates the key from the capsule secret of a service.
+    pub fn new(secret: &Secret) -> Self {
+        Self(SipHasher24::new_with_key(&secret.halves().0))
+    }
+
+    fn mac(&self, header: &[u8], payload: usize) -> [u8; 8] {
+        let mut hasher = self.0;
+        hasher.write(header);
+        hasher.write_u64(payload as u64);
+        hasher.finish().to_be_bytes()
+    }
+}
+
+impl Debug for Seal {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Seal(..)")
+    }
+}
+
+impl Opened<'_> {
+    /// Checks the authenticator. Nothing of the capsule may be used when this fails.
+    pub fn verify(&self, seal: &Seal) -> Result<()> {
+        if seal.mac(self.sealed, self.payload.len()) == self.mac {
+            Ok(())
+        } else {
+            Err(Error::Unauthenticated)
+        }
+    }
+}
+
+/// Writes a capsule into `buffer` and returns its length. Nothing is allocated.
+pub fn encode(header: &Header, payload: &[u8], seal: &Seal, buffer: &mut [u8]) -> Result<usize> {
+    if buffer.len() < HEADER_START + MAX_OVERHEAD + payload.len() {
+        return Err(Error::TooLarge);
+    }
+    buffer[0] = VERSION;
+    let header = postcard::to_slice(header, &mut buffer[HEADER_START..HEADER_START + MAX_OVERHEAD])
+        .map_err(|_| Error::TooLarge)?;
+    let (end, mac) = (HEADER_START + header.len(), seal.mac(header, payload.len()));
+    buffer[MAC_START..HEADER_START].copy_from_slice(&mac);
+    buffer[end..end + payload.len()].copy_from_slice(payload);
+    Ok(end + payload.len())
+}
+
+/// Reads a capsule. The authenticator is checked by [`Opened::verify`].
+pub fn decode(datagram: &[u8]) -> Result<Opened<'_>> {
+    if datagram.len() < HEADER_START {
+        return Err(Error::Truncated);
+    }
+    if datagram[0] != VERSION {
+        return Err(Error::Version);
+    }
+    let mut mac = [0; 8];
+    mac.copy_from_slice(&datagram[MAC_START..HEADER_START]);
+    let rest = &datagram[HEADER_START..];
+    let (header, payload) = postcard::take_from_bytes(rest).map_err(|_| Error::Malformed)?;
+    Ok(Opened { header, payload, mac, sealed: &rest[..rest.len() - payload.len()] })
+}
--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -1,1 +1,14 @@
-//! placeholder
+//! Encodings of everything that processes send to each other, without any decision.
+//!
+//! Every decoder checks the version and the bounds of its input and never panics; see
+//! `docs/design.md`, section 6.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
+
+pub mod capsule;
+pub mod errors;
+pub mod invariant;
+pub mod message;
+pub mod proxy;
+pub mod seal;
--- /dev/null
+++ b/yuccacroft-wire/src/message.rs
@@ -0,0 +1,62 @@
+//! Control messages between processes, encoded with rmp-serde.
+
+use {
+    crate::errors::{Error, Result},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    yuccacroft_core::{
+        contract::{Accepted, Contract},
+        ids::{Incarnation, Instance, Revision},
+        member::Entry,
+    },
+};
+
+const VERSION: u8 = 1;
+/// Largest message in bytes: the snapshot of a balancer at the size in `docs/CAPACITY.md`.
+pub const MAX_BYTES: usize = 16 << 20;
+
+/// An agent tells a registrar that its upstream is there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announce {
+    /// The member entry of the agent.
+    pub entry: Entry,
+    /// The revision of the contract that the agent follows.
+    pub revision: Revision,
+}
+
+/// The answer to an [`Announce`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// The contract, when the agent's revision is not the current one.
+    pub contract: Option<Contract<Accepted>>,
+    /// The other agents of the service.
+    pub siblings: Box<[Sibling]>,
+}
+
+/// Another agent of the same service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sibling {
+    /// Its address.
+    pub instance: Instance,
+    /// Its life.
+    pub incarnation: Incarnation,
+}
+
+/// Encodes a message behind a version byte.
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
+    let mut bytes = vec![VERSION];
+    rmp_serde::encode::write(&mut bytes, message).map_err(|_| Error::Malformed)?;
+    if bytes.len() > MAX_BYTES { Err(Error::TooLarge) } else { Ok(bytes) }
+}
+
+/// Decodes a message. Bytes behind the message are an error.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    if bytes.len() > MAX_BYTES {
+        return Err(Error::TooLarge);
+    }
+    let (&version, mut rest) = bytes.split_first().ok_or(Error::Truncated)?;
+    if version != VERSION {
+        return Err(Error::Version);
+    }
+    let message = rmp_serde::from_read(&mut rest).map_err(|_| Error::Malformed)?;
+    if rest.is_empty() { Ok(message) } else { Err(Error::Malformed) }
+}
