Run one request from end to end over separate processes

A caller's packets are sprayed over three balancers; the agent ends the QUIC connection and calls the upstream over HTTP/1.1. The contract comes from the store's stand-in, the agents announce themselves.

--- /dev/null
+++ b/yuccacroft-wire/tests/capsule.rs
@@ -0,0 +1,89 @@
+//! Capsules: the round trip, and input that is damaged or forged.
+
+use {
+    proptest::prelude::*,
+    yuccacroft_core::{
+        flow::{Hop, Key, Phase},
+        ids::{Customer, Incarnation, Instance, Revision, Service},
+        key::{Digest, Secret},
+        placement::Chain,
+    },
+    yuccacroft_wire::{
+        capsule::{self, Header, Kind, Seal},
+        errors::Error,
+        proxy::{self, Pair},
+    },
+};
+
+fn header() -> Header {
+    let mut chain = Chain::default();
+    for bits in 1..=5 {
+        let instance = Instance::from_bits(bits << 16 | 9_000);
+        chain.push(Hop { instance, incarnation: Incarnation::new(1 << 47) });
+    }
+    let customer: Customer = "kampvuur".parse().unwrap();
+    let service: Service = "booking".parse().unwrap();
+    Header {
+        kind: Kind::Untagged { key: Key::new(u64::MAX), phase: Phase::First, chain, position: 1 },
+        digest: Digest::new(&customer, &service),
+        incarnation: Incarnation::new(1 << 47),
+        revision: Revision::new(u64::MAX),
+        caller: "[2001:db8::1]:65535".parse().unwrap(),
+        service: "[2001:db8::2]:65535".parse().unwrap(),
+        via: "[2001:db8::3]:65535".parse().unwrap(),
+        balancer: "127.0.0.1:65535".parse().unwrap(),
+    }
+}
+
+fn seal(byte: u8) -> Seal {
+    Seal::new(&Secret::new([byte; 32]))
+}
+
+/// Guards against a header that outgrows the reserved overhead: this is the longest one.
+#[test]
+fn longest_header_fits_and_returns() {
+    let mut buffer = [0; 2_048];
+    let length = capsule::encode(&header(), &[9; 1_200], &seal(1), &mut buffer).unwrap();
+    assert!(length <= 1_200 + 9 + capsule::MAX_OVERHEAD);
+    let opened = capsule::decode(&buffer[..length]).unwrap();
+    opened.verify(&seal(1)).unwrap();
+    assert_eq!((opened.header, opened.payload), (header(), &[9; 1_200][..]));
+}
+
+/// Guards against a capsule that another service's process made.
+#[test]
+fn refuses_another_key() {
+    let mut buffer = [0; 2_048];
+    let length = capsule::encode(&header(), b"packet", &seal(1), &mut buffer).unwrap();
+    let opened = capsule::decode(&buffer[..length]).unwrap();
+    assert_eq!(opened.verify(&seal(2)), Err(Error::Unauthenticated));
+}
+
+/// Guards against an own header writer that departs from the published protocol.
+#[test]
+fn proxy_header_equals_the_one_of_the_library() {
+    use ppp::v2::{Builder, Command, IPv4, Protocol, Version};
+    let pair = Pair {
+        source: "10.1.2.3:4000".parse().unwrap(),
+        destination: "10.4.5.6:443".parse().unwrap(),
+    };
+    let addresses = IPv4::new([10, 1, 2, 3], [10, 4, 5, 6], 4_000, 443);
+    let made =
+        Builder::with_addresses(Version::Two | Command::Proxy, Protocol::Datagram, addresses)
+            .build()
+            .unwrap();
+    let mut buffer = [0; 128];
+    let length = proxy::encode(pair, b"", &mut buffer).unwrap();
+    assert_eq!(buffer[..length], made);
+    assert_eq!(proxy::decode(&buffer[..length]).unwrap(), (pair, &b""[..]));
+}
+
+proptest! {
+    /// Guards against a panic on any datagram.
+    #[test]
+    fn survives_any_datagram(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = capsule::decode(&bytes).map(|opened| opened.verify(&seal(1)));
+        let _ = proxy::decode(&bytes);
+        let _ = yuccacroft_wire::invariant::Invariant::decode(&bytes);
+    }
+}
--- a/yuccacroft/src/main.rs
+++ b/yuccacroft/src/main.rs
@@ -1,1 +1,16 @@
-fn main() {}
+//! The one binary of yuccacroft.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
+
+use {std::process::ExitCode, yuccacroft::cli};
+
+fn main() -> ExitCode {
+    match cli::run(argh::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/yuccacroft/tests/support/mod.rs
@@ -0,0 +1,142 @@
+//! Starts balancers and agents as processes and everything around them as stand-ins.
+
+use {
+    std::{
+        fs,
+        net::{SocketAddr, TcpListener, UdpSocket},
+        path::{Path, PathBuf},
+        process::{Child, Command, Stdio},
+        sync::atomic::{AtomicU32, Ordering},
+        time::{Duration, Instant},
+    },
+    yuccacroft_balancer::control::CONTRACTS,
+    yuccacroft_core::{ids::Revision, key::Secret},
+    yuccacroft_fakes::{
+        caller::Caller, certificate::Certificate, fabric::Fabric, store::Store, upstream::Upstream,
+    },
+    yuccacroft_platform::{etcd::Gateway, store::Store as _},
+};
+
+const SERVICE: &str = "booking.kampvuur.example";
+const WORK: Duration = Duration::from_millis(5);
+const CONNECT_DEADLINE: Duration = Duration::from_secs(30);
+const KEY: [u8; 32] = [7; 32];
+
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+
+/// Three balancers and three agents as processes.
+pub struct System {
+    /// The upstreams with their records.
+    pub upstreams: Vec<Upstream>,
+    certificate: Certificate,
+    service: SocketAddr,
+    processes: Vec<Child>,
+    _fabric: Fabric,
+    _store: Store,
+    folder: PathBuf,
+}
+
+impl System {
+    /// Starts everything.
+    pub async fn start() -> Self {
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let folder =
+            std::env::temp_dir().join(format!("yuccacroft-{}-{number}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let service = free_udp();
+        let store = Store::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let gateway = Gateway::new(store.address(), Duration::from_secs(1));
+        let key = format!("{CONTRACTS}kampvuur");
+        gateway.put(&key, &contract(service), Revision::default()).await.unwrap();
+        let certificate = Certificate::new(SERVICE);
+        fs::write(folder.join("service.pem"), certificate.certificate_pem.as_bytes()).unwrap();
+        fs::write(folder.join("service.key"), certificate.key_pem.as_bytes()).unwrap();
+        let (mut processes, mut packets, mut controls) = (Vec::new(), Vec::new(), Vec::new());
+        for index in 0..3 {
+            let (packet, control) = (free_udp(), free_tcp());
+            let text = balancer(index, packet, control, store.address());
+            processes.push(run(&folder, "balancer", index, &text));
+            packets.push(packet);
+            controls.push(control);
+        }
+        let mut upstreams = Vec::new();
+        for index in 0..3 {
+            let name = format!("upstream-{index}");
+            let upstream = Upstream::start(&name, "127.0.0.1:0".parse().unwrap(), WORK);
+            let upstream = upstream.await.unwrap();
+            let text = agent(index, &controls, upstream.address());
+            processes.push(run(&folder, "agent", index, &text));
+            upstreams.push(upstream);
+        }
+        let fabric = Fabric::start(&[service], packets, 1).await.unwrap();
+        Self { upstreams, certificate, service, processes, _fabric: fabric, _store: store, folder }
+    }
+
+    /// Opens a connection; processes may still be starting.
+    pub async fn caller(&self) -> Caller {
+        let begin = Instant::now();
+        loop {
+            let attempt = Caller::connect(self.service, SERVICE, &self.certificate.certificate);
+            match tokio::time::timeout(Duration::from_secs(2), attempt).await {
+                Ok(Ok(caller)) => return caller,
+                _ => assert!(begin.elapsed() < CONNECT_DEADLINE, "no connection came about"),
+            }
+        }
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            // A process that has ended already is no fault.
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn run(folder: &Path, role: &str, index: usize, text: &str) -> Child {
+    let file = folder.join(format!("{role}-{index}.ini"));
+    fs::write(&file, text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_yuccacroft"));
+    command.arg(role).arg("--settings").arg(file);
+    command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap()
+}
+
+fn contract(service: SocketAddr) -> String {
+    let key = Secret::new(KEY);
+    format!(
+        "[customer]\nname = kampvuur\nkey = {key}\ncapacity = 28\n\n[service booking]\n\
+         addresses = {service}\nslots = 4\nconnections = 2000\nupstreams_max = 7\nshare = 28\n"
+    )
+}
+
+fn balancer(index: usize, packets: SocketAddr, control: SocketAddr, store: SocketAddr) -> String {
+    format!(
+        "[process]\nname = balancer-{index}\ndomain = vlaanderen-{index}\n\n[listen]\n\
+         packets = {packets}\ncapsules = {}\ncontrol = {control}\n\n[store]\naddress = {store}\n",
+        free_udp()
+    )
+}
+
+fn agent(index: usize, controls: &[SocketAddr], upstream: SocketAddr) -> String {
+    let controls: Vec<_> = controls.iter().map(ToString::to_string).collect();
+    format!(
+        "[process]\nname = agent-{index}\ndomain = vlaanderen-{index}\n\n[service]\n\
+         customer = kampvuur\nname = booking\nkey = {}\n\n[listen]\ncapsules = {}\n\n[mesh]\n\
+         balancers = {}\n\n[upstream]\naddress = {upstream}\n\n[tls]\n\
+         certificate = service.pem\nkey = service.key\n",
+        Secret::new(KEY),
+        free_udp(),
+        controls.join(", ")
+    )
+}
+
+fn free_udp() -> SocketAddr {
+    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn free_tcp() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
