--- /dev/null
+++ b/yuccacroft-bench/src/figure.rs
@@ -0,0 +1,92 @@
+//! The report of a case: a readable table, then one line a figure.
+
+use std::fmt::{Display, Formatter};
+
+/// What a figure has to reach. Targets come from `docs/design.md`, section 12, never from a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Target {
+    /// The figure must not be above this.
+    AtMost(f64),
+    /// The figure must not be below this.
+    AtLeast(f64),
+    /// The figure is shown for comparison only.
+    None,
+}
+
+/// One measured figure.
+#[derive(Clone, Debug)]
+pub struct Figure {
+    case: &'static str,
+    variant: Box<str>,
+    name: Box<str>,
+    value: f64,
+    target: Target,
+}
+
+/// All figures of one case.
+#[derive(Debug)]
+pub struct Report {
+    case: &'static str,
+    figures: Vec<Figure>,
+}
+
+impl Target {
+    fn met(self, value: f64) -> bool {
+        match self {
+            Self::AtMost(bound) => value <= bound,
+            Self::AtLeast(bound) => value >= bound,
+            Self::None => true,
+        }
+    }
+}
+
+impl Report {
+    /// Creates the report of a case.
+    pub fn new(case: &'static str) -> Self {
+        Self { case, figures: Vec::new() }
+    }
+
+    /// Adds a figure; its name carries the unit, for example `p99_ms`.
+    pub fn add(&mut self, variant: &str, name: &str, value: f64, target: Target) {
+        let (variant, name) = (variant.into(), name.into());
+        self.figures.push(Figure { case: self.case, variant, name, value, target });
+    }
+
+    /// Returns true when every target was met.
+    pub fn met(&self) -> bool {
+        self.figures.iter().all(|figure| figure.target.met(figure.value))
+    }
+}
+
+impl Display for Target {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::AtMost(bound) => write!(f, "<={bound}"),
+            Self::AtLeast(bound) => write!(f, ">={bound}"),
+            Self::None => f.write_str("none"),
+        }
+    }
+}
+
+impl Display for Figure {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        let Self { case, variant, name, value, target } = self;
+        let met = if target.met(*value) { "yes" } else { "no" };
+        write!(f, "case={case} variant={variant} figure={name} value={value:.4} ")?;
+        write!(f, "target={target} met={met}")
+    }
+}
+
+impl Display for Report {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        let width = self.figures.iter().map(|figure| figure.variant.len()).max().unwrap_or(0);
+        let names = self.figures.iter().map(|figure| figure.name.len()).max().unwrap_or(0);
+        for Figure { variant, name, value, target, .. } in &self.figures {
+            writeln!(f, "{variant:width$}  {name:names$}  {value:>14.4}  {target}")?;
+        }
+        for figure in &self.figures {
+            writeln!(f, "{figure}")?;
+        }
+        Ok(())
+    }
+}
--- a/yuccacroft-bench/src/main.rs
+++ b/yuccacroft-bench/src/main.rs
@@ -1,1 +1,40 @@
-fn main() {}
+//! Measurements of yuccacroft. Every case prints its figures with their targets.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
+
+mod figure;
+
+use {argh::FromArgs, figure::Report, std::process::ExitCode};
+
+/// Seed of all random choices when none is given.
+const DEFAULT_SEED: u64 = 1;
+
+/// The cases by name, in the order of `docs/design.md`, section 12.
+const CASES: &[(&str, Case)] = &[];
+
+/// A case takes the seed of all its random choices and measures.
+type Case = fn(u64) -> Report;
+
+/// Measure yuccacroft.
+#[derive(FromArgs)]
+struct Arguments {
+    /// the case
+    #[argh(positional)]
+    case: String,
+    /// the seed of all random choices
+    #[argh(option, default = "DEFAULT_SEED")]
+    seed: u64,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let Some((_, case)) = CASES.iter().find(|(name, _)| *name == arguments.case) else {
+        let names: Vec<_> = CASES.iter().map(|(name, _)| *name).collect();
+        eprintln!("unknown case {}, expected one of: {}", arguments.case, names.join(", "));
+        return ExitCode::FAILURE;
+    };
+    let report = case(arguments.seed);
+    print!("{report}");
+    if report.met() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
