Measure the packet path against a bare relay

Cause: the targets of the design page, section 12, on forwarding had no measurement.

Change: bench case `forwarding`. It alternates short rounds of a bare UDP relay and of the balancer's relay with the same sockets, batches, tasks and sinks, so that other load on the machine meets both alike, and takes the median of the ratios. It also measures the time of a decision, the allocations of a worker (library `allocation-counter`, which brings its own global allocator, so that no crate here needs unsafe code) and the processor time of an idle balancer and agent, which the bench program starts as processes of its own.

--- a/yuccacroft-bench/src/main.rs
+++ b/yuccacroft-bench/src/main.rs
@@ -4,14 +4,18 @@
 #![warn(rust_2018_idioms)]
 
 mod figure;
+mod forwarding;
 
 use {argh::FromArgs, figure::Report, std::process::ExitCode};
 
 /// Seed of all random choices when none is given.
 const DEFAULT_SEED: u64 = 1;
 
+/// First argument by which a case starts this program in a role of the product.
+const PROCESS: &str = "process";
+
 /// The cases by name, in the order of `docs/design.md`, section 12.
-const CASES: &[(&str, Case)] = &[];
+const CASES: &[(&str, Case)] = &[("forwarding", forwarding::run)];
 
 /// A case takes the seed of all its random choices and measures.
 type Case = fn(u64) -> Report;
@@ -28,6 +32,9 @@
 }
 
 fn main() -> ExitCode {
+    if std::env::args().nth(1).as_deref() == Some(PROCESS) {
+        return run_process();
+    }
     let arguments: Arguments = argh::from_env();
     let Some((_, case)) = CASES.iter().find(|(name, _)| *name == arguments.case) else {
         let names: Vec<_> = CASES.iter().map(|(name, _)| *name).collect();
@@ -38,3 +45,13 @@
     print!("{report}");
     if report.met() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
+
+/// Runs a balancer or an agent, as the shipped binary does.
+fn run_process() -> ExitCode {
+    let arguments: Vec<_> = std::env::args().skip(2).collect();
+    let arguments: Vec<_> = arguments.iter().map(String::as_str).collect();
+    let Ok(arguments) = yuccacroft::cli::Arguments::from_args(&["yuccacroft"], &arguments) else {
+        return ExitCode::FAILURE;
+    };
+    yuccacroft::cli::run(arguments).map_or(ExitCode::FAILURE, |()| ExitCode::SUCCESS)
+}
