Send runs of datagrams in one call and decide without shared state

Cause: the relay made one system call for each datagram, took two locks and changed shared reference counts for each packet, counted each packet in a shared counter, and allocated the list of receive buffers for each batch.

An SO_REUSEPORT socket for each worker was not chosen: the kernel picks by sender address, and a fabric that sends from one address would use one worker only.

Change: `outbox::Outbox` holds a run of equal-sized datagrams for up to 16 receivers and sends each with UDP segmentation offload at the end of a batch, or one by one where the kernel refuses. Workers look packets up in a `View` of the routes of their own, taken anew at most every 5 ms when the routes have changed. The latest decision and capsule head are kept for a following packet of the same flow and size. Counters are published once a batch. The sinks of the bench no longer spin, and its allocation count covers the relay's thread only.

--- a/yuccacroft-balancer/src/lib.rs
+++ b/yuccacroft-balancer/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod control;
 pub mod errors;
+pub mod outbox;
 pub mod packet;
 pub mod process;
 pub mod relay;
--- a/yuccacroft-balancer/src/packet.rs
+++ b/yuccacroft-balancer/src/packet.rs
@@ -1,7 +1,7 @@
 //! The filter chain of packets from callers: address, tag, placement.
 
 use {
-    crate::service::{Routes, Service},
+    crate::service::{Service, Slot, View},
     std::{
         net::{SocketAddr, SocketAddrV4},
         sync::Arc,
@@ -17,7 +17,7 @@
 };
 
 /// A packet from a caller, without its bytes.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Item {
     /// The caller.
     pub caller: SocketAddr,
@@ -27,7 +27,7 @@
     pub via: SocketAddr,
     /// What the packet shows without decryption.
     pub invariant: Invariant,
-    found: Option<Arc<Service>>,
+    found: Option<Slot>,
 }
 
 /// Why a packet goes nowhere.
@@ -48,8 +48,8 @@
         target: Hop,
         /// How the target was found.
         kind: Kind,
-        /// The service.
-        service: Arc<Service>,
+        /// The service in the view of the chain.
+        slot: Slot,
     },
     /// It is dropped and counted.
     Drop(Cause),
@@ -97,21 +97,29 @@
     }
 }
 
-/// Creates the chain.
-pub fn chain(routes: Arc<Routes>) -> Chain<Item, Decision> {
-    Chain::new(vec![Box::new(Address { routes }), Box::new(Tag), Box::new(Placement)])
+/// Creates the chain over the services of one moment.
+pub fn chain(view: Arc<View>) -> Chain<Item, Decision> {
+    Chain::new(vec![
+        Box::new(Address { view: view.clone() }),
+        Box::new(Tag { view: view.clone() }),
+        Box::new(Placement { view }),
+    ])
 }
 
 /// Finds the service, and with it the keys, from the destination alone.
 struct Address {
-    routes: Arc<Routes>,
+    view: Arc<View>,
 }
 
 /// Sends a packet with a valid tag to its owner.
-struct Tag;
+struct Tag {
+    view: Arc<View>,
+}
 
 /// Names the candidates of a packet without a tag.
-struct Placement;
+struct Placement {
+    view: Arc<View>,
+}
 
 impl Filter<Item> for Address {
     type Decision = Decision;
@@ -121,7 +129,7 @@
     }
 
     fn apply(&self, item: &mut Item) -> Verdict<Decision> {
-        item.found = self.routes.by_address(item.service);
+        item.found = self.view.by_address(item.service);
         if item.found.is_some() {
             Verdict::Continue
         } else {
@@ -138,13 +146,11 @@
     }
 
     fn apply(&self, item: &mut Item) -> Verdict<Decision> {
-        let Some(service) = &item.found else { return Verdict::Continue };
-        match service.cipher.decode(item.invariant.id()) {
-            Some(owner) => Verdict::Done(Decision::Forward {
-                target: owner.into(),
-                kind: Kind::Tagged,
-                service: service.clone(),
-            }),
+        let Some(slot) = item.found else { return Verdict::Continue };
+        match self.view.service(slot).cipher.decode(item.invariant.id()) {
+            Some(owner) => {
+                Verdict::Done(Decision::Forward { target: owner.into(), kind: Kind::Tagged, slot })
+            }
             None => Verdict::Continue,
         }
     }
@@ -158,17 +164,18 @@
     }
 
     fn apply(&self, item: &mut Item) -> Verdict<Decision> {
-        let Some(service) = &item.found else { return Verdict::Continue };
+        let Some(slot) = item.found else { return Verdict::Continue };
+        let service = self.view.service(slot);
         let packet =
             Packet::Untagged { key: service.key(item.invariant.id()), phase: item.invariant.phase };
-        Verdict::Done(place(service, packet))
+        Verdict::Done(place(service, slot, packet))
     }
 }
 
-fn place(service: &Arc<Service>, packet: Packet) -> Decision {
+fn place(service: &Service, slot: Slot, packet: Packet) -> Decision {
     let Packet::Untagged { key, phase } = packet else { return Decision::Drop(Cause::Address) };
     let chain = service.history.chain(key);
     let Some(target) = chain.first() else { return Decision::Drop(Cause::Members) };
     let kind = Kind::Untagged { key, phase, chain, position: 0 };
-    Decision::Forward { target, kind, service: service.clone() }
+    Decision::Forward { target, kind, slot }
 }
--- a/yuccacroft-balancer/src/relay.rs
+++ b/yuccacroft-balancer/src/relay.rs
@@ -1,10 +1,11 @@
-//! The I/O of the packet path: batches of datagrams in, single datagrams out.
+//! The I/O of the packet path: batches of datagrams in, runs of datagrams out.
 
 use {
     crate::{
         errors::{Error, Result},
+        outbox::Outbox,
         packet::{self, Decision, Item},
-        service::Routes,
+        service::{Routes, View},
     },
     metrics::{Counter, counter},
     quinn_udp::{BATCH_SIZE, RecvMeta, Transmit, UdpSockRef, UdpSocketState},
@@ -13,9 +14,10 @@
         io::{self, IoSliceMut},
         net::{SocketAddr, SocketAddrV4},
         sync::Arc,
+        time::{Duration, Instant},
     },
     tokio::{io::Interest, net::UdpSocket},
-    yuccacroft_core::{filter::Chain, shards::Shards},
+    yuccacroft_core::filter::Chain,
     yuccacroft_wire::{
         capsule::{self, Kind},
         invariant::Invariant,
@@ -23,12 +25,17 @@
     },
 };
 
-/// Longest datagram that is sent or received, in bytes.
-const DATAGRAM_BYTES: usize = 2_048;
 /// Receive buffer of one slot of a batch; the kernel may join datagrams of one sender.
 const SLOT_BYTES: usize = 64 << 10;
 /// Kernel buffer of a socket in bytes, asked for so that bursts of a few milliseconds fit.
 const SOCKET_BYTES: usize = 4 << 20;
+/// Room for the causes of drops; the list grows when there are more.
+const MAX_CAUSES: usize = 16;
+/// The cause of a drop when the kernel's send buffer is full.
+const SEND: &str = "send";
+/// Shortest time between two refreshes of a worker's view. A burst of changes, such as many
+/// agents that announce themselves, then costs each worker a bounded share of its time.
+const REFRESH_EVERY: Duration = Duration::from_millis(5);
 
 /// A UDP socket with batched receive.
 #[derive(Debug)]
@@ -37,20 +44,56 @@
     state: UdpSocketState,
 }
 
-/// The packet path of one balancer.
+/// The packet path of one balancer. Several tasks may run each direction at a time; what a task
+/// needs for each packet is its own, so that tasks share nothing but the sockets.
+#[derive(Debug)]
 pub struct Relay {
     packets: Port,
     capsules: Port,
     own: SocketAddrV4,
     routes: Arc<Routes>,
+}
+
+/// A task that forwards packets from callers.
+struct Forwarder<'a> {
+    relay: &'a Relay,
+    view: Arc<View>,
     chain: Chain<Item, Decision>,
-    counters: Counters,
-    drops: Shards<&'static str, Counter>,
+    refreshed: Instant,
+    outbox: Outbox,
+    counts: Counts,
+    last: Option<Last>,
+}
+
+/// The latest decision. Packets of a flow come in runs, and within one view the decision and the
+/// capsule's header depend on these fields only.
+struct Last {
+    item: Item,
+    payload: usize,
+    target: SocketAddr,
+    head: [u8; capsule::MAX_HEAD],
+    length: usize,
+}
+
+/// A task that returns packets from agents.
+struct Returner<'a> {
+    relay: &'a Relay,
+    view: Arc<View>,
+    refreshed: Instant,
+    outbox: Outbox,
+    counts: Counts,
 }
 
-struct Counters {
-    forwarded: Counter,
-    returned: Counter,
+/// The counts of one task, published once a batch.
+struct Counts {
+    passed: Counter,
+    drops: Vec<Drops>,
+}
+
+struct Drops {
+    cause: &'static str,
+    count: u64,
+    counter: Counter,
 }
 
 impl Port {
@@ -76,132 +119,224 @@
         self.socket.local_addr()
     }
 
-    async fn receive(
-        &self,
-        buffers: &mut [IoSliceMut<'_>],
-        metas: &mut [RecvMeta],
-    ) -> io::Result<usize> {
-        let mut read = || self.state.recv(UdpSockRef::from(&self.socket), buffers, metas);
-        self.socket.async_io(Interest::READABLE, &mut read).await
+    /// Sends datagrams of `segment` bytes each, the last one possibly shorter, and returns how
+    /// many were lost. A datagram is lost when the kernel's buffer is full: waiting would hold up
+    /// all flows, and callers send again.
+    pub fn send_run(&self, joined: &[u8], segment: usize, target: SocketAddr) -> usize {
+        let several = joined.len() > segment;
+        if several
+            && self.state.max_gso_segments() > 1
+            && self.send(joined, Some(segment), target).is_ok()
+        {
+            return 0;
+        }
+        let single = |datagram: &&[u8]| self.send(datagram, None, target).is_err();
+        joined.chunks(segment).filter(single).count()
     }
 
-    /// Sends one datagram, or drops it when the kernel's buffer is full: waiting would hold up
-    /// all flows, and callers send again.
-    fn send(&self, contents: &[u8], destination: SocketAddr) -> io::Result<()> {
-        let transmit =
-            Transmit { destination, ecn: None, contents, segment_size: None, src_ip: None };
+    fn send(
+        &self,
+        contents: &[u8],
+        segment_size: Option<usize>,
+        destination: SocketAddr,
+    ) -> io::Result<()> {
+        let transmit = Transmit { destination, ecn: None, contents, segment_size, src_ip: None };
         self.state.try_send(UdpSockRef::from(&self.socket), &transmit)
     }
+
+    async fn receive(&self, storage: &mut [u8], metas: &mut [RecvMeta]) -> io::Result<usize> {
+        let mut slots = storage.chunks_mut(SLOT_BYTES);
+        let mut buffers: [_; BATCH_SIZE] =
+            std::array::from_fn(|_| IoSliceMut::new(slots.next().unwrap_or_default()));
+        let mut read = || self.state.recv(UdpSockRef::from(&self.socket), &mut buffers, metas);
+        self.socket.async_io(Interest::READABLE, &mut read).await
+    }
 }
 
 impl Relay {
     /// Creates the packet path over two bound sockets. `own` is the address of the capsule socket
     /// as agents reach it.
     pub fn new(packets: Port, capsules: Port, own: SocketAddrV4, routes: Arc<Routes>) -> Self {
-        let counters = Counters {
-            forwarded: counter!("yuccacroft_packets_forwarded_total"),
-            returned: counter!("yuccacroft_packets_returned_total"),
-        };
-        let chain = packet::chain(routes.clone());
-        Self { packets, capsules, own, routes, chain, counters, drops: Shards::new() }
+        Self { packets, capsules, own, routes }
     }
 
     /// Forwards packets from callers to agents until the socket fails.
     pub async fn forward(&self) -> Result<()> {
-        let mut out = [0; DATAGRAM_BYTES];
-        let take = |datagram: &[u8], from| self.forward_one(datagram, from, &mut out);
-        pump(&self.packets, take).await.map_err(|cause| Error::Socket { name: "packets", cause })
+        let mut worker = Forwarder::new(self);
+        let batch = |batch: Batch<'_>| worker.batch(batch);
+        pump(&self.packets, batch).await.map_err(|cause| Error::Socket { name: "packets", cause })
     }
 
     /// Returns packets from agents to callers until the socket fails.
     pub async fn return_replies(&self) -> Result<()> {
-        let mut out = [0; DATAGRAM_BYTES];
-        let take = |datagram: &[u8], _| self.return_one(datagram, &mut out);
-        pump(&self.capsules, take).await.map_err(|cause| Error::Socket { name: "capsules", cause })
+        let mut worker = Returner::new(self);
+        let batch = |batch: Batch<'_>| worker.batch(batch);
+        pump(&self.capsules, batch).await.map_err(|cause| Error::Socket { name: "capsules", cause })
     }
+}
 
-    fn forward_one(&self, datagram: &[u8], from: SocketAddr, out: &mut [u8]) {
-        let (pair, payload) = match proxy::decode(datagram) {
-            Ok(decoded) => decoded,
-            Err(error) => return self.dropped(error.name()),
-        };
-        let invariant = match Invariant::decode(payload) {
-            Ok(invariant) => invariant,
-            Err(error) => return self.dropped(error.name()),
-        };
-        let mut item = Item::new(pair.source, pair.destination, from, invariant);
-        let (target, kind, service) = match self.chain.run(&mut item) {
-            Some(Decision::Forward { target, kind, service }) => (target, kind, service),
-            Some(Decision::Drop(cause)) => return self.dropped(cause.name()),
-            None => return self.dropped("undecided"),
-        };
-        let header = item.header(target, kind, &service, self.own);
-        match capsule::encode(&header, payload, &service.seal, out) {
-            Ok(length) => {
-                let sent = self.capsules.send(&out[..length], target.instance.address().into());
-                self.count(sent, &self.counters.forwarded);
+impl<'a> Forwarder<'a> {
+    fn new(relay: &'a Relay) -> Self {
+        let view = Arc::new(relay.routes.view());
+        Self {
+            relay,
+            chain: packet::chain(view.clone()),
+            view,
+            refreshed: Instant::now(),
+            outbox: Outbox::new(),
+            counts: Counts::new("yuccacroft_packets_forwarded_total"),
+            last: None,
+        }
+    }
+
+    fn batch(&mut self, batch: Batch<'_>) {
+        if let Some(view) = refresh(&self.relay.routes, &self.view, &mut self.refreshed) {
+            self.chain = packet::chain(view.clone());
+            self.view = view;
+            self.last = None;
+        }
+        for (datagram, from) in batch.datagrams() {
+            if let Err(cause) = self.one(datagram, from) {
+                self.counts.drop(cause, 1);
             }
-            Err(error) => self.dropped(error.name()),
         }
+        self.counts.publish(self.outbox.flush(&self.relay.capsules));
     }
 
-    fn return_one(&self, datagram: &[u8], out: &mut [u8]) {
-        let opened = match capsule::decode(datagram) {
-            Ok(opened) => opened,
-            Err(error) => return self.dropped(error.name()),
-        };
-        let Some(service) = self.routes.by_digest(opened.header.digest) else {
-            return self.dropped("service");
+    fn one(&mut self, datagram: &[u8], from: SocketAddr) -> std::result::Result<(), &'static str> {
+        let (pair, payload) = proxy::decode(datagram).map_err(|error| error.name())?;
+        let invariant = Invariant::decode(payload).map_err(|error| error.name())?;
+        let item = Item::new(pair.source, pair.destination, from, invariant);
+        if !self.last.as_ref().is_some_and(|last| last.covers(&item, payload)) {
+            self.last = Some(self.decide(item, payload)?);
+        }
+        let Some(last) = &self.last else { return Err("undecided") };
+        let head = &last.head[..last.length];
+        let write = |buffer: &mut [u8]| capsule::join(head, payload, buffer);
+        self.outbox.add(&self.relay.capsules, last.target, write).map_err(|error| error.name())
+    }
+
+    fn decide(&self, mut item: Item, payload: &[u8]) -> std::result::Result<Last, &'static str> {
+        let asked = item;
+        let (target, kind, slot) = match self.chain.run(&mut item) {
+            Some(Decision::Forward { target, kind, slot }) => (target, kind, slot),
+            Some(Decision::Drop(cause)) => return Err(cause.name()),
+            None => return Err("undecided"),
         };
-        if let Err(error) = opened.verify(&service.seal) {
-            return self.dropped(error.name());
+        let service = self.view.service(slot);
+        let header = item.header(target, kind, service, self.relay.own);
+        let mut head = [0; capsule::MAX_HEAD];
+        let length = capsule::encode_head(&header, payload.len(), &service.seal, &mut head)
+            .map_err(|error| error.name())?;
+        let target = target.instance.address().into();
+        Ok(Last { item: asked, payload: payload.len(), target, head, length })
+    }
+}
+
+impl Last {
+    fn covers(&self, item: &Item, payload: &[u8]) -> bool {
+        self.payload == payload.len() && self.item == *item
+    }
+}
+
+impl<'a> Returner<'a> {
+    fn new(relay: &'a Relay) -> Self {
+        Self {
+            relay,
+            view: Arc::new(relay.routes.view()),
+            refreshed: Instant::now(),
+            outbox: Outbox::new(),
+            counts: Counts::new("yuccacroft_packets_returned_total"),
         }
+    }
+
+    fn batch(&mut self, batch: Batch<'_>) {
+        if let Some(view) = refresh(&self.relay.routes, &self.view, &mut self.refreshed) {
+            self.view = view;
+        }
+        for (datagram, _) in batch.datagrams() {
+            if let Err(cause) = self.one(datagram) {
+                self.counts.drop(cause, 1);
+            }
+        }
+        self.counts.publish(self.outbox.flush(&self.relay.packets));
+    }
+
+    fn one(&mut self, datagram: &[u8]) -> std::result::Result<(), &'static str> {
+        let opened = capsule::decode(datagram).map_err(|error| error.name())?;
+        let slot = self.view.by_digest(opened.header.digest).ok_or("service")?;
+        let service = self.view.service(slot);
+        opened.verify(&service.seal).map_err(|error| error.name())?;
         if opened.header.kind != Kind::Reply {
-            return self.dropped("kind");
+            return Err("kind");
         }
         let header = opened.header;
         let pair = Pair { source: header.service, destination: header.caller };
-        match proxy::encode(pair, opened.payload, out) {
-            Ok(length) => {
-                let sent = self.packets.send(&out[..length], header.via);
-                self.count(sent, &self.counters.returned);
+        let write = |buffer: &mut [u8]| proxy::encode(pair, opened.payload, buffer);
+        self.outbox.add(&self.relay.packets, header.via, write).map_err(|error| error.name())
+    }
+}
+
+impl Counts {
+    fn new(passed: &'static str) -> Self {
+        let mut counts = Self { passed: counter!(passed), drops: Vec::with_capacity(MAX_CAUSES) };
+        // The only cause of a drop in steady state is prepared, so that it allocates nothing then.
+        counts.drop(SEND, 0);
+        counts
+    }
+
+    /// Notes drops. The causes are few and fixed, so a short list serves.
+    fn drop(&mut self, cause: &'static str, count: u64) {
+        match self.drops.iter_mut().find(|drops| drops.cause == cause) {
+            Some(drops) => drops.count += count,
+            None => {
+                let counter = counter!("yuccacroft_packets_dropped_total", "cause" => cause);
+                self.drops.push(Drops { cause, count, counter });
             }
-            Err(error) => self.dropped(error.name()),
         }
     }
 
-    fn count(&self, sent: io::Result<()>, counter: &Counter) {
-        match sent {
-            Ok(()) => counter.increment(1),
-            Err(_) => self.dropped("send"),
+    fn publish(&mut self, sent: crate::outbox::Sent) {
+        self.passed.increment(sent.sent);
+        if sent.lost > 0 {
+            self.drop(SEND, sent.lost);
+        }
+        for drops in self.drops.iter_mut().filter(|drops| drops.count > 0) {
+            drops.counter.increment(std::mem::take(&mut drops.count));
         }
     }
+}
 
-    fn dropped(&self, cause: &'static str) {
-        let known = self.drops.read(&cause, |counter| counter.map(|c| c.increment(1)).is_some());
-        if !known {
-            let counter = counter!("yuccacroft_packets_dropped_total", "cause" => cause);
-            counter.increment(1);
-            self.drops.insert(cause, counter);
-        }
+/// Datagrams that were received together.
+struct Batch<'a> {
+    storage: &'a [u8],
+    metas: &'a [RecvMeta],
+}
+
+impl Batch<'_> {
+    fn datagrams(&self) -> impl Iterator<Item = (&[u8], SocketAddr)> {
+        let slots = self.storage.chunks(SLOT_BYTES).zip(self.metas);
+        slots.flat_map(|(slot, meta)| {
+            slot[..meta.len].chunks(meta.stride.max(1)).map(|datagram| (datagram, meta.addr))
+        })
+    }
+}
+
+/// Takes a new view when the routes have changed and the last one is old enough.
+fn refresh(routes: &Routes, view: &View, refreshed: &mut Instant) -> Option<Arc<View>> {
+    if routes.generation() == view.generation() || refreshed.elapsed() < REFRESH_EVERY {
+        return None;
     }
+    *refreshed = Instant::now();
+    Some(Arc::new(routes.view()))
 }
 
-/// Reads batches and hands over each datagram with its sender.
-async fn pump(port: &Port, mut take: impl FnMut(&[u8], SocketAddr)) -> io::Result<()> {
+/// Reads batches and hands them over.
+async fn pump(port: &Port, mut take: impl FnMut(Batch<'_>)) -> io::Result<()> {
     let mut storage = vec![0; SLOT_BYTES * BATCH_SIZE];
-    let mut metas = vec![RecvMeta::default(); BATCH_SIZE];
+    let mut metas = [RecvMeta::default(); BATCH_SIZE];
     loop {
-        let count = {
-            let mut buffers: Vec<_> = storage.chunks_mut(SLOT_BYTES).map(IoSliceMut::new).collect();
-            port.receive(&mut buffers, &mut metas).await?
-        };
-        for (slot, meta) in metas.iter().take(count).enumerate() {
-            let start = slot * SLOT_BYTES;
-            let joined = &storage[start..start + meta.len];
-            for datagram in joined.chunks(meta.stride.max(1)) {
-                take(datagram, meta.addr);
-            }
-        }
+        let count = port.receive(&mut storage, &mut metas).await?;
+        take(Batch { storage: &storage, metas: &metas[..count] });
     }
 }
--- a/yuccacroft-balancer/src/service.rs
+++ b/yuccacroft-balancer/src/service.rs
@@ -3,10 +3,14 @@
 use {
     siphasher::sip::SipHasher24,
     std::{
+        collections::HashMap,
         fmt::{Debug, Formatter},
         hash::Hasher,
         net::SocketAddr,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
     },
     yuccacroft_core::{
         contract::{Accepted, Contract, Terms},
@@ -45,8 +49,23 @@
 pub struct Routes {
     addresses: Shards<SocketAddr, Arc<Service>>,
     digests: Shards<Digest, Arc<Service>>,
+    generation: AtomicU64,
 }
 
+/// The services at one moment. A worker looks packets up in a view of its own, so that no packet
+/// takes a lock or touches a count that other threads touch.
+#[derive(Debug, Default)]
+pub struct View {
+    generation: u64,
+    services: Vec<Arc<Service>>,
+    addresses: HashMap<SocketAddr, Slot>,
+    digests: HashMap<Digest, Slot>,
+}
+
+/// The place of a service in a [`View`]. It means nothing in another view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Slot(usize);
+
 impl Service {
     /// Derives the keys of a service from its contract.
     pub fn new(contract: &Contract<Accepted>, terms: &Terms) -> Self {
@@ -94,6 +113,19 @@
         self.digests.get(&digest)
     }
 
+    /// Returns a number that grows with every change.
+    pub fn generation(&self) -> u64 {
+        self.generation.load(Ordering::Acquire)
+    }
+
+    /// Copies the tables. A change during the copy raises the generation above the one of the
+    /// view, so that the next check finds it.
+    pub fn view(&self) -> View {
+        let mut view = View { generation: self.generation(), ..View::default() };
+        view = self.digests.fold(view, |view, digest, service| view.with_digest(*digest, service));
+        self.addresses.fold(view, |view, address, service| view.with_address(*address, service))
+    }
+
     /// Puts a contract in force and takes out the addresses that it no longer has.
     pub fn apply(&self, contract: &Contract<Accepted>, replaced: Option<&Contract<Accepted>>) {
         for terms in contract.terms() {
@@ -110,6 +142,7 @@
         if let Some(replaced) = replaced {
             self.withdraw(replaced, contract);
         }
+        self.changed();
     }
 
     /// Makes a set of members the current generation of a service.
@@ -124,6 +157,11 @@
         for address in &terms.addresses {
             self.addresses.insert(*address, service.clone());
         }
+        self.changed();
+    }
+
+    fn changed(&self) {
+        self.generation.fetch_add(1, Ordering::Release);
     }
 
     fn withdraw(&self, replaced: &Contract<Accepted>, contract: &Contract<Accepted>) {
@@ -140,3 +178,45 @@
         }
     }
 }
+
+impl View {
+    /// Returns the generation of the routes from which the view was taken.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Finds the service behind an address.
+    pub fn by_address(&self, address: SocketAddr) -> Option<Slot> {
+        self.addresses.get(&address).copied()
+    }
+
+    /// Finds the service that a capsule names.
+    pub fn by_digest(&self, digest: Digest) -> Option<Slot> {
+        self.digests.get(&digest).copied()
+    }
+
+    /// Returns a service of this view.
+    pub fn service(&self, slot: Slot) -> &Service {
+        &self.services[slot.0]
+    }
+
+    fn with_digest(mut self, digest: Digest, service: &Arc<Service>) -> Self {
+        let slot = self.push(service);
+        self.digests.insert(digest, slot);
+        self
+    }
+
+    fn with_address(mut self, address: SocketAddr, service: &Arc<Service>) -> Self {
+        // Both tables hold the same service unless a change happened between the two copies.
+        let known = self.by_digest(service.digest);
+        let same = known.filter(|slot| Arc::ptr_eq(&self.services[slot.0], service));
+        let slot = same.unwrap_or_else(|| self.push(service));
+        self.addresses.insert(address, slot);
+        self
+    }
+
+    fn push(&mut self, service: &Arc<Service>) -> Slot {
+        self.services.push(service.clone());
+        Slot(self.services.len() - 1)
+    }
+}
--- /dev/null
+++ b/yuccacroft-balancer/tests/outbox.rs
@@ -0,0 +1,68 @@
+//! Joined sending over loopback sockets.
+
+use {
+    proptest::prelude::*,
+    std::{
+        convert::Infallible,
+        net::{SocketAddr, UdpSocket},
+        time::Duration,
+    },
+    yuccacroft_balancer::{
+        outbox::{Outbox, Sent},
+        relay::Port,
+    },
+};
+
+/// More receivers than the outbox holds runs for, so that runs are given up for others.
+const RECEIVERS: usize = 20;
+const TIMEOUT: Duration = Duration::from_secs(20);
+/// Datagrams that are read back at a time, few enough for any receive buffer.
+const CHUNK: usize = 50;
+/// A few sizes only, so that runs form.
+const SIZES: [usize; 4] = [4, 354, 704, 1_400];
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(20))]
+
+    /// Guards against datagrams that are lost, cut, joined or reordered when several leave in one
+    /// call.
+    #[test]
+    fn delivers_each_datagram_whole_and_in_order(
+        plan in proptest::collection::vec((0..RECEIVERS, 0..SIZES.len()), 1..300),
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let _guard = runtime.enter();
+        let port = Port::bind("test", "127.0.0.1:0".parse().unwrap()).unwrap();
+        let receivers: Vec<_> = (0..RECEIVERS).map(|_| receiver()).collect();
+        let mut outbox = Outbox::new();
+        for chunk in plan.chunks(CHUNK) {
+            for (number, &(to, size)) in chunk.iter().enumerate() {
+                let datagram = datagram(number, size);
+                let write = |buffer: &mut [u8]| {
+                    buffer[..datagram.len()].copy_from_slice(&datagram);
+                    Ok::<_, Infallible>(datagram.len())
+                };
+                let Ok(()) = outbox.add(&port, receivers[to].1, write);
+            }
+            prop_assert_eq!(outbox.flush(&port), Sent { sent: chunk.len() as u64, lost: 0 });
+            for (number, &(to, size)) in chunk.iter().enumerate() {
+                let mut buffer = [0; 2_048];
+                let length = receivers[to].0.recv(&mut buffer).unwrap();
+                prop_assert!(buffer[..length] == datagram(number, size));
+            }
+        }
+    }
+}
+
+fn datagram(number: usize, size: usize) -> Vec<u8> {
+    let mut datagram = vec![number as u8; SIZES[size]];
+    datagram[..4].copy_from_slice(&(number as u32).to_be_bytes());
+    datagram
+}
+
+fn receiver() -> (UdpSocket, SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(TIMEOUT)).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
+}
--- a/yuccacroft-bench/src/forwarding.rs
+++ b/yuccacroft-bench/src/forwarding.rs
@@ -151,13 +151,21 @@
     let (relay, address) = balancer(sinks);
     let before = sinks.received();
     let flood = load.flood(address);
-    let info = allocation_counter::measure(|| {
-        runtime.block_on(async {
-            tokio::select! {
-                _ = relay.forward() => {}
-                () = sinks.reached(before + packets as u64) => {}
-            }
+    let (sender, reached) = tokio::sync::oneshot::channel();
+    let info = std::thread::scope(|scope| {
+        // The wait runs on another thread, so that only the relay is counted.
+        scope.spawn(move || {
+            sinks.wait_for(before + packets as u64);
+            sender.send(()).expect("the relay runs until it is told to stop");
         });
+        allocation_counter::measure(|| {
+            runtime.block_on(async {
+                tokio::select! {
+                    _ = relay.forward() => {}
+                    _ = reached => {}
+                }
+            });
+        })
     });
     drop((flood, guard));
     info.count_total
--- a/yuccacroft-bench/src/forwarding/load.rs
+++ b/yuccacroft-bench/src/forwarding/load.rs
@@ -12,6 +12,10 @@
         thread::JoinHandle,
         time::{Duration, Instant},
     },
+    tokio::{
+        io::Interest,
+        runtime::{Builder, Runtime},
+    },
     yuccacroft_core::{
         contract::{Accepted, Contract},
         flow::Hop,
@@ -23,7 +27,8 @@
 const SOCKET_BYTES: usize = 4 << 20;
 const SLOT_BYTES: usize = 64 << 10;
 const SOURCES: usize = 2;
-const POLL: Duration = Duration::from_millis(50);
+const POLL: Duration = Duration::from_millis(5);
+const SINK_THREADS: usize = 2;
 /// Bursts that are built beforehand, so that a source only sends.
 const BURSTS: usize = 64;
 /// RFC 9000, section 17.3: a short header with the fixed bit.
@@ -56,8 +61,7 @@
 pub struct Sinks {
     addresses: Vec<SocketAddr>,
     count: Arc<AtomicU64>,
-    stop: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<()>>,
+    _runtime: Runtime,
 }
 
 /// Binds a loopback socket with large buffers.
@@ -110,19 +114,20 @@
 }
 
 impl Sinks {
-    /// Binds the sinks and counts on one thread each.
+    /// Binds the sinks and counts on threads of their own.
     pub fn start(number: usize) -> Self {
-        let (count, stop) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
-        let (mut addresses, mut threads) = (Vec::new(), Vec::new());
+        let runtime = Builder::new_multi_thread().worker_threads(SINK_THREADS).enable_all().build();
+        let runtime = runtime.expect("a runtime needs threads only");
+        let _guard = runtime.enter();
+        let (count, mut addresses) = (Arc::new(AtomicU64::new(0)), Vec::new());
         for _ in 0..number {
             let (socket, state) = bind();
-            // The time limit lets a silent sink see that it is to stop.
-            socket.set_read_timeout(Some(POLL)).expect("the time is not zero");
             addresses.push(socket.local_addr().expect("a bound socket has an address"));
-            let (count, stop) = (count.clone(), stop.clone());
-            threads.push(std::thread::spawn(move || receive(&socket, &state, &count, &stop)));
+            let socket = tokio::net::UdpSocket::from_std(socket);
+            let socket = socket.expect("the runtime takes a socket");
+            runtime.spawn(receive(socket, state, count.clone()));
         }
-        Self { addresses, count, stop, threads }
+        Self { addresses, count, _runtime: runtime }
     }
 
     /// Returns the addresses.
@@ -148,21 +153,13 @@
     }
 
     /// Waits until so many datagrams arrived.
-    pub async fn reached(&self, total: u64) {
-        let mut timer = tokio::time::interval(Duration::from_millis(5));
+    pub fn wait_for(&self, total: u64) {
         while self.received() < total {
-            timer.tick().await;
+            std::thread::sleep(POLL);
         }
     }
 }
 
-impl Drop for Sinks {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        self.threads.drain(..).for_each(|thread| thread.join().expect("a sink cannot fail"));
-    }
-}
-
 fn datagram(flow: &Flow, service: SocketAddr, payload: usize) -> Vec<u8> {
     let mut packet = vec![0; payload];
     packet[0] = SHORT_HEADER;
@@ -188,14 +185,15 @@
     }
 }
 
-fn receive(socket: &UdpSocket, state: &UdpSocketState, count: &AtomicU64, stop: &AtomicBool) {
+async fn receive(socket: tokio::net::UdpSocket, state: UdpSocketState, count: Arc<AtomicU64>) {
     let mut storage = vec![0; SLOT_BYTES * BATCH_SIZE];
     let mut metas = [RecvMeta::default(); BATCH_SIZE];
-    while !stop.load(Ordering::Relaxed) {
-        let mut buffers: Vec<_> = storage.chunks_mut(SLOT_BYTES).map(IoSliceMut::new).collect();
-        let Ok(read) = state.recv(UdpSockRef::from(socket), &mut buffers, &mut metas) else {
-            continue;
-        };
+    loop {
+        let mut slots = storage.chunks_mut(SLOT_BYTES);
+        let mut buffers: [_; BATCH_SIZE] =
+            std::array::from_fn(|_| IoSliceMut::new(slots.next().unwrap_or_default()));
+        let read = || state.recv(UdpSockRef::from(&socket), &mut buffers, &mut metas);
+        let Ok(read) = socket.async_io(Interest::READABLE, read).await else { continue };
         let datagrams = metas[..read].iter().map(|meta| meta.len.div_ceil(meta.stride.max(1)));
         count.fetch_add(datagrams.sum::<usize>() as u64, Ordering::Relaxed);
     }
--- a/yuccacroft-wire/src/capsule.rs
+++ b/yuccacroft-wire/src/capsule.rs
@@ -27,6 +27,8 @@
 /// Upper bound of a capsule's overhead in bytes. With packets of 1,200 bytes the whole stays below
 /// the 1,472 bytes that fit into an unfragmented datagram.
 pub const MAX_OVERHEAD: usize = 200;
+/// Upper bound of what stands before the packet, in bytes.
+pub const MAX_HEAD: usize = HEADER_START + MAX_OVERHEAD;
 
 /// How the packet found its way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,16 +119,40 @@
 
 /// Writes a capsule into `buffer` and returns its length. Nothing is allocated.
 pub fn encode(header: &Header, payload: &[u8], seal: &Seal, buffer: &mut [u8]) -> Result<usize> {
-    if buffer.len() < HEADER_START + MAX_OVERHEAD + payload.len() {
+    if buffer.len() < MAX_HEAD + payload.len() {
+        return Err(Error::TooLarge);
+    }
+    let end = encode_head(header, payload.len(), seal, buffer)?;
+    buffer[end..end + payload.len()].copy_from_slice(payload);
+    Ok(end + payload.len())
+}
+
+/// Writes what stands before a packet of `payload` bytes and returns its length. It serves all
+/// packets with the same header and size.
+pub fn encode_head(
+    header: &Header,
+    payload: usize,
+    seal: &Seal,
+    buffer: &mut [u8],
+) -> Result<usize> {
+    if buffer.len() < MAX_HEAD {
         return Err(Error::TooLarge);
     }
     buffer[0] = VERSION;
-    let header = postcard::to_slice(header, &mut buffer[HEADER_START..HEADER_START + MAX_OVERHEAD])
+    let header = postcard::to_slice(header, &mut buffer[HEADER_START..MAX_HEAD])
         .map_err(|_| Error::TooLarge)?;
-    let (end, mac) = (HEADER_START + header.len(), seal.mac(header, payload.len()));
+    let (end, mac) = (HEADER_START + header.len(), seal.mac(header, payload));
     buffer[MAC_START..HEADER_START].copy_from_slice(&mac);
-    buffer[end..end + payload.len()].copy_from_slice(payload);
-    Ok(end + payload.len())
+    Ok(end)
+}
+
+/// Writes the result of [`encode_head`] and its packet into `buffer` and returns the length.
+pub fn join(head: &[u8], payload: &[u8], buffer: &mut [u8]) -> Result<usize> {
+    let length = head.len() + payload.len();
+    let buffer = buffer.get_mut(..length).ok_or(Error::TooLarge)?;
+    buffer[..head.len()].copy_from_slice(head);
+    buffer[head.len()..].copy_from_slice(payload);
+    Ok(length)
 }
 
 /// Reads a capsule. The authenticator is checked by [`Opened::verify`].
