--- a/yuccacroft-core/src/lib.rs
+++ b/yuccacroft-core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod ownership;
 pub mod placement;
 pub mod request;
+pub mod seat;
 pub mod shards;
 pub mod tag;
 pub mod time;
