Carry out capacity claims on a balancer

Agents reach the store through balancers only. The shell reads the record, asks the core for the next one and writes it by compare-and-swap; a conflict or a lost answer leads to another read, in which the claim's number shows whether the write took effect.

--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -16,11 +16,11 @@
     },
     yuccacroft_core::{
         contract::{
-            Contract,
+            Accepted, Contract,
             register::{self, Register},
         },
         controller::Controller,
-        ids::Change,
+        ids::{Change, Customer},
         member::roster::{self, Roster},
         time::Span,
     },
@@ -65,6 +65,11 @@
         Router::new().route(ANNOUNCE_PATH, post(announce)).with_state(self.clone())
     }
 
+    /// Returns the contract in force of a customer.
+    pub fn contract(&self, customer: &Customer) -> Option<Arc<Contract<Accepted>>> {
+        locked(&self.register).get(customer).cloned()
+    }
+
     /// Keeps the contracts up to date from the store.
     pub async fn follow<S: Store>(&self, store: &S) {
         let mut timer = tokio::time::interval(STORE_POLL);
@@ -95,7 +100,7 @@
         Ok(())
     }
 
-    fn learn(&self, contract: Arc<Contract<yuccacroft_core::contract::Accepted>>) {
+    fn learn(&self, contract: Arc<Contract<Accepted>>) {
         let event = register::Event::Learned(contract);
         let actions = locked(&self.register).step(event, self.clock.now());
         for register::Action::Apply { contract, replaced } in actions {
@@ -153,9 +158,7 @@
     control.welcome(&headers, &body)
 }
 
-fn parse(
-    item: &Item,
-) -> yuccacroft_core::errors::Result<Contract<yuccacroft_core::contract::Accepted>> {
+fn parse(item: &Item) -> yuccacroft_core::errors::Result<Contract<Accepted>> {
     let checked = Contract::parse(&item.key, &item.value)?.check(&item.key)?;
     Ok(checked.accept(item.revision, Change::default()))
 }
--- a/yuccacroft-balancer/src/lib.rs
+++ b/yuccacroft-balancer/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod packet;
 pub mod process;
 pub mod relay;
+pub mod seats;
 pub mod service;
--- a/yuccacroft-balancer/src/process.rs
+++ b/yuccacroft-balancer/src/process.rs
@@ -5,6 +5,7 @@
         control::Control,
         errors::{Error, Result},
         relay::{Port, Relay},
+        seats::Seats,
         service::Routes,
     },
     slog::{Logger, error, info},
@@ -85,12 +86,13 @@
         for _ in 0..settings.threads.max(1) {
             spawn_relay(&mut tasks, &relay, &log);
         }
-        let store = Gateway::new(settings.store, STORE_TIMEOUT);
+        let store = Arc::new(Gateway::new(settings.store, STORE_TIMEOUT));
+        let seats = Arc::new(Seats::new(store.clone(), control.clone(), log.clone()));
         let follower = control.clone();
-        tasks.spawn(async move { follower.follow(&store).await });
+        tasks.spawn(async move { follower.follow(&*store).await });
         let ticker = control.clone();
         tasks.spawn(async move { ticker.tick().await });
-        let router = control.router();
+        let router = control.router().merge(seats.router());
         let server = tokio::spawn(async move {
             // The server ends with the process; its only error is a broken listener.
             let _ = axum::serve(listener, router).await;
--- /dev/null
+++ b/yuccacroft-balancer/src/seats.rs
@@ -0,0 +1,137 @@
+//! Claims of agents on their customer's capacity, carried out on the store's record.
+//!
+//! The decision is [`yuccacroft_core::seat::Record::step`]; this shell reads the record, writes it
+//! by compare-and-swap and begins again when another agent was faster.
+
+use {
+    crate::control::Control,
+    axum::{
+        Router,
+        body::Bytes,
+        extract::State,
+        http::{HeaderMap, StatusCode},
+        routing::post,
+    },
+    metrics::counter,
+    slog::{Logger, warn},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    yuccacroft_core::{
+        contract::{Accepted, Contract},
+        ids::{Customer, Revision, Service},
+        seat::{Record, Step},
+        units::Slots,
+    },
+    yuccacroft_platform::{
+        errors::{Error, Result},
+        store::{Outcome, Store},
+    },
+    yuccacroft_rpc::clock,
+    yuccacroft_wire::{
+        message, seal,
+        seat::{PATH, Query, Reply},
+    },
+};
+
+/// The store's keys of records begin with this; customer and service follow.
+const PREFIX: &str = "/yuccacroft/seats/";
+/// Writes that may fail because other agents were faster. All agents of a service starting at once
+/// need a few rounds; an agent that still fails claims again later.
+const TRIES: u32 = 8;
+/// Largest pause before another try. Tries of a group of agents are spread over it.
+const PAUSE_MILLIS: u64 = 40;
+
+/// The shell of the capacity records.
+pub struct Seats<S> {
+    store: Arc<S>,
+    control: Arc<Control>,
+    log: Logger,
+}
+
+impl<S: Store> Seats<S> {
+    /// Creates the shell over the store; contracts come from the balancer's control.
+    pub fn new(store: Arc<S>, control: Arc<Control>, log: Logger) -> Self {
+        Self { store, control, log }
+    }
+
+    /// Returns the route of claims.
+    pub fn router(self: &Arc<Self>) -> Router {
+        Router::new().route(PATH, post(claim::<S>)).with_state(self.clone())
+    }
+
+    async fn answer(
+        &self,
+        headers: &HeaderMap,
+        body: &[u8],
+    ) -> std::result::Result<Vec<u8>, StatusCode> {
+        let query: Query = message::decode(body).map_err(|_| StatusCode::BAD_REQUEST)?;
+        let contract = self.control.contract(&query.customer).ok_or(StatusCode::NOT_FOUND)?;
+        authenticate(&contract, headers, body)?;
+        let terms = contract.service(&query.service).ok_or(StatusCode::NOT_FOUND)?;
+        let reply = self.carry_out(&query, terms.share).await.map_err(|error| {
+            warn!(self.log, "claim_failed"; "error" => %error, "agent" => %query.hop.instance);
+            StatusCode::SERVICE_UNAVAILABLE
+        })?;
+        message::encode(&reply).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+    }
+
+    /// Repeats read, decision and write until the record holds the outcome. A write whose answer
+    /// was lost is settled by the next read: the claim's number shows whether it took effect.
+    async fn carry_out(&self, query: &Query, share: Slots) -> Result<Reply> {
+        let key = key(&query.customer, &query.service);
+        for _ in 0..TRIES {
+            let (record, base) = self.read(&key).await?;
+            let gone = BTreeSet::new();
+            let (next, slots) =
+                match record.step(query.hop, query.number, query.claim, share, &gone) {
+                    Step::Outdated => return Ok(Reply::Outdated),
+                    Step::Keep(slots) => return Ok(Reply::Granted(slots)),
+                    Step::Write(next, slots) => (next, slots),
+                };
+            match self.store.put(&key, &next.to_string(), base).await {
+                Ok(Outcome::Accepted(_)) => return Ok(Reply::Granted(slots)),
+                Ok(Outcome::Conflict(_)) => {
+                    counter!("yuccacroft_claim_conflicts_total").increment(1)
+                }
+                Err(Error::Uncertain(_)) => {}
+                Err(error) => return Err(error),
+            }
+            let pause = rand::random_range(0..PAUSE_MILLIS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        Err(Error::Uncertain("the record changes too often".into()))
+    }
+
+    async fn read(&self, key: &str) -> Result<(Record, Revision)> {
+        let Some(item) = self.store.get(key).await? else {
+            return Ok((Record::new(), Revision::default()));
+        };
+        let record = item.value.parse();
+        let record = record.map_err(|error: yuccacroft_core::errors::Error| {
+            Error::Protocol(error.to_string().into())
+        })?;
+        Ok((record, item.revision))
+    }
+}
+
+async fn claim<S: Store>(
+    State(seats): State<Arc<Seats<S>>>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> std::result::Result<Vec<u8>, StatusCode> {
+    seats.answer(&headers, &body).await
+}
+
+fn authenticate(
+    contract: &Contract<Accepted>,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> std::result::Result<(), StatusCode> {
+    let text = headers.get(seal::HEADER).and_then(|value| value.to_str().ok());
+    let text = text.ok_or(StatusCode::UNAUTHORIZED)?;
+    seal::verify(contract.key(), PATH, clock::wall(), body, text)
+        .map_err(|_| StatusCode::UNAUTHORIZED)
+}
+
+fn key(customer: &Customer, service: &Service) -> String {
+    format!("{PREFIX}{customer}/{service}")
+}
--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod message;
 pub mod proxy;
 pub mod seal;
+pub mod seat;
