Add the agent's side of capacity claims

The claimant asks one balancer after another under one claim number, lowers its own use before it claims less, and stops using its grant when no balancer answered for too long.

--- a/yuccacroft-agent/src/lib.rs
+++ b/yuccacroft-agent/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod errors;
 pub mod packet;
 pub mod process;
+pub mod seats;
 pub mod socket;
 pub mod upstream;
