--- /dev/null
+++ b/yuccacroft-agent/src/admin.rs
@@ -0,0 +1,76 @@
+//! The administration interface of an agent: it shows and changes nothing.
+
+use {
+    crate::operate::Operator,
+    axum::{Json, Router, extract::State, routing::get},
+    std::sync::Arc,
+    tokio::sync::watch,
+    yuccacroft_core::{
+        ids::{Domain, Process},
+        time::Moment,
+    },
+    yuccacroft_rpc::{
+        admin::{self, Access, Failure, failure},
+        clock::Clock,
+    },
+    yuccacroft_wire::admin::{Dump, Identity, InForce, Kind, Member, Report, Role, Version},
+};
+
+/// The administration interface of one agent.
+pub struct Admin {
+    name: Process,
+    domain: Domain,
+    clock: Clock,
+    operator: Arc<Operator>,
+    contract: watch::Receiver<InForce>,
+}
+
+impl Admin {
+    /// Creates the interface.
+    pub fn new(
+        name: Process,
+        domain: Domain,
+        clock: Clock,
+        operator: Arc<Operator>,
+        contract: watch::Receiver<InForce>,
+    ) -> Self {
+        Self { name, domain, clock, operator, contract }
+    }
+
+    /// Returns the routes, all behind the token.
+    pub fn router(self, access: &Access) -> Router {
+        let routes = Router::new()
+            .route("/v1/health", get(health))
+            .route(admin::DUMP_PATH, get(dump))
+            .route(admin::DUMP_TEXT_PATH, get(dump_text))
+            .with_state(Arc::new(self));
+        admin::guarded(routes, access)
+    }
+
+    fn dump(&self) -> Dump {
+        let process = Identity {
+            name: self.name.clone(),
+            role: Role::Agent,
+            domain: self.domain.clone(),
+            version: Version::current().version,
+            uptime: self.clock.now().since(Moment::default()),
+        };
+        let contracts = Box::new([self.contract.borrow().clone()]);
+        let members = Box::new([Member::from(&self.operator.entry())]);
+        Dump { process, contracts, members, holds: Some(self.operator.report()) }
+    }
+}
+
+async fn health(State(admin): State<Arc<Admin>>) -> Json<Report> {
+    Json(admin.operator.report())
+}
+
+async fn dump(State(admin): State<Arc<Admin>>) -> Json<Dump> {
+    Json(admin.dump())
+}
+
+async fn dump_text(State(admin): State<Arc<Admin>>) -> Result<String, Failure> {
+    let value = serde_json::to_value(admin.dump());
+    let value = value.map_err(|error| failure(Kind::Invalid, &error.to_string()))?;
+    Ok(admin::readable(&value))
+}
--- a/yuccacroft-agent/src/lib.rs
+++ b/yuccacroft-agent/src/lib.rs
@@ -3,11 +3,13 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod admin;
 pub mod announce;
 pub mod chain;
 pub mod desk;
 pub mod endpoint;
 pub mod errors;
+pub mod operate;
 pub mod packet;
 pub mod process;
 pub mod socket;
--- /dev/null
+++ b/yuccacroft-agent/src/operate.rs
@@ -0,0 +1,112 @@
+//! Orders of operators, which reach the agent through a balancer, and what the agent holds.
+
+use {
+    crate::{desk::Desk, endpoint::Service},
+    axum::{
+        Router,
+        body::Bytes,
+        extract::State,
+        http::{HeaderMap, StatusCode},
+        routing::post,
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::sync::watch,
+    yuccacroft_core::{
+        key::Secret,
+        member::{Entry, Phase},
+        ownership::Book,
+        units::{Count, Slots},
+    },
+    yuccacroft_rpc::clock,
+    yuccacroft_wire::{
+        admin::Report,
+        message::{self, Operate, Order},
+        seal,
+    },
+};
+
+/// The path of orders.
+pub const OPERATE_PATH: &str = "/v1/operate";
+
+/// Below the time that a balancer waits for the answer.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// What an operator can ask of one agent.
+pub struct Operator {
+    key: Secret,
+    book: Arc<Book>,
+    desk: Arc<Desk>,
+    service: Arc<Service>,
+    entry: watch::Receiver<Entry>,
+    drain: watch::Sender<bool>,
+}
+
+impl Operator {
+    /// Creates the interface. An order to drain is shown on `drain`; the process carries it out
+    /// and shows that in `entry`.
+    pub fn new(
+        key: Secret,
+        book: Arc<Book>,
+        desk: Arc<Desk>,
+        service: Arc<Service>,
+        entry: watch::Receiver<Entry>,
+        drain: watch::Sender<bool>,
+    ) -> Self {
+        Self { key, book, desk, service, entry, drain }
+    }
+
+    /// Returns the routes of orders.
+    pub fn router(self: &Arc<Self>) -> Router {
+        Router::new().route(OPERATE_PATH, post(operate)).with_state(self.clone())
+    }
+
+    /// Returns the present member entry.
+    pub fn entry(&self) -> Entry {
+        self.entry.borrow().clone()
+    }
+
+    /// Tells what the agent holds.
+    pub fn report(&self) -> Report {
+        Report {
+            incarnation: self.book.own().incarnation,
+            phase: self.entry.borrow().phase,
+            connections: self.book.open(),
+            requests: Count::new(self.service.active() as u64),
+            running: Slots::new(self.desk.running()),
+        }
+    }
+
+    async fn obey(&self, headers: &HeaderMap, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
+        let text = headers.get(seal::HEADER).and_then(|value| value.to_str().ok());
+        let text = text.ok_or(StatusCode::UNAUTHORIZED)?;
+        seal::verify(&self.key, OPERATE_PATH, clock::wall(), body, text)
+            .map_err(|_| StatusCode::UNAUTHORIZED)?;
+        let operate: Operate = message::decode(body).map_err(|_| StatusCode::BAD_REQUEST)?;
+        if operate.incarnation != self.book.own().incarnation {
+            return Err(StatusCode::CONFLICT);
+        }
+        if operate.order == Order::Drain {
+            self.begin_drain().await?;
+        }
+        message::encode(&self.report()).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+    }
+
+    /// Orders the drain and waits until no new flow is taken. A repeated order changes nothing.
+    async fn begin_drain(&self) -> Result<(), StatusCode> {
+        self.drain.send_replace(true);
+        let mut entry = self.entry.clone();
+        let draining = entry.wait_for(|entry| entry.phase != Phase::Serving);
+        match tokio::time::timeout(DRAIN_TIMEOUT, draining).await {
+            Ok(Ok(_)) => Ok(()),
+            _ => Err(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+}
+
+async fn operate(
+    State(operator): State<Arc<Operator>>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Result<Vec<u8>, StatusCode> {
+    operator.obey(&headers, &body).await
+}
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -2,18 +2,25 @@
 
 use {
     crate::{
+        admin::Admin,
         announce::Herald,
         chain::Limits,
         desk::Desk,
         endpoint::{self, Certificate, Service},
         errors::{Error, Result},
+        operate::Operator,
         packet,
         socket::{Identity, Socket},
         upstream::Client,
     },
+    axum::Router,
     slog::{Logger, error, info},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::UdpSocket, sync::watch, task::JoinSet},
+    tokio::{
+        net::{TcpListener, UdpSocket},
+        sync::watch,
+        task::JoinSet,
+    },
     yuccacroft_core::{
         admission::Gate,
         contract::{Accepted, Contract, Terms},
@@ -26,8 +33,11 @@
         time::Span,
         units::Weight,
     },
-    yuccacroft_rpc::clock::{self, Clock},
-    yuccacroft_wire::capsule::Seal,
+    yuccacroft_rpc::{
+        admin::Access,
+        clock::{self, Clock},
+    },
+    yuccacroft_wire::{admin::InForce, capsule::Seal},
 };
 
 const ANNOUNCE_EVERY: Duration = Duration::from_secs(2);
@@ -66,6 +76,7 @@
 pub struct Starting {
     settings: Settings,
     log: Logger,
+    admin: Option<Access>,
 }
 
 /// The process takes flows and requests.
@@ -92,7 +103,10 @@
     herald: Arc<Herald>,
     entry: watch::Sender<Entry>,
     leave: watch::Sender<bool>,
-    revision: watch::Receiver<Revision>,
+    contract: watch::Receiver<InForce>,
+    operator: Arc<Operator>,
+    ordered: watch::Receiver<bool>,
+    clock: Clock,
     drain: Span,
     log: Logger,
 }
@@ -100,22 +114,40 @@
 impl Process<Starting> {
     /// Prepares a process.
     pub fn new(settings: Settings, log: Logger) -> Self {
-        Self { state: Starting { settings, log } }
+        Self { state: Starting { settings, log, admin: None } }
+    }
+
+    /// Opens the administration interface too.
+    pub fn with_admin(mut self, admin: Option<Access>) -> Self {
+        self.state.admin = admin;
+        self
     }
 
     /// Learns the contract from a balancer, opens the sockets and begins to serve.
     pub async fn serve(self) -> Result<Process<Serving>> {
-        let Starting { settings, log } = self.state;
+        let Starting { settings, log, admin } = self.state;
         let own = Hop { instance: settings.capsules, incarnation: clock::incarnation() };
         let udp = UdpSocket::bind(own.instance.address())
             .await
             .map_err(|cause| Error::Socket { name: "capsules", cause })?;
+        let control = listen("control", own.instance.address().into()).await?;
+        let admin = match admin {
+            Some(access) => Some((listen("admin", access.listen).await?, access)),
+            None => None,
+        };
+        let (name, domain) = (settings.name.clone(), settings.domain.clone());
         let balancers = settings.balancers.clone();
         let herald = Arc::new(Herald::new(balancers, settings.key.clone(), log.clone()));
         let entry = first_entry(&settings, own);
         let contract = first_contract(&herald, &entry).await?;
         let terms = contract.service(&settings.service).ok_or(Error::Contract)?.clone();
-        let parts = assemble(settings, log, own, udp, herald, entry, &contract, &terms)?;
+        let mut parts = assemble(settings, log, own, udp, herald, entry, &contract, &terms)?;
+        spawn_server(&mut parts.tasks, control, parts.operator.router());
+        if let Some((listener, access)) = admin {
+            let (clock, operator) = (parts.clock, parts.operator.clone());
+            let admin = Admin::new(name, domain, clock, operator, parts.contract.clone());
+            spawn_server(&mut parts.tasks, listener, admin.router(&access));
+        }
         info!(parts.log, "serving";
             "instance" => %own.instance, "incarnation" => %own.incarnation);
         Ok(Process { state: Serving { parts } })
@@ -128,6 +160,27 @@
         self.state.parts.book.open().get()
     }
 
+    /// Serves until `stop` or an operator's order to drain. After such an order the process keeps
+    /// its flows and stays up until `stop`.
+    pub async fn run(mut self, stop: impl Future<Output = ()>) {
+        let mut stop = std::pin::pin!(stop);
+        let ordered = tokio::select! {
+            () = &mut stop => false,
+            () = self.drain_ordered() => true,
+        };
+        let draining = self.drain().await;
+        if ordered {
+            stop.await;
+        }
+        draining.stop().await;
+    }
+
+    async fn drain_ordered(&mut self) {
+        if self.state.parts.ordered.wait_for(|ordered| *ordered).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Stops taking new flows, tells balancers, and asks callers to move.
     pub async fn drain(self) -> Process<Draining> {
         let parts = self.state.parts;
@@ -137,7 +190,7 @@
             entry.version += 1;
         });
         let entry = parts.entry.borrow().clone();
-        let revision = *parts.revision.borrow();
+        let revision = parts.contract.borrow().revision;
         parts.herald.announce(&entry, revision).await;
         // A receiver exists as long as a connection does.
         let _ = parts.leave.send(true);
@@ -162,7 +215,7 @@
             entry.version += 1;
         });
         let entry = parts.entry.borrow().clone();
-        let revision = *parts.revision.borrow();
+        let revision = parts.contract.borrow().revision;
         parts.herald.announce(&entry, revision).await;
         parts.endpoint.close(quinn::VarInt::from_u32(0), b"stop");
         parts.endpoint.wait_idle().await;
@@ -233,7 +286,8 @@
     let (limits, limits_in_force) = watch::channel((Limits::from(terms), terms.wait));
     let desk = Arc::new(Desk::new(Gate::new(terms.slots), clock));
     let upstream = Client::new(settings.upstream);
-    let service = Service::new(desk, upstream, book.clone(), clock, limits_in_force, log.clone());
+    let service =
+        Service::new(desk.clone(), upstream, book.clone(), clock, limits_in_force, log.clone());
     let service = Arc::new(service);
     let (leave, leaving) = watch::channel(false);
     let mut tasks = JoinSet::new();
@@ -249,20 +303,48 @@
     entry.phase = Phase::Serving;
     entry.version += 1;
     let (entry, _) = watch::channel(entry);
-    let (known, revision) = watch::channel(contract.revision());
+    let (known, in_force) = watch::channel(InForce::from(contract));
+    let (order, ordered) = watch::channel(false);
+    let operator =
+        Operator::new(settings.key, book.clone(), desk, service.clone(), entry.subscribe(), order);
     let follower = Follower { herald: herald.clone(), name: name.clone(), known, limits, socket };
     let entries = entry.subscribe();
     let follow_book = book.clone();
     tasks.spawn(async move { follower.run(entries, &follow_book, clock).await });
     let drain = terms.drain;
-    Ok(Parts { tasks, endpoint, service, book, herald, entry, leave, revision, drain, log })
+    Ok(Parts {
+        tasks,
+        endpoint,
+        service,
+        book,
+        herald,
+        entry,
+        leave,
+        contract: in_force,
+        operator: Arc::new(operator),
+        ordered,
+        clock,
+        drain,
+        log,
+    })
+}
+
+async fn listen(name: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|cause| Error::Socket { name, cause })
+}
+
+fn spawn_server(tasks: &mut JoinSet<()>, listener: TcpListener, router: Router) {
+    tasks.spawn(async move {
+        // The server ends with the process; its only error is a broken listener.
+        let _ = axum::serve(listener, router).await;
+    });
 }
 
 /// Announces the agent and puts newer contracts in force.
 struct Follower {
     herald: Arc<Herald>,
     name: ServiceName,
-    known: watch::Sender<Revision>,
+    known: watch::Sender<InForce>,
     limits: watch::Sender<(Limits, Span)>,
     socket: Arc<Socket>,
 }
@@ -273,7 +355,7 @@
         loop {
             timer.tick().await;
             let entry = entries.borrow().clone();
-            let revision = *self.known.borrow();
+            let revision = self.known.borrow().revision;
             let news = self.herald.announce(&entry, revision).await;
             if let Some(contract) = news.contract {
                 self.apply(&contract);
@@ -284,13 +366,13 @@
     }
 
     fn apply(&self, contract: &Contract<Accepted>) {
-        if contract.revision() <= *self.known.borrow() {
+        if contract.revision() <= self.known.borrow().revision {
             return;
         }
         if let Some(terms) = contract.service(&self.name) {
             let _ = self.limits.send((Limits::from(terms), terms.wait));
         }
         self.socket.set_revision(contract.revision());
-        let _ = self.known.send(contract.revision());
+        let _ = self.known.send(InForce::from(contract));
     }
 }
--- /dev/null
+++ b/yuccacroft-balancer/src/admin.rs
@@ -0,0 +1,195 @@
+//! The administration interface of a balancer: HTTP and JSON behind a bearer token.
+
+pub mod editor;
+
+use {
+    crate::control::Control,
+    axum::{
+        Json, Router,
+        extract::{Path, State, rejection::JsonRejection},
+        http::{HeaderMap, header},
+        routing::{get, post},
+    },
+    editor::Editor,
+    std::{sync::Arc, time::Duration},
+    yuccacroft_core::{
+        ids::{Change, Customer, Instance, Revision},
+        member::Entry,
+        time::Moment,
+        units::Count,
+    },
+    yuccacroft_platform::store::Store,
+    yuccacroft_rpc::{
+        admin::{self, Access, Failure, failure},
+        client::Client,
+        clock::Clock,
+        errors::Error as CallError,
+    },
+    yuccacroft_wire::{
+        admin::{
+            Dump, Flows, Health, Identity, InForce, Kind, Member, Put, Report, Role, Stored,
+            Version,
+        },
+        message::{Operate, Order},
+    },
+};
+
+/// The path of orders at an agent's HTTP port.
+pub const OPERATE_PATH: &str = "/v1/operate";
+
+/// Longer than an agent needs to tell its drain to balancers of which some do not answer.
+const AGENT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The administration interface over the controllers of one balancer.
+pub struct Admin<S> {
+    name: yuccacroft_core::ids::Process,
+    domain: yuccacroft_core::ids::Domain,
+    clock: Clock,
+    control: Arc<Control>,
+    editor: Editor<S>,
+    client: Client,
+}
+
+type Answer<T> = Result<Json<T>, Failure>;
+
+impl<S: Store> Admin<S> {
+    /// Creates the interface of a balancer.
+    pub fn new(
+        name: yuccacroft_core::ids::Process,
+        domain: yuccacroft_core::ids::Domain,
+        clock: Clock,
+        control: Arc<Control>,
+        store: S,
+    ) -> Self {
+        let editor = Editor::new(store, control.clone());
+        Self { name, domain, clock, control, editor, client: Client::new(AGENT_TIMEOUT) }
+    }
+
+    /// Returns the routes, all behind the token.
+    pub fn router(self, access: &Access) -> Router {
+        let routes = Router::new()
+            .route("/v1/health", get(health::<S>))
+            .route("/v1/contracts", get(contracts::<S>))
+            .route("/v1/contracts/{customer}", get(contract::<S>).put(put_contract::<S>))
+            .route("/v1/members", get(members::<S>))
+            .route("/v1/members/{instance}/drain", post(drain::<S>))
+            .route("/v1/flows", get(flows::<S>))
+            .route(admin::DUMP_PATH, get(dump::<S>))
+            .route(admin::DUMP_TEXT_PATH, get(dump_text::<S>))
+            .with_state(Arc::new(self));
+        admin::guarded(routes, access)
+    }
+
+    fn in_force(&self) -> Box<[InForce]> {
+        self.control.contracts().iter().map(|contract| InForce::from(&**contract)).collect()
+    }
+
+    fn members(&self) -> Box<[Member]> {
+        self.control.members().iter().map(Member::from).collect()
+    }
+
+    fn dump(&self) -> Dump {
+        let process = Identity {
+            name: self.name.clone(),
+            role: Role::Balancer,
+            domain: self.domain.clone(),
+            version: Version::current().version,
+            uptime: self.clock.now().since(Moment::default()),
+        };
+        Dump { process, contracts: self.in_force(), members: self.members(), holds: None }
+    }
+
+    async fn operate(&self, entry: &Entry, order: Order) -> Result<Report, Failure> {
+        let Some(contract) = self.control.contract(&entry.customer) else {
+            return Err(failure(Kind::NotFound, "the member's customer has no contract"));
+        };
+        let peer = entry.instance.address().into();
+        let message = Operate { incarnation: entry.incarnation, order };
+        let answer = self.client.call(peer, OPERATE_PATH, contract.key(), &message).await;
+        answer.map_err(|error| explain(&error))
+    }
+
+    async fn flows_of(&self, entry: &Entry) -> Flows {
+        let report = self.operate(entry, Order::Report).await.ok();
+        Flows { instance: entry.instance, report }
+    }
+}
+
+fn explain(error: &CallError) -> Failure {
+    let kind = if matches!(error, CallError::Lost(_)) { Kind::Unknown } else { Kind::Unavailable };
+    failure(kind, &format!("agent: {error}"))
+}
+
+async fn health<S: Store>(State(admin): State<Arc<Admin<S>>>) -> Json<Health> {
+    let contracts = Count::new(admin.control.contracts().len() as u64);
+    let members = Count::new(admin.control.members().len() as u64);
+    Json(Health { ready: contracts > Count::default(), contracts, members })
+}
+
+async fn contracts<S: Store>(State(admin): State<Arc<Admin<S>>>) -> Json<Box<[InForce]>> {
+    Json(admin.in_force())
+}
+
+async fn contract<S: Store>(
+    State(admin): State<Arc<Admin<S>>>,
+    Path(customer): Path<Customer>,
+) -> Answer<Stored> {
+    admin.editor.read(&customer).await.map(Json)
+}
+
+async fn put_contract<S: Store>(
+    State(admin): State<Arc<Admin<S>>>,
+    Path(customer): Path<Customer>,
+    headers: HeaderMap,
+    body: Result<Json<Put>, JsonRejection>,
+) -> Answer<Stored> {
+    let Json(mut put) = body.map_err(|error| failure(Kind::Invalid, &error.body_text()))?;
+    if let Some(base) = if_match(&headers)? {
+        put.base = Some(base);
+    }
+    let change = put.change.unwrap_or_else(|| Change::new(rand::random()));
+    // The write goes on when the operator hangs up, so that its outcome is always settled.
+    let write = async move { admin.editor.write(&customer, &put, change).await };
+    let outcome = tokio::spawn(write).await;
+    outcome.map_err(|_| failure(Kind::Unknown, "the change was interrupted"))?.map(Json)
+}
+
+async fn members<S: Store>(State(admin): State<Arc<Admin<S>>>) -> Json<Box<[Member]>> {
+    Json(admin.members())
+}
+
+async fn drain<S: Store>(
+    State(admin): State<Arc<Admin<S>>>,
+    Path(instance): Path<String>,
+) -> Answer<Report> {
+    let instance: Instance =
+        instance.parse().map_err(|error: yuccacroft_core::errors::Error| {
+            failure(Kind::Invalid, &error.to_string())
+        })?;
+    let entry = admin.control.members().into_iter().find(|entry| entry.instance == instance);
+    let entry = entry.ok_or_else(|| failure(Kind::NotFound, "no such member"))?;
+    admin.operate(&entry, Order::Drain).await.map(Json)
+}
+
+async fn flows<S: Store>(State(admin): State<Arc<Admin<S>>>) -> Json<Vec<Flows>> {
+    let entries = admin.control.members();
+    Json(futures::future::join_all(entries.iter().map(|entry| admin.flows_of(entry))).await)
+}
+
+async fn dump<S: Store>(State(admin): State<Arc<Admin<S>>>) -> Json<Dump> {
+    Json(admin.dump())
+}
+
+async fn dump_text<S: Store>(State(admin): State<Arc<Admin<S>>>) -> Result<String, Failure> {
+    let value = serde_json::to_value(admin.dump());
+    let value = value.map_err(|error| failure(Kind::Invalid, &error.to_string()))?;
+    Ok(admin::readable(&value))
+}
+
+/// Reads the base revision of a change from `If-Match` (RFC 9110, section 13.1.1).
+fn if_match(headers: &HeaderMap) -> Result<Option<Revision>, Failure> {
+    let Some(value) = headers.get(header::IF_MATCH) else { return Ok(None) };
+    let text = value.to_str().ok().and_then(|text| text.trim_matches('"').parse().ok());
+    let fault = || failure(Kind::Invalid, "If-Match: expected a revision such as \"12\"");
+    text.map(Some).ok_or_else(fault)
+}
--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -18,10 +18,14 @@
         contract::{
             Contract,
             register::{self, Register},
+            stored,
         },
         controller::Controller,
-        ids::Change,
-        member::roster::{self, Roster},
+        ids::Customer,
+        member::{
+            Entry,
+            roster::{self, Roster},
+        },
         time::Span,
     },
     yuccacroft_platform::{
@@ -65,6 +69,24 @@
         Router::new().route(ANNOUNCE_PATH, post(announce)).with_state(self.clone())
     }
 
+    /// Returns the contract of a customer that is in force.
+    pub fn contract(
+        &self,
+        customer: &Customer,
+    ) -> Option<Arc<Contract<yuccacroft_core::contract::Accepted>>> {
+        locked(&self.register).get(customer).cloned()
+    }
+
+    /// Returns all contracts in force.
+    pub fn contracts(&self) -> Vec<Arc<Contract<yuccacroft_core::contract::Accepted>>> {
+        locked(&self.register).iter().cloned().collect()
+    }
+
+    /// Returns all member entries.
+    pub fn members(&self) -> Vec<Entry> {
+        locked(&self.roster).iter().cloned().collect()
+    }
+
     /// Keeps the contracts up to date from the store.
     pub async fn follow<S: Store>(&self, store: &S) {
         let mut timer = tokio::time::interval(STORE_POLL);
@@ -95,7 +117,8 @@
         Ok(())
     }
 
-    fn learn(&self, contract: Arc<Contract<yuccacroft_core::contract::Accepted>>) {
+    /// Puts a contract in force unless a newer one is.
+    pub fn learn(&self, contract: Arc<Contract<yuccacroft_core::contract::Accepted>>) {
         let event = register::Event::Learned(contract);
         let actions = locked(&self.register).step(event, self.clock.now());
         for register::Action::Apply { contract, replaced } in actions {
@@ -156,8 +179,7 @@
 fn parse(
     item: &Item,
 ) -> yuccacroft_core::errors::Result<Contract<yuccacroft_core::contract::Accepted>> {
-    let checked = Contract::parse(&item.key, &item.value)?.check(&item.key)?;
-    Ok(checked.accept(item.revision, Change::default()))
+    stored::decode(&item.key, &item.value, item.revision)
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/yuccacroft-balancer/src/lib.rs
+++ b/yuccacroft-balancer/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod admin;
 pub mod control;
 pub mod errors;
 pub mod packet;
--- a/yuccacroft-balancer/src/process.rs
+++ b/yuccacroft-balancer/src/process.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        admin::Admin,
         control::Control,
         errors::{Error, Result},
         relay::{Port, Relay},
@@ -19,7 +20,7 @@
     },
     yuccacroft_core::ids::{Domain, Process as Name},
     yuccacroft_platform::etcd::Gateway,
-    yuccacroft_rpc::clock::Clock,
+    yuccacroft_rpc::{admin::Access, clock::Clock},
 };
 
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -48,6 +49,7 @@
 pub struct Starting {
     settings: Settings,
     log: Logger,
+    admin: Option<Access>,
 }
 
 /// The process forwards packets.
@@ -67,14 +69,21 @@
 impl Process<Starting> {
     /// Prepares a process.
     pub fn new(settings: Settings, log: Logger) -> Self {
-        Self { state: Starting { settings, log } }
+        Self { state: Starting { settings, log, admin: None } }
+    }
+
+    /// Opens the administration interface too.
+    pub fn with_admin(mut self, admin: Option<Access>) -> Self {
+        self.state.admin = admin;
+        self
     }
 
     /// Opens the sockets and begins to serve.
     pub async fn serve(self) -> Result<Process<Serving>> {
-        let Starting { settings, log } = self.state;
+        let Starting { settings, log, admin } = self.state;
         let routes = Arc::new(Routes::new());
-        let control = Arc::new(Control::new(routes.clone(), Clock::new(), log.clone()));
+        let clock = Clock::new();
+        let control = Arc::new(Control::new(routes.clone(), clock, log.clone()));
         let packets = Port::bind("packets", settings.packets)?;
         let capsules = Port::bind("capsules", settings.capsules.into())?;
         let relay = Arc::new(Relay::new(packets, capsules, settings.capsules, routes));
@@ -95,6 +104,12 @@
             // The server ends with the process; its only error is a broken listener.
             let _ = axum::serve(listener, router).await;
         });
+        if let Some(access) = admin {
+            let (name, domain) = (settings.name.clone(), settings.domain.clone());
+            let store = Gateway::new(settings.store, STORE_TIMEOUT);
+            let admin = Admin::new(name, domain, clock, control, store);
+            spawn_admin(&mut tasks, admin, access).await?;
+        }
         info!(log, "serving"; "name" => %settings.name, "domain" => %settings.domain);
         Ok(Process { state: Serving { tasks, server, log } })
     }
@@ -109,6 +124,18 @@
     }
 }
 
+async fn spawn_admin(tasks: &mut JoinSet<()>, admin: Admin<Gateway>, access: Access) -> Result<()> {
+    let listener = TcpListener::bind(access.listen)
+        .await
+        .map_err(|cause| Error::Socket { name: "admin", cause })?;
+    let router = admin.router(&access);
+    tasks.spawn(async move {
+        // The server ends with the process; its only error is a broken listener.
+        let _ = axum::serve(listener, router).await;
+    });
+    Ok(())
+}
+
 fn spawn_relay(tasks: &mut JoinSet<()>, relay: &Arc<Relay>, log: &Logger) {
     let (forward, back) = (relay.clone(), relay.clone());
     let (log, other) = (log.clone(), log.clone());
--- /dev/null
+++ b/yuccacroft-balancer/tests/editor.rs
@@ -0,0 +1,195 @@
+//! Changes of contracts against a store that conflicts, fails and loses answers.
+
+use {
+    axum::{Json, Router, http::StatusCode, routing::post},
+    serde_json::json,
+    slog::{Discard, Logger, o},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::net::TcpListener,
+    yuccacroft_balancer::{
+        admin::editor::Editor,
+        control::{CONTRACTS, Control},
+        service::Routes,
+    },
+    yuccacroft_core::{
+        contract::stored::History,
+        ids::{Change, Customer, Revision},
+        key::Secret,
+    },
+    yuccacroft_fakes::store::Store,
+    yuccacroft_platform::{
+        etcd::Gateway,
+        store::{Outcome, Store as _},
+    },
+    yuccacroft_rpc::clock::Clock,
+    yuccacroft_wire::admin::{Kind, Put, Source},
+};
+
+const FIRST: Change = Change::new(1);
+const SECOND: Change = Change::new(2);
+
+fn customer() -> Customer {
+    "kampvuur".parse().unwrap()
+}
+
+fn text(name: &str, port: u16, services: &[&str]) -> Box<str> {
+    let key = Secret::new([7; 32]);
+    let mut text = format!("[customer]\nname = {name}\nkey = {key}\ncapacity = 40\n");
+    for (service, port) in services.iter().zip(port..) {
+        text.push_str(&format!(
+            "[service {service}]\naddresses = 127.0.0.1:{port}\nslots = 4\nconnections = 10\n\
+             upstreams_max = 7\nshare = 8\n"
+        ));
+    }
+    text.into()
+}
+
+fn put(base: u64, services: &[&str]) -> Put {
+    let contract = text("kampvuur", 4433, services);
+    Put { base: Some(Revision::new(base)), change: None, force: false, contract }
+}
+
+fn editor(address: SocketAddr) -> Editor<Gateway> {
+    let log = Logger::root(Discard, o!());
+    let control = Arc::new(Control::new(Arc::new(Routes::new()), Clock::new(), log));
+    Editor::new(Gateway::new(address, Duration::from_secs(2)), control)
+}
+
+async fn store() -> (Store, Editor<Gateway>) {
+    let store = Store::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let editor = editor(store.address());
+    (store, editor)
+}
+
+/// Guards against two operators who both believe that their change counts.
+#[tokio::test]
+async fn only_the_first_of_two_changes_is_accepted() {
+    let (_store, editor) = store().await;
+    let first = editor.write(&customer(), &put(0, &["booking"]), FIRST).await.unwrap();
+    assert_eq!((first.change, first.in_force), (FIRST, first.revision));
+    let stale = editor.write(&customer(), &put(0, &["booking", "pack"]), SECOND).await;
+    let problem = stale.unwrap_err().0;
+    assert_eq!(problem.error, Kind::Conflict);
+    let present = problem.present.unwrap();
+    assert_eq!((present.revision, present.change), (first.revision, FIRST));
+    assert_eq!(editor.read(&customer()).await.unwrap(), first);
+}
+
+/// Guards against a change that is written without anybody's knowledge of the one before.
+#[tokio::test]
+async fn a_change_without_base_is_refused() {
+    let (_store, editor) = store().await;
+    let put = Put { base: None, ..put(0, &["booking"]) };
+    let problem = editor.write(&customer(), &put, FIRST).await.unwrap_err().0;
+    assert_eq!(problem.error, Kind::BaseMissing);
+    assert_eq!(editor.read(&customer()).await.unwrap_err().0.error, Kind::NotFound);
+}
+
+/// Guards against a write that took effect and is reported as failed, or is made twice.
+#[tokio::test]
+async fn a_lost_answer_is_settled_by_reading_back() {
+    let (store, editor) = store().await;
+    store.set_lose_answers(true);
+    let accepted = editor.write(&customer(), &put(0, &["booking"]), FIRST).await.unwrap();
+    assert_eq!(accepted.change, FIRST);
+    store.set_lose_answers(false);
+    assert_eq!(editor.read(&customer()).await.unwrap(), accepted);
+    let again = editor.write(&customer(), &put(0, &["booking"]), FIRST).await.unwrap();
+    assert_eq!(again, accepted);
+}
+
+/// Guards against a lost answer that is taken for a conflict because another change followed.
+#[tokio::test]
+async fn a_change_that_was_replaced_counts_as_accepted() {
+    let (_store, editor) = store().await;
+    let first = editor.write(&customer(), &put(0, &["booking"]), FIRST).await.unwrap();
+    let next = put(first.revision.get(), &["booking", "pack"]);
+    let second = editor.write(&customer(), &next, SECOND).await.unwrap();
+    let repeated = editor.write(&customer(), &put(0, &["booking"]), FIRST).await.unwrap();
+    assert_eq!((repeated.change, repeated.revision), (SECOND, second.revision));
+}
+
+/// Guards against a change that is promised while the store is down, and against losing the view
+/// of the contract in force.
+#[tokio::test]
+async fn an_outage_changes_nothing_and_shows_the_contract_in_force() {
+    let (store, editor) = store().await;
+    let first = editor.write(&customer(), &put(0, &["booking"]), FIRST).await.unwrap();
+    store.set_down(true);
+    let next = put(first.revision.get(), &["booking", "pack"]);
+    let problem = editor.write(&customer(), &next, SECOND).await.unwrap_err().0;
+    assert_eq!(problem.error, Kind::Unavailable);
+    let read = editor.read(&customer()).await.unwrap();
+    assert_eq!((read.revision, read.source), (first.revision, Source::Balancer));
+}
+
+/// Guards against a verdict where there is none: the write was sent, and nothing can be read.
+#[tokio::test]
+async fn a_write_that_cannot_be_settled_is_unknown() {
+    let lists = async || Json(json!({"header": {"revision": "1"}}));
+    let fails = async || StatusCode::GATEWAY_TIMEOUT;
+    let router = Router::new().route("/v3/kv/range", post(lists)).route("/v3/kv/txn", post(fails));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    let problem = editor(address).write(&customer(), &put(0, &["booking"]), FIRST).await;
+    let problem = problem.unwrap_err().0;
+    assert_eq!(problem.error, Kind::Unknown);
+    assert!(problem.detail.contains(&FIRST.to_string()));
+}
+
+/// Guards against a service with open flows that goes by mistake.
+#[tokio::test]
+async fn a_service_is_removed_only_by_force() {
+    let (_store, editor) = store().await;
+    let first = editor.write(&customer(), &put(0, &["booking", "pack"]), FIRST).await.unwrap();
+    let less = put(first.revision.get(), &["booking"]);
+    let problem = editor.write(&customer(), &less, SECOND).await.unwrap_err().0;
+    assert_eq!(problem.error, Kind::RemovesService);
+    assert_eq!(editor.read(&customer()).await.unwrap(), first);
+    let forced = Put { force: true, ..less };
+    assert_eq!(editor.write(&customer(), &forced, SECOND).await.unwrap().change, SECOND);
+}
+
+/// Guards against packets of one customer that reach another: the address alone decides.
+#[tokio::test]
+async fn an_address_of_another_customer_is_refused() {
+    let (_store, editor) = store().await;
+    editor.write(&customer(), &put(0, &["booking"]), FIRST).await.unwrap();
+    let contract = text("snow", 4433, &["depth"]);
+    let other = Put { base: Some(Revision::default()), change: None, force: false, contract };
+    let snow = "snow".parse().unwrap();
+    let problem = editor.write(&snow, &other, SECOND).await.unwrap_err().0;
+    assert_eq!(problem.error, Kind::Invalid);
+    assert!(problem.detail.contains("[service depth] addresses"), "{}", problem.detail);
+}
+
+/// Guards against a contract that is stored under another customer's name, and against faults
+/// that are reported one by one.
+#[tokio::test]
+async fn faults_are_listed_together_and_nothing_is_written() {
+    let (_store, editor) = store().await;
+    let contract = "[customer]\nname = kampvuur\nkey = 12\ncapacity = many\ncolour = red\n".into();
+    let faulty = Put { contract, ..put(0, &[]) };
+    let problem = editor.write(&customer(), &faulty, FIRST).await.unwrap_err().0;
+    assert_eq!(problem.error, Kind::Invalid);
+    for key in ["key", "capacity", "colour"] {
+        assert!(problem.detail.contains(&format!("[customer] {key}: ")), "{}", problem.detail);
+    }
+    let snow = "snow".parse().unwrap();
+    let problem = editor.write(&snow, &put(0, &["booking"]), FIRST).await.unwrap_err().0;
+    assert!(problem.detail.contains("expected snow"), "{}", problem.detail);
+}
+
+/// Guards against a stored value that other readers cannot parse.
+#[tokio::test]
+async fn the_stored_value_is_a_contract_text_with_its_changes() {
+    let (store, editor) = store().await;
+    editor.write(&customer(), &put(0, &["booking"]), FIRST).await.unwrap();
+    let gateway = Gateway::new(store.address(), Duration::from_secs(2));
+    let item = gateway.get(&format!("{CONTRACTS}kampvuur")).await.unwrap().unwrap();
+    assert_eq!(History::read(&item.value).newest(), FIRST);
+    let base = item.revision;
+    let outcome = gateway.put(&item.key, &item.value, base).await.unwrap();
+    assert!(matches!(outcome, Outcome::Accepted(revision) if revision > base));
+}
--- a/yuccacroft-core/src/contract.rs
+++ b/yuccacroft-core/src/contract.rs
@@ -4,6 +4,7 @@
 //! under a revision). Only an accepted one can be put in force.
 
 pub mod register;
+pub mod stored;
 
 use {
     crate::{
--- a/yuccacroft-core/src/lib.rs
+++ b/yuccacroft-core/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod shards;
 pub mod tag;
 pub mod time;
+pub mod token;
 pub mod units;
--- /dev/null
+++ b/yuccacroft-rpc/src/admin.rs
@@ -0,0 +1,143 @@
+//! What the administration interfaces of both roles share: the token rule, problems, metrics and
+//! the readable form of a state dump.
+
+use {
+    axum::{
+        Json, Router,
+        extract::{Request, State},
+        http::{StatusCode, header},
+        middleware::{self, Next},
+        response::{IntoResponse, Response},
+        routing::get,
+    },
+    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
+    serde_json::Value,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, OnceLock},
+    },
+    yuccacroft_core::token::Token,
+    yuccacroft_wire::admin::{Kind, Problem, Version},
+};
+
+/// The path of the metrics in the text format of Prometheus.
+pub const METRICS_PATH: &str = "/metrics";
+/// The path of the version.
+pub const VERSION_PATH: &str = "/v1/version";
+/// The path of the state dump as JSON.
+pub const DUMP_PATH: &str = "/v1/dump";
+/// The path of the state dump in readable form.
+pub const DUMP_TEXT_PATH: &str = "/v1/dump.txt";
+
+static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+/// Where the administration interface listens and who may use it.
+#[derive(Clone, Debug)]
+pub struct Access {
+    /// The address.
+    pub listen: SocketAddr,
+    /// The token that every call carries.
+    pub token: Token,
+}
+
+/// A problem with its HTTP status.
+#[derive(Clone, Debug)]
+pub struct Failure(pub Problem);
+
+/// Installs the recorder of metrics. Metrics that were counted before it are lost.
+pub fn record_metrics() {
+    // A recorder that is there already is another library's; then there is nothing to show.
+    RECORDER.get_or_init(|| PrometheusBuilder::new().install_recorder().ok());
+}
+
+/// Adds version and metrics to the routes of a role and puts all of them behind the token.
+pub fn guarded(routes: Router, access: &Access) -> Router {
+    let token = Arc::new(access.token.clone());
+    routes
+        .route(METRICS_PATH, get(async || metrics()))
+        .route(VERSION_PATH, get(async || Json(Version::current())))
+        .fallback(async || failure(Kind::NotFound, "no such path"))
+        .method_not_allowed_fallback(async || failure(Kind::Invalid, "no such method"))
+        .layer(middleware::from_fn_with_state(token, check_token))
+}
+
+/// Builds a failed answer.
+pub fn failure(kind: Kind, detail: &str) -> Failure {
+    Failure(Problem::new(kind, detail))
+}
+
+/// Writes a JSON value as indented lines of `key: value`.
+pub fn readable(value: &Value) -> String {
+    let mut text = String::new();
+    write_value(&mut text, value, 0);
+    text
+}
+
+impl IntoResponse for Failure {
+    fn into_response(self) -> Response {
+        (status(self.0.error), Json(self.0)).into_response()
+    }
+}
+
+fn status(kind: Kind) -> StatusCode {
+    match kind {
+        Kind::Unauthorized => StatusCode::UNAUTHORIZED,
+        Kind::Invalid => StatusCode::UNPROCESSABLE_ENTITY,
+        Kind::BaseMissing => StatusCode::PRECONDITION_REQUIRED,
+        Kind::Conflict | Kind::RemovesService => StatusCode::CONFLICT,
+        Kind::NotFound => StatusCode::NOT_FOUND,
+        Kind::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+        Kind::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+async fn check_token(State(token): State<Arc<Token>>, request: Request, next: Next) -> Response {
+    let value = request.headers().get(header::AUTHORIZATION);
+    let given = value.and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
+    if given.is_some_and(|given| token.matches(given)) {
+        return next.run(request).await;
+    }
+    let answer = failure(Kind::Unauthorized, "the bearer token is missing or wrong");
+    let challenge = [(header::WWW_AUTHENTICATE, "Bearer")];
+    (challenge, answer).into_response()
+}
+
+fn metrics() -> String {
+    let handle = RECORDER.get().and_then(Option::as_ref);
+    handle.map(PrometheusHandle::render).unwrap_or_default()
+}
+
+fn write_value(text: &mut String, value: &Value, depth: usize) {
+    match value {
+        Value::Object(fields) => {
+            for (key, value) in fields {
+                write_field(text, key, value, depth);
+            }
+        }
+        Value::Array(items) => {
+            for (index, item) in items.iter().enumerate() {
+                write_field(text, &format!("{}", index + 1), item, depth);
+            }
+        }
+        plain => text.push_str(&format!("{}{}\n", "  ".repeat(depth), scalar(plain))),
+    }
+}
+
+fn write_field(text: &mut String, key: &str, value: &Value, depth: usize) {
+    let indent = "  ".repeat(depth);
+    match value {
+        Value::Object(_) | Value::Array(_) => {
+            text.push_str(&format!("{indent}{key}:\n"));
+            write_value(text, value, depth + 1);
+        }
+        plain => text.push_str(&format!("{indent}{key}: {}\n", scalar(plain))),
+    }
+}
+
+fn scalar(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "none".to_owned(),
+        other => other.to_string(),
+    }
+}
--- a/yuccacroft-rpc/src/lib.rs
+++ b/yuccacroft-rpc/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod admin;
 pub mod client;
 pub mod clock;
 pub mod errors;
--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod admin;
 pub mod capsule;
 pub mod errors;
 pub mod invariant;
--- a/yuccacroft-wire/src/message.rs
+++ b/yuccacroft-wire/src/message.rs
@@ -41,6 +41,25 @@
     pub incarnation: Incarnation,
 }
 
+/// An operator's order to an agent, or a question. The agent answers with a
+/// [`crate::admin::Report`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Operate {
+    /// The life of the agent that is meant, so that a reused address does not obey.
+    pub incarnation: Incarnation,
+    /// What it shall do.
+    pub order: Order,
+}
+
+/// What an operator asks of an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Order {
+    /// It tells what it holds.
+    Report,
+    /// It takes no new flows and asks callers to move.
+    Drain,
+}
+
 /// Encodes a message behind a version byte.
 pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
     let mut bytes = vec![VERSION];
--- a/yuccacroft/src/errors.rs
+++ b/yuccacroft/src/errors.rs
@@ -1,10 +1,20 @@
 //! Errors of the commands.
 
-use std::{
-    fmt::{Display, Formatter},
-    io,
+use {
+    std::{
+        fmt::{Display, Formatter},
+        io,
+    },
+    yuccacroft_wire::admin::{Kind, Problem},
 };
 
+/// Exit status of a command that did not do what it was asked to.
+const FAILURE_STATUS: u8 = 1;
+/// Exit status of a change that another change came before.
+const CONFLICT_STATUS: u8 = 2;
+/// Exit status of a change that may or may not be in force.
+const UNKNOWN_STATUS: u8 = 3;
+
 /// The result of a command.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -26,6 +36,14 @@
     Agent(yuccacroft_agent::errors::Error),
     /// The runtime or a signal handler could not be set up.
     System(io::Error),
+    /// The command line or a file that it names cannot be used.
+    Usage(Box<str>),
+    /// The administration interface cannot be reached; nothing was changed.
+    Unreachable(Box<str>),
+    /// The answer of the administration interface was lost; a change may be in force.
+    Lost(Box<str>),
+    /// The administration interface refused the call.
+    Refused(Box<Problem>),
     /// The demo did not end as it should.
     Demo(Box<str>),
 }
@@ -38,6 +56,10 @@
             Self::Balancer(error) => write!(f, "balancer: {error}"),
             Self::Agent(error) => write!(f, "agent: {error}"),
             Self::System(error) => write!(f, "system: {error}"),
+            Self::Usage(cause) => write!(f, "{cause}"),
+            Self::Unreachable(cause) => write!(f, "unreachable, nothing was changed: {cause}"),
+            Self::Lost(cause) => write!(f, "outcome unknown, the answer was lost: {cause}"),
+            Self::Refused(problem) => write_problem(f, problem),
             Self::Demo(cause) => write!(f, "demo: {cause}"),
         }
     }
@@ -45,6 +67,34 @@
 
 impl std::error::Error for Error {}
 
+impl Error {
+    /// Returns the exit status of the command; `docs/operators.md` lists all.
+    pub fn status(&self) -> u8 {
+        match self {
+            Self::Refused(problem) => match problem.error {
+                Kind::Conflict => CONFLICT_STATUS,
+                Kind::Unknown => UNKNOWN_STATUS,
+                _ => FAILURE_STATUS,
+            },
+            Self::Lost(_) => UNKNOWN_STATUS,
+            _ => FAILURE_STATUS,
+        }
+    }
+}
+
+fn write_problem(f: &mut Formatter<'_>, problem: &Problem) -> std::fmt::Result {
+    match problem.error {
+        Kind::Conflict => write!(f, "conflict, nothing was changed: {}", problem.detail)?,
+        Kind::Unknown => write!(f, "outcome unknown: {}", problem.detail)?,
+        _ => write!(f, "refused: {}", problem.detail)?,
+    }
+    if let Some(present) = &problem.present {
+        let (revision, contract) = (present.revision, &present.contract);
+        write!(f, "\n; revision {revision}\n{}", contract.trim_end())?;
+    }
+    Ok(())
+}
+
 impl From<yuccacroft_core::errors::Error> for Error {
     fn from(error: yuccacroft_core::errors::Error) -> Self {
         Self::Settings(error)
--- a/yuccacroft/src/main.rs
+++ b/yuccacroft/src/main.rs
@@ -10,7 +10,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
-            ExitCode::FAILURE
+            ExitCode::from(error.status())
         }
     }
 }
--- a/yuccacroft/src/settings.rs
+++ b/yuccacroft/src/settings.rs
@@ -3,55 +3,69 @@
 use {
     crate::errors::{Error, Result},
     rustls_pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
-    std::{fs, path::Path},
+    std::{
+        fs,
+        net::{SocketAddr, SocketAddrV4},
+        ops::RangeInclusive,
+        path::Path,
+    },
     yuccacroft_agent::{endpoint::Certificate, process as agent},
     yuccacroft_balancer::process as balancer,
-    yuccacroft_core::{errors::Fault, ini::Reader, units::Weight},
+    yuccacroft_core::{ids::Instance, ini::Reader, units::Weight},
+    yuccacroft_rpc::admin::Access,
 };
 
-const DEFAULT_THREADS: usize = 2;
-const DEFAULT_WEIGHT: Weight = Weight::new(100);
+const DEFAULT_THREADS: u32 = 2;
+/// More threads than this only contend for the two sockets.
+const THREADS: RangeInclusive<u32> = 1..=64;
+const DEFAULT_WEIGHT: u32 = 100;
+const WEIGHTS: RangeInclusive<u32> = 0..=10_000;
 const ADDRESS: &str = "an address such as 127.0.0.1:7000";
+const OWN_ADDRESS: &str = "an IPv4 address of this machine such as 127.0.0.1:7000";
 
-/// Reads the settings of a balancer.
-pub fn balancer(file: &Path) -> Result<balancer::Settings> {
+/// Reads the settings of a balancer and where its administration interface listens.
+pub fn balancer(file: &Path) -> Result<(balancer::Settings, Option<Access>)> {
     let mut reader = open(file)?;
     let name = reader.required("process", "name", "a process name");
     let domain = reader.required("process", "domain", "a failure domain");
-    let packets = reader.required("listen", "packets", ADDRESS);
-    let capsules = reader.required("listen", "capsules", ADDRESS);
-    let control = reader.required("listen", "control", ADDRESS);
-    let store = reader.required("store", "address", ADDRESS);
-    let threads = reader.optional("process", "threads", "a number of threads", DEFAULT_THREADS);
+    let packets = address(&mut reader, "listen", "packets");
+    let capsules = own_address(&mut reader);
+    let control = address(&mut reader, "listen", "control");
+    let store = address(&mut reader, "store", "address");
+    let threads = bounded(&mut reader, "process", "threads", DEFAULT_THREADS, THREADS);
+    let access = access(&mut reader);
     let settings = (|| {
-        Some(balancer::Settings {
+        let settings = balancer::Settings {
             name: name?,
             domain: domain?,
             packets: packets?,
             capsules: capsules?,
             control: control?,
             store: store?,
-            threads: threads?,
-        })
+            threads: threads? as usize,
+        };
+        Some((settings, access?))
     })();
     finish(reader, settings)
 }
 
-/// Reads the settings of an agent and the certificate files that they name.
-pub fn agent(file: &Path) -> Result<agent::Settings> {
+/// Reads the settings of an agent, the certificate files that they name, and where its
+/// administration interface listens.
+pub fn agent(file: &Path) -> Result<(agent::Settings, Option<Access>)> {
     let mut reader = open(file)?;
     let name = reader.required("process", "name", "a process name");
     let domain = reader.required("process", "domain", "a failure domain");
     let customer = reader.required("service", "customer", "a customer name");
     let service = reader.required("service", "name", "a service name");
     let key = reader.required("service", "key", "64 hexadecimal digits");
-    let capsules = reader.required("listen", "capsules", ADDRESS);
+    let capsules = own_address(&mut reader).map(Instance::new);
     let balancers = reader.list("mesh", "balancers", "control addresses of balancers");
-    let upstream = reader.required("upstream", "address", ADDRESS);
-    let weight = reader.optional("upstream", "weight", "a weight", DEFAULT_WEIGHT);
+    let upstream = address(&mut reader, "upstream", "address");
+    let weight = bounded(&mut reader, "upstream", "weight", DEFAULT_WEIGHT, WEIGHTS);
     let certificate = certificate(&mut reader, file);
+    let access = access(&mut reader);
     let settings = (|| {
-        Some(agent::Settings {
+        let settings = agent::Settings {
             name: name?,
             domain: domain?,
             customer: customer?,
@@ -60,20 +74,73 @@
             capsules: capsules?,
             balancers: balancers.into(),
             upstream: upstream?,
-            weight: weight?,
+            weight: Weight::new(weight?),
             certificate: certificate?,
-        })
+        };
+        Some((settings, access?))
     })();
     finish(reader, settings)
 }
 
-fn open(file: &Path) -> Result<Reader> {
+/// Reads a file; also returns its name as faults show it.
+pub fn read(file: &Path) -> Result<(String, String)> {
     let name = file.display().to_string();
     let text = fs::read_to_string(file)
         .map_err(|cause| Error::File { name: name.as_str().into(), cause })?;
+    Ok((name, text))
+}
+
+/// Opens an INI file.
+pub fn open(file: &Path) -> Result<Reader> {
+    let (name, text) = read(file)?;
     Ok(Reader::new(&name, &text)?)
 }
 
+/// Reads where the administration interface listens. Without the section there is none.
+fn access(reader: &mut Reader) -> Option<Option<Access>> {
+    if !reader.has("admin") {
+        return Some(None);
+    }
+    let listen = address(reader, "admin", "listen");
+    let token = reader.required("admin", "token", "16 to 256 visible ASCII characters");
+    Some(Some(Access { listen: listen?, token: token? }))
+}
+
+fn address(reader: &mut Reader, section: &str, key: &str) -> Option<SocketAddr> {
+    let address: SocketAddr = reader.required(section, key, ADDRESS)?;
+    if address.port() == 0 {
+        reader.fault(section, key, &format!("expected {ADDRESS} with a port that is not 0"));
+        return None;
+    }
+    Some(address)
+}
+
+/// Reads the capsule address, which other processes use as it stands.
+fn own_address(reader: &mut Reader) -> Option<SocketAddrV4> {
+    let address: SocketAddrV4 = reader.required("listen", "capsules", OWN_ADDRESS)?;
+    if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+        reader.fault("listen", "capsules", &format!("expected {OWN_ADDRESS}"));
+        return None;
+    }
+    Some(address)
+}
+
+fn bounded(
+    reader: &mut Reader,
+    section: &str,
+    key: &str,
+    default: u32,
+    range: RangeInclusive<u32>,
+) -> Option<u32> {
+    let expected = format!("a whole number from {} to {}", range.start(), range.end());
+    let value = reader.optional(section, key, &expected, default)?;
+    if !range.contains(&value) {
+        reader.fault(section, key, &format!("expected {expected}"));
+        return None;
+    }
+    Some(value)
+}
+
 fn finish<T>(reader: Reader, settings: Option<T>) -> Result<T> {
     reader.finish()?;
     settings.ok_or_else(|| Error::Settings(yuccacroft_core::errors::Error::Faults(Box::new([]))))
@@ -103,13 +170,3 @@
 ) -> Option<T> {
     result.map_err(|error| reader.fault("tls", key, &format!("expected a PEM file: {error}"))).ok()
 }
-
-/// Builds the error for a single fault, for checks outside of a file.
-pub fn fault(source: &str, expected: &str) -> Error {
-    Error::Settings(yuccacroft_core::errors::Error::Faults(Box::new([Fault {
-        source: source.into(),
-        section: "".into(),
-        key: "".into(),
-        expected: expected.into(),
-    }])))
-}
