--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -18,10 +18,14 @@
         contract::{
             Accepted, Contract,
             register::{self, Register},
+            stored,
         },
         controller::Controller,
-        ids::{Change, Customer},
-        member::roster::{self, Roster},
+        ids::Customer,
+        member::{
+            Entry,
+            roster::{self, Roster},
+        },
         time::Span,
     },
     yuccacroft_platform::{
@@ -65,11 +69,21 @@
         Router::new().route(ANNOUNCE_PATH, post(announce)).with_state(self.clone())
     }
 
-    /// Returns the contract in force of a customer.
+    /// Returns the contract of a customer that is in force.
     pub fn contract(&self, customer: &Customer) -> Option<Arc<Contract<Accepted>>> {
         locked(&self.register).get(customer).cloned()
     }
 
+    /// Returns all contracts in force.
+    pub fn contracts(&self) -> Vec<Arc<Contract<Accepted>>> {
+        locked(&self.register).iter().cloned().collect()
+    }
+
+    /// Returns all member entries.
+    pub fn members(&self) -> Vec<Entry> {
+        locked(&self.roster).iter().cloned().collect()
+    }
+
     /// Keeps the contracts up to date from the store.
     pub async fn follow<S: Store>(&self, store: &S) {
         let mut timer = tokio::time::interval(STORE_POLL);
@@ -100,7 +114,8 @@
         Ok(())
     }
 
-    fn learn(&self, contract: Arc<Contract<Accepted>>) {
+    /// Puts a contract in force unless a newer one is.
+    pub fn learn(&self, contract: Arc<Contract<Accepted>>) {
         let event = register::Event::Learned(contract);
         let actions = locked(&self.register).step(event, self.clock.now());
         for register::Action::Apply { contract, replaced } in actions {
@@ -159,8 +174,7 @@
 }
 
 fn parse(item: &Item) -> yuccacroft_core::errors::Result<Contract<Accepted>> {
-    let checked = Contract::parse(&item.key, &item.value)?.check(&item.key)?;
-    Ok(checked.accept(item.revision, Change::default()))
+    stored::decode(&item.key, &item.value, item.revision)
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/yuccacroft-core/src/lib.rs
+++ b/yuccacroft-core/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod shards;
 pub mod tag;
 pub mod time;
+pub mod token;
 pub mod units;
