--- /dev/null
+++ b/yuccacroft-agent/src/claims.rs
@@ -0,0 +1,276 @@
+//! The shell of the directory: claims in progress, the packets that wait for them, and the homes
+//! that the owned flows are published to.
+
+use {
+    metrics::counter,
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError, RwLock,
+            atomic::{AtomicUsize, Ordering},
+        },
+    },
+    tokio::sync::Notify,
+    yuccacroft_core::{
+        controller::Controller,
+        directory::{Action, Directory, Event},
+        flow::{Hop, Key},
+        ids::Instance,
+        ownership::{Book, Load},
+        placement::{Candidate, Homes},
+        shards::Shards,
+        time::{Moment, Span},
+        units::Weight,
+    },
+    yuccacroft_wire::{
+        capsule::Header,
+        claim::{Body, Entry, MAX_ENTRIES},
+    },
+};
+
+/// Controllers, each with its own lock and part of the keys.
+const PARTS: usize = 16;
+/// Packets that wait for all claims together; callers send again what does not fit.
+const MAX_HELD: usize = 512;
+/// Packets that wait for one claim: a handshake sends no more before its first answer.
+const MAX_HELD_PER_KEY: usize = 8;
+/// Time between two publications of the flows in use; a third of the memory of a home.
+const PUBLISH_EVERY: Span = Span::from_secs(20);
+/// Absence after which a member counts as gone. A balancer that has just started lists only a part
+/// of the members for a few seconds.
+const ABSENCE: Span = Span::from_secs(15);
+const LISTED_MEMORY: Span = Span::from_secs(120);
+
+/// A packet that waits.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The header of its capsule.
+    pub header: Header,
+    /// The packet.
+    pub payload: Box<[u8]>,
+}
+
+/// What the socket is asked to do, in order.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Send a message to an agent.
+    Send(Instance, Body),
+    /// Deliver packets of a flow that begins here.
+    Deliver(Vec<Held>),
+    /// Decide about packets once more, since their claim has ended.
+    Decide(Vec<Held>),
+    /// Forward packets to the owner of their flow.
+    Forward(Hop, Vec<Held>),
+}
+
+/// The claims of one agent.
+#[derive(Debug)]
+pub struct Claims {
+    book: Arc<Book>,
+    parts: [Mutex<Directory>; PARTS],
+    held: Shards<Key, Vec<Held>>,
+    count: AtomicUsize,
+    members: RwLock<Members>,
+    started: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Members {
+    hops: BTreeSet<Hop>,
+    listed: BTreeMap<Hop, Moment>,
+    homes: Arc<Homes>,
+    published: Moment,
+}
+
+impl Claims {
+    /// Creates the shell over the book of an agent.
+    pub fn new(book: Arc<Book>) -> Self {
+        let parts = std::array::from_fn(|_| Mutex::new(Directory::new(book.own())));
+        let (held, count) = (Shards::new(), AtomicUsize::new(0));
+        Self { book, parts, held, count, members: RwLock::default(), started: Notify::new() }
+    }
+
+    /// Holds a packet and, when `begin` is set, asks the homes of its key.
+    pub fn hold(&self, key: Key, packet: Held, begin: bool, now: Moment) -> Vec<Output> {
+        let chain = match packet.header.kind {
+            yuccacroft_wire::capsule::Kind::Untagged { chain, .. } => chain,
+            _ => return Vec::new(),
+        };
+        self.keep(key, packet);
+        if begin {
+            let outputs = self.step(key, Event::Begin { key, chain }, now);
+            self.started.notify_one();
+            return outputs;
+        }
+        // The claim may have ended between the decision and the insertion.
+        if self.book.is_claiming(key) {
+            return Vec::new();
+        }
+        vec![Output::Decide(self.release(key))]
+    }
+
+    /// Takes a message of another agent and returns what follows.
+    pub fn receive(&self, from: Hop, load: Load, body: Body, now: Moment) -> Vec<Output> {
+        self.book.learn(from.instance, load, now);
+        match body {
+            Body::Claim(key) => {
+                let outcome = self.book.claim(key, from, now);
+                vec![Output::Send(from.instance, Body::Answer(key, outcome))]
+            }
+            Body::Answer(key, outcome) => {
+                self.step(key, Event::Answered { key, home: from.instance, outcome }, now)
+            }
+            Body::Publish(entries) => {
+                for Entry { key, owner } in entries {
+                    self.book.publish(key, owner, from, now);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// Repeats calls whose answer is late.
+    pub fn tick(&self, now: Moment) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        for part in &self.parts {
+            let actions = locked(part).step(Event::Tick, now);
+            outputs.extend(self.execute(actions, now));
+        }
+        outputs
+    }
+
+    /// Returns true while a claim is open.
+    pub fn is_open(&self) -> bool {
+        self.parts.iter().any(|part| locked(part).open() > 0)
+    }
+
+    /// Waits until a claim begins.
+    pub async fn started(&self) {
+        self.started.notified().await;
+    }
+
+    /// Takes the agents of the service and returns the entries that new homes need. Flows in use
+    /// are published again from time to time.
+    pub fn set_members(&self, siblings: &[Hop], now: Moment) -> Vec<Output> {
+        let mut hops: BTreeSet<Hop> = siblings.iter().copied().collect();
+        hops.insert(self.book.own());
+        let (before, after, since) = self.replace(hops, now);
+        let list = self.book.publications(&before, &after, since);
+        self.book.expire(|owner| self.is_gone(owner, now), now);
+        publish(list, self.book.own())
+    }
+
+    fn replace(&self, hops: BTreeSet<Hop>, now: Moment) -> (Arc<Homes>, Arc<Homes>, Moment) {
+        let mut members = self.members.write().unwrap_or_else(PoisonError::into_inner);
+        let before = members.homes.clone();
+        members.listed.extend(hops.iter().map(|hop| (*hop, now)));
+        members.listed.retain(|_, listed| now.since(*listed) < LISTED_MEMORY);
+        if hops != members.hops {
+            let weight = Weight::new(1);
+            let list: Vec<_> = hops.iter().map(|&hop| Candidate { hop, weight }).collect();
+            members.homes = Arc::new(Homes::new(&list));
+            members.hops = hops;
+            return (before, members.homes.clone(), Moment::default());
+        }
+        if now.since(members.published) < PUBLISH_EVERY {
+            return (before.clone(), before, now);
+        }
+        let since = members.published;
+        members.published = now;
+        (Arc::default(), before, since)
+    }
+
+    /// Returns true for an agent that was a member and is none any more. One that was never heard
+    /// of may have joined just now.
+    fn is_gone(&self, hop: Hop, now: Moment) -> bool {
+        let members = self.members.read().unwrap_or_else(PoisonError::into_inner);
+        members.listed.get(&hop).is_some_and(|listed| now.since(*listed) > ABSENCE)
+    }
+
+    fn step(&self, key: Key, event: Event, now: Moment) -> Vec<Output> {
+        let actions = locked(self.part(key)).step(event, now);
+        self.execute(actions, now)
+    }
+
+    fn execute(&self, actions: Vec<Action>, now: Moment) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        let mut actions = VecDeque::from(actions);
+        let own = self.book.own();
+        while let Some(action) = actions.pop_front() {
+            match action {
+                Action::Ask { home, key } if home.instance == own.instance => {
+                    let outcome = self.book.claim(key, own, now);
+                    let event = Event::Answered { key, home: home.instance, outcome };
+                    actions.extend(locked(self.part(key)).step(event, now));
+                }
+                Action::Ask { home, key } => {
+                    outputs.push(Output::Send(home.instance, Body::Claim(key)));
+                }
+                Action::Publish { home, key, owner } if home.instance == own.instance => {
+                    self.book.publish(key, owner, own, now);
+                }
+                Action::Publish { home, key, owner } => {
+                    let body = Body::Publish(vec![Entry { key, owner }]);
+                    outputs.push(Output::Send(home.instance, body));
+                }
+                Action::Won { key } => {
+                    counter!("yuccacroft_claims_total", "outcome" => "won").increment(1);
+                    self.book.won(key, now);
+                    outputs.push(Output::Deliver(self.release(key)));
+                }
+                Action::Lost { key, winner } => {
+                    counter!("yuccacroft_claims_total", "outcome" => "lost").increment(1);
+                    self.book.lost(key, winner, now);
+                    outputs.push(Output::Forward(winner, self.release(key)));
+                }
+            }
+        }
+        outputs
+    }
+
+    fn keep(&self, key: Key, packet: Held) {
+        if self.count.load(Ordering::Relaxed) >= MAX_HELD {
+            counter!("yuccacroft_capsules_dropped_total", "cause" => "held_full").increment(1);
+            return;
+        }
+        let kept = self.held.update(key, |list| {
+            let list = list.get_or_insert_default();
+            let room = list.len() < MAX_HELD_PER_KEY;
+            if room {
+                list.push(packet);
+            }
+            room
+        });
+        if kept {
+            self.count.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn release(&self, key: Key) -> Vec<Held> {
+        let packets = self.held.remove(&key).unwrap_or_default();
+        self.count.fetch_sub(packets.len(), Ordering::Relaxed);
+        packets
+    }
+
+    fn part(&self, key: Key) -> &Mutex<Directory> {
+        &self.parts[(key.get() % PARTS as u64) as usize]
+    }
+}
+
+/// Groups entries by home into messages of bounded size.
+fn publish(mut list: Vec<(Hop, Key)>, owner: Hop) -> Vec<Output> {
+    list.sort_unstable();
+    let groups = list.chunk_by(|a, b| a.0 == b.0);
+    let entry = |&(_, key): &(Hop, Key)| Entry { key, owner };
+    groups
+        .flat_map(|group| group.chunks(MAX_ENTRIES))
+        .map(|group| {
+            let body = Body::Publish(group.iter().map(entry).collect());
+            Output::Send(group[0].0.instance, body)
+        })
+        .collect()
+}
+
+fn locked(part: &Mutex<Directory>) -> MutexGuard<'_, Directory> {
+    part.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/yuccacroft-agent/src/lib.rs
+++ b/yuccacroft-agent/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod announce;
 pub mod chain;
+pub mod claims;
 pub mod desk;
 pub mod endpoint;
 pub mod errors;
--- a/yuccacroft-agent/src/packet.rs
+++ b/yuccacroft-agent/src/packet.rs
@@ -1,10 +1,18 @@
 //! The filter chain of capsules: identity, ownership.
 
 use {
-    std::sync::Arc,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, PoisonError, RwLock,
+            atomic::{AtomicU64, Ordering},
+        },
+    },
     yuccacroft_core::{
+        contract::{Accepted, Contract, Terms},
         filter::{Chain, Filter, Verdict},
         flow::Hop,
+        ids::Revision,
         key::Digest,
         ownership::{self, Book},
         time::Moment,
@@ -28,22 +36,88 @@
     Deliver,
     /// It goes to the QUIC endpoint, which does not know its flow and resets it.
     Reset,
+    /// It waits until the homes of its key have answered; they are asked now.
+    Claim,
+    /// It waits for a claim that was begun before.
+    Wait,
     /// It goes to another agent, with this header.
     Pass(Hop, Box<Header>),
     /// It is dropped and counted under this cause.
     Drop(&'static str),
 }
 
-/// Creates the chain of an agent that serves the service with this digest.
-pub fn chain(digest: Digest, book: Arc<Book>) -> Chain<Arrival, Decision> {
-    let own = book.own();
-    Chain::new(vec![Box::new(Identity { digest, own }), Box::new(Ownership { book })])
+/// The service that the agent serves, as the contract in force has it.
+#[derive(Debug)]
+pub struct Scope {
+    digest: Digest,
+    own: Hop,
+    revision: AtomicU64,
+    addresses: RwLock<Box<[SocketAddr]>>,
 }
 
-/// Drops what is meant for another service or an earlier process at this address.
+impl Scope {
+    /// Creates the scope of an agent that has no contract yet.
+    pub fn new(digest: Digest, own: Hop) -> Self {
+        Self { digest, own, revision: AtomicU64::new(0), addresses: RwLock::default() }
+    }
+
+    /// Puts a contract in force.
+    pub fn apply(&self, contract: &Contract<Accepted>, terms: &Terms) {
+        *self.addresses.write().unwrap_or_else(PoisonError::into_inner) = terms.addresses.clone();
+        self.revision.store(contract.revision().get(), Ordering::Release);
+    }
+
+    /// Puts a contract in force that no longer has the service.
+    pub fn withdraw(&self, contract: &Contract<Accepted>) {
+        *self.addresses.write().unwrap_or_else(PoisonError::into_inner) = Box::new([]);
+        self.revision.store(contract.revision().get(), Ordering::Release);
+    }
+
+    /// Returns the revision in force.
+    pub fn revision(&self) -> Revision {
+        Revision::new(self.revision.load(Ordering::Acquire))
+    }
+
+    /// Returns the service in capsules.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// Returns the address and life of the agent.
+    pub fn own(&self) -> Hop {
+        self.own
+    }
+
+    fn has(&self, address: SocketAddr) -> bool {
+        self.addresses.read().unwrap_or_else(PoisonError::into_inner).contains(&address)
+    }
+}
+
+/// Creates the chain of an agent.
+pub fn chain(scope: Arc<Scope>, book: Arc<Book>) -> Chain<Arrival, Decision> {
+    Chain::new(vec![Box::new(Identity { scope }), Box::new(Ownership { book })])
+}
+
+/// Returns the header with which a packet goes to another agent.
+pub fn passed(
+    header: &Header,
+    next: Hop,
+    step: yuccacroft_core::placement::Step,
+    load: Option<ownership::Load>,
+) -> Header {
+    let kind = match header.kind {
+        Kind::Untagged { key, phase, chain, hops, .. } => {
+            Kind::Untagged { key, phase, chain, step, hops: hops.saturating_add(1), load }
+        }
+        kind => kind,
+    };
+    Header { kind, incarnation: next.incarnation, ..*header }
+}
+
+/// Drops what is meant for another service. A tagged packet of an earlier process at this address
+/// is reset; an untagged one goes on, and no flow begins here.
 struct Identity {
-    digest: Digest,
-    own: Hop,
+    scope: Arc<Scope>,
 }
 
 /// Asks the book of flows.
@@ -60,19 +134,21 @@
 
     fn apply(&self, arrival: &mut Arrival) -> Verdict<Decision> {
         let header = &arrival.header;
-        if header.digest != self.digest {
+        if header.digest != self.scope.digest {
             return Verdict::Done(Decision::Drop("service"));
         }
+        // A balancer with an older contract may still know an address that now belongs to another
+        // service. One with a newer contract may know an address that is not known here yet.
+        if header.revision <= self.scope.revision() && !self.scope.has(header.service) {
+            return Verdict::Done(Decision::Drop("address"));
+        }
         match header.kind {
             Kind::Reply => Verdict::Done(Decision::Drop("kind")),
             // The flow died with the earlier process, and its caller has to learn that.
-            Kind::Tagged if header.incarnation != self.own.incarnation => {
+            Kind::Tagged if header.incarnation != self.scope.own.incarnation => {
                 Verdict::Done(Decision::Reset)
             }
             Kind::Tagged => Verdict::Done(Decision::Deliver),
-            Kind::Untagged { .. } if header.incarnation != self.own.incarnation => {
-                Verdict::Done(Decision::Drop("incarnation"))
-            }
             Kind::Untagged { .. } => Verdict::Continue,
         }
     }
@@ -86,20 +162,24 @@
     }
 
     fn apply(&self, arrival: &mut Arrival) -> Verdict<Decision> {
-        let Kind::Untagged { key, phase, chain, position } = arrival.header.kind else {
+        let header = &arrival.header;
+        let Kind::Untagged { key, phase, chain, step, hops, load } = header.kind else {
             return Verdict::Continue;
         };
-        let position = usize::from(position);
-        let packet = ownership::Packet { key, phase, chain: &chain, position };
+        let meant = header.incarnation;
+        let packet = ownership::Packet { key, phase, chain: &chain, step, meant, hops, load };
         Verdict::Done(match self.book.decide(&packet, arrival.now) {
-            ownership::Decision::Deliver | ownership::Decision::Accept => Decision::Deliver,
+            ownership::Decision::Deliver => Decision::Deliver,
+            ownership::Decision::Accept => {
+                self.book.won(key, arrival.now);
+                Decision::Deliver
+            }
+            ownership::Decision::Claim => Decision::Claim,
+            ownership::Decision::Wait => Decision::Wait,
             ownership::Decision::Reset => Decision::Reset,
-            ownership::Decision::Drop => Decision::Drop("room"),
-            ownership::Decision::Pass(next) => {
-                let position = position as u8 + 1;
-                let kind = Kind::Untagged { key, phase, chain, position };
-                let incarnation = next.incarnation;
-                Decision::Pass(next, Box::new(Header { kind, incarnation, ..arrival.header }))
+            ownership::Decision::Drop(cause) => Decision::Drop(cause),
+            ownership::Decision::Pass(next, step, load) => {
+                Decision::Pass(next, Box::new(passed(header, next, step, load)))
             }
         })
     }
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -7,8 +7,8 @@
         desk::Desk,
         endpoint::{self, Certificate, Service},
         errors::{Error, Result},
-        packet,
-        socket::{Identity, Socket},
+        packet::Scope,
+        socket::{Seals, Socket},
         upstream::Client,
     },
     slog::{Logger, error, info},
@@ -22,17 +22,20 @@
         key::{Digest, Secret},
         member::{Entry, Phase},
         ownership::Book,
+        placement::ramp::Ramp,
         tag::Owner,
-        time::Span,
+        time::{Moment, Span},
         units::Weight,
     },
     yuccacroft_rpc::clock::{self, Clock},
-    yuccacroft_wire::capsule::Seal,
+    yuccacroft_wire::{capsule::Seal, message::Sibling},
 };
 
 const ANNOUNCE_EVERY: Duration = Duration::from_secs(2);
 const FIRST_ANNOUNCE_EVERY: Duration = Duration::from_millis(200);
 const FIRST_ANNOUNCE_TRIES: u32 = 150;
+/// Pause before a newer contract is asked for, so that a stream of packets causes few calls.
+const PULL_PAUSE: Duration = Duration::from_millis(100);
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 const RECEIVERS: usize = 2;
 
@@ -217,11 +220,14 @@
     let (customer, name) = (&settings.customer, &settings.service);
     let derive = |purpose| settings.key.derive(purpose, customer, name);
     let digest = Digest::new(customer, name);
-    let book = Arc::new(Book::new(own, terms.connections));
-    let identity = Identity { own, digest, seal: Seal::new(&derive("capsule")) };
-    let chain = packet::chain(digest, book.clone());
-    let socket = Arc::new(Socket::new(udp, identity, chain, clock));
-    socket.set_revision(contract.revision());
+    let ramp = Ramp::new(settings.weight, terms.warmup, clock.now());
+    entry.weight = ramp.weight(clock.now());
+    let book = Arc::new(Book::new(own, terms.connections, entry.weight));
+    let seals =
+        Seals { capsule: Seal::new(&derive("capsule")), claim: Seal::new(&derive("claim")) };
+    let scope = Arc::new(Scope::new(digest, own));
+    scope.apply(contract, terms);
+    let socket = Arc::new(Socket::new(udp, seals, scope.clone(), book.clone(), clock));
     let owner = Owner { instance: own.instance, incarnation: own.incarnation };
     let endpoint = quinn::Endpoint::new_with_abstract_socket(
         endpoint::endpoint_config(owner, &derive("tag"), &derive("reset")),
@@ -245,15 +251,26 @@
             }
         });
     }
+    let claims = socket.clone();
+    tasks.spawn(async move { claims.run_claims().await });
     tasks.spawn(service.clone().accept(endpoint.clone(), leaving));
     entry.phase = Phase::Serving;
     entry.version += 1;
     let (entry, _) = watch::channel(entry);
     let (known, revision) = watch::channel(contract.revision());
-    let follower = Follower { herald: herald.clone(), name: name.clone(), known, limits, socket };
-    let entries = entry.subscribe();
-    let follow_book = book.clone();
-    tasks.spawn(async move { follower.run(entries, &follow_book, clock).await });
+    let (name, book_followed) = (name.clone(), book.clone());
+    let follower = Follower {
+        herald: herald.clone(),
+        name,
+        known,
+        limits,
+        socket,
+        scope,
+        ramp,
+        book: book_followed,
+        entry: entry.clone(),
+    };
+    tasks.spawn(async move { follower.run(clock).await });
     let drain = terms.drain;
     Ok(Parts { tasks, endpoint, service, book, herald, entry, leave, revision, drain, log })
 }
@@ -265,32 +282,60 @@
     known: watch::Sender<Revision>,
     limits: watch::Sender<(Limits, Span)>,
     socket: Arc<Socket>,
+    scope: Arc<Scope>,
+    ramp: Ramp,
+    book: Arc<Book>,
+    entry: watch::Sender<Entry>,
 }
 
 impl Follower {
-    async fn run(&self, entries: watch::Receiver<Entry>, book: &Book, clock: Clock) {
+    async fn run(&self, clock: Clock) {
         let mut timer = tokio::time::interval(ANNOUNCE_EVERY);
         loop {
-            timer.tick().await;
-            let entry = entries.borrow().clone();
+            tokio::select! {
+                _ = timer.tick() => {}
+                () = self.socket.newer_contract() => tokio::time::sleep(PULL_PAUSE).await,
+            }
+            self.grow(clock.now());
+            let entry = self.entry.borrow().clone();
             let revision = *self.known.borrow();
             let news = self.herald.announce(&entry, revision).await;
             if let Some(contract) = news.contract {
                 self.apply(&contract);
             }
-            book.expire(clock.now());
+            if news.reached > 0 {
+                let siblings = news.siblings.iter();
+                let hop = |s: &Sibling| Hop { instance: s.instance, incarnation: s.incarnation };
+                self.socket.set_siblings(&siblings.map(hop).collect::<Vec<_>>());
+            }
             self.socket.expire();
         }
     }
 
+    /// Lets the weight follow the warm-up.
+    fn grow(&self, now: Moment) {
+        let weight = self.ramp.weight(now);
+        self.book.set_weight(weight);
+        self.entry.send_if_modified(|entry| {
+            let changed = entry.weight != weight;
+            if changed {
+                entry.weight = weight;
+                entry.version += 1;
+            }
+            changed
+        });
+    }
+
     fn apply(&self, contract: &Contract<Accepted>) {
         if contract.revision() <= *self.known.borrow() {
             return;
         }
         if let Some(terms) = contract.service(&self.name) {
             let _ = self.limits.send((Limits::from(terms), terms.wait));
+            self.scope.apply(contract, terms);
+        } else {
+            self.scope.withdraw(contract);
         }
-        self.socket.set_revision(contract.revision());
         let _ = self.known.send(contract.revision());
     }
 }
--- a/yuccacroft-agent/src/socket.rs
+++ b/yuccacroft-agent/src/socket.rs
@@ -1,7 +1,10 @@
 //! The socket under the QUIC endpoint: capsules outside, plain packets inside.
 
 use {
-    crate::packet::{Arrival, Decision},
+    crate::{
+        claims::{Claims, Held, Output},
+        packet::{self, Arrival, Decision, Scope},
+    },
     metrics::counter,
     quinn::{
         AsyncUdpSocket, UdpPoller,
@@ -12,23 +15,29 @@
         io::{self, IoSliceMut},
         net::{SocketAddr, SocketAddrV4},
         pin::Pin,
-        sync::{
-            Arc, Mutex, PoisonError,
-            atomic::{AtomicU64, Ordering},
-        },
+        sync::{Arc, Mutex, PoisonError},
         task::{Context, Poll, ready},
+        time::Duration,
+    },
+    tokio::{
+        net::UdpSocket,
+        sync::{Notify, mpsc},
     },
-    tokio::{net::UdpSocket, sync::mpsc},
     yuccacroft_core::{
         filter::Chain,
         flow::Hop,
-        ids::Revision,
-        key::Digest,
+        ids::Instance,
+        ownership::Book,
+        placement::Step,
+        reply::Balancers,
         shards::Shards,
         time::{Moment, Span},
     },
     yuccacroft_rpc::clock::Clock,
-    yuccacroft_wire::capsule::{self, Header, Kind, Seal},
+    yuccacroft_wire::{
+        capsule::{self, Header, Kind, Seal},
+        claim::{self, Body, Message},
+    },
 };
 
 /// Longest datagram, in bytes.
@@ -38,24 +47,29 @@
 /// Time after which the way back to a silent caller is forgotten.
 const ROUTE_MEMORY: Span = Span::from_secs(120);
 
-/// What the socket knows of its own service.
+/// Period in which late answers to claims are looked for while a claim is open.
+const CLAIM_TICK: Duration = Duration::from_millis(5);
+
+/// The authenticator keys of a service.
 #[derive(Debug)]
-pub struct Identity {
-    /// The address and life of the agent.
-    pub own: Hop,
-    /// The service in capsules.
-    pub digest: Digest,
-    /// The authenticator key of the service.
-    pub seal: Seal,
+pub struct Seals {
+    /// Of capsules.
+    pub capsule: Seal,
+    /// Of claim messages.
+    pub claim: Seal,
 }
 
 /// A socket that carries QUIC packets in capsules.
 pub struct Socket {
     udp: UdpSocket,
     clock: Clock,
-    identity: Identity,
-    revision: AtomicU64,
+    seals: Seals,
+    scope: Arc<Scope>,
+    book: Arc<Book>,
+    claims: Claims,
     chain: Chain<Arrival, Decision>,
+    balancers: Balancers,
+    newer: Notify,
     routes: Shards<SocketAddr, Route>,
     sender: mpsc::Sender<Packet>,
     inbox: Mutex<mpsc::Receiver<Packet>>,
@@ -84,18 +98,49 @@
     /// Wraps a bound UDP socket.
     pub fn new(
         udp: UdpSocket,
-        identity: Identity,
-        chain: Chain<Arrival, Decision>,
+        seals: Seals,
+        scope: Arc<Scope>,
+        book: Arc<Book>,
         clock: Clock,
     ) -> Self {
         let (sender, inbox) = mpsc::channel(INBOX);
-        let (revision, routes) = (AtomicU64::new(0), Shards::new());
-        Self { udp, clock, identity, revision, chain, routes, sender, inbox: Mutex::new(inbox) }
+        Self {
+            udp,
+            clock,
+            seals,
+            claims: Claims::new(book.clone()),
+            chain: packet::chain(scope.clone(), book.clone()),
+            scope,
+            book,
+            balancers: Balancers::new(),
+            newer: Notify::new(),
+            routes: Shards::new(),
+            sender,
+            inbox: Mutex::new(inbox),
+        }
     }
 
-    /// Notes the revision of the contract in force, which replies carry.
-    pub fn set_revision(&self, revision: Revision) {
-        self.revision.store(revision.get(), Ordering::Relaxed);
+    /// Takes the other agents of the service and publishes owned flows to new homes.
+    pub fn set_siblings(&self, siblings: &[Hop]) {
+        let outputs = self.claims.set_members(siblings, self.clock.now());
+        self.execute(outputs);
+    }
+
+    /// Waits for a capsule of a balancer whose contract is newer than the one in force.
+    pub async fn newer_contract(&self) {
+        self.newer.notified().await;
+    }
+
+    /// Repeats claims whose answer is late. Nothing wakes while no claim is open.
+    pub async fn run_claims(&self) {
+        loop {
+            self.claims.started().await;
+            while self.claims.is_open() {
+                tokio::time::sleep(CLAIM_TICK).await;
+                let outputs = self.claims.tick(self.clock.now());
+                self.execute(outputs);
+            }
+        }
     }
 
     /// Takes capsules in until the socket fails. Several tasks may run this at a time.
@@ -103,9 +148,7 @@
         let mut buffer = [0; DATAGRAM_BYTES];
         loop {
             let (length, _) = self.udp.recv_from(&mut buffer).await?;
-            if let Err(cause) = self.take(&buffer[..length]) {
-                counter!("yuccacroft_capsules_dropped_total", "cause" => cause).increment(1);
-            }
+            self.count(self.take(&buffer[..length]));
         }
     }
 
@@ -113,26 +156,96 @@
     pub fn expire(&self) {
         let now = self.clock.now();
         self.routes.retain(|_, route| now.since(route.seen) < ROUTE_MEMORY);
+        self.balancers.expire(now);
     }
 
     fn take(&self, datagram: &[u8]) -> Result<(), &'static str> {
+        if datagram.first() == Some(&claim::VERSION) {
+            return self.take_claim(datagram);
+        }
         let opened = capsule::decode(datagram).map_err(|error| error.name())?;
-        if opened.header.digest != self.identity.digest {
+        if opened.header.digest != self.scope.digest() {
             return Err("service");
         }
-        opened.verify(&self.identity.seal).map_err(|error| error.name())?;
+        opened.verify(&self.seals.capsule).map_err(|error| error.name())?;
         let now = self.clock.now();
-        let mut arrival = Arrival { header: opened.header, now };
+        self.balancers.hear(opened.header.balancer, now);
+        if opened.header.revision > self.scope.revision() {
+            self.newer.notify_one();
+        }
+        self.decide(&opened.header, opened.payload, now)
+    }
+
+    fn take_claim(&self, datagram: &[u8]) -> Result<(), &'static str> {
+        let message = claim::decode(datagram, &self.seals.claim).map_err(|error| error.name())?;
+        if message.digest != self.scope.digest() || message.to != self.scope.own().instance {
+            return Err("service");
+        }
+        let Message { from, load, body, .. } = message;
+        let outputs = self.claims.receive(from, load, body, self.clock.now());
+        self.execute(outputs);
+        Ok(())
+    }
+
+    fn decide(&self, header: &Header, payload: &[u8], now: Moment) -> Result<(), &'static str> {
+        let mut arrival = Arrival { header: *header, now };
         match self.chain.run(&mut arrival) {
-            Some(Decision::Deliver | Decision::Reset) => {
-                self.deliver(&opened.header, opened.payload, now)
-            }
-            Some(Decision::Pass(next, header)) => self.pass(next, &header, opened.payload),
+            Some(Decision::Deliver | Decision::Reset) => self.deliver(header, payload, now),
+            Some(Decision::Pass(next, header)) => self.pass(next, &header, payload),
+            Some(Decision::Claim) => self.hold(header, payload, true, now),
+            Some(Decision::Wait) => self.hold(header, payload, false, now),
             Some(Decision::Drop(cause)) => Err(cause),
             None => Err("undecided"),
         }
     }
 
+    fn hold(
+        &self,
+        header: &Header,
+        payload: &[u8],
+        begin: bool,
+        now: Moment,
+    ) -> Result<(), &'static str> {
+        let Kind::Untagged { key, .. } = header.kind else { return Err("undecided") };
+        let held = Held { header: *header, payload: payload.into() };
+        let outputs = self.claims.hold(key, held, begin, now);
+        self.execute(outputs);
+        Ok(())
+    }
+
+    fn execute(&self, outputs: Vec<Output>) {
+        let now = self.clock.now();
+        for output in outputs {
+            match output {
+                Output::Send(to, body) => self.count(self.send_claim(to, body)),
+                Output::Deliver(packets) => packets
+                    .iter()
+                    .for_each(|held| self.count(self.deliver(&held.header, &held.payload, now))),
+                Output::Decide(packets) => packets
+                    .iter()
+                    .for_each(|held| self.count(self.decide(&held.header, &held.payload, now))),
+                Output::Forward(owner, packets) => packets.iter().for_each(|held| {
+                    let header = packet::passed(&held.header, owner, Step::Owner, None);
+                    self.count(self.pass(owner, &header, &held.payload));
+                }),
+            }
+        }
+    }
+
+    fn count(&self, result: Result<(), &'static str>) {
+        if let Err(cause) = result {
+            counter!("yuccacroft_capsules_dropped_total", "cause" => cause).increment(1);
+        }
+    }
+
+    fn send_claim(&self, to: Instance, body: Body) -> Result<(), &'static str> {
+        let (digest, from) = (self.scope.digest(), self.scope.own());
+        let message = Message { digest, from, to, load: self.book.load(), body };
+        let datagram = claim::encode(&message, &self.seals.claim).map_err(|error| error.name())?;
+        self.udp.try_send_to(&datagram, to.address().into()).map_err(|_| "send")?;
+        Ok(())
+    }
+
     fn deliver(&self, header: &Header, payload: &[u8], now: Moment) -> Result<(), &'static str> {
         let Header { service, via, balancer, caller, .. } = *header;
         self.routes.insert(caller, Route { service, via, balancer, seen: now });
@@ -149,7 +262,7 @@
 
     fn send(&self, header: &Header, payload: &[u8], target: SocketAddr) -> io::Result<()> {
         let mut buffer = [0; DATAGRAM_BYTES];
-        let length = capsule::encode(header, payload, &self.identity.seal, &mut buffer)
+        let length = capsule::encode(header, payload, &self.seals.capsule, &mut buffer)
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
         self.udp.try_send_to(&buffer[..length], target).map(|_| ())
     }
@@ -157,7 +270,7 @@
 
 impl Debug for Socket {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Socket({})", self.identity.own.instance)
+        write!(f, "Socket({})", self.scope.own().instance)
     }
 }
 
@@ -170,17 +283,18 @@
         // A caller without a known way back has been silent for long; the packet is as good as
         // lost, and QUIC treats it so.
         let Some(route) = self.routes.get(&transmit.destination) else { return Ok(()) };
+        let balancer = self.balancers.choose(route.balancer, self.clock.now());
         let header = Header {
             kind: Kind::Reply,
-            digest: self.identity.digest,
-            incarnation: self.identity.own.incarnation,
-            revision: Revision::new(self.revision.load(Ordering::Relaxed)),
+            digest: self.scope.digest(),
+            incarnation: self.scope.own().incarnation,
+            revision: self.scope.revision(),
             caller: transmit.destination,
             service: route.service,
             via: route.via,
-            balancer: route.balancer,
+            balancer,
         };
-        match self.send(&header, transmit.contents, route.balancer.into()) {
+        match self.send(&header, transmit.contents, balancer.into()) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Err(error),
             // Any other error concerns one balancer and must not end the endpoint.
             _ => Ok(()),
--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -21,7 +21,10 @@
         },
         controller::Controller,
         ids::Change,
-        member::roster::{self, Roster},
+        member::{
+            Phase,
+            roster::{self, Roster},
+        },
         time::Span,
     },
     yuccacroft_platform::{
@@ -82,6 +85,8 @@
         loop {
             timer.tick().await;
             self.step_roster(roster::Event::Tick);
+            let contracts: Vec<_> = locked(&self.register).iter().cloned().collect();
+            contracts.iter().for_each(|contract| self.routes.expire(contract, self.clock.now()));
         }
     }
 
@@ -104,7 +109,8 @@
             info!(self.log, "contract_in_force"; "customer" => %customer, "revision" => %revision);
             for terms in contract.terms() {
                 let candidates = locked(&self.roster).candidates(customer, &terms.service);
-                self.routes.rebuild(&contract, &terms.service, &candidates);
+                let now = self.clock.now();
+                self.routes.rebuild(&contract, &terms.service, &candidates, now);
             }
         }
     }
@@ -116,7 +122,7 @@
             let members = candidates.len();
             info!(self.log, "members_changed";
                 "members" => members, "service" => %service, "customer" => %customer);
-            self.routes.rebuild(&contract, &service, &candidates);
+            self.routes.rebuild(&contract, &service, &candidates, self.clock.now());
         }
     }
 
@@ -135,7 +141,7 @@
         self.step_roster(roster::Event::Announced(entry));
         let siblings = locked(&self.roster)
             .of(&customer, &service)
-            .filter(|other| other.instance != own)
+            .filter(|other| other.instance != own && other.phase != Phase::Left)
             .map(|other| Sibling { instance: other.instance, incarnation: other.incarnation })
             .collect();
         let newer = contract.revision() > announce.revision;
--- a/yuccacroft-balancer/src/packet.rs
+++ b/yuccacroft-balancer/src/packet.rs
@@ -9,6 +9,7 @@
     yuccacroft_core::{
         filter::{Chain, Filter, Verdict},
         flow::{Hop, Packet},
+        placement::Step,
     },
     yuccacroft_wire::{
         capsule::{Header, Kind},
@@ -40,6 +41,7 @@
 }
 
 /// What becomes of a packet.
+#[expect(clippy::large_enum_variant, reason = "a box would allocate for each packet")]
 #[derive(Clone, Debug)]
 pub enum Decision {
     /// It goes to an agent.
@@ -169,6 +171,6 @@
     let Packet::Untagged { key, phase } = packet else { return Decision::Drop(Cause::Address) };
     let chain = service.history.chain(key);
     let Some(target) = chain.first() else { return Decision::Drop(Cause::Members) };
-    let kind = Kind::Untagged { key, phase, chain, position: 0 };
+    let kind = Kind::Untagged { key, phase, chain, step: Step::First, hops: 0, load: None };
     Decision::Forward { target, kind, service: service.clone() }
 }
--- a/yuccacroft-balancer/src/service.rs
+++ b/yuccacroft-balancer/src/service.rs
@@ -13,9 +13,10 @@
         flow::Key,
         ids::{Customer, Revision, Service as Name},
         key::Digest,
-        placement::{Candidate, History, Table},
+        placement::{Candidate, History},
         shards::Shards,
         tag::Cipher,
+        time::Moment,
     },
     yuccacroft_wire::capsule::Seal,
 };
@@ -43,7 +44,7 @@
 /// All services, found by the address that callers use or by the digest in capsules.
 #[derive(Debug, Default)]
 pub struct Routes {
-    addresses: Shards<SocketAddr, Arc<Service>>,
+    addresses: Shards<SocketAddr, Digest>,
     digests: Shards<Digest, Arc<Service>>,
 }
 
@@ -86,7 +87,7 @@
 
     /// Finds the service behind an address.
     pub fn by_address(&self, address: SocketAddr) -> Option<Arc<Service>> {
-        self.addresses.get(&address)
+        self.by_digest(self.addresses.get(&address)?)
     }
 
     /// Finds the service that a capsule names.
@@ -97,14 +98,14 @@
     /// Puts a contract in force and takes out the addresses that it no longer has.
     pub fn apply(&self, contract: &Contract<Accepted>, replaced: Option<&Contract<Accepted>>) {
         for terms in contract.terms() {
-            let mut service = Service::new(contract, terms);
-            if let Some(known) = self.by_digest(service.digest) {
-                service.history = known.history.clone();
-            }
-            let service = Arc::new(service);
-            self.digests.insert(service.digest, service.clone());
+            let service = Service::new(contract, terms);
+            let digest = service.digest;
+            self.change(digest, |known| {
+                let history = known.map(|known| known.history.clone()).unwrap_or_default();
+                Some(Service { history, ..service.clone() })
+            });
             for address in &terms.addresses {
-                self.addresses.insert(*address, service.clone());
+                self.addresses.insert(*address, digest);
             }
         }
         if let Some(replaced) = replaced {
@@ -113,16 +114,47 @@
     }
 
     /// Makes a set of members the current generation of a service.
-    pub fn rebuild(&self, contract: &Contract<Accepted>, name: &Name, candidates: &[Candidate]) {
-        let Some(terms) = contract.service(name) else { return };
-        let digest = Digest::new(contract.customer(), name);
-        let Some(known) = self.by_digest(digest) else { return };
-        let mut service = Service::clone(&known);
-        service.history.push(Table::new(candidates));
-        let service = Arc::new(service);
-        self.digests.insert(digest, service.clone());
-        for address in &terms.addresses {
-            self.addresses.insert(*address, service.clone());
+    pub fn rebuild(
+        &self,
+        contract: &Contract<Accepted>,
+        name: &Name,
+        candidates: &[Candidate],
+        now: Moment,
+    ) {
+        self.change(Digest::new(contract.customer(), name), |known| {
+            let mut service = Service::clone(known?);
+            service.history.update(candidates, now).then_some(service)
+        });
+    }
+
+    /// Forgets earlier generations of a customer's services that were replaced long ago.
+    pub fn expire(&self, contract: &Contract<Accepted>, now: Moment) {
+        for terms in contract.terms() {
+            self.change(Digest::new(contract.customer(), &terms.service), |known| {
+                let known = known.filter(|known| known.history.has_earlier())?;
+                let mut service = Service::clone(known);
+                service.history.expire(now);
+                Some(service)
+            });
+        }
+    }
+
+    /// Replaces a service. Tables are built outside of the lock that the packet path takes, so the
+    /// change is repeated when another one came in between.
+    fn change(&self, digest: Digest, next: impl Fn(Option<&Arc<Service>>) -> Option<Service>) {
+        loop {
+            let known = self.by_digest(digest);
+            let Some(service) = next(known.as_ref()).map(Arc::new) else { return };
+            let done = self.digests.update(digest, |slot| {
+                let same = slot.as_ref().map(Arc::as_ptr) == known.as_ref().map(Arc::as_ptr);
+                if same {
+                    *slot = Some(service);
+                }
+                same
+            });
+            if done {
+                return;
+            }
         }
     }
 
--- a/yuccacroft-core/src/member.rs
+++ b/yuccacroft-core/src/member.rs
@@ -50,6 +50,11 @@
         (self.incarnation, self.version) > (other.incarnation, other.version)
     }
 
+    /// Returns the share of new flows, which is none unless the upstream serves.
+    pub fn share(&self) -> Weight {
+        if self.phase == Phase::Serving { self.weight } else { Weight::new(0) }
+    }
+
     /// Returns the address and life that a capsule names.
     pub fn hop(&self) -> Hop {
         Hop { instance: self.instance, incarnation: self.incarnation }
--- a/yuccacroft-core/src/member/roster.rs
+++ b/yuccacroft-core/src/member/roster.rs
@@ -23,13 +23,13 @@
 /// What follows for the shell.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// The members of a service that take new flows have changed.
+    /// The members of a service have changed.
     Rebuild {
         /// The customer of the service.
         customer: Customer,
         /// The service.
         service: Service,
-        /// All members that take new flows.
+        /// All members; those that take no new flows have the weight zero.
         candidates: Vec<Candidate>,
     },
 }
@@ -67,10 +67,11 @@
         self.iter().filter(move |e| e.customer == *customer && e.service == *service)
     }
 
-    /// Returns the members of a service that take new flows.
+    /// Returns the members of a service. One that drains has the weight zero: it takes no new
+    /// flows but still knows where flows live.
     pub fn candidates(&self, customer: &Customer, service: &Service) -> Vec<Candidate> {
-        let serving = self.of(customer, service).filter(|e| e.phase == Phase::Serving);
-        serving.map(|e| Candidate { hop: e.hop(), weight: e.weight }).collect()
+        let present = self.of(customer, service).filter(|e| e.phase != Phase::Left);
+        present.map(|e| Candidate { hop: e.hop(), weight: e.share() }).collect()
     }
 
     fn announce(&mut self, entry: Entry, now: Moment) -> Vec<Action> {
--- /dev/null
+++ b/yuccacroft-core/tests/agreement.rs
@@ -0,0 +1,129 @@
+//! Balancers with different members bring all packets of a flow to one upstream.
+
+#[allow(dead_code)]
+mod support;
+
+use {
+    proptest::prelude::*,
+    std::collections::BTreeSet,
+    support::{End, Fleet, hop, members},
+    yuccacroft_core::{
+        flow::{Key, Phase},
+        placement::{Candidate, History, Homes, Table, homes::HOMES_PER_KEY},
+        time::Moment,
+        units::Weight,
+    },
+};
+
+/// Changes by which the views of two balancers differ at most, on each side.
+const CHANGES: usize = HOMES_PER_KEY - 1;
+const AGENTS: u64 = 12;
+
+/// The members that one balancer knows: some are missing, and the weights are its own.
+fn view() -> impl Strategy<Value = Vec<Candidate>> {
+    let missing = proptest::collection::btree_set(0..AGENTS, 0..=CHANGES);
+    (missing, proptest::collection::vec(1..8u32, AGENTS as usize)).prop_map(|(missing, weights)| {
+        let weight = |number: u64| Weight::new(weights[number as usize] * 25);
+        let present = (0..AGENTS).filter(|number| !missing.contains(number));
+        present.map(|number| Candidate { hop: hop(number), weight: weight(number) }).collect()
+    })
+}
+
+fn history(members: &[Candidate]) -> History {
+    let mut history = History::new();
+    history.update(members, Moment::default());
+    history
+}
+
+fn owners(fleet: &Fleet) -> BTreeSet<End> {
+    fleet.ends.iter().copied().collect()
+}
+
+/// Sends two first packets and later two packets of the middle over both balancers and returns
+/// where they ended.
+fn run(views: [&[Candidate]; 2], key: Key, order: &[usize], claims: bool) -> Fleet {
+    let chains = views.map(|view| history(view).chain(key));
+    let mut fleet = Fleet::new(0..AGENTS);
+    fleet.claims = claims;
+    for chain in chains {
+        fleet.send(key, Phase::First, chain);
+    }
+    for &index in order {
+        fleet.carry(index);
+    }
+    fleet.settle();
+    for chain in chains {
+        fleet.send(key, Phase::Middle, chain);
+    }
+    fleet.settle();
+    fleet
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    /// Guards against two owners of one flow when its first packets arrive over balancers with
+    /// different members and weights, whatever the order of all messages.
+    #[test]
+    fn two_balancers_agree(
+        first in view(),
+        second in view(),
+        key: u64,
+        order in proptest::collection::vec(0usize..8, 0..40),
+    ) {
+        let fleet = run([&first, &second], Key::new(key), &order, true);
+        let owners = owners(&fleet);
+        prop_assert_eq!(owners.len(), 1, "{:?}", fleet.ends);
+        prop_assert!(matches!(owners.first(), Some(End::Delivered(_))), "{:?}", fleet.ends);
+    }
+
+    /// Guards against homes without a common member, on which the agreement rests.
+    #[test]
+    fn homes_of_two_views_overlap(first in view(), second in view(), key: u64) {
+        let key = Key::new(key);
+        let (first, second) = (Homes::new(&first), Homes::new(&second));
+        prop_assert!(first.of(key).any(|home| second.of(key).any(|other| other == home)));
+    }
+
+    /// Guards against claims in an order that depends on the view of the balancer.
+    #[test]
+    fn homes_have_one_order(first in view(), second in view(), key: u64) {
+        let key = Key::new(key);
+        let chains = [history(&first).chain(key), history(&second).chain(key)];
+        let common = |chain: &yuccacroft_core::placement::Chain, other: &yuccacroft_core::placement::Chain| {
+            chain.homes().filter(|home| other.homes().any(|h| h == *home)).collect::<Vec<_>>()
+        };
+        prop_assert_eq!(common(&chains[0], &chains[1]), common(&chains[1], &chains[0]));
+    }
+}
+
+/// Without claims the same packets find two owners: this is what the claims are for.
+#[test]
+fn two_balancers_disagree_without_claims() {
+    let (first, second) = (members(0..10), members(2..12));
+    let split = |claims| {
+        let run = |key: u64| run([&first, &second], Key::new(key * 7_919), &[], claims);
+        (0..500).filter(|key| owners(&run(*key)).len() != 1).count()
+    };
+    assert!(split(false) > 0);
+    assert_eq!(split(true), 0);
+}
+
+/// Guards against homes that follow table generations: two balancers that learn the same changes
+/// in a different order share no generation, and the first choices of their tables can differ.
+#[test]
+fn first_choices_of_generations_do_not_overlap() {
+    let without = |gone: &[u64]| members((0..AGENTS).filter(|number| !gone.contains(number)));
+    let sets = |order: [u64; 3]| [without(&order[..1]), without(&order[..2]), without(&order)];
+    let views = [sets([0, 1, 2]), sets([5, 4, 3])];
+    let tables = views.each_ref().map(|view| view.each_ref().map(|set| Table::new(set)));
+    let homes = views.each_ref().map(|view| Homes::new(&view[2]));
+    let keys = || (0..20_000).map(|key| Key::new(key * 7_919));
+    let firsts = |view: &[Table; 3], key| -> BTreeSet<_> {
+        view.iter().filter_map(|table| table.first(key)).collect()
+    };
+    let of = |homes: &Homes, key| homes.of(key).collect::<BTreeSet<_>>();
+    let apart = |key: &Key| firsts(&tables[0], *key).is_disjoint(&firsts(&tables[1], *key));
+    assert!(keys().filter(apart).count() > 0);
+    assert!(!keys().any(|key| of(&homes[0], key).is_disjoint(&of(&homes[1], key))));
+}
--- /dev/null
+++ b/yuccacroft-core/tests/ownership.rs
@@ -0,0 +1,207 @@
+//! What agents do with untagged packets, each property with and without its mechanism.
+
+#[allow(dead_code)]
+mod support;
+
+use {
+    support::{End, Fleet, hop, members},
+    yuccacroft_core::{
+        directory::Outcome,
+        flow::{Hop, Key, Phase},
+        ids::Incarnation,
+        ownership::{Book, Decision, Load, MAX_HOPS, Packet},
+        placement::{Candidate, Chain, History, Homes, Step},
+        time::{Moment, Span},
+        units::{Connections, Weight},
+    },
+};
+
+fn keys(count: u64) -> impl Iterator<Item = Key> {
+    (0..count).map(|key| Key::new(key.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+}
+
+fn history(members: &[Candidate]) -> History {
+    let mut history = History::new();
+    history.update(members, Moment::default());
+    history
+}
+
+fn packet(chain: &Chain, key: Key, phase: Phase) -> Packet<'_> {
+    let meant = Incarnation::new(1);
+    Packet { key, phase, chain, step: Step::First, meant, hops: 0, load: None }
+}
+
+/// Opens a flow for each key and returns the owners.
+fn open(fleet: &mut Fleet, history: &History, keys: impl Iterator<Item = Key>) -> Vec<(Key, Hop)> {
+    keys.map(|key| {
+        let id = fleet.send(key, Phase::First, history.chain(key));
+        fleet.settle();
+        match fleet.ends[id] {
+            End::Delivered(owner) => (key, owner),
+            end => panic!("flow {key} was not opened: {end:?}"),
+        }
+    })
+    .collect()
+}
+
+fn middle(fleet: &mut Fleet, history: &History, key: Key) -> End {
+    let id = fleet.send(key, Phase::Middle, history.chain(key));
+    fleet.settle();
+    fleet.ends[id]
+}
+
+/// Guards against loads that drift apart when keys alone place flows: the largest share stays
+/// within 1.10 of the mean with two choices, and not with one.
+#[test]
+fn two_choices_balance_the_load() {
+    let spread = |second: bool| {
+        let (mut fleet, history) = (Fleet::new(0..7), history(&members(0..7)));
+        for key in keys(7_000) {
+            let chain = history.chain(key);
+            let one = Chain::new(chain.first(), chain.first());
+            fleet.send(key, Phase::First, if second { chain } else { one });
+            fleet.settle();
+        }
+        let largest = fleet.agents.values().map(|agent| agent.book.open().get()).max();
+        f64::from(largest.unwrap()) / 1_000.0
+    };
+    let (one, two) = (spread(false), spread(true));
+    assert!(two <= 1.10, "{two}");
+    assert!(two < one, "{two} {one}");
+}
+
+/// Guards against a drain that breaks flows or still takes new ones, before any balancer knows.
+#[test]
+fn draining_agent_passes_first_packets_and_keeps_its_flows() {
+    let (mut fleet, history) = (Fleet::new(0..5), history(&members(0..5)));
+    let flows = open(&mut fleet, &history, keys(300));
+    fleet.agent(2).book.drain();
+    let later = open(&mut fleet, &history, keys(600).skip(300));
+    assert!(later.iter().all(|(_, owner)| *owner != hop(2)));
+    for (key, owner) in flows {
+        assert_eq!(middle(&mut fleet, &history, key), End::Delivered(owner));
+    }
+}
+
+/// Guards against flows that are lost when the members change completely, step by step: owners
+/// publish to new homes. Without publication packets of the middle find no owner.
+#[test]
+fn flows_survive_a_rolling_replacement() {
+    let lost = |publish: bool| {
+        let mut fleet = Fleet::new(0..14);
+        let mut present = members(0..7);
+        let mut view = history(&present);
+        let flows = open(&mut fleet, &view, keys(400));
+        for gone in 0..5 {
+            let before = Homes::new(&present);
+            present.retain(|member| member.hop != hop(gone));
+            present.extend(members([7 + gone]));
+            view = history(&present);
+            fleet.kill(gone);
+            if publish {
+                fleet.publish(&before, &Homes::new(&present));
+            }
+        }
+        let alive = flows.iter().filter(|(_, owner)| *owner >= hop(5));
+        alive
+            .filter(|(key, owner)| middle(&mut fleet, &view, *key) != End::Delivered(*owner))
+            .count()
+    };
+    assert!(lost(false) > 0);
+    assert_eq!(lost(true), 0);
+}
+
+/// Guards against an entry that dies with one home: a flow that was accepted out of chain order
+/// survives the loss of any one agent but its owner. Without entries at homes it does not.
+#[test]
+fn flow_survives_the_loss_of_any_other_agent() {
+    let lost = |claims: bool, gone: u64| {
+        let (mut fleet, view) = (Fleet::new(0..6), history(&members(0..6)));
+        fleet.claims = claims;
+        let flows = open(&mut fleet, &view, keys(200));
+        fleet.kill(gone);
+        let view = history(&members((0..6).filter(|number| *number != gone)));
+        let alive = flows.into_iter().filter(|(_, owner)| *owner != hop(gone));
+        alive
+            .filter(|(key, owner)| middle(&mut fleet, &view, *key) != End::Delivered(*owner))
+            .count()
+    };
+    assert!((0..6).map(|gone| lost(false, gone)).sum::<usize>() > 0);
+    assert_eq!((0..6).map(|gone| lost(true, gone)).sum::<usize>(), 0);
+}
+
+/// Guards against a packet of the middle that opens a flow. With the mark removed it does.
+#[test]
+fn unknown_middle_ends_in_a_reset() {
+    let (mut fleet, view) = (Fleet::new(0..6), history(&members(0..6)));
+    for key in keys(200) {
+        assert_eq!(middle(&mut fleet, &view, key), End::Reset);
+    }
+    let key = Key::new(5);
+    let id = fleet.send(key, Phase::First, view.chain(key));
+    fleet.settle();
+    assert!(matches!(fleet.ends[id], End::Delivered(_)));
+}
+
+/// Guards against packets that circle between agents that take each other for the owner.
+#[test]
+fn hop_limit_ends_a_circle() {
+    let own = Book::new(hop(1), Connections::new(10), Weight::new(1));
+    let (key, chain) = (Key::new(7), Chain::new(Some(hop(1)), Some(hop(2))));
+    own.publish(key, hop(2), hop(2), Moment::default());
+    let packet = Packet { step: Step::Owner, ..packet(&chain, key, Phase::Middle) };
+    let pass = Decision::Pass(hop(2), Step::Owner, None);
+    let below = Packet { hops: MAX_HOPS - 1, ..packet };
+    assert_eq!(own.decide(&below, Moment::default()), pass);
+    let at = Packet { hops: MAX_HOPS, ..packet };
+    assert_eq!(own.decide(&at, Moment::default()), Decision::Drop("hops"));
+}
+
+/// Guards against new flows that are meant for an earlier life of the agent.
+#[test]
+fn stale_incarnation_begins_no_flow() {
+    let own = Book::new(hop(1), Connections::new(10), Weight::new(1));
+    let chain = Chain::new(Some(hop(1)), Some(hop(2)));
+    let fresh = packet(&chain, Key::new(7), Phase::First);
+    let stale = Packet { meant: Incarnation::new(9), ..fresh };
+    let next = Decision::Pass(hop(2), Step::Second, Some(Load::FULL));
+    assert_eq!(own.decide(&stale, Moment::default()), next);
+    own.learn(hop(2).instance, Load::FULL, Moment::default());
+    assert_eq!(own.decide(&fresh, Moment::default()), Decision::Accept);
+}
+
+/// Guards against a full agent that accepts, and a caller that waits when nobody has room.
+#[test]
+fn full_agents_drop_the_first_packet() {
+    let (mut fleet, view) = (Fleet::new(0..3), history(&members(0..3)));
+    (0..3).for_each(|number| fleet.agent(number).book.drain());
+    let id = fleet.send(Key::new(7), Phase::First, view.chain(Key::new(7)));
+    fleet.settle();
+    assert_eq!(fleet.ends[id], End::Dropped("room"));
+}
+
+/// Guards against a late publication that undoes the claim of another agent, and against entries
+/// of a dead agent that block its key for ever.
+#[test]
+fn entries_keep_the_first_writer_until_it_is_gone() {
+    let home = Book::new(hop(0), Connections::new(10), Weight::new(1));
+    let (key, now) = (Key::new(7), Moment::default());
+    assert_eq!(home.claim(key, hop(1), now), Outcome::Granted);
+    home.publish(key, hop(2), hop(2), now);
+    assert_eq!(home.claim(key, hop(2), now), Outcome::Held(hop(1)));
+    home.expire(|owner| owner == hop(1), now);
+    assert_eq!(home.claim(key, hop(2), now), Outcome::Granted);
+    home.expire(|_| false, now + Span::from_secs(61));
+    assert_eq!(home.entries(), 0);
+}
+
+/// Guards against an agent that restarts and finds its own former entries in its way.
+#[test]
+fn later_life_replaces_the_entry_of_an_earlier_one() {
+    let home = Book::new(hop(0), Connections::new(10), Weight::new(1));
+    let (key, now) = (Key::new(7), Moment::default());
+    let later = Hop { incarnation: Incarnation::new(2), ..hop(1) };
+    home.claim(key, hop(1), now);
+    assert_eq!(home.claim(key, later, now), Outcome::Granted);
+    assert_eq!(home.claim(key, hop(1), now), Outcome::Held(later));
+}
--- /dev/null
+++ b/yuccacroft-core/tests/placement.rs
@@ -0,0 +1,120 @@
+//! Tables, weights and hysteresis.
+
+#[allow(dead_code)]
+mod support;
+
+use {
+    std::collections::BTreeMap,
+    support::{hop, members},
+    yuccacroft_core::{
+        flow::{Hop, Key},
+        placement::{Candidate, History, Table, ramp::Ramp},
+        time::{Moment, Span},
+        units::Weight,
+    },
+};
+
+fn shares(table: &Table, keys: u64) -> BTreeMap<Hop, f64> {
+    let mut shares = BTreeMap::new();
+    for key in 0..keys {
+        let first = table.first(Key::new(key.wrapping_mul(0x9e37_79b9_7f4a_7c15))).unwrap();
+        *shares.entry(first).or_insert(0.0) += 1.0 / keys as f64;
+    }
+    shares
+}
+
+fn weighted(weights: &[u32]) -> Vec<Candidate> {
+    let candidate = |(number, weight): (usize, &u32)| Candidate {
+        hop: hop(number as u64),
+        weight: Weight::new(*weight),
+    };
+    weights.iter().enumerate().map(candidate).collect()
+}
+
+/// Guards against shares that do not follow the weights.
+#[test]
+fn shares_follow_weights() {
+    let weights = [100, 50, 25, 400, 0];
+    let shares = shares(&Table::new(&weighted(&weights)), 200_000);
+    assert!(!shares.contains_key(&hop(4)));
+    for (number, weight) in weights.iter().enumerate().take(4) {
+        let relative = shares[&hop(number as u64)] * 575.0 / f64::from(*weight);
+        assert!((0.87..=1.15).contains(&relative), "{number}: {relative}");
+    }
+}
+
+/// Guards against a table that moves many keys when one member leaves.
+#[test]
+fn few_keys_move_with_one_member() {
+    let (before, after) = (Table::new(&members(0..10)), Table::new(&members(1..10)));
+    let keys = (0..20_000u64).map(|key| Key::new(key.wrapping_mul(0x9e37_79b9_7f4a_7c15)));
+    let kept = keys.filter(|key| before.first(*key) != Some(hop(0)));
+    let (mut moved, mut all) = (0, 0);
+    for key in kept {
+        all += 1;
+        moved += u32::from(before.first(key) != after.first(key));
+    }
+    assert!(moved * 10 < all, "{moved} of {all}");
+}
+
+/// Guards against tables that are rebuilt for every small change of a weight, and against one that
+/// misses a change that matters.
+#[test]
+fn small_changes_do_not_rebuild() {
+    let mut history = History::new();
+    let now = Moment::default();
+    assert!(history.update(&weighted(&[100, 100]), now));
+    assert!(!history.update(&weighted(&[100, 100]), now));
+    assert!(!history.update(&weighted(&[91, 109]), now));
+    assert!(history.update(&weighted(&[90, 100]), now));
+    assert!(history.update(&weighted(&[0, 100]), now));
+    assert!(history.update(&weighted(&[1, 100]), now));
+    assert!(history.update(&weighted(&[1]), now));
+}
+
+/// Guards against small steps that add up without a rebuild.
+#[test]
+fn hysteresis_compares_with_the_table_in_force() {
+    let mut history = History::new();
+    let steps =
+        (100..=130).map(|weight| history.update(&weighted(&[weight, 100]), Moment::default()));
+    assert_eq!(steps.filter(|rebuilt| *rebuilt).count(), 3);
+}
+
+/// Guards against weight changes and repeated news that push earlier members off the chain.
+#[test]
+fn earlier_homes_stay_for_a_while() {
+    let mut history = History::new();
+    let at = |secs| Moment::default() + Span::from_secs(secs);
+    history.update(&members(0..4), at(0));
+    history.update(&members(4..8), at(1));
+    for _ in 0..20 {
+        assert!(!history.update(&members(4..8), at(2)));
+    }
+    let earlier = |history: &History| {
+        history.chain(Key::new(7)).homes().filter(|home| *home < hop(4)).count()
+    };
+    assert_eq!(earlier(&history), 2);
+    history.expire(at(15));
+    assert_eq!(earlier(&history), 2);
+    history.expire(at(16));
+    assert_eq!(earlier(&history), 0);
+    assert!(!history.has_earlier());
+}
+
+/// Guards against a cold upstream that gets its full share at once, and one that never does.
+#[test]
+fn weight_grows_over_the_warmup() {
+    let ramp = Ramp::new(Weight::new(800), Span::from_secs(10), Moment::default());
+    let weight = |millis| ramp.weight(Moment::default() + Span::from_millis(millis)).get();
+    assert_eq!(weight(0), 100);
+    assert_eq!(weight(10_000), 800);
+    let grown: Vec<_> = (0..=100).map(|step| weight(step * 100)).collect();
+    assert!(grown.is_sorted());
+    let distinct: std::collections::BTreeSet<_> = grown.iter().collect();
+    assert_eq!(distinct.len(), 8);
+    assert_eq!(
+        Ramp::new(Weight::new(3), Span::ZERO, Moment::default()).weight(Moment::default()).get(),
+        3
+    );
+}
--- a/yuccacroft-wire/src/capsule.rs
+++ b/yuccacroft-wire/src/capsule.rs
@@ -17,7 +17,8 @@
         flow::{Key, Phase},
         ids::{Incarnation, Revision},
         key::{Digest, Secret},
-        placement::Chain,
+        ownership::Load,
+        placement::{Chain, Step},
     },
 };
 
@@ -26,9 +27,10 @@
 const HEADER_START: usize = 9;
 /// Upper bound of a capsule's overhead in bytes. With packets of 1,200 bytes the whole stays below
 /// the 1,472 bytes that fit into an unfragmented datagram.
-pub const MAX_OVERHEAD: usize = 200;
+pub const MAX_OVERHEAD: usize = 256;
 
 /// How the packet found its way.
+#[expect(clippy::large_enum_variant, reason = "a box would allocate for each packet")]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// The packet carried a valid owner tag.
@@ -41,8 +43,12 @@
         phase: Phase,
         /// The candidates for the flow.
         chain: Chain,
-        /// The position of the receiver on the chain.
-        position: u8,
+        /// The part in which the receiver is asked.
+        step: Step,
+        /// The agents that the packet visited before.
+        hops: u8,
+        /// The load of the agent that passed the packet, when it compares loads.
+        load: Option<Load>,
     },
     /// The packet goes back to the caller.
     Reply,
@@ -90,7 +96,7 @@
         Self(SipHasher24::new_with_key(&secret.halves().0))
     }
 
-    fn mac(&self, header: &[u8], payload: usize) -> [u8; 8] {
+    pub(crate) fn mac(&self, header: &[u8], payload: usize) -> [u8; 8] {
         let mut hasher = self.0;
         hasher.write(header);
         hasher.write_u64(payload as u64);
--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(rust_2018_idioms)]
 
 pub mod capsule;
+pub mod claim;
 pub mod errors;
 pub mod invariant;
 pub mod message;
--- a/yuccacroft-wire/tests/capsule.rs
+++ b/yuccacroft-wire/tests/capsule.rs
@@ -6,7 +6,9 @@
         flow::{Hop, Key, Phase},
         ids::{Customer, Incarnation, Instance, Revision, Service},
         key::{Digest, Secret},
-        placement::Chain,
+        ownership::Load,
+        placement::{Chain, MAX_HOMES, Step},
+        units::{Connections, Weight},
     },
     yuccacroft_wire::{
         capsule::{self, Header, Kind, Seal},
@@ -16,15 +18,26 @@
 };
 
 fn header() -> Header {
-    let mut chain = Chain::default();
-    for bits in 1..=5 {
-        let instance = Instance::from_bits(bits << 16 | 9_000);
-        chain.push(Hop { instance, incarnation: Incarnation::new(1 << 47) });
-    }
+    let hop = |bits: u64| Hop {
+        instance: Instance::from_bits(bits << 16 | 65_535),
+        incarnation: Incarnation::new((1 << 48) - 1),
+    };
+    let mut chain = Chain::new(Some(hop(1)), Some(hop(2)));
+    (0..MAX_HOMES as u64).for_each(|bits| chain.add_home(Key::new(u64::MAX), hop(bits)));
+    assert_eq!(chain.homes().count(), MAX_HOMES);
+    let load = Some(Load::new(Connections::new(u32::MAX), Weight::new(u32::MAX)));
+    let step = Step::Home(5);
     let customer: Customer = "kampvuur".parse().unwrap();
     let service: Service = "booking".parse().unwrap();
     Header {
-        kind: Kind::Untagged { key: Key::new(u64::MAX), phase: Phase::First, chain, position: 1 },
+        kind: Kind::Untagged {
+            key: Key::new(u64::MAX),
+            phase: Phase::First,
+            chain,
+            step,
+            hops: u8::MAX,
+            load,
+        },
         digest: Digest::new(&customer, &service),
         incarnation: Incarnation::new(1 << 47),
         revision: Revision::new(u64::MAX),
