--- a/yuccacroft-agent/src/lib.rs
+++ b/yuccacroft-agent/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admin;
 pub mod announce;
 pub mod chain;
+pub mod claims;
 pub mod desk;
 pub mod endpoint;
 pub mod errors;
--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admin;
 pub mod capsule;
+pub mod claim;
 pub mod errors;
 pub mod invariant;
 pub mod message;
