--- a/yuccacroft-balancer/src/service.rs
+++ b/yuccacroft-balancer/src/service.rs
@@ -17,9 +17,10 @@
         flow::Key,
         ids::{Customer, Revision, Service as Name},
         key::Digest,
-        placement::{Candidate, History, Table},
+        placement::{Candidate, History},
         shards::Shards,
         tag::Cipher,
+        time::Moment,
     },
     yuccacroft_wire::capsule::Seal,
 };
@@ -47,7 +48,7 @@
 /// All services, found by the address that callers use or by the digest in capsules.
 #[derive(Debug, Default)]
 pub struct Routes {
-    addresses: Shards<SocketAddr, Arc<Service>>,
+    addresses: Shards<SocketAddr, Digest>,
     digests: Shards<Digest, Arc<Service>>,
     generation: AtomicU64,
 }
@@ -105,7 +106,7 @@
 
     /// Finds the service behind an address.
     pub fn by_address(&self, address: SocketAddr) -> Option<Arc<Service>> {
-        self.addresses.get(&address)
+        self.by_digest(self.addresses.get(&address)?)
     }
 
     /// Finds the service that a capsule names.
@@ -123,20 +124,20 @@
     pub fn view(&self) -> View {
         let mut view = View { generation: self.generation(), ..View::default() };
         view = self.digests.fold(view, |view, digest, service| view.with_digest(*digest, service));
-        self.addresses.fold(view, |view, address, service| view.with_address(*address, service))
+        self.addresses.fold(view, |view, address, digest| view.with_address(*address, *digest))
     }
 
     /// Puts a contract in force and takes out the addresses that it no longer has.
     pub fn apply(&self, contract: &Contract<Accepted>, replaced: Option<&Contract<Accepted>>) {
         for terms in contract.terms() {
-            let mut service = Service::new(contract, terms);
-            if let Some(known) = self.by_digest(service.digest) {
-                service.history = known.history.clone();
-            }
-            let service = Arc::new(service);
-            self.digests.insert(service.digest, service.clone());
+            let service = Service::new(contract, terms);
+            let digest = service.digest;
+            self.change(digest, |known| {
+                let history = known.map(|known| known.history.clone()).unwrap_or_default();
+                Some(Service { history, ..service.clone() })
+            });
             for address in &terms.addresses {
-                self.addresses.insert(*address, service.clone());
+                self.addresses.insert(*address, digest);
             }
         }
         if let Some(replaced) = replaced {
@@ -146,18 +147,48 @@
     }
 
     /// Makes a set of members the current generation of a service.
-    pub fn rebuild(&self, contract: &Contract<Accepted>, name: &Name, candidates: &[Candidate]) {
-        let Some(terms) = contract.service(name) else { return };
-        let digest = Digest::new(contract.customer(), name);
-        let Some(known) = self.by_digest(digest) else { return };
-        let mut service = Service::clone(&known);
-        service.history.push(Table::new(candidates));
-        let service = Arc::new(service);
-        self.digests.insert(digest, service.clone());
-        for address in &terms.addresses {
-            self.addresses.insert(*address, service.clone());
+    pub fn rebuild(
+        &self,
+        contract: &Contract<Accepted>,
+        name: &Name,
+        candidates: &[Candidate],
+        now: Moment,
+    ) {
+        self.change(Digest::new(contract.customer(), name), |known| {
+            let mut service = Service::clone(known?);
+            service.history.update(candidates, now).then_some(service)
+        });
+    }
+
+    /// Forgets earlier generations of a customer's services that were replaced long ago.
+    pub fn expire(&self, contract: &Contract<Accepted>, now: Moment) {
+        for terms in contract.terms() {
+            self.change(Digest::new(contract.customer(), &terms.service), |known| {
+                let known = known.filter(|known| known.history.has_earlier())?;
+                let mut service = Service::clone(known);
+                service.history.expire(now);
+                Some(service)
+            });
+        }
+    }
+
+    /// Replaces a service. Tables are built outside of the lock that the packet path takes, so the
+    /// change is repeated when another one came in between.
+    fn change(&self, digest: Digest, next: impl Fn(Option<&Arc<Service>>) -> Option<Service>) {
+        loop {
+            let known = self.by_digest(digest);
+            let Some(service) = next(known.as_ref()).map(Arc::new) else { return };
+            let done = self.digests.update(digest, |slot| {
+                let same = slot.as_ref().map(Arc::as_ptr) == known.as_ref().map(Arc::as_ptr);
+                if same {
+                    *slot = Some(service);
+                }
+                same
+            });
+            if done {
+                return self.changed();
+            }
         }
-        self.changed();
     }
 
     fn changed(&self) {
@@ -206,12 +237,11 @@
         self
     }
 
-    fn with_address(mut self, address: SocketAddr, service: &Arc<Service>) -> Self {
-        // Both tables hold the same service unless a change happened between the two copies.
-        let known = self.by_digest(service.digest);
-        let same = known.filter(|slot| Arc::ptr_eq(&self.services[slot.0], service));
-        let slot = same.unwrap_or_else(|| self.push(service));
-        self.addresses.insert(address, slot);
+    fn with_address(mut self, address: SocketAddr, digest: Digest) -> Self {
+        // An address whose service is gone stays out.
+        if let Some(slot) = self.by_digest(digest) {
+            self.addresses.insert(address, slot);
+        }
         self
     }
 
