--- a/yuccacroft-core/src/request.rs
+++ b/yuccacroft-core/src/request.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        fence::Fenced,
         ids::Call,
         time::{Moment, Span},
     },
@@ -22,6 +23,13 @@
     since: Moment,
 }
 
+/// The request was offered to a sibling. Only the sibling's word that it never ran brings it back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Offered {
+    queued: Moment,
+    since: Moment,
+}
+
 /// The request went to an upstream; from here on it may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Dispatched {
@@ -58,6 +66,8 @@
     Malformed,
     /// Its idempotency key was refused before, so a late copy must not run.
     Tombstone,
+    /// Its idempotency key belongs to a request with another method, path or body.
+    Conflict,
 }
 
 /// Proof that a request did not run.
@@ -99,7 +109,25 @@
     }
 }
 
+impl Request<Received> {
+    /// Gives up on a request of which an earlier copy may have run.
+    pub fn disown(self) -> Unknown {
+        Unknown { call: self.call }
+    }
+}
+
 impl Request<Queued> {
+    /// Returns when the request began to wait.
+    pub fn since(&self) -> Moment {
+        self.state.since
+    }
+
+    /// Offers the request to a sibling. This comes before the first byte of the offer is sent.
+    pub fn offer(self, now: Moment) -> Request<Offered> {
+        let queued = self.state.since;
+        self.with_state(Offered { queued, since: now })
+    }
+
     /// Returns how long the request has waited.
     pub fn waited(&self, now: Moment) -> Span {
         now.since(self.state.since)
@@ -116,7 +144,53 @@
     }
 }
 
+impl Request<Offered> {
+    /// Returns the time since the offer.
+    pub fn age(&self, now: Moment) -> Span {
+        now.since(self.state.since)
+    }
+
+    /// Lets the request wait again after the sibling fenced it. The proof of another request
+    /// proves nothing, so the outcome is then unknown.
+    pub fn take_back(self, proof: Fenced) -> Result<Request<Queued>, Unknown> {
+        if proof.call() != self.call {
+            return Err(self.abandon());
+        }
+        let since = self.state.queued;
+        Ok(self.with_state(Queued { since }))
+    }
+
+    /// Lets an idempotent request wait for another attempt, whatever became of this one.
+    pub fn again(self) -> Result<Request<Queued>, Unknown> {
+        let since = self.state.queued;
+        match self.effect {
+            Effect::Idempotent => Ok(self.with_state(Queued { since })),
+            Effect::Once => Err(self.abandon()),
+        }
+    }
+
+    /// Notes that the sibling brought the whole answer.
+    pub fn answer(self, now: Moment) -> Request<Answered> {
+        let took = now.since(self.state.since);
+        self.with_state(Answered { took })
+    }
+
+    /// Gives up on an answer.
+    pub fn abandon(self) -> Unknown {
+        Unknown { call: self.call }
+    }
+}
+
 impl Request<Dispatched> {
+    /// Lets an idempotent request wait for another attempt. A request that may run only once is
+    /// never sent again.
+    pub fn again(self, now: Moment) -> Result<Request<Queued>, Unknown> {
+        match self.effect {
+            Effect::Idempotent => Ok(self.with_state(Queued { since: now })),
+            Effect::Once => Err(self.abandon()),
+        }
+    }
+
     /// Notes that the whole answer arrived.
     pub fn answer(self, now: Moment) -> Request<Answered> {
         let took = now.since(self.state.since);
@@ -172,6 +246,11 @@
     pub fn reason(&self) -> Reason {
         self.reason
     }
+
+    /// Returns the refusal of a later copy, which did not run either.
+    pub fn late(self, reason: Reason) -> Self {
+        Self { reason, ..self }
+    }
 }
 
 impl Unknown {
@@ -190,6 +269,7 @@
             Self::Leaving => "leaving",
             Self::Malformed => "malformed",
             Self::Tombstone => "tombstone",
+            Self::Conflict => "conflict",
         })
     }
 }
--- a/yuccacroft-core/src/tag.rs
+++ b/yuccacroft-core/src/tag.rs
@@ -70,6 +70,11 @@
 
     /// Decodes a connection id. `None` means that it is no tag of this service.
     pub fn decode(&self, id: &[u8]) -> Option<Owner> {
+        self.decode_with_nonce(id).map(|(owner, _)| owner)
+    }
+
+    /// Decodes a tag together with the nonce that it was encoded with.
+    pub fn decode_with_nonce(&self, id: &[u8]) -> Option<(Owner, u32)> {
         let tag: &[u8; TAG_BYTES] = id.try_into().ok()?;
         if tag[0] & FORMAT_MASK != FORMAT || self.checksum(tag) != tag[CHECK_START..] {
             return None;
@@ -78,10 +83,12 @@
         block.copy_from_slice(&tag[BLOCK_START..CHECK_START]);
         let mut block = block.into();
         self.block.decrypt_block(&mut block);
-        Some(Owner {
+        let owner = Owner {
             instance: Instance::from_bits(read_48(&block[0..6])),
             incarnation: Incarnation::new(read_48(&block[6..12])),
-        })
+        };
+        let nonce = block[12..16].iter().fold(0, |nonce, &byte| nonce << 8 | u32::from(byte));
+        Some((owner, nonce))
     }
 
     fn checksum(&self, tag: &[u8; TAG_BYTES]) -> [u8; TAG_BYTES - CHECK_START] {
