--- a/yuccacroft-agent/src/chain.rs
+++ b/yuccacroft-agent/src/chain.rs
@@ -1,18 +1,32 @@
-//! The filter chain of requests, up to the wait for a slot.
+//! The filter chain of requests: contract, identity and idempotency, classification, admission,
+//! deadline, dispatch.
 
 use {
+    crate::{
+        desk::{Desk, Entry},
+        owner::{Named, Owners},
+        records::{Bound, Records},
+    },
+    bytes::Bytes,
     http::{Method, request::Parts},
+    std::sync::Arc,
     yuccacroft_core::{
+        admission::{Ask, class::Class},
         contract::Terms,
         filter::{Chain, Filter, Verdict},
+        flow::Hop,
         ids::Call,
+        record::{Claim, Key, Print, Seen},
         request::{Effect, Reason},
         time::{Moment, Span},
     },
 };
 
-/// The request header by which a caller limits the time for its answer.
+/// The header by which a caller limits the time for its answer, and by which the upstream learns
+/// how much of it is left.
 pub const DEADLINE: &str = "yuccacroft-deadline";
+/// The header that names a request over all its retries (draft-ietf-httpapi-idempotency-key).
+pub const KEY: &str = "idempotency-key";
 
 /// A request as the filters see it.
 #[derive(Debug)]
@@ -21,12 +35,22 @@
     pub call: Call,
     /// The head of the request.
     pub parts: Parts,
+    /// The whole body.
+    pub body: Bytes,
     /// When it arrived.
     pub now: Moment,
+    /// The terms in force.
+    pub limits: Limits,
     /// What a repetition would do.
     pub effect: Effect,
     /// When its answer is due.
     pub deadline: Moment,
+    /// Its route class.
+    pub class: Class,
+    /// Its key, once the record has bound it.
+    pub bound: Option<Bound>,
+    /// What the gate said.
+    pub entry: Option<Entry>,
 }
 
 /// The terms of the contract that filters need.
@@ -36,10 +60,25 @@
     pub deadline: Span,
 }
 
+/// What becomes of a request.
+#[derive(Debug)]
+pub enum Decision {
+    /// It does not run.
+    Refuse(Reason),
+    /// It asks for a key that the record knows.
+    Known(Seen),
+    /// It belongs to another agent.
+    Relay(Hop),
+    /// It runs when the gate lets it.
+    Run,
+}
+
 impl Item {
-    /// Takes in the head of a request.
-    pub fn new(call: Call, parts: Parts, now: Moment) -> Self {
-        Self { call, parts, now, effect: Effect::Once, deadline: now }
+    /// Takes in a request.
+    pub fn new(call: Call, parts: Parts, body: Bytes, now: Moment, limits: Limits) -> Self {
+        let (effect, class) = (Effect::Once, Class::default());
+        let (bound, entry) = (None, None);
+        Self { call, parts, body, now, limits, effect, deadline: now, class, bound, entry }
     }
 }
 
@@ -49,50 +88,157 @@
     }
 }
 
-/// Creates the chain.
-pub fn chain() -> Chain<(Item, Limits), Reason> {
-    Chain::new(vec![Box::new(Identity), Box::new(Deadline)])
+/// Creates the chain over the state that its filters ask.
+pub fn chain(desk: Arc<Desk>, records: Arc<Records>, owners: Arc<Owners>) -> Chain<Item, Decision> {
+    Chain::new(vec![
+        Box::new(Contract),
+        Box::new(Identity { records, owners }),
+        Box::new(Classification { desk: desk.clone() }),
+        Box::new(Admission { desk: desk.clone() }),
+        Box::new(Deadline { desk }),
+        Box::new(Dispatch),
+    ])
 }
 
-/// Finds what a repetition of the request would do.
-struct Identity;
+/// Applies the limits of the contract.
+struct Contract;
+
+/// Finds what a repetition would do, and looks the key up.
+struct Identity {
+    records: Arc<Records>,
+    owners: Arc<Owners>,
+}
+
+/// Finds the route class.
+struct Classification {
+    desk: Arc<Desk>,
+}
+
+/// Asks the gate for a slot.
+struct Admission {
+    desk: Arc<Desk>,
+}
+
+/// Refuses a request whose time has passed.
+struct Deadline {
+    desk: Arc<Desk>,
+}
+
+/// Lets the request run.
+struct Dispatch;
+
+impl Filter<Item> for Contract {
+    type Decision = Decision;
+
+    fn name(&self) -> &'static str {
+        "contract"
+    }
 
-/// Sets the time by which the answer is due.
-struct Deadline;
+    fn apply(&self, item: &mut Item) -> Verdict<Decision> {
+        let span = match item.parts.headers.get(DEADLINE) {
+            None => item.limits.deadline,
+            Some(value) => match value.to_str().ok().and_then(|text| text.parse().ok()) {
+                Some(span) => item.limits.deadline.min(span),
+                None => return Verdict::Done(Decision::Refuse(Reason::Malformed)),
+            },
+        };
+        item.deadline = item.now + span;
+        Verdict::Continue
+    }
+}
 
-impl Filter<(Item, Limits)> for Identity {
-    type Decision = Reason;
+impl Identity {
+    fn look_up(&self, item: &mut Item, key: &[u8], claim: Claim) -> Verdict<Decision> {
+        let path = item.parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let print = Print::new(item.parts.method.as_str(), path, &item.body);
+        match self.records.begin(Key::new(key), print, item.call, claim) {
+            Ok(bound) => {
+                item.bound = Some(bound);
+                Verdict::Continue
+            }
+            Err(seen) => Verdict::Done(Decision::Known(seen)),
+        }
+    }
+}
+
+impl Filter<Item> for Identity {
+    type Decision = Decision;
 
     fn name(&self) -> &'static str {
         "identity"
     }
 
-    fn apply(&self, (item, _): &mut (Item, Limits)) -> Verdict<Reason> {
-        // RFC 9110, section 9.2.2.
-        let idempotent = [Method::GET, Method::HEAD, Method::OPTIONS, Method::PUT, Method::DELETE];
-        if idempotent.contains(&item.parts.method) {
+    fn apply(&self, item: &mut Item) -> Verdict<Decision> {
+        let method = &item.parts.method;
+        // RFC 9110, sections 9.2.1 and 9.2.2.
+        let safe = [Method::GET, Method::HEAD, Method::OPTIONS].contains(method);
+        if safe || [Method::PUT, Method::DELETE].contains(method) {
             item.effect = Effect::Idempotent;
         }
+        let Some(key) = item.parts.headers.get(KEY).filter(|_| !safe).cloned() else {
+            return Verdict::Continue;
+        };
+        let claim = match self.owners.read(&item.parts.headers) {
+            Named::Nobody => Claim::None,
+            Named::Own(learned) => Claim::Own(learned),
+            Named::Other(hop) => return Verdict::Done(Decision::Relay(hop)),
+            Named::Earlier => return Verdict::Done(Decision::Known(Seen::Unknown)),
+            Named::Invalid => return Verdict::Done(Decision::Refuse(Reason::Malformed)),
+        };
+        self.look_up(item, key.as_bytes(), claim)
+    }
+}
+
+impl Filter<Item> for Classification {
+    type Decision = Decision;
+
+    fn name(&self) -> &'static str {
+        "classification"
+    }
+
+    fn apply(&self, item: &mut Item) -> Verdict<Decision> {
+        item.class = self.desk.classify(item.parts.method.as_str(), item.parts.uri.path());
         Verdict::Continue
     }
 }
 
-impl Filter<(Item, Limits)> for Deadline {
-    type Decision = Reason;
+impl Filter<Item> for Admission {
+    type Decision = Decision;
+
+    fn name(&self) -> &'static str {
+        "admission"
+    }
+
+    fn apply(&self, item: &mut Item) -> Verdict<Decision> {
+        let Item { call, class, now, deadline, .. } = *item;
+        item.entry = Some(self.desk.ask(Ask { call, class, since: now, deadline, may_wait: true }));
+        Verdict::Continue
+    }
+}
+
+impl Filter<Item> for Deadline {
+    type Decision = Decision;
 
     fn name(&self) -> &'static str {
         "deadline"
     }
 
-    fn apply(&self, (item, limits): &mut (Item, Limits)) -> Verdict<Reason> {
-        let span = match item.parts.headers.get(DEADLINE) {
-            None => limits.deadline,
-            Some(value) => match value.to_str().ok().and_then(|text| text.parse().ok()) {
-                Some(span) => limits.deadline.min(span),
-                None => return Verdict::Done(Reason::Malformed),
-            },
-        };
-        item.deadline = item.now + span;
-        if span == Span::ZERO { Verdict::Done(Reason::Deadline) } else { Verdict::Continue }
+    fn apply(&self, item: &mut Item) -> Verdict<Decision> {
+        if self.desk.now() < item.deadline {
+            return Verdict::Continue;
+        }
+        Verdict::Done(Decision::Refuse(Reason::Deadline))
+    }
+}
+
+impl Filter<Item> for Dispatch {
+    type Decision = Decision;
+
+    fn name(&self) -> &'static str {
+        "dispatch"
+    }
+
+    fn apply(&self, _: &mut Item) -> Verdict<Decision> {
+        Verdict::Done(Decision::Run)
     }
 }
--- a/yuccacroft-agent/src/desk.rs
+++ b/yuccacroft-agent/src/desk.rs
@@ -1,67 +1,125 @@
 //! The shell of the admission gate: requests wait here for a slot of the upstream.
 
 use {
-    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
-    tokio::sync::oneshot,
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::sync::{Notify, oneshot},
     yuccacroft_core::{
-        admission::{Gate, Offer},
-        request::{Queued, Reason, Refusal, Request},
+        admission::{
+            Action, Ask, Event, Gate,
+            class::Class,
+            limit::{Hint, Observed},
+            peers::Load,
+        },
+        controller::Controller,
+        ids::Call,
+        request::Reason,
         shards::Shards,
-        time::Span,
+        time::{Moment, Span},
+        units::Slots,
     },
     yuccacroft_rpc::clock::Clock,
 };
 
+const IDLE_WAKE: Duration = Duration::from_secs(3_600);
+
 /// The gate and the requests that wait for it.
 #[derive(Debug)]
 pub struct Desk {
     gate: Mutex<Gate>,
-    waiting: Shards<yuccacroft_core::ids::Call, oneshot::Sender<()>>,
+    waiting: Shards<Call, oneshot::Sender<Grant>>,
+    changed: Notify,
     clock: Clock,
 }
 
+/// What the gate said to a request.
+#[derive(Debug)]
+pub enum Entry {
+    /// It has a slot.
+    Started(Slot),
+    /// It waits for one.
+    Waiting(Ticket),
+    /// It does not run here.
+    Refused(Reason),
+}
+
 /// A slot of the upstream, given back when dropped.
 #[derive(Debug)]
 pub struct Slot {
     desk: Arc<Desk>,
+    call: Call,
+    observed: Observed,
+}
+
+/// A place in the queue, given up when dropped.
+#[derive(Debug)]
+pub struct Ticket {
+    desk: Arc<Desk>,
+    call: Call,
+    receiver: oneshot::Receiver<Grant>,
+    open: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Grant {
+    Start,
+    Refuse(Reason),
 }
 
 impl Desk {
     /// Creates the shell of a gate.
     pub fn new(gate: Gate, clock: Clock) -> Self {
-        Self { gate: Mutex::new(gate), waiting: Shards::new(), clock }
+        let (waiting, changed) = (Shards::new(), Notify::new());
+        Self { gate: Mutex::new(gate), waiting, changed, clock }
     }
 
-    /// Waits for a slot, at most for `wait` and at most until the request's deadline.
-    pub async fn admit(
-        self: &Arc<Self>,
-        request: Request<Queued>,
-        wait: Span,
-    ) -> Result<(Request<Queued>, Slot), Refusal> {
-        let call = request.call();
-        let now = self.clock.now();
-        let wait = wait.min(request.remaining(now));
+    /// Returns the class of a request.
+    pub fn classify(&self, method: &str, path: &str) -> Class {
+        self.gate().classify(method, path)
+    }
+
+    /// Asks for a slot.
+    pub fn ask(self: &Arc<Self>, ask: Ask) -> Entry {
+        let call = ask.call;
         let (sender, receiver) = oneshot::channel();
         self.waiting.insert(call, sender);
-        let offer = self.gate().offer(call, now + wait);
-        match offer {
-            Offer::Start => {
-                self.waiting.remove(&call);
-                return Ok((request, Slot { desk: self.clone() }));
-            }
-            Offer::Refuse => {
-                self.waiting.remove(&call);
-                return Err(request.refuse(Reason::Overload));
-            }
-            Offer::Wait => {}
+        let actions = self.step(Event::Ask(ask));
+        if actions.contains(&Action::Start(call)) {
+            return Entry::Started(Slot::new(self.clone(), call));
+        }
+        let refused = actions.iter().find_map(|action| match action {
+            Action::Refuse(refused, reason) if *refused == call => Some(*reason),
+            _ => None,
+        });
+        match refused {
+            Some(reason) => Entry::Refused(reason),
+            None => Entry::Waiting(Ticket { desk: self.clone(), call, receiver, open: true }),
         }
-        let granted = tokio::time::timeout(wait.into(), receiver).await;
-        self.waiting.remove(&call);
-        // The grant may cross the timeout; the gate knows whether the slot was given.
-        if matches!(granted, Ok(Ok(()))) || !self.gate().withdraw(call) {
-            return Ok((request, Slot { desk: self.clone() }));
+    }
+
+    /// Steps the gate whenever the time that it named has come.
+    pub async fn run(&self) {
+        loop {
+            let now = self.clock.now();
+            let wake = self.gate().wake(now);
+            let pause = wake.map_or(IDLE_WAKE, |wake| Duration::from(wake.since(now)));
+            tokio::select! {
+                () = tokio::time::sleep(pause) => drop(self.step(Event::Tick)),
+                () = self.changed.notified() => {}
+            }
         }
-        Err(request.refuse(Reason::Overload))
+    }
+
+    /// Puts the slots and the longest wait of a contract in force.
+    pub fn change(&self, slots: Slots, wait: Span) {
+        self.step(Event::Change(slots, wait));
+    }
+
+    /// Takes in what the endpoints of the upstream say.
+    pub fn hint(&self, hint: Hint) {
+        self.step(Event::Hint(hint));
     }
 
     /// Returns the number of running requests.
@@ -69,17 +127,113 @@
         self.gate().running().get()
     }
 
+    /// Returns the load that siblings are told.
+    pub fn load(&self) -> Load {
+        let now = self.clock.now();
+        self.gate().load(now)
+    }
+
+    /// Returns the advice for a refused caller.
+    pub fn retry_after(&self) -> Span {
+        let now = self.clock.now();
+        self.gate().retry_after(now)
+    }
+
+    /// Returns true when the service time of the class is known.
+    pub fn is_known(&self, class: Class) -> bool {
+        self.gate().is_known(class)
+    }
+
+    /// Returns the present moment of the clock that the gate is fed with.
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// Steps the gate under its lock and carries out the actions after it is released.
+    fn step(&self, event: Event) -> Vec<Action> {
+        let actions = {
+            let mut gate = self.gate();
+            let now = self.clock.now();
+            gate.step(event, now)
+        };
+        let mut waits = false;
+        for action in &actions {
+            match action {
+                Action::Start(call) => self.grant(*call, Grant::Start),
+                Action::Refuse(call, reason) => self.grant(*call, Grant::Refuse(*reason)),
+                Action::Withdrawn(call) => drop(self.waiting.remove(call)),
+                Action::Wait(_) => waits = true,
+            }
+        }
+        if waits {
+            self.changed.notify_one();
+        }
+        actions
+    }
+
+    fn grant(&self, call: Call, grant: Grant) {
+        if let Some(sender) = self.waiting.remove(&call) {
+            // A dropped receiver belongs to a ticket that is being given up, which frees the slot.
+            let _ = sender.send(grant);
+        }
+    }
+
     fn gate(&self) -> MutexGuard<'_, Gate> {
         self.gate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+impl Slot {
+    fn new(desk: Arc<Desk>, call: Call) -> Self {
+        Self { desk, call, observed: Observed::Cancelled }
+    }
+
+    /// Gives the slot back and tells what became of its request.
+    pub fn finish(mut self, observed: Observed) {
+        self.observed = observed;
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
-        let next = self.desk.gate().finish(self.desk.clock.now());
-        if let Some(sender) = next.and_then(|call| self.desk.waiting.remove(&call)) {
-            // A receiver that is gone has timed out and finds its slot through `withdraw`.
-            let _ = sender.send(());
+        self.desk.step(Event::Finish(self.call, self.observed));
+    }
+}
+
+impl Ticket {
+    /// Waits until the gate starts or refuses the request.
+    pub async fn wait(mut self) -> Result<Slot, Reason> {
+        let grant = (&mut self.receiver).await;
+        self.open = false;
+        match grant {
+            Ok(Grant::Start) => Ok(Slot::new(self.desk.clone(), self.call)),
+            Ok(Grant::Refuse(reason)) => Err(reason),
+            Err(_) => Err(Reason::Overload),
+        }
+    }
+
+    /// Gives up the place. `Some` means that the gate decided just before.
+    pub fn withdraw(mut self) -> Option<Result<Slot, Reason>> {
+        self.open = false;
+        if self.desk.step(Event::Withdraw(self.call)).contains(&Action::Withdrawn(self.call)) {
+            return None;
+        }
+        match self.receiver.try_recv() {
+            Ok(Grant::Refuse(reason)) => Some(Err(reason)),
+            // The gate has started the request although the message may still be on its way.
+            Ok(Grant::Start) | Err(_) => Some(Ok(Slot::new(self.desk.clone(), self.call))),
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.open {
+            return;
+        }
+        let actions = self.desk.step(Event::Withdraw(self.call));
+        if !actions.contains(&Action::Withdrawn(self.call)) {
+            self.desk.step(Event::Finish(self.call, Observed::Cancelled));
         }
     }
 }
--- a/yuccacroft-agent/src/endpoint.rs
+++ b/yuccacroft-agent/src/endpoint.rs
@@ -2,17 +2,15 @@
 
 use {
     crate::{
-        chain::{self, Item, Limits},
-        desk::Desk,
+        answer, chain,
         errors::{Error, Result},
-        upstream::{self, Client},
+        live::{Broken, Live},
+        owner,
+        service::{Outcome, Served, Service},
     },
     bytes::{Buf, Bytes, BytesMut},
-    h3::{quic::BidiStream, server::RequestStream},
+    h3::{error::StreamError, quic::BidiStream, server::RequestStream},
     http::{HeaderValue, Request as HttpRequest, Response, StatusCode, header},
-    http_body_util::BodyExt,
-    hyper::body::Incoming,
-    metrics::counter,
     quinn::{
         ConnectionId, ConnectionIdGenerator, EndpointConfig, IdleTimeout, ServerConfig,
         TransportConfig, crypto::rustls::QuicServerConfig,
@@ -20,6 +18,7 @@
     rustls_pki_types::{CertificateDer, PrivateKeyDer},
     slog::{Logger, debug},
     std::{
+        future::Future,
         sync::{
             Arc,
             atomic::{AtomicU32, AtomicUsize, Ordering},
@@ -28,16 +27,13 @@
     },
     tokio::sync::watch,
     yuccacroft_core::{
-        filter::Chain,
         ids::Call,
         key::Secret,
         ownership::Book,
-        request::{Dispatched, Reason, Refusal, Request, Unknown},
+        request::{Effect, Reason, Request},
         tag::{Cipher, Owner, TAG_BYTES},
-        time::Span,
         units::Size,
     },
-    yuccacroft_rpc::clock::Clock,
 };
 
 /// Largest request body. Requests are held whole, so that one that waits can still be refused or
@@ -48,7 +44,6 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
 const IDLE_MILLIS: u32 = 30_000;
 const ALPN: &[u8] = b"h3";
-const RETRY_AFTER_SECS: u16 = 1;
 
 /// The certificate of a service with its key.
 #[derive(Debug)]
@@ -59,15 +54,11 @@
     pub key: PrivateKeyDer<'static>,
 }
 
-/// Serves the requests of all connections.
-pub struct Service {
-    chain: Chain<(Item, Limits), Reason>,
-    desk: Arc<Desk>,
-    upstream: Client,
+/// Accepts connections of callers and passes their requests to the service.
+pub struct Acceptor {
+    service: Arc<Service>,
     book: Arc<Book>,
-    clock: Clock,
     log: Logger,
-    limits: watch::Receiver<(Limits, Span)>,
     active: AtomicUsize,
 }
 
@@ -80,12 +71,6 @@
 
 type Stream<S> = RequestStream<S, Bytes>;
 
-/// How a request ended before its answer could be streamed.
-enum Failure {
-    Refused(Refusal),
-    Unknown(Unknown),
-}
-
 impl ConnectionIdGenerator for Generator {
     fn generate_cid(&mut self) -> ConnectionId {
         let nonce = self.nonce.fetch_add(1, Ordering::Relaxed);
@@ -137,19 +122,10 @@
     Ok(config)
 }
 
-impl Service {
-    /// Creates the service in front of one upstream. `limits` holds what the contract in force
-    /// says: the limits of requests and the longest wait for a slot.
-    pub fn new(
-        desk: Arc<Desk>,
-        upstream: Client,
-        book: Arc<Book>,
-        clock: Clock,
-        limits: watch::Receiver<(Limits, Span)>,
-        log: Logger,
-    ) -> Self {
-        let chain = chain::chain();
-        Self { chain, desk, upstream, book, clock, log, limits, active: AtomicUsize::new(0) }
+impl Acceptor {
+    /// Creates the front end of a service.
+    pub fn new(service: Arc<Service>, book: Arc<Book>, log: Logger) -> Self {
+        Self { service, book, log, active: AtomicUsize::new(0) }
     }
 
     /// Returns the number of requests that were begun and not ended.
@@ -160,13 +136,13 @@
     /// Accepts connections until the endpoint closes.
     pub async fn accept(self: Arc<Self>, endpoint: quinn::Endpoint, leave: watch::Receiver<bool>) {
         while let Some(incoming) = endpoint.accept().await {
-            let (service, leave) = (self.clone(), leave.clone());
+            let (acceptor, leave) = (self.clone(), leave.clone());
             tokio::spawn(async move {
-                service.book.opened();
-                if let Err(error) = service.connection(incoming, leave).await {
-                    debug!(service.log, "connection_ended"; "cause" => %error);
+                acceptor.book.opened();
+                if let Err(error) = acceptor.connection(incoming, leave).await {
+                    debug!(acceptor.log, "connection_ended"; "cause" => %error);
                 }
-                service.book.closed();
+                acceptor.book.closed();
             });
         }
     }
@@ -177,7 +153,8 @@
         mut leave: watch::Receiver<bool>,
     ) -> std::result::Result<(), Box<dyn std::error::Error + Send + Sync>> {
         let connection = incoming.await?;
-        let mut server = h3::server::Connection::new(h3_quinn::Connection::new(connection)).await?;
+        let transport = h3_quinn::Connection::new(connection.clone());
+        let mut server = h3::server::Connection::new(transport).await?;
         let mut leaving = false;
         loop {
             let resolver = tokio::select! {
@@ -191,101 +168,139 @@
                     continue;
                 }
             };
-            let service = self.clone();
+            let (acceptor, connection) = (self.clone(), connection.clone());
             tokio::spawn(async move {
-                service.active.fetch_add(1, Ordering::Relaxed);
+                acceptor.active.fetch_add(1, Ordering::Relaxed);
                 if let Ok((request, stream)) = resolver.resolve_request().await {
-                    service.request(request, stream).await;
+                    acceptor.request(request, stream, &connection).await;
                 }
-                service.active.fetch_sub(1, Ordering::Relaxed);
+                acceptor.active.fetch_sub(1, Ordering::Relaxed);
             });
         }
     }
 
-    async fn request<S: BidiStream<Bytes>>(&self, request: HttpRequest<()>, stream: Stream<S>) {
-        let mut stream = stream;
+    async fn request<S: BidiStream<Bytes>>(
+        &self,
+        request: HttpRequest<()>,
+        mut stream: Stream<S>,
+        connection: &quinn::Connection,
+    ) {
         let (parts, ()) = request.into_parts();
-        let (limits, wait) = *self.limits.borrow();
-        let now = self.clock.now();
-        let mut item = (Item::new(Call::new(rand::random()), parts, now), limits);
-        let refused = self.chain.run(&mut item);
-        let (item, _) = item;
-        let received = Request::new(item.call, item.effect, item.deadline);
-        let result = match (refused, read_body(&mut stream).await) {
-            (Some(reason), _) => Err(Failure::Refused(received.refuse(reason))),
-            (None, None) => Err(Failure::Refused(received.refuse(Reason::Malformed))),
-            (None, Some(body)) => self.dispatch(received, wait, &item, body, &mut stream).await,
+        let call = Call::new(rand::random());
+        let is_keyed = parts.headers.contains_key(chain::KEY);
+        let served = match read_body(&mut stream).await {
+            Body::Whole(body) => {
+                let serve = self.service.serve(call, parts, body);
+                match self.attended(serve, connection, is_keyed).await {
+                    Some(served) => served,
+                    None => return,
+                }
+            }
+            Body::TooLarge => {
+                let refused = Request::new(call, Effect::Once, self.service.clock().now());
+                Served::Ended(Outcome::NotRun(refused.refuse(Reason::Malformed)))
+            }
+            Body::Cancelled => return,
         };
-        if let Err(failure) = result {
-            self.record(&failure);
-            // An error here means that the caller is gone.
-            let _ = explain(&failure, &mut stream).await;
-        }
-    }
-
-    async fn dispatch<S: BidiStream<Bytes>>(
-        &self,
-        request: Request<yuccacroft_core::request::Received>,
-        wait: Span,
-        item: &Item,
-        body: Bytes,
-        stream: &mut Stream<S>,
-    ) -> std::result::Result<(), Failure> {
-        let request = request.queue(self.clock.now());
-        let admitted = self.desk.admit(request, wait).await;
-        let (request, slot) = admitted.map_err(Failure::Refused)?;
-        let remaining = request.remaining(self.clock.now());
-        let request = request.dispatch(self.clock.now());
-        let answer = tokio::time::timeout(remaining.into(), self.upstream.send(&item.parts, body));
-        let response = match answer.await {
-            Ok(Ok(response)) => response,
-            Ok(Err(_)) | Err(_) => return Err(Failure::Unknown(request.abandon())),
+        // An error here means that the caller is gone.
+        let _ = match served {
+            Served::Live(live) => self.stream(*live, &mut stream, connection).await,
+            Served::Ended(outcome) => self.explain(&outcome, &mut stream).await,
         };
-        self.stream(request, response, stream).await;
-        drop(slot);
-        Ok(())
     }
 
-    fn record(&self, failure: &Failure) {
-        let (outcome, call) = match failure {
-            Failure::Refused(refusal) => ("not_run", refusal.call()),
-            Failure::Unknown(unknown) => ("unknown", unknown.call()),
-        };
-        counter!("yuccacroft_requests_total", "outcome" => outcome).increment(1);
-        debug!(self.log, "request_failed"; "outcome" => outcome, "call" => %call);
+    /// Serves a request while its caller is there. A request with a key goes on without it, so
+    /// that a retry on a new connection finds the answer.
+    async fn attended(
+        &self,
+        serve: impl Future<Output = Served>,
+        connection: &quinn::Connection,
+        is_keyed: bool,
+    ) -> Option<Served> {
+        if is_keyed {
+            return Some(serve.await);
+        }
+        tokio::select! {
+            served = serve => Some(served),
+            _ = connection.closed() => None,
+        }
     }
 
     /// Passes the answer on as it comes. A break in the middle resets the stream, so that the
     /// caller cannot take a part for the whole.
     async fn stream<S: BidiStream<Bytes>>(
         &self,
-        request: Request<Dispatched>,
-        response: Response<Incoming>,
+        mut live: Live,
         stream: &mut Stream<S>,
-    ) {
-        let (parts, mut body) = response.into_parts();
-        let mut head = Response::new(());
-        *head.status_mut() = parts.status;
-        *head.headers_mut() = upstream::end_to_end(&parts.headers);
-        if stream.send_response(head).await.is_err() {
-            return;
-        }
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else {
-                stream.stop_stream(h3::error::Code::H3_INTERNAL_ERROR);
-                counter!("yuccacroft_requests_total", "outcome" => "broken").increment(1);
-                return;
+        connection: &quinn::Connection,
+    ) -> std::result::Result<(), StreamError> {
+        let mut head = live.head();
+        self.sign(&mut head);
+        let mut sent = stream.send_response(head).await;
+        while sent.is_ok() {
+            let part = tokio::select! {
+                part = live.next() => part,
+                _ = connection.closed() => break,
             };
-            if let Ok(data) = frame.into_data()
-                && stream.send_data(data).await.is_err()
-            {
-                return;
+            match part {
+                None => return stream.finish().await,
+                Some(Ok(data)) => sent = stream.send_data(data).await,
+                Some(Err(Broken)) => {
+                    stream.stop_stream(h3::error::Code::H3_INTERNAL_ERROR);
+                    return Ok(());
+                }
             }
         }
-        if stream.finish().await.is_ok() {
-            let _answered = request.answer(self.clock.now());
-            counter!("yuccacroft_requests_total", "outcome" => "answered").increment(1);
+        // A lost connection is no cancellation: its caller retries under the same key.
+        if live.outlives_caller(connection.close_reason().is_none()) {
+            live.drain().await;
         }
+        sent
+    }
+
+    /// Sends an outcome that is whole; `docs/requests.md` lists what callers see.
+    async fn explain<S: BidiStream<Bytes>>(
+        &self,
+        outcome: &Outcome,
+        stream: &mut Stream<S>,
+    ) -> std::result::Result<(), StreamError> {
+        let (mut head, body) = match outcome {
+            Outcome::Answered(answer) => {
+                (answer::head(answer), Bytes::copy_from_slice(&answer.body))
+            }
+            Outcome::NotRun(refusal) => (self.refused(refusal.reason()), Bytes::new()),
+            Outcome::Unknown(_) => (unexplained(StatusCode::BAD_GATEWAY, "unknown"), Bytes::new()),
+        };
+        self.sign(&mut head);
+        stream.send_response(head).await?;
+        if !body.is_empty() {
+            stream.send_data(body).await?;
+        }
+        stream.finish().await
+    }
+
+    fn refused(&self, reason: Reason) -> Response<()> {
+        let status = match reason {
+            Reason::Malformed => StatusCode::BAD_REQUEST,
+            Reason::Contract => StatusCode::FORBIDDEN,
+            Reason::Tombstone => StatusCode::CONFLICT,
+            Reason::Conflict => StatusCode::UNPROCESSABLE_ENTITY,
+            Reason::Overload | Reason::Deadline | Reason::Leaving => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+        };
+        let mut head = unexplained(status, &format!("not-run: {reason}"));
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            let wait = self.service.desk().retry_after().as_millis().div_ceil(1_000);
+            head.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(wait));
+        }
+        head
+    }
+
+    /// Names this process, so that a retry finds the record of its key.
+    fn sign(&self, head: &mut Response<()>) {
+        let value = self.service.owners().value(self.service.clock().now());
+        head.headers_mut().insert(owner::HEADER, value);
     }
 }
 
@@ -296,11 +311,23 @@
     }
 }
 
-async fn read_body<S: BidiStream<Bytes>>(stream: &mut Stream<S>) -> Option<Bytes> {
+/// The body of a request.
+enum Body {
+    Whole(Bytes),
+    TooLarge,
+    Cancelled,
+}
+
+async fn read_body<S: BidiStream<Bytes>>(stream: &mut Stream<S>) -> Body {
     let mut body = BytesMut::new();
-    while let Some(mut data) = stream.recv_data().await.ok()? {
+    loop {
+        let mut data = match stream.recv_data().await {
+            Ok(Some(data)) => data,
+            Ok(None) => return Body::Whole(body.freeze()),
+            Err(_) => return Body::Cancelled,
+        };
         if (body.len() + data.remaining()) as u64 > MAX_BODY.get() {
-            return None;
+            return Body::TooLarge;
         }
         while data.has_remaining() {
             let chunk = data.chunk();
@@ -309,34 +336,15 @@
             data.advance(length);
         }
     }
-    Some(body.freeze())
 }
 
-/// Answers a request that brought no answer of its own; `docs/operators.md` lists the cases.
-async fn explain<S: BidiStream<Bytes>>(
-    failure: &Failure,
-    stream: &mut Stream<S>,
-) -> std::result::Result<(), h3::error::StreamError> {
+/// Returns the head of an outcome that is no answer (RFC 9209).
+fn unexplained(status: StatusCode, details: &str) -> Response<()> {
     let mut head = Response::new(());
-    let (status, details) = match failure {
-        Failure::Refused(refusal) => {
-            let status = match refusal.reason() {
-                Reason::Malformed => StatusCode::BAD_REQUEST,
-                Reason::Contract => StatusCode::FORBIDDEN,
-                _ => StatusCode::SERVICE_UNAVAILABLE,
-            };
-            (status, format!("not-run: {}", refusal.reason()))
-        }
-        Failure::Unknown(_) => (StatusCode::BAD_GATEWAY, "unknown".to_owned()),
-    };
     *head.status_mut() = status;
     let text = format!("yuccacroft; details=\"{details}\"");
     if let Ok(value) = HeaderValue::from_str(&text) {
         head.headers_mut().insert("proxy-status", value);
     }
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        head.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(RETRY_AFTER_SECS));
-    }
-    stream.send_response(head).await?;
-    stream.finish().await
+    head
 }
--- /dev/null
+++ b/yuccacroft-agent/src/handoff.rs
@@ -0,0 +1,260 @@
+//! The serving side of the hand-off: requests of siblings run here.
+
+use {
+    crate::{
+        answer,
+        chain::Item,
+        desk::{Entry, Slot},
+        service::{Outcome, Service},
+        siblings::Siblings,
+    },
+    axum::{
+        Router,
+        body::Bytes,
+        extract::{DefaultBodyLimit, State as Shared},
+        http::{HeaderMap, StatusCode},
+        routing::post,
+    },
+    serde::de::DeserializeOwned,
+    slog::{Logger, error},
+    std::{sync::Arc, time::Duration},
+    tokio::{net::TcpListener, sync::watch},
+    yuccacroft_core::{
+        admission::Ask,
+        fence::{Arrival, Ledger, State as Known},
+        ids::{Call, Incarnation},
+        key::Secret,
+        record::End,
+        request::{Reason, Request},
+        shards::Shards,
+        time::Span,
+        units::{Count, Size},
+    },
+    yuccacroft_rpc::clock,
+    yuccacroft_wire::{
+        handoff::{
+            FENCE_PATH, Fence, MAX_BYTES, OFFER_PATH, Offer, RELAY_PATH, Relay, Relayed, Reply,
+            State,
+        },
+        message, seal,
+    },
+};
+
+const PARTS: u8 = 16;
+/// Requests of siblings that each part of the ledger remembers, 65,536 (10 MB) over all parts.
+const PART_ROOM: Count = Count::new(4_096);
+/// Answers that each part keeps for siblings, 32 MB over all parts.
+const PART_BYTES: Size = Size::new(2 << 20);
+const LONGEST_HOLD: Span = Span::from_secs(1);
+
+/// Serves offers, fences and relayed retries of siblings.
+pub struct Host {
+    own: Incarnation,
+    key: Secret,
+    service: Arc<Service>,
+    siblings: Arc<Siblings>,
+    ledgers: Shards<u8, Ledger>,
+    runs: Shards<Call, Run>,
+    leave: watch::Receiver<bool>,
+    log: Logger,
+}
+
+#[derive(Debug)]
+struct Run {
+    ended: watch::Sender<bool>,
+    cancel: watch::Sender<bool>,
+}
+
+impl Host {
+    /// Creates the serving side of one life of an agent. `key` is derived for this purpose.
+    pub fn new(
+        own: Incarnation,
+        key: Secret,
+        service: Arc<Service>,
+        siblings: Arc<Siblings>,
+        leave: watch::Receiver<bool>,
+        log: Logger,
+    ) -> Self {
+        let (ledgers, runs) = (Shards::new(), Shards::new());
+        Self { own, key, service, siblings, ledgers, runs, leave, log }
+    }
+
+    /// Serves until the listener fails.
+    pub async fn run(self: Arc<Self>, listener: TcpListener) {
+        let router = Router::new()
+            .route(OFFER_PATH, post(offer))
+            .route(FENCE_PATH, post(fence))
+            .route(RELAY_PATH, post(relay))
+            .layer(DefaultBodyLimit::max(MAX_BYTES))
+            .with_state(self.clone());
+        if let Err(cause) = axum::serve(listener, router).await {
+            error!(self.log, "handoff_failed"; "error" => %cause);
+        }
+    }
+
+    fn open<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        headers: &HeaderMap,
+        body: &[u8],
+    ) -> Result<T, StatusCode> {
+        let text = headers.get(seal::HEADER).and_then(|value| value.to_str().ok());
+        let text = text.ok_or(StatusCode::UNAUTHORIZED)?;
+        seal::verify(&self.key, path, clock::wall(), body, text)
+            .map_err(|_| StatusCode::UNAUTHORIZED)?;
+        message::decode(body).map_err(|_| StatusCode::BAD_REQUEST)
+    }
+
+    async fn offer(self: &Arc<Self>, offer: Offer) -> Result<Reply, StatusCode> {
+        self.siblings.heard(&offer);
+        let Offer { call, expected, effect, remaining, hold, work, .. } = offer;
+        let (parts, body) = answer::unpack(work).ok_or(StatusCode::BAD_REQUEST)?;
+        let now = self.service.clock().now();
+        let seen = match self.ledger(call, |ledger| ledger.offer(call, expected, now)) {
+            Arrival::Seen(known) => known,
+            Arrival::Refused => Known::Gone,
+            Arrival::Fresh => {
+                let request = Request::new(call, effect, now + remaining);
+                let mut item = Item::new(call, parts, body, now, self.service.limits());
+                (item.effect, item.deadline) = (effect, now + remaining);
+                self.begin(request, item);
+                Known::Running
+            }
+        };
+        let seen = if seen == Known::Running { self.hold(call, hold).await } else { seen };
+        Ok(self.reply(seen))
+    }
+
+    /// Starts the request in a task of its own, since its connection may break while it runs.
+    fn begin(
+        self: &Arc<Self>,
+        request: Request<yuccacroft_core::request::Received>,
+        mut item: Item,
+    ) {
+        let call = item.call;
+        let run = Run { ended: watch::channel(false).0, cancel: watch::channel(false).0 };
+        let cancelled = run.cancel.subscribe();
+        self.runs.insert(call, run);
+        let slot = match self.slot(&mut item) {
+            Ok(slot) => slot,
+            Err(reason) => return self.settle(call, &End::NotRun(request.refuse(reason))),
+        };
+        let host = self.clone();
+        tokio::spawn(async move {
+            let end = host.execute(request, item, slot, cancelled).await;
+            host.settle(call, &end);
+        });
+    }
+
+    fn slot(&self, item: &mut Item) -> Result<Slot, Reason> {
+        if *self.leave.borrow() {
+            return Err(Reason::Leaving);
+        }
+        let desk = self.service.desk();
+        item.class = desk.classify(item.parts.method.as_str(), item.parts.uri.path());
+        let Item { call, class, now, deadline, .. } = *item;
+        match desk.ask(Ask { call, class, since: now, deadline, may_wait: false }) {
+            Entry::Started(slot) => Ok(slot),
+            Entry::Refused(reason) => Err(reason),
+            // The gate lets no request of a sibling wait.
+            Entry::Waiting(_) => Err(Reason::Overload),
+        }
+    }
+
+    async fn execute(
+        &self,
+        request: Request<yuccacroft_core::request::Received>,
+        item: Item,
+        slot: Slot,
+        mut cancelled: watch::Receiver<bool>,
+    ) -> End {
+        let queued = request.queue(item.now);
+        let run = self.service.execute(queued, item, slot);
+        tokio::select! {
+            end = run => end,
+            () = is_set(&mut cancelled) => End::Unknown,
+        }
+    }
+
+    async fn fence(&self, fence: Fence) -> Reply {
+        let Fence { call, expected, age, hold, cancel } = fence;
+        let now = self.service.clock().now();
+        let mut known = self.ledger(call, |ledger| ledger.fence(call, expected, age, now));
+        if known == Known::Running && cancel {
+            self.runs.read(&call, |run| run.map(|run| run.cancel.send_replace(true)));
+        }
+        if known == Known::Running {
+            known = self.hold(call, hold).await;
+        }
+        self.reply(known)
+    }
+
+    async fn relay(&self, relay: Relay) -> Result<Relayed, StatusCode> {
+        if relay.expected != self.own {
+            return Ok(Relayed::Unknown);
+        }
+        let (parts, body) = answer::unpack(relay.work).ok_or(StatusCode::BAD_REQUEST)?;
+        Ok(match self.service.whole(parts, body, relay.remaining).await {
+            Outcome::Answered(answer) => Relayed::Answered((*answer).clone()),
+            Outcome::NotRun(refusal) => Relayed::NotRun(refusal.reason()),
+            Outcome::Unknown(_) => Relayed::Unknown,
+        })
+    }
+
+    /// Waits until a request ends, at most for `hold`, and returns its state.
+    async fn hold(&self, call: Call, hold: Span) -> Known {
+        let ended = self.runs.read(&call, |run| run.map(|run| run.ended.subscribe()));
+        if let Some(mut ended) = ended {
+            let hold = Duration::from(hold.min(LONGEST_HOLD));
+            let _ = tokio::time::timeout(hold, is_set(&mut ended)).await;
+        }
+        self.ledger(call, |ledger| ledger.state(call))
+    }
+
+    fn settle(&self, call: Call, end: &End) {
+        let now = self.service.clock().now();
+        self.ledger(call, |ledger| ledger.settle(call, end, now));
+        if let Some(run) = self.runs.remove(&call) {
+            run.ended.send_replace(true);
+        }
+    }
+
+    fn reply(&self, known: Known) -> Reply {
+        let state = match known {
+            Known::Fenced => State::Fenced,
+            Known::Running => State::Running,
+            Known::Done(answer) => State::Done((*answer).clone()),
+            Known::Gone => State::Gone,
+        };
+        Reply { load: self.service.desk().load(), state }
+    }
+
+    fn ledger<R>(&self, call: Call, act: impl FnOnce(&mut Ledger) -> R) -> R {
+        let part = (call.get() % u128::from(PARTS)) as u8;
+        self.ledgers.update(part, |ledger| {
+            act(ledger.get_or_insert_with(|| Ledger::new(self.own, PART_ROOM, PART_BYTES)))
+        })
+    }
+}
+
+async fn is_set(flag: &mut watch::Receiver<bool>) {
+    // A sender that is gone has set the flag before.
+    let _ = flag.wait_for(|set| *set).await;
+}
+
+type Answered = Result<Vec<u8>, StatusCode>;
+
+async fn offer(Shared(host): Shared<Arc<Host>>, headers: HeaderMap, body: Bytes) -> Answered {
+    let reply = host.offer(host.open(OFFER_PATH, &headers, &body)?).await?;
+    message::encode(&reply).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+async fn fence(Shared(host): Shared<Arc<Host>>, headers: HeaderMap, body: Bytes) -> Answered {
+    let reply = host.fence(host.open(FENCE_PATH, &headers, &body)?).await;
+    message::encode(&reply).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+async fn relay(Shared(host): Shared<Arc<Host>>, headers: HeaderMap, body: Bytes) -> Answered {
+    let relayed = host.relay(host.open(RELAY_PATH, &headers, &body)?).await?;
+    message::encode(&relayed).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
--- a/yuccacroft-agent/src/lib.rs
+++ b/yuccacroft-agent/src/lib.rs
@@ -4,11 +4,18 @@
 #![warn(rust_2018_idioms)]
 
 pub mod announce;
+pub mod answer;
 pub mod chain;
 pub mod desk;
 pub mod endpoint;
 pub mod errors;
+pub mod handoff;
+pub mod live;
+pub mod owner;
 pub mod packet;
 pub mod process;
+pub mod records;
+pub mod service;
+pub mod siblings;
 pub mod socket;
 pub mod upstream;
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -5,17 +5,27 @@
         announce::Herald,
         chain::Limits,
         desk::Desk,
-        endpoint::{self, Certificate, Service},
+        endpoint::{self, Acceptor, Certificate},
         errors::{Error, Result},
+        handoff::Host,
+        owner::Owners,
         packet,
+        records::{PART_BOUNDS, Records},
+        service::Service,
+        siblings::Siblings,
         socket::{Identity, Socket},
         upstream::Client,
     },
+    rand::{SeedableRng, rngs::StdRng},
     slog::{Logger, error, info},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::UdpSocket, sync::watch, task::JoinSet},
+    tokio::{
+        net::{TcpListener, UdpSocket},
+        sync::watch,
+        task::JoinSet,
+    },
     yuccacroft_core::{
-        admission::Gate,
+        admission::{self, Gate},
         contract::{Accepted, Contract, Terms},
         flow::Hop,
         ids::{Customer, Domain, Instance, Process as Name, Revision, Service as ServiceName},
@@ -27,7 +37,7 @@
         units::Weight,
     },
     yuccacroft_rpc::clock::{self, Clock},
-    yuccacroft_wire::capsule::Seal,
+    yuccacroft_wire::{capsule::Seal, handoff::PURPOSE, message::Sibling},
 };
 
 const ANNOUNCE_EVERY: Duration = Duration::from_secs(2);
@@ -87,7 +97,7 @@
 struct Parts {
     tasks: JoinSet<()>,
     endpoint: quinn::Endpoint,
-    service: Arc<Service>,
+    acceptor: Arc<Acceptor>,
     book: Arc<Book>,
     herald: Arc<Herald>,
     entry: watch::Sender<Entry>,
@@ -110,12 +120,15 @@
         let udp = UdpSocket::bind(own.instance.address())
             .await
             .map_err(|cause| Error::Socket { name: "capsules", cause })?;
+        let tcp = TcpListener::bind(own.instance.address())
+            .await
+            .map_err(|cause| Error::Socket { name: "handoff", cause })?;
         let balancers = settings.balancers.clone();
         let herald = Arc::new(Herald::new(balancers, settings.key.clone(), log.clone()));
         let entry = first_entry(&settings, own);
         let contract = first_contract(&herald, &entry).await?;
         let terms = contract.service(&settings.service).ok_or(Error::Contract)?.clone();
-        let parts = assemble(settings, log, own, udp, herald, entry, &contract, &terms)?;
+        let parts = assemble(settings, log, own, (udp, tcp), herald, entry, &contract, &terms)?;
         info!(parts.log, "serving";
             "instance" => %own.instance, "incarnation" => %own.incarnation);
         Ok(Process { state: Serving { parts } })
@@ -152,7 +165,7 @@
     pub async fn stop(self) {
         let mut parts = self.state.parts;
         let idle = async {
-            while parts.service.active() > 0 || parts.book.open().get() > 0 {
+            while parts.acceptor.active() > 0 || parts.book.open().get() > 0 {
                 tokio::time::sleep(DRAIN_POLL).await;
             }
         };
@@ -207,7 +220,7 @@
     settings: Settings,
     log: Logger,
     own: Hop,
-    udp: UdpSocket,
+    (udp, tcp): (UdpSocket, TcpListener),
     herald: Arc<Herald>,
     mut entry: Entry,
     contract: &Contract<Accepted>,
@@ -230,11 +243,27 @@
         Arc::new(quinn::TokioRuntime),
     )
     .map_err(|cause| Error::Socket { name: "quic", cause })?;
-    let (limits, limits_in_force) = watch::channel((Limits::from(terms), terms.wait));
-    let desk = Arc::new(Desk::new(Gate::new(terms.slots), clock));
-    let upstream = Client::new(settings.upstream);
-    let service = Service::new(desk, upstream, book.clone(), clock, limits_in_force, log.clone());
-    let service = Arc::new(service);
+    let (limits, limits_in_force) = watch::channel(Limits::from(terms));
+    let Terms { slots, wait, warmup, .. } = *terms;
+    let gate = Gate::new(admission::Settings { slots, wait, warmup }, clock.now());
+    let desk = Arc::new(Desk::new(gate, clock));
+    let records = Arc::new(Records::new(PART_BOUNDS, clock));
+    let owners = Arc::new(Owners::new(&derive("owner"), own));
+    let handoff = derive(PURPOSE);
+    let random = StdRng::from_rng(&mut rand::rng());
+    let siblings = Siblings::new(own, handoff.clone(), random, desk.clone(), log.clone());
+    let siblings = Arc::new(siblings);
+    let service = Arc::new(Service::new(
+        desk.clone(),
+        records.clone(),
+        owners,
+        siblings.clone(),
+        Client::new(settings.upstream),
+        clock,
+        limits_in_force,
+        log.clone(),
+    ));
+    let acceptor = Arc::new(Acceptor::new(service.clone(), book.clone(), log.clone()));
     let (leave, leaving) = watch::channel(false);
     let mut tasks = JoinSet::new();
     for _ in 0..RECEIVERS {
@@ -245,17 +274,37 @@
             }
         });
     }
-    tasks.spawn(service.clone().accept(endpoint.clone(), leaving));
+    let host = Host::new(
+        own.incarnation,
+        handoff,
+        service,
+        siblings.clone(),
+        leaving.clone(),
+        log.clone(),
+    );
+    tasks.spawn(Arc::new(host).run(tcp));
+    let timed = desk.clone();
+    tasks.spawn(async move { timed.run().await });
+    tasks.spawn(acceptor.clone().accept(endpoint.clone(), leaving));
     entry.phase = Phase::Serving;
     entry.version += 1;
     let (entry, _) = watch::channel(entry);
     let (known, revision) = watch::channel(contract.revision());
-    let follower = Follower { herald: herald.clone(), name: name.clone(), known, limits, socket };
+    let follower = Follower {
+        herald: herald.clone(),
+        name: name.clone(),
+        known,
+        limits,
+        socket,
+        desk,
+        records,
+        siblings,
+    };
     let entries = entry.subscribe();
     let follow_book = book.clone();
     tasks.spawn(async move { follower.run(entries, &follow_book, clock).await });
     let drain = terms.drain;
-    Ok(Parts { tasks, endpoint, service, book, herald, entry, leave, revision, drain, log })
+    Ok(Parts { tasks, endpoint, acceptor, book, herald, entry, leave, revision, drain, log })
 }
 
 /// Announces the agent and puts newer contracts in force.
@@ -263,8 +312,11 @@
     herald: Arc<Herald>,
     name: ServiceName,
     known: watch::Sender<Revision>,
-    limits: watch::Sender<(Limits, Span)>,
+    limits: watch::Sender<Limits>,
     socket: Arc<Socket>,
+    desk: Arc<Desk>,
+    records: Arc<Records>,
+    siblings: Arc<Siblings>,
 }
 
 impl Follower {
@@ -278,6 +330,15 @@
             if let Some(contract) = news.contract {
                 self.apply(&contract);
             }
+            // Without a balancer the siblings of the last answer are kept.
+            if news.reached > 0 {
+                let hop = |sibling: &Sibling| {
+                    let Sibling { instance, incarnation } = *sibling;
+                    Hop { instance, incarnation }
+                };
+                self.siblings.replace(&news.siblings.iter().map(hop).collect::<Vec<_>>());
+            }
+            self.records.expire(clock.now());
             book.expire(clock.now());
             self.socket.expire();
         }
@@ -288,7 +349,8 @@
             return;
         }
         if let Some(terms) = contract.service(&self.name) {
-            let _ = self.limits.send((Limits::from(terms), terms.wait));
+            let _ = self.limits.send(Limits::from(terms));
+            self.desk.change(terms.slots, terms.wait);
         }
         self.socket.set_revision(contract.revision());
         let _ = self.known.send(contract.revision());
--- /dev/null
+++ b/yuccacroft-agent/src/service.rs
@@ -0,0 +1,451 @@
+//! The shell of the request path: runs the chain and carries out what it decided.
+
+use {
+    crate::{
+        chain::{self, Decision, Item, Limits},
+        desk::{Desk, Entry, Slot},
+        live::Live,
+        owner::Owners,
+        records::{Bound, MAX_KEPT, Records},
+        siblings::{Settled, Siblings},
+        upstream::Client,
+    },
+    bytes::Bytes,
+    http::{Response, StatusCode, request::Parts},
+    hyper::body::Incoming,
+    metrics::counter,
+    rand::{SeedableRng, rngs::StdRng},
+    slog::{Logger, debug},
+    std::sync::{Arc, Mutex, PoisonError},
+    tokio::sync::watch,
+    yuccacroft_core::{
+        admission::{Ask, limit::Observed},
+        filter::Chain,
+        flow::Hop,
+        ids::Call,
+        record::{Answer, End, Seen},
+        request::{Dispatched, Effect, Queued, Reason, Received, Refusal, Request, Unknown},
+        retry::{self, Budget},
+        time::Span,
+    },
+    yuccacroft_rpc::clock::Clock,
+    yuccacroft_wire::handoff::Relayed,
+};
+
+/// Largest answer that is passed on by a sibling.
+pub const MAX_ANSWER: usize = 1 << 20;
+/// Siblings that are offered one request.
+const OFFERS: usize = 2;
+
+/// Serves requests whatever their front end.
+pub struct Service {
+    chain: Chain<Item, Decision>,
+    desk: Arc<Desk>,
+    records: Arc<Records>,
+    owners: Arc<Owners>,
+    siblings: Arc<Siblings>,
+    upstream: Client,
+    clock: Clock,
+    limits: watch::Receiver<Limits>,
+    budget: Mutex<Budget>,
+    random: Mutex<StdRng>,
+    log: Logger,
+}
+
+/// What becomes of a request.
+#[derive(Debug)]
+pub enum Served {
+    /// Its answer is on its way.
+    Live(Box<Live>),
+    /// It has ended.
+    Ended(Outcome),
+}
+
+/// How a request ended.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// It was answered.
+    Answered(Arc<Answer>),
+    /// It truly did not run.
+    NotRun(Refusal),
+    /// Nobody knows whether it ran.
+    Unknown(Unknown),
+}
+
+/// A request that found its place, or did not.
+enum Placed {
+    Slot(Request<Queued>, Slot),
+    Back(Request<Queued>),
+    Ended(Outcome),
+}
+
+/// What an attempt at the upstream brought.
+enum Attempt {
+    Head(Response<Incoming>, Request<Dispatched>, Slot),
+    Again(Request<Queued>),
+    Unreachable(Request<Queued>),
+    Unknown(Unknown),
+}
+
+impl Service {
+    /// Creates the service in front of one upstream. `limits` holds what the contract in force
+    /// says of requests.
+    #[expect(clippy::too_many_arguments)]
+    pub fn new(
+        desk: Arc<Desk>,
+        records: Arc<Records>,
+        owners: Arc<Owners>,
+        siblings: Arc<Siblings>,
+        upstream: Client,
+        clock: Clock,
+        limits: watch::Receiver<Limits>,
+        log: Logger,
+    ) -> Self {
+        let chain = chain::chain(desk.clone(), records.clone(), owners.clone());
+        let (budget, random) = (Mutex::default(), Mutex::new(StdRng::from_rng(&mut rand::rng())));
+        Self {
+            chain,
+            desk,
+            records,
+            owners,
+            siblings,
+            upstream,
+            clock,
+            limits,
+            budget,
+            random,
+            log,
+        }
+    }
+
+    /// Returns the shell of the gate.
+    pub fn desk(&self) -> &Arc<Desk> {
+        &self.desk
+    }
+
+    /// Returns the record of keys.
+    pub fn records(&self) -> &Arc<Records> {
+        &self.records
+    }
+
+    /// Returns the codec of the owner header.
+    pub fn owners(&self) -> &Owners {
+        &self.owners
+    }
+
+    /// Returns the clock of all its decisions.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Returns the limits of the contract in force.
+    pub fn limits(&self) -> Limits {
+        *self.limits.borrow()
+    }
+
+    /// Serves a request under an id that its front end has drawn.
+    pub async fn serve(&self, call: Call, parts: Parts, body: Bytes) -> Served {
+        let item = Item::new(call, parts, body, self.clock.now(), self.limits());
+        let served = self.decide(item).await;
+        if let Served::Ended(outcome) = &served {
+            self.note(outcome);
+        }
+        served
+    }
+
+    /// Serves a request whose whole answer goes to another agent.
+    pub async fn whole(&self, parts: Parts, body: Bytes, remaining: Span) -> Outcome {
+        let call = Call::new(rand::random());
+        let mut limits = self.limits();
+        limits.deadline = limits.deadline.min(remaining);
+        let item = Item::new(call, parts, body, self.clock.now(), limits);
+        match self.decide(item).await {
+            Served::Ended(outcome) => outcome,
+            Served::Live(live) => {
+                let whole = live.whole(MAX_ANSWER).await;
+                whole.map_or_else(Outcome::Unknown, Outcome::Answered)
+            }
+        }
+    }
+
+    /// Runs a request of a sibling, which has a slot already, once.
+    pub async fn execute(&self, request: Request<Queued>, item: Item, slot: Slot) -> End {
+        match self.attempt(request, slot, &item, false).await {
+            Attempt::Unreachable(request) => End::NotRun(request.refuse(Reason::Leaving)),
+            Attempt::Again(_) | Attempt::Unknown(_) => End::Unknown,
+            Attempt::Head(response, request, slot) => {
+                let live = self.live(response, request, slot, &item, None);
+                live.whole(MAX_ANSWER)
+                    .await
+                    .map_or(End::Unknown, |whole| End::Answered(Some(whole)))
+            }
+        }
+    }
+
+    /// Runs the chain, again after each wait for the request that has the same key.
+    async fn decide(&self, mut item: Item) -> Served {
+        loop {
+            let decision = self.chain.run(&mut item);
+            let received = Request::new(item.call, item.effect, item.deadline);
+            match decision {
+                Some(Decision::Known(Seen::Running(call))) => {
+                    let remaining = received.remaining(self.clock.now());
+                    let ended = tokio::time::timeout(remaining.into(), self.records.ended(call));
+                    if ended.await.is_err() {
+                        return Served::Ended(Outcome::Unknown(received.disown()));
+                    }
+                }
+                Some(Decision::Known(seen)) => return Served::Ended(known(received, seen)),
+                Some(Decision::Relay(hop)) => {
+                    return Served::Ended(self.relay(received, hop, &item).await);
+                }
+                Some(Decision::Refuse(reason)) => {
+                    let refusal = received.refuse(reason);
+                    return self.end(item.bound, Outcome::NotRun(refusal));
+                }
+                Some(Decision::Run) | None => {
+                    return self.run(received.queue(item.now), item).await;
+                }
+            }
+        }
+    }
+
+    async fn relay(&self, received: Request<Received>, hop: Hop, item: &Item) -> Outcome {
+        let remaining = received.remaining(self.clock.now());
+        match self.siblings.relay(hop, remaining, &item.parts, &item.body).await {
+            Relayed::Answered(answer) => Outcome::Answered(Arc::new(answer)),
+            Relayed::NotRun(reason) => Outcome::NotRun(received.refuse(reason)),
+            Relayed::Unknown => Outcome::Unknown(received.disown()),
+        }
+    }
+
+    /// Finds a place for a request, here or at a sibling, and runs it.
+    async fn run(&self, request: Request<Queued>, mut item: Item) -> Served {
+        let mut entry = item.entry.take().unwrap_or(Entry::Refused(Reason::Overload));
+        let (mut request, mut tried, mut attempts) = (request, Vec::new(), 1);
+        self.with_budget(Budget::earn);
+        loop {
+            let (queued, slot) = match self.place(request, entry, &item, &mut tried).await {
+                Placed::Slot(queued, slot) => (queued, slot),
+                Placed::Ended(outcome) => return self.end(item.bound, outcome),
+                Placed::Back(back) => {
+                    entry = self.ask(&back, &item);
+                    request = back;
+                    continue;
+                }
+            };
+            let retry = attempts < retry::ATTEMPTS;
+            request = match self.attempt(queued, slot, &item, retry).await {
+                Attempt::Head(response, request, slot) => {
+                    let bound = item.bound.take();
+                    return Served::Live(Box::new(
+                        self.live(response, request, slot, &item, bound),
+                    ));
+                }
+                Attempt::Unknown(unknown) => {
+                    return self.end(item.bound, Outcome::Unknown(unknown));
+                }
+                Attempt::Unreachable(back) => {
+                    entry = Entry::Refused(Reason::Leaving);
+                    back
+                }
+                Attempt::Again(back) => {
+                    self.pause(attempts).await;
+                    attempts += 1;
+                    entry = self.ask(&back, &item);
+                    back
+                }
+            };
+        }
+    }
+
+    /// Brings a request to a slot here, or lets a sibling run it when there is none.
+    async fn place(
+        &self,
+        request: Request<Queued>,
+        entry: Entry,
+        item: &Item,
+        tried: &mut Vec<Hop>,
+    ) -> Placed {
+        let granted = match entry {
+            Entry::Started(slot) => Ok(slot),
+            Entry::Waiting(ticket) => match self.sibling(item, tried) {
+                None => ticket.wait().await,
+                Some(hop) => match ticket.withdraw() {
+                    None => return self.offer(hop, request, item).await,
+                    Some(granted) => {
+                        self.siblings.spare(hop);
+                        granted
+                    }
+                },
+            },
+            Entry::Refused(reason) => match self.sibling(item, tried) {
+                None => Err(reason),
+                Some(hop) => return self.offer(hop, request, item).await,
+            },
+        };
+        match granted {
+            Ok(slot) => Placed::Slot(request, slot),
+            Err(reason) => Placed::Ended(Outcome::NotRun(request.refuse(reason))),
+        }
+    }
+
+    /// Returns a sibling for the request. An idempotent route goes to siblings once it has been
+    /// answered, since the answer of a feed never ends and cannot be passed on as a whole.
+    fn sibling(&self, item: &Item, tried: &mut Vec<Hop>) -> Option<Hop> {
+        let is_whole = item.effect == Effect::Once || self.desk.is_known(item.class);
+        if tried.len() >= OFFERS || !is_whole || self.clock.now() >= item.deadline {
+            return None;
+        }
+        let hop = self.siblings.pick(tried)?;
+        tried.push(hop);
+        Some(hop)
+    }
+
+    async fn offer(&self, hop: Hop, request: Request<Queued>, item: &Item) -> Placed {
+        match self.siblings.offer(hop, request, &item.parts, &item.body).await {
+            Settled::Answered(answer) => Placed::Ended(Outcome::Answered(Arc::new(answer))),
+            Settled::Back(back) => Placed::Back(back),
+            Settled::Unknown(unknown) => Placed::Ended(Outcome::Unknown(unknown)),
+        }
+    }
+
+    fn ask(&self, request: &Request<Queued>, item: &Item) -> Entry {
+        let (call, class, deadline) = (item.call, item.class, item.deadline);
+        self.desk.ask(Ask { call, class, since: request.since(), deadline, may_wait: true })
+    }
+
+    /// Sends a request to the upstream once. `retry` says whether an idempotent one may be sent
+    /// again, which the budget decides as well.
+    async fn attempt(
+        &self,
+        request: Request<Queued>,
+        slot: Slot,
+        item: &Item,
+        retry: bool,
+    ) -> Attempt {
+        let remaining = request.remaining(self.clock.now());
+        let sent = match request.effect() {
+            Effect::Idempotent => {
+                let request = request.dispatch(self.clock.now());
+                let send = self.upstream.send(&item.parts, item.body.clone(), remaining);
+                (request, tokio::time::timeout(remaining.into(), send).await)
+            }
+            Effect::Once => {
+                let Ok(line) = self.upstream.connect().await else {
+                    slot.finish(Observed::Lost);
+                    return Attempt::Unreachable(request);
+                };
+                let remaining = request.remaining(self.clock.now());
+                let request = request.dispatch(self.clock.now());
+                let send = line.send(&item.parts, item.body.clone(), remaining);
+                (request, tokio::time::timeout(remaining.into(), send).await)
+            }
+        };
+        let (request, answer) = sent;
+        match answer {
+            Ok(Ok(response)) if !is_shed(&response) || !self.may_retry(&request, retry) => {
+                Attempt::Head(response, request, slot)
+            }
+            Ok(Ok(_)) => {
+                slot.finish(Observed::Shed);
+                self.again(request)
+            }
+            Ok(Err(error)) => {
+                debug!(self.log, "attempt_failed"; "error" => %error, "call" => %item.call);
+                slot.finish(Observed::Lost);
+                if self.may_retry(&request, retry) {
+                    self.again(request)
+                } else {
+                    Attempt::Unknown(request.abandon())
+                }
+            }
+            Err(_) => {
+                slot.finish(Observed::Lost);
+                Attempt::Unknown(request.abandon())
+            }
+        }
+    }
+
+    fn again(&self, request: Request<Dispatched>) -> Attempt {
+        request.again(self.clock.now()).map_or_else(Attempt::Unknown, Attempt::Again)
+    }
+
+    fn may_retry(&self, request: &Request<Dispatched>, retry: bool) -> bool {
+        retry && request.effect() == Effect::Idempotent && self.with_budget(Budget::spend)
+    }
+
+    async fn pause(&self, attempt: u32) {
+        let span = {
+            let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+            retry::pause(attempt, &mut *random)
+        };
+        tokio::time::sleep(span.into()).await;
+    }
+
+    fn with_budget<R>(&self, act: impl FnOnce(&mut Budget) -> R) -> R {
+        act(&mut self.budget.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn live(
+        &self,
+        response: Response<Incoming>,
+        request: Request<Dispatched>,
+        slot: Slot,
+        item: &Item,
+        bound: Option<Bound>,
+    ) -> Live {
+        let (method, progress) = (&item.parts.method, item.limits.deadline);
+        Live::new(response, method, request, slot, bound, progress)
+    }
+
+    /// Notes the outcome under the key before anybody is told.
+    fn end(&self, bound: Option<Bound>, outcome: Outcome) -> Served {
+        if let Some(bound) = bound {
+            bound.end(match &outcome {
+                Outcome::Answered(answer) if answer.size() <= MAX_KEPT => {
+                    End::Answered(Some(answer.clone()))
+                }
+                Outcome::Answered(_) => End::Answered(None),
+                Outcome::NotRun(refusal) => End::NotRun(*refusal),
+                Outcome::Unknown(_) => End::Unknown,
+            });
+        }
+        Served::Ended(outcome)
+    }
+
+    fn note(&self, outcome: &Outcome) {
+        let name = match outcome {
+            Outcome::Answered(_) => "answered",
+            Outcome::NotRun(_) => "not_run",
+            Outcome::Unknown(_) => "unknown",
+        };
+        counter!("yuccacroft_requests_total", "outcome" => name).increment(1);
+        match outcome {
+            Outcome::Answered(_) => {}
+            Outcome::NotRun(refusal) => {
+                let (call, reason) = (refusal.call(), refusal.reason());
+                debug!(self.log, "request_not_run"; "call" => %call, "reason" => %reason);
+            }
+            Outcome::Unknown(unknown) => {
+                debug!(self.log, "request_unknown"; "call" => %unknown.call());
+            }
+        }
+    }
+}
+
+/// Returns the outcome of a request whose key the record knows.
+fn known(received: Request<Received>, seen: Seen) -> Outcome {
+    match seen {
+        Seen::Answered(answer) => Outcome::Answered(answer),
+        Seen::NotRun(refusal) => Outcome::NotRun(refusal),
+        Seen::Conflict => Outcome::NotRun(received.refuse(Reason::Conflict)),
+        Seen::Fresh | Seen::Running(_) | Seen::Unknown | Seen::Full => {
+            Outcome::Unknown(received.disown())
+        }
+    }
+}
+
+fn is_shed(response: &Response<Incoming>) -> bool {
+    [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&response.status())
+}
--- a/yuccacroft-agent/src/upstream.rs
+++ b/yuccacroft-agent/src/upstream.rs
@@ -1,15 +1,25 @@
 //! The client of the upstream beside the agent (HTTP/1.1).
 
 use {
+    crate::chain::DEADLINE,
     bytes::Bytes,
-    http::{HeaderMap, HeaderName, Request, Response, Uri, header, request::Parts},
+    http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri, header, request::Parts},
     http_body_util::Full,
-    hyper::body::Incoming,
+    hyper::{
+        body::Incoming,
+        client::conn::http1::{self, SendRequest},
+    },
     hyper_util::{
-        client::legacy::{Client as Pool, Error, connect::HttpConnector},
-        rt::TokioExecutor,
+        client::legacy::{Client as Pool, connect::HttpConnector},
+        rt::{TokioExecutor, TokioIo},
+    },
+    std::{
+        fmt::{Display, Formatter},
+        net::SocketAddr,
+        time::Duration,
     },
-    std::{net::SocketAddr, time::Duration},
+    tokio::net::TcpStream,
+    yuccacroft_core::time::Span,
 };
 
 /// RFC 9110, section 7.6.1: headers that concern one connection only.
@@ -26,13 +36,29 @@
 /// request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// A pool of connections to one upstream.
+/// Connections to one upstream.
 #[derive(Clone, Debug)]
 pub struct Client {
     address: SocketAddr,
     pool: Pool<HttpConnector, Full<Bytes>>,
 }
 
+/// A connection that was opened for one request and has carried none.
+#[derive(Debug)]
+pub struct Line {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+/// Why no answer came.
+#[derive(Debug)]
+pub enum Error {
+    /// No connection came about, so the request did not run.
+    Unreachable,
+    /// The request may have run.
+    Lost(Box<str>),
+}
+
 impl Client {
     /// Creates the client of the upstream at an address.
     pub fn new(address: SocketAddr) -> Self {
@@ -46,22 +72,73 @@
         Self { address, pool }
     }
 
-    /// Sends a request once. Dropping the response body cancels it at the upstream.
-    pub async fn send(&self, parts: &Parts, body: Bytes) -> Result<Response<Incoming>, Error> {
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = parts.method.clone();
-        *request.uri_mut() = self.uri(&parts.uri);
-        *request.headers_mut() = end_to_end(&parts.headers);
-        self.pool.request(request).await
+    /// Opens a connection for a request that may run only once. The upstream has just answered
+    /// the handshake, so the connection is not a silent one; a failure here is before dispatch.
+    pub async fn connect(&self) -> Result<Line, Error> {
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let stream = stream.await.ok().and_then(Result::ok).ok_or(Error::Unreachable)?;
+        let shake = http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = shake.map_err(|_| Error::Unreachable)?;
+        tokio::spawn(async move {
+            // The request sees the error as well.
+            let _ = connection.await;
+        });
+        sender.ready().await.map_err(|_| Error::Unreachable)?;
+        Ok(Line { address: self.address, sender })
+    }
+
+    /// Sends an idempotent request on a connection of the pool. Dropping the response body
+    /// cancels it at the upstream.
+    pub async fn send(
+        &self,
+        parts: &Parts,
+        body: Bytes,
+        remaining: Span,
+    ) -> Result<Response<Incoming>, Error> {
+        let mut request = request(parts, body, remaining);
+        *request.uri_mut() = absolute(self.address, &parts.uri);
+        self.pool.request(request).await.map_err(|error| {
+            if error.is_connect() { Error::Unreachable } else { Error::lost(&error) }
+        })
+    }
+}
+
+impl Line {
+    /// Sends the one request of this connection. Dropping the response body closes it.
+    pub async fn send(
+        mut self,
+        parts: &Parts,
+        body: Bytes,
+        remaining: Span,
+    ) -> Result<Response<Incoming>, Error> {
+        let mut request = request(parts, body, remaining);
+        *request.uri_mut() = path(&parts.uri);
+        let host = HeaderValue::from_str(&self.address.to_string());
+        if let Ok(host) = host {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        request.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        self.sender.send_request(request).await.map_err(|error| Error::lost(&error))
+    }
+}
+
+impl Error {
+    fn lost(cause: &dyn Display) -> Self {
+        Self::Lost(cause.to_string().into())
     }
+}
 
-    fn uri(&self, uri: &Uri) -> Uri {
-        let path = uri.path_and_query().map_or("/", |path| path.as_str());
-        // Both parts were parsed before, so their sum is a valid URI.
-        format!("http://{}{path}", self.address).parse().unwrap_or_default()
+impl Display for Error {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unreachable => f.write_str("upstream cannot be reached"),
+            Self::Lost(cause) => write!(f, "answer of the upstream was lost: {cause}"),
+        }
     }
 }
 
+impl std::error::Error for Error {}
+
 /// Copies the headers that go from end to end.
 pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut copy = headers.clone();
@@ -71,3 +148,25 @@
     copy.remove("keep-alive");
     copy
 }
+
+/// Builds the request; its deadline header says how much time is left now.
+fn request(parts: &Parts, body: Bytes, remaining: Span) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = parts.method.clone();
+    *request.headers_mut() = end_to_end(&parts.headers);
+    let text = format!("{} ms", remaining.as_millis());
+    if let Ok(value) = HeaderValue::from_str(&text) {
+        request.headers_mut().insert(DEADLINE, value);
+    }
+    request
+}
+
+fn path(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_default()
+}
+
+fn absolute(address: SocketAddr, uri: &Uri) -> Uri {
+    // Both parts were parsed before, so their sum is a valid URI.
+    format!("http://{address}{}", path(uri)).parse().unwrap_or_default()
+}
