--- a/yuccacroft-agent/src/service.rs
+++ b/yuccacroft-agent/src/service.rs
@@ -35,7 +35,7 @@
 /// Largest answer that is passed on by a sibling.
 pub const MAX_ANSWER: usize = 1 << 20;
 /// Siblings that are offered one request.
-const OFFERS: usize = 2;
+const OFFERS: usize = 3;
 
 /// Serves requests whatever their front end.
 pub struct Service {
--- a/yuccacroft-core/src/admission.rs
+++ b/yuccacroft-core/src/admission.rs
@@ -29,7 +29,7 @@
 const QUEUE_PER_SLOT: usize = 8;
 /// Longest wait of a class in its own mean service times. A longer queue adds to every answer and
 /// keeps no slot busier.
-const WAIT_FACTOR: u64 = 1;
+const WAIT_FACTOR: u64 = 2;
 /// Shortest bound of a wait, so that classes of a few microseconds may wait at all.
 const SHORTEST_WAIT: Span = Span::from_millis(2);
 /// Long work that has waited this part of its bound may start in front of short work while no
--- a/yuccacroft-core/src/admission/peers.rs
+++ b/yuccacroft-core/src/admission/peers.rs
@@ -10,8 +10,9 @@
     serde::{Deserialize, Serialize},
 };
 
-/// Time for which a reported load decides. Older news says nothing of the next request.
-const FRESH: Span = Span::from_millis(100);
+/// Time for which a reported load decides. Within it a slot seldom changes hands; longer memory
+/// leaves slots idle that have become free since.
+const FRESH: Span = Span::from_millis(10);
 /// Time for which a full sibling is not asked again; a slot seldom frees sooner.
 const FULL: Span = Span::from_millis(4);
 /// Time for which a sibling that did not reply is not asked again.
