--- a/yuccacroft-agent/src/lib.rs
+++ b/yuccacroft-agent/src/lib.rs
@@ -5,14 +5,23 @@
 
 pub mod admin;
 pub mod announce;
+pub mod answer;
+pub mod assembly;
 pub mod chain;
 pub mod claims;
 pub mod desk;
 pub mod endpoint;
 pub mod errors;
+pub mod follower;
+pub mod handoff;
+pub mod live;
 pub mod operate;
+pub mod owner;
 pub mod packet;
 pub mod process;
+pub mod records;
 pub mod seats;
+pub mod service;
+pub mod siblings;
 pub mod socket;
 pub mod upstream;
--- a/yuccacroft-bench/src/forwarding.rs
+++ b/yuccacroft-bench/src/forwarding.rs
@@ -22,6 +22,7 @@
         key::Secret,
         placement::Candidate,
         tag::{Cipher, Owner},
+        time::Moment,
         units::Weight,
     },
 };
@@ -182,7 +183,8 @@
     routes.apply(&contract, None);
     let candidates: Vec<_> =
         hops.into_iter().map(|hop| Candidate { hop, weight: Weight::new(100) }).collect();
-    routes.rebuild(&contract, &contract.terms()[0].service, &candidates);
+    let service = &contract.terms()[0].service;
+    routes.rebuild(&contract, service, &candidates, Moment::default());
     routes
 }
 
