--- a/yuccacroft-agent/src/seats.rs
+++ b/yuccacroft-agent/src/seats.rs
@@ -71,11 +71,12 @@
         }
     }
 
-    /// Claims the agent's portion when it has not got it yet. The caller repeats this.
-    pub async fn claim(&self, terms: &Terms) {
+    /// Claims the agent's portion when it has not got it yet, and returns whether it has got it
+    /// now. The caller repeats this.
+    pub async fn claim(&self, terms: &Terms) -> bool {
         let want = portion(terms.share, terms.upstreams_max);
         if self.allowed() == want {
-            return;
+            return true;
         }
         if let Some(holder) = self.grant().as_mut() {
             holder.shrink(want);
@@ -85,6 +86,7 @@
             self.note(slots, asked);
             info!(self.log, "capacity_granted"; "slots" => %slots, "wanted" => %want);
         }
+        self.allowed() == want
     }
 
     /// Gives the grant back. Nothing may run any more.
--- a/yuccacroft-bench/src/forwarding.rs
+++ b/yuccacroft-bench/src/forwarding.rs
@@ -191,7 +191,8 @@
     routes.apply(&contract, None);
     let candidates: Vec<_> =
         hops.into_iter().map(|hop| Candidate { hop, weight: Weight::new(100) }).collect();
-    routes.rebuild(&contract, &contract.terms()[0].service, &candidates, Moment::default());
+    let service = &contract.terms()[0].service;
+    routes.rebuild(&contract, service, &candidates, Moment::default());
     routes
 }
 
--- a/yuccacroft-bench/src/main.rs
+++ b/yuccacroft-bench/src/main.rs
@@ -5,6 +5,7 @@
 
 mod figure;
 mod forwarding;
+mod requests;
 
 use {argh::FromArgs, figure::Report, std::process::ExitCode};
 
@@ -15,7 +16,7 @@
 const PROCESS: &str = "process";
 
 /// The cases by name, in the order of `docs/design.md`, section 12.
-const CASES: &[(&str, Case)] = &[("forwarding", forwarding::run)];
+const CASES: &[(&str, Case)] = &[("forwarding", forwarding::run), ("requests", requests::run)];
 
 /// A case takes the seed of all its random choices and measures.
 type Case = fn(u64) -> Report;
