Keep answers and refusals apart in a drain, and let balancers settle before they end

Cause: h3 0.0.8 names in its GOAWAY the last accepted stream when asked for zero further requests. RFC 9114, section 5.2, says that the named stream is not processed, so a caller could repeat a request that runs. The library also lets exactly that stream number pass as accepted. When it has refused a later stream and nothing runs, it reports the end of the connection, and dropping it then closes the connection under answers that are still on their way. A balancer that was told to stop dropped the packets in its sockets at once.

Change: the agent names the first stream that it has not accepted, resets that one with H3_REQUEST_REJECTED when it comes, and waits for the caller to close. A balancer has the state `Draining`: it takes no announcements and forwards for two seconds more. The fake fabric drops the packets of chosen balancers or a share of all; the fake upstream has a paced download.

--- a/yuccacroft-agent/src/endpoint.rs
+++ b/yuccacroft-agent/src/endpoint.rs
@@ -9,7 +9,11 @@
         service::{Outcome, Served, Service},
     },
     bytes::{Buf, Bytes, BytesMut},
-    h3::{error::StreamError, quic::BidiStream, server::RequestStream},
+    h3::{
+        error::{Code, StreamError},
+        quic::BidiStream,
+        server::RequestStream,
+    },
     http::{HeaderValue, Request as HttpRequest, Response, StatusCode, header},
     quinn::{
         ConnectionId, ConnectionIdGenerator, EndpointConfig, IdleTimeout, ServerConfig,
@@ -160,19 +164,31 @@
             let resolver = tokio::select! {
                 accepted = server.accept() => match accepted? {
                     Some(resolver) => resolver,
-                    None => return Ok(()),
+                    None => {
+                        // Answers may still be on their way, and closing would cut them.
+                        connection.closed().await;
+                        return Ok(());
+                    }
                 },
                 () = requested(&mut leave), if !leaving => {
                     leaving = true;
-                    server.shutdown(0).await?;
+                    // RFC 9114, section 5.2: the named stream and all above it are not processed.
+                    // The library names the last accepted stream plus this number.
+                    server.shutdown(1).await?;
                     continue;
                 }
             };
             let (acceptor, connection) = (self.clone(), connection.clone());
             tokio::spawn(async move {
                 acceptor.active.fetch_add(1, Ordering::Relaxed);
-                if let Ok((request, stream)) = resolver.resolve_request().await {
-                    acceptor.request(request, stream, &connection).await;
+                match resolver.resolve_request().await {
+                    // The library lets one stream pass that the caller may already have repeated.
+                    Ok((_, mut stream)) if leaving => {
+                        stream.stop_sending(Code::H3_REQUEST_REJECTED);
+                        stream.stop_stream(Code::H3_REQUEST_REJECTED);
+                    }
+                    Ok((request, stream)) => acceptor.request(request, stream, &connection).await,
+                    Err(_) => {}
                 }
                 acceptor.active.fetch_sub(1, Ordering::Relaxed);
             });
@@ -246,7 +262,7 @@
                 None => return stream.finish().await,
                 Some(Ok(data)) => sent = stream.send_data(data).await,
                 Some(Err(Broken)) => {
-                    stream.stop_stream(h3::error::Code::H3_INTERNAL_ERROR);
+                    stream.stop_stream(Code::H3_INTERNAL_ERROR);
                     return Ok(());
                 }
             }
--- a/yuccacroft-balancer/src/process.rs
+++ b/yuccacroft-balancer/src/process.rs
@@ -24,6 +24,9 @@
     yuccacroft_rpc::{admin::Access, clock::Clock},
 };
 
+/// Time for which a balancer forwards after it was told to stop. Agents choose another balancer
+/// for their replies after one second without a packet from this one.
+const SETTLE: Duration = Duration::from_secs(2);
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The checked settings of a balancer.
@@ -61,6 +64,13 @@
     log: Logger,
 }
 
+/// The process forwards packets and takes no control messages.
+#[derive(Debug)]
+pub struct Draining {
+    tasks: JoinSet<()>,
+    log: Logger,
+}
+
 /// A balancer process in one state of its life cycle.
 #[derive(Debug)]
 pub struct Process<S> {
@@ -118,9 +128,21 @@
 }
 
 impl Process<Serving> {
-    /// Stops the process. Flows go on through the other balancers, since none lives here.
+    /// Stops taking announcements, so that agents and the fabric turn to the other balancers, and
+    /// goes on forwarding.
+    pub fn drain(self) -> Process<Draining> {
+        let Serving { tasks, server, log } = self.state;
+        server.abort();
+        info!(log, "draining");
+        Process { state: Draining { tasks, log } }
+    }
+}
+
+impl Process<Draining> {
+    /// Forwards what is still on its way, then ends. Flows go on through the other balancers,
+    /// since none lives here.
     pub async fn stop(mut self) {
-        self.state.server.abort();
+        tokio::time::sleep(SETTLE).await;
         self.state.tasks.shutdown().await;
         info!(self.state.log, "stopped");
     }
--- a/yuccacroft-fakes/src/caller.rs
+++ b/yuccacroft-fakes/src/caller.rs
@@ -2,13 +2,16 @@
 
 use {
     bytes::{Buf, Bytes},
-    h3::client::{RequestStream, SendRequest},
+    h3::{
+        ConnectionState,
+        client::{RequestStream, SendRequest},
+    },
     h3_quinn::{BidiStream, OpenStreams},
     http::{Request, Response, StatusCode},
     quinn::{ClientConfig, Endpoint, TransportConfig, crypto::rustls::QuicClientConfig},
     rustls_pki_types::CertificateDer,
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::task::JoinHandle,
+    tokio::{sync::watch, task::JoinHandle},
 };
 
 /// Any error of a caller; tests and the demo only show it.
@@ -24,6 +27,7 @@
     connection: quinn::Connection,
     requests: SendRequest<OpenStreams, Bytes>,
     driver: JoinHandle<()>,
+    leaving: watch::Receiver<bool>,
 }
 
 /// A whole answer.
@@ -54,10 +58,18 @@
         let connection = endpoint.connect(service, name)?.await?;
         let h3 = h3_quinn::Connection::new(connection.clone());
         let (mut driver, requests) = h3::client::new(h3).await?;
+        let (leave, leaving) = watch::channel(false);
         let driver = tokio::spawn(async move {
-            let _ = futures::future::poll_fn(|cx| driver.poll_close(cx)).await;
+            let poll = |cx: &mut std::task::Context<'_>| {
+                let polled = driver.poll_close(cx);
+                if driver.is_closing() && !*leave.borrow() {
+                    leave.send_replace(true);
+                }
+                polled
+            };
+            let _ = futures::future::poll_fn(poll).await;
         });
-        Ok(Self { name: name.into(), endpoint, connection, requests, driver })
+        Ok(Self { name: name.into(), endpoint, connection, requests, driver, leaving })
     }
 
     /// Sends a request and reads the whole answer.
@@ -98,6 +110,18 @@
         Ok(Feed { stream })
     }
 
+    /// Waits until the service asks its callers to move (RFC 9114, section 5.2).
+    pub async fn leaving(&mut self) {
+        if self.leaving.wait_for(|leaving| *leaving).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Returns true when the service asked its callers to move.
+    pub fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
     /// Returns why the connection ended, if it did.
     pub fn closed(&self) -> Option<quinn::ConnectionError> {
         self.connection.close_reason()
--- a/yuccacroft-fakes/src/fabric.rs
+++ b/yuccacroft-fakes/src/fabric.rs
@@ -26,6 +26,16 @@
     services: Vec<(SocketAddr, UdpSocket)>,
     balancers: Mutex<Vec<SocketAddr>>,
     random: Mutex<StdRng>,
+    cut: Mutex<Cut>,
+}
+
+/// What the fabric drops, in both directions.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Cut {
+    /// Balancers whose packets are dropped.
+    pub balancers: Vec<SocketAddr>,
+    /// The share of all packets that is dropped, from 0 to 1.
+    pub share: f64,
 }
 
 impl Fabric {
@@ -45,6 +55,7 @@
             services: sockets,
             balancers: Mutex::new(balancers),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
+            cut: Mutex::default(),
         });
         let mut tasks = JoinSet::new();
         for index in 0..services.len() {
@@ -61,6 +72,12 @@
         *self.shared.balancers.lock().unwrap_or_else(PoisonError::into_inner) = balancers;
     }
 
+    /// Begins to drop packets, or ends it with an empty cut. The fabric does not notice by itself
+    /// and goes on handing packets to balancers that are cut off.
+    pub fn set_cut(&self, cut: Cut) {
+        *self.shared.cut.lock().unwrap_or_else(PoisonError::into_inner) = cut;
+    }
+
     /// Returns the number of running directions; it drops when a socket fails.
     pub fn running(&self) -> usize {
         self.tasks.len()
@@ -77,6 +94,15 @@
         Some(balancers[random.random_range(0..balancers.len())])
     }
 
+    fn drops(&self, balancer: SocketAddr) -> bool {
+        let cut = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
+        if cut.balancers.contains(&balancer) {
+            return true;
+        }
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        cut.share > 0.0 && random.random_bool(cut.share.min(1.0))
+    }
+
     async fn inbound(&self, index: usize) {
         let (destination, socket) = &self.services[index];
         let (mut buffer, mut out) = ([0; DATAGRAM_BYTES], [0; DATAGRAM_BYTES]);
@@ -84,6 +110,9 @@
             // Errors of one datagram, such as a refused port, concern only that datagram.
             let Ok((length, source)) = socket.recv_from(&mut buffer).await else { continue };
             let Some(balancer) = self.pick() else { continue };
+            if self.drops(balancer) {
+                continue;
+            }
             let pair = Pair { source, destination: *destination };
             if let Ok(length) = proxy::encode(pair, &buffer[..length], &mut out) {
                 let _ = self.inner.send_to(&out[..length], balancer).await;
@@ -94,7 +123,10 @@
     async fn outbound(&self) {
         let mut buffer = [0; DATAGRAM_BYTES];
         loop {
-            let Ok((length, _)) = self.inner.recv_from(&mut buffer).await else { continue };
+            let Ok((length, from)) = self.inner.recv_from(&mut buffer).await else { continue };
+            if self.drops(from) {
+                continue;
+            }
             let Ok((pair, payload)) = proxy::decode(&buffer[..length]) else { continue };
             let service = self.services.iter().find(|(address, _)| *address == pair.source);
             if let Some((_, socket)) = service {
--- a/yuccacroft-fakes/src/lib.rs
+++ b/yuccacroft-fakes/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod fabric;
 pub mod store;
 pub mod upstream;
+pub mod viewer;
--- a/yuccacroft-fakes/src/upstream.rs
+++ b/yuccacroft-fakes/src/upstream.rs
@@ -23,7 +23,8 @@
 /// The request header that names a run in the record.
 pub const RUN: &str = "idempotency-key";
 
-const PACK_CHUNK: [u8; 16 << 10] = [b'p'; 16 << 10];
+/// One chunk of a pack.
+pub const PACK_CHUNK: [u8; 16 << 10] = [b'p'; 16 << 10];
 
 /// An upstream with its record of runs.
 #[derive(Debug)]
@@ -53,6 +54,7 @@
             .route("/reserve", post(reserve))
             .route("/board", get(board_feed))
             .route("/pack/{chunks}", get(pack))
+            .route("/pack/{chunks}/{pause}", get(slow_pack))
             .route("/who", get(who))
             .with_state(shared.clone());
         let server = tokio::spawn(async move {
@@ -115,3 +117,14 @@
     let chunks = (0..chunks).map(|_| Ok::<_, io::Error>(Bytes::from_static(&PACK_CHUNK)));
     Response::new(Body::from_stream(stream::iter(chunks)))
 }
+
+/// Sends a pack in chunks with a pause of so many milliseconds before each.
+async fn slow_pack(Path((chunks, pause)): Path<(u32, u64)>) -> Response {
+    let pause = Duration::from_millis(pause);
+    let chunks = stream::unfold(chunks, move |left| async move {
+        let left = left.checked_sub(1)?;
+        tokio::time::sleep(pause).await;
+        Some((Ok::<_, io::Error>(Bytes::from_static(&PACK_CHUNK)), left))
+    });
+    Response::new(Body::from_stream(chunks))
+}
--- a/yuccacroft/src/cli/role.rs
+++ b/yuccacroft/src/cli/role.rs
@@ -41,7 +41,7 @@
         let stop = Stop::new()?;
         let process = balancer::Process::new(settings, log).with_admin(access).serve().await?;
         stop.requested().await;
-        process.stop().await;
+        process.drain().stop().await;
         Ok(())
     }
 }
