--- a/yuccacroft-fakes/src/viewer.rs
+++ b/yuccacroft-fakes/src/viewer.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Returns the caller whose connection carries the feed now.
+    pub fn caller(&mut self) -> &mut Caller {
+        &mut self.caller
+    }
+
     /// Returns how often the feed has moved.
     pub fn moves(&self) -> u32 {
         self.moves
--- /dev/null
+++ b/yuccacroft/tests/faults/fleet/files.rs
@@ -0,0 +1,114 @@
+//! Settings files, logs and addresses of a fleet.
+
+use {
+    std::{
+        fs::{self, OpenOptions},
+        net::{SocketAddr, TcpListener, UdpSocket},
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::atomic::{AtomicU32, Ordering},
+    },
+    yuccacroft_core::key::Secret,
+};
+
+const KEY: [u8; 32] = [7; 32];
+
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+
+/// A folder for settings and logs, removed when dropped.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    pub fn new() -> Self {
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("yuccacroft-fleet-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).unwrap();
+        Self(folder)
+    }
+
+    pub fn write(&self, name: &str, text: &str) {
+        fs::write(self.0.join(name), text).unwrap();
+    }
+
+    /// Starts a process; its log begins anew.
+    pub fn run(&self, role: &str, name: &str, settings: &str) -> Child {
+        let file = self.0.join(format!("{name}.ini"));
+        fs::write(&file, settings).unwrap();
+        let mut options = OpenOptions::new();
+        options.create(true).write(true).truncate(true);
+        let log = options.open(self.0.join(format!("{name}.log"))).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_yuccacroft"));
+        command.arg(role).arg("--settings").arg(file);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn().unwrap()
+    }
+
+    pub fn log(&self, node: &super::Node) -> String {
+        fs::read_to_string(self.0.join(format!("{}.log", node.name))).unwrap_or_default()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+pub fn contract(booking: SocketAddr, packs: SocketAddr, drain: &str) -> String {
+    let key = Secret::new(KEY);
+    let service = |name, address| {
+        format!(
+            "[service {name}]\naddresses = {address}\nslots = 4\nconnections = 2000\n\
+             upstreams_max = 7\nshare = 28\ndeadline = 5 s\ndrain = {drain}\n\n"
+        )
+    };
+    let (booking, packs) = (service("booking", booking), service("packs", packs));
+    format!("[customer]\nname = kampvuur\nkey = {key}\ncapacity = 56\n\n{booking}{packs}")
+}
+
+pub fn balancer(
+    index: usize,
+    packets: SocketAddr,
+    capsules: SocketAddr,
+    control: SocketAddr,
+    store: SocketAddr,
+) -> String {
+    format!(
+        "[process]\nname = balancer-{index}\ndomain = vlaanderen-{index}\n\n[listen]\n\
+         packets = {packets}\ncapsules = {capsules}\ncontrol = {control}\n\n[store]\n\
+         address = {store}\n"
+    )
+}
+
+pub fn agent(
+    name: &str,
+    service: &str,
+    instance: SocketAddr,
+    controls: &[SocketAddr],
+    upstream: SocketAddr,
+) -> String {
+    let controls: Vec<_> = controls.iter().map(ToString::to_string).collect();
+    format!(
+        "[process]\nname = {name}\ndomain = vlaanderen-0\n\n[service]\ncustomer = kampvuur\n\
+         name = {service}\nkey = {}\n\n[listen]\ncapsules = {instance}\n\n[mesh]\n\
+         balancers = {}\n\n[upstream]\naddress = {upstream}\n\n[tls]\n\
+         certificate = service.pem\nkey = service.key\n",
+        Secret::new(KEY),
+        controls.join(", ")
+    )
+}
+
+pub fn free_udp() -> SocketAddr {
+    // An agent uses the same number for TCP, so the port has to be free for both.
+    loop {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let address = socket.local_addr().unwrap();
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+pub fn free_tcp() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
--- /dev/null
+++ b/yuccacroft/tests/faults/fleet/mod.rs
@@ -0,0 +1,340 @@
+//! Processes of the one binary that a test can stop, freeze, kill and replace, each by its id.
+
+mod files;
+
+use {
+    bytes::Bytes,
+    files::{Folder, free_tcp, free_udp},
+    http::StatusCode,
+    std::{
+        future::Future,
+        net::SocketAddr,
+        process::{Child, Command, ExitStatus},
+        time::{Duration, Instant},
+    },
+    yuccacroft_balancer::control::CONTRACTS,
+    yuccacroft_core::ids::Revision,
+    yuccacroft_fakes::{
+        caller::Caller, certificate::Certificate, fabric::Fabric, store::Store, upstream::Upstream,
+        viewer::Viewer,
+    },
+    yuccacroft_platform::{etcd::Gateway, store::Store as _},
+};
+
+/// The name of the service that callers use.
+pub const SERVICE: &str = "booking.kampvuur.example";
+/// Balancers of a fleet.
+pub const BALANCERS: usize = 3;
+/// Agents of a fleet, all of the service `booking`.
+pub const AGENTS: usize = 3;
+/// The bound of every wait. A wait ends as soon as its condition holds.
+pub const DEADLINE: Duration = Duration::from_secs(40);
+
+const WORK: Duration = Duration::from_millis(5);
+const ATTEMPT: Duration = Duration::from_secs(3);
+const POLL: Duration = Duration::from_millis(10);
+
+/// A process with what is needed to start it again.
+pub struct Node {
+    role: &'static str,
+    name: String,
+    settings: String,
+    child: Child,
+}
+
+/// A balancer.
+pub struct Balancer {
+    /// Its process.
+    pub node: Node,
+    /// Where the fabric sends packets.
+    pub packets: SocketAddr,
+    /// Where agents send capsules.
+    pub capsules: SocketAddr,
+    control: SocketAddr,
+}
+
+/// An agent with its upstream.
+pub struct Agent {
+    /// Its process.
+    pub node: Node,
+    /// Its address.
+    pub instance: SocketAddr,
+    /// The upstream beside it.
+    pub upstream: Upstream,
+}
+
+/// Everything that runs in one test.
+pub struct Fleet {
+    /// The balancers.
+    pub balancers: Vec<Balancer>,
+    /// The agents.
+    pub agents: Vec<Agent>,
+    /// The fabric in front of the balancers.
+    pub fabric: Fabric,
+    /// The platform's store.
+    pub store: Store,
+    /// The address of the service `booking`.
+    pub booking: SocketAddr,
+    /// The address of the service `packs`, which has no agent at first.
+    pub packs: SocketAddr,
+    certificate: Certificate,
+    folder: Folder,
+}
+
+/// What a test may choose.
+pub struct Plan {
+    /// The drain time of the contract.
+    pub drain: &'static str,
+    /// Balancers that hear nothing from agents.
+    pub deaf: &'static [usize],
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self { drain: "30 s", deaf: &[] }
+    }
+}
+
+impl Fleet {
+    /// Starts everything and waits until each balancer knows its members.
+    pub async fn start(plan: Plan) -> Self {
+        let folder = Folder::new();
+        let (booking, packs) = (free_udp(), free_udp());
+        let store = Store::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let gateway = Gateway::new(store.address(), Duration::from_secs(1));
+        let contract = files::contract(booking, packs, plan.drain);
+        let key = format!("{CONTRACTS}kampvuur");
+        gateway.put(&key, &contract, Revision::default()).await.unwrap();
+        let certificate = Certificate::new(SERVICE);
+        folder.write("service.pem", &certificate.certificate_pem);
+        folder.write("service.key", &certificate.key_pem);
+        let start = |index| Balancer::start(&folder, index, store.address());
+        let balancers: Vec<_> = (0..BALANCERS).map(start).collect();
+        let packets = balancers.iter().map(|balancer| balancer.packets).collect();
+        let fabric = Fabric::start(&[booking, packs], packets, 1).await.unwrap();
+        let agents = Vec::new();
+        let mut fleet =
+            Self { balancers, agents, fabric, store, booking, packs, certificate, folder };
+        let heard = (0..BALANCERS).filter(|index| !plan.deaf.contains(index));
+        let controls: Vec<_> = heard.map(|index| fleet.balancers[index].control).collect();
+        for index in 0..AGENTS {
+            let agent = fleet.agent(index, "booking", free_udp(), &controls).await;
+            fleet.agents.push(agent);
+        }
+        for index in (0..BALANCERS).filter(|index| !plan.deaf.contains(index)) {
+            fleet.wait_members(index, AGENTS).await;
+        }
+        fleet
+    }
+
+    /// Starts an agent with a new upstream at an address.
+    pub async fn agent(
+        &self,
+        index: usize,
+        service: &str,
+        instance: SocketAddr,
+        controls: &[SocketAddr],
+    ) -> Agent {
+        let name = format!("{service}-{index}");
+        let upstream = Upstream::start(&name, "127.0.0.1:0".parse().unwrap(), WORK).await.unwrap();
+        let settings = files::agent(&name, service, instance, controls, upstream.address());
+        let node = Node::start(&self.folder, "agent", name, settings);
+        Agent { node, instance, upstream }
+    }
+
+    /// Returns the control addresses of all balancers.
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        self.balancers.iter().map(|balancer| balancer.control).collect()
+    }
+
+    /// Hands packets to these balancers only.
+    pub fn route_to(&self, balancers: &[usize]) {
+        self.fabric.set_balancers(balancers.iter().map(|&i| self.balancers[i].packets).collect());
+    }
+
+    /// Waits until a balancer has so many members that take new flows of the service `booking`.
+    pub async fn wait_members(&self, balancer: usize, members: usize) {
+        let node = &self.balancers[balancer].node;
+        let wanted = format!("members={members}");
+        let reached = || {
+            let log = self.folder.log(node);
+            let has = |line: &str, field: &str| line.split(' ').any(|known| known == field);
+            let changes =
+                |line: &&str| has(line, "event=members_changed") && has(line, "service=booking");
+            log.lines().rfind(changes).is_some_and(|line| has(line, &wanted))
+        };
+        until(&format!("{} has {members} members", node.name), reached).await;
+    }
+
+    /// Starts a process again with the same settings.
+    pub fn restart_balancer(&mut self, index: usize) {
+        self.balancers[index].node.restart(&self.folder);
+    }
+
+    /// Starts an agent again with the same settings.
+    pub fn restart_agent(&mut self, index: usize) {
+        self.agents[index].node.restart(&self.folder);
+    }
+
+    /// Opens a connection, again until it comes about.
+    pub async fn caller(&self) -> Caller {
+        self.caller_at(self.booking).await
+    }
+
+    /// Opens a connection to one of the services.
+    pub async fn caller_at(&self, service: SocketAddr) -> Caller {
+        let root = &self.certificate.certificate;
+        attempts("a connection", || Caller::connect(service, SERVICE, root)).await
+    }
+
+    /// Opens a seat board.
+    pub async fn viewer(&self) -> Viewer {
+        let root = &self.certificate.certificate;
+        attempts("a board", || Viewer::open(self.booking, SERVICE, "/board", root)).await
+    }
+
+    /// Opens several seat boards.
+    pub async fn viewers(&self, number: usize) -> Vec<Viewer> {
+        futures::future::join_all((0..number).map(|_| self.viewer())).await
+    }
+
+    /// Sends a line to all boards.
+    pub fn update(&self, line: u64) {
+        self.agents.iter().for_each(|agent| agent.upstream.update_board(line));
+    }
+
+    /// Sends a line and waits until every viewer shows it.
+    pub async fn show(&self, viewers: &mut [Viewer], line: u64) {
+        self.update(line);
+        let all = viewers.iter_mut().map(|viewer| shows(viewer, line));
+        for result in futures::future::join_all(all).await {
+            result.unwrap_or_else(|error| panic!("a board broke before line {line}: {error}"));
+        }
+    }
+
+    /// Returns how often each request ran, over all upstreams.
+    pub fn runs(&self, key: &str) -> u32 {
+        self.agents.iter().filter_map(|agent| agent.upstream.runs().get(key).copied()).sum()
+    }
+
+    /// Makes reservations one after another on new connections; each must be answered and run
+    /// exactly once.
+    pub async fn reserve(&self, round: &str, number: usize) {
+        for seat in 0..number {
+            let key = format!("{round}-{seat}");
+            let mut caller = self.caller().await;
+            let reserve = caller.reserve(&key, Bytes::from_static(b"two seats"));
+            let answer = within("a reservation", reserve).await.unwrap();
+            assert_eq!(answer.status, StatusCode::OK, "{key}: {}", answer.proxy_status);
+            assert_eq!(answer.body, format!("reserved {key} with 9 bytes"));
+            assert_eq!(self.runs(&key), 1, "{key}");
+        }
+    }
+
+    /// Returns true when all processes run.
+    pub fn all_running(&mut self) -> bool {
+        let balancers = self.balancers.iter_mut().map(|balancer| &mut balancer.node);
+        let agents = self.agents.iter_mut().map(|agent| &mut agent.node);
+        balancers.chain(agents).all(|node| node.child.try_wait().unwrap().is_none())
+    }
+}
+
+impl Balancer {
+    fn start(folder: &Folder, index: usize, store: SocketAddr) -> Self {
+        let (packets, capsules, control) = (free_udp(), free_udp(), free_tcp());
+        let settings = files::balancer(index, packets, capsules, control, store);
+        let node = Node::start(folder, "balancer", format!("balancer-{index}"), settings);
+        Self { node, packets, capsules, control }
+    }
+}
+
+impl Node {
+    fn start(folder: &Folder, role: &'static str, name: String, settings: String) -> Self {
+        let child = folder.run(role, &name, &settings);
+        Self { role, name, settings, child }
+    }
+
+    fn restart(&mut self, folder: &Folder) {
+        assert!(self.child.try_wait().unwrap().is_some(), "{} still runs", self.name);
+        self.child = folder.run(self.role, &self.name, &self.settings);
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Sends a signal such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, signal: &str) {
+        let mut command = Command::new("kill");
+        command.arg(format!("-{signal}")).arg(self.child.id().to_string());
+        assert!(command.status().unwrap().success(), "{} is gone", self.name);
+    }
+
+    /// Waits until the process has ended.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let begin = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(begin.elapsed() < DEADLINE, "{} does not end", self.name);
+            tokio::time::sleep(POLL).await;
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // A process that has ended already is no fault.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until a viewer shows a line.
+pub async fn shows(
+    viewer: &mut Viewer,
+    line: u64,
+) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+    let wanted = format!("board {line}\n");
+    let read = async {
+        loop {
+            match viewer.next().await? {
+                Some(part) if part == wanted => return Ok(()),
+                Some(_) => {}
+                None => return Err("the board ended".into()),
+            }
+        }
+    };
+    tokio::time::timeout(DEADLINE, read).await.unwrap_or_else(|_| Err("no line in time".into()))
+}
+
+/// Waits for a condition.
+pub async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let begin = Instant::now();
+    while !condition() {
+        assert!(begin.elapsed() < DEADLINE, "not in time: {what}");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Bounds a wait.
+pub async fn within<T>(what: &str, future: impl Future<Output = T>) -> T {
+    let result = tokio::time::timeout(DEADLINE, future).await;
+    result.unwrap_or_else(|_| panic!("not in time: {what}"))
+}
+
+async fn attempts<T, E, F: Future<Output = Result<T, E>>>(
+    what: &str,
+    mut attempt: impl FnMut() -> F,
+) -> T {
+    let begin = Instant::now();
+    loop {
+        if let Ok(Ok(result)) = tokio::time::timeout(ATTEMPT, attempt()).await {
+            return result;
+        }
+        assert!(begin.elapsed() < DEADLINE, "not in time: {what}");
+    }
+}
--- /dev/null
+++ b/yuccacroft/tests/faults/main.rs
@@ -0,0 +1,6 @@
+//! Faults and planned stops with real processes on the loopback interface; `docs/faults.md` lists
+//! them.
+
+mod fleet;
+mod losses;
+mod stops;
