Record whole sessions over separate processes as golden files

Cause: nothing showed what callers, operators and upstreams see, so a change of a status, a header or a text went unnoticed.

Change: six sessions (first path, refused request, contract conflict, drain, lost upstream, administration without token) are compared with text files; ports, ids, revisions and times are named by the order of their appearance. YUCCACROFT_REWRITE_SESSIONS rewrites them. Test processes use a loopback address of their own and ports that count up: with ports that were only free once, an agent failed to bind its TCP port in one of two runs.

--- a/yuccacroft-fakes/src/caller.rs
+++ b/yuccacroft-fakes/src/caller.rs
@@ -4,7 +4,7 @@
     bytes::{Buf, Bytes},
     h3::client::{RequestStream, SendRequest},
     h3_quinn::{BidiStream, OpenStreams},
-    http::{Request, Response, StatusCode},
+    http::{HeaderMap, Request, Response, StatusCode},
     quinn::{ClientConfig, Endpoint, TransportConfig, crypto::rustls::QuicClientConfig},
     rustls_pki_types::CertificateDer,
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -31,6 +31,8 @@
 pub struct Answer {
     /// The status.
     pub status: StatusCode,
+    /// All headers.
+    pub headers: HeaderMap,
     /// The `Proxy-Status` header, empty when there is none.
     pub proxy_status: Box<str>,
     /// The body.
@@ -145,5 +147,10 @@
 fn answer(response: &Response<()>, body: Bytes) -> Answer {
     let proxy_status = response.headers().get("proxy-status");
     let proxy_status = proxy_status.and_then(|value| value.to_str().ok()).unwrap_or_default();
-    Answer { status: response.status(), proxy_status: proxy_status.into(), body }
+    Answer {
+        status: response.status(),
+        headers: response.headers().clone(),
+        proxy_status: proxy_status.into(),
+        body,
+    }
 }
--- a/yuccacroft/tests/processes.rs
+++ b/yuccacroft/tests/processes.rs
@@ -1,5 +1,6 @@
 //! The whole path with separate processes of the one binary on the loopback interface.
 
+#[allow(dead_code, reason = "each test program uses a part of it")]
 mod support;
 
 use {bytes::Bytes, http::StatusCode, support::System};
--- a/yuccacroft/tests/support/mod.rs
+++ b/yuccacroft/tests/support/mod.rs
@@ -3,10 +3,10 @@
 use {
     std::{
         fs,
-        net::{SocketAddr, TcpListener, UdpSocket},
+        net::SocketAddr,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
-        sync::atomic::{AtomicU32, Ordering},
+        sync::atomic::{AtomicU16, AtomicU32, Ordering},
         time::{Duration, Instant},
     },
     yuccacroft_balancer::control::CONTRACTS,
@@ -17,17 +17,26 @@
     yuccacroft_platform::{etcd::Gateway, store::Store as _},
 };
 
-const SERVICE: &str = "booking.kampvuur.example";
+/// The name of the service in certificates.
+pub const SERVICE: &str = "booking.kampvuur.example";
 const WORK: Duration = Duration::from_millis(5);
 const CONNECT_DEADLINE: Duration = Duration::from_secs(30);
 const KEY: [u8; 32] = [7; 32];
 
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
+static PORTS: AtomicU16 = AtomicU16::new(20_000);
 
-/// Three balancers and three agents as processes.
+/// The token of all administration interfaces.
+pub const TOKEN: &str = "token-for-tests-only";
+
+/// Three balancers and some agents as processes.
 pub struct System {
     /// The upstreams with their records.
     pub upstreams: Vec<Upstream>,
+    /// The administration interfaces of the balancers.
+    pub admins: Vec<SocketAddr>,
+    /// The capsule addresses of the agents.
+    pub agents: Vec<SocketAddr>,
     certificate: Certificate,
     service: SocketAddr,
     processes: Vec<Child>,
@@ -37,39 +46,63 @@
 }
 
 impl System {
-    /// Starts everything.
+    /// Starts everything with three upstreams.
     pub async fn start() -> Self {
+        let mut upstreams = Vec::new();
+        for index in 0..3 {
+            let name = format!("upstream-{index}");
+            let upstream = Upstream::start(&name, "127.0.0.1:0".parse().unwrap(), WORK);
+            upstreams.push(upstream.await.unwrap());
+        }
+        let addresses: Vec<_> = upstreams.iter().map(Upstream::address).collect();
+        let mut system = Self::start_over(&addresses, 4).await;
+        system.upstreams = upstreams;
+        system
+    }
+
+    /// Starts everything over upstreams that run already. Each has a number of slots.
+    pub async fn start_over(addresses: &[SocketAddr], slots: u32) -> Self {
         let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
         let folder =
             std::env::temp_dir().join(format!("yuccacroft-{}-{number}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
-        let service = free_udp();
+        let service = free_address();
         let store = Store::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let gateway = Gateway::new(store.address(), Duration::from_secs(1));
         let key = format!("{CONTRACTS}kampvuur");
-        gateway.put(&key, &contract(service), Revision::default()).await.unwrap();
+        gateway.put(&key, &contract(service, slots), Revision::default()).await.unwrap();
         let certificate = Certificate::new(SERVICE);
         fs::write(folder.join("service.pem"), certificate.certificate_pem.as_bytes()).unwrap();
         fs::write(folder.join("service.key"), certificate.key_pem.as_bytes()).unwrap();
         let (mut processes, mut packets, mut controls) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut admins, mut agents) = (Vec::new(), Vec::new());
         for index in 0..3 {
-            let (packet, control) = (free_udp(), free_tcp());
+            let (packet, control, admin) = (free_address(), free_address(), free_address());
             let text = balancer(index, packet, control, store.address());
+            let text = format!("{text}\n[admin]\nlisten = {admin}\ntoken = {TOKEN}\n");
+            admins.push(admin);
             processes.push(run(&folder, "balancer", index, &text));
             packets.push(packet);
             controls.push(control);
         }
-        let mut upstreams = Vec::new();
-        for index in 0..3 {
-            let name = format!("upstream-{index}");
-            let upstream = Upstream::start(&name, "127.0.0.1:0".parse().unwrap(), WORK);
-            let upstream = upstream.await.unwrap();
-            let text = agent(index, &controls, upstream.address());
+        for (index, upstream) in addresses.iter().enumerate() {
+            let capsules = free_address();
+            let text = agent(index, capsules, &controls, *upstream);
             processes.push(run(&folder, "agent", index, &text));
-            upstreams.push(upstream);
+            agents.push(capsules);
         }
         let fabric = Fabric::start(&[service], packets, 1).await.unwrap();
-        Self { upstreams, certificate, service, processes, _fabric: fabric, _store: store, folder }
+        Self {
+            upstreams: Vec::new(),
+            admins,
+            agents,
+            certificate,
+            service,
+            processes,
+            _fabric: fabric,
+            _store: store,
+            folder,
+        }
     }
 
     /// Opens a connection; processes may still be starting.
@@ -104,11 +137,11 @@
     command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap()
 }
 
-fn contract(service: SocketAddr) -> String {
+fn contract(service: SocketAddr, slots: u32) -> String {
     let key = Secret::new(KEY);
     format!(
         "[customer]\nname = kampvuur\nkey = {key}\ncapacity = 28\n\n[service booking]\n\
-         addresses = {service}\nslots = 4\nconnections = 2000\nupstreams_max = 7\nshare = 28\n"
+         addresses = {service}\nslots = {slots}\nconnections = 2000\nupstreams_max = 7\nshare = 28\n"
     )
 }
 
@@ -116,27 +149,31 @@
     format!(
         "[process]\nname = balancer-{index}\ndomain = vlaanderen-{index}\n\n[listen]\n\
          packets = {packets}\ncapsules = {}\ncontrol = {control}\n\n[store]\naddress = {store}\n",
-        free_udp()
+        free_address()
     )
 }
 
-fn agent(index: usize, controls: &[SocketAddr], upstream: SocketAddr) -> String {
+fn agent(
+    index: usize,
+    capsules: SocketAddr,
+    controls: &[SocketAddr],
+    upstream: SocketAddr,
+) -> String {
     let controls: Vec<_> = controls.iter().map(ToString::to_string).collect();
     format!(
         "[process]\nname = agent-{index}\ndomain = vlaanderen-{index}\n\n[service]\n\
-         customer = kampvuur\nname = booking\nkey = {}\n\n[listen]\ncapsules = {}\n\n[mesh]\n\
+         customer = kampvuur\nname = booking\nkey = {}\n\n[listen]\ncapsules = {capsules}\n\n[mesh]\n\
          balancers = {}\n\n[upstream]\naddress = {upstream}\n\n[tls]\n\
          certificate = service.pem\nkey = service.key\n",
         Secret::new(KEY),
-        free_udp(),
         controls.join(", ")
     )
 }
 
-fn free_udp() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
-fn free_tcp() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Returns an address that no other socket uses. The loopback address belongs to this test program
+/// and ports count up, since a port that was free once may be taken before a process binds it.
+fn free_address() -> SocketAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let port = PORTS.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 64 | high >> 2, high << 6 | low >> 2, 1 + (low & 3)], port))
 }
--- /dev/null
+++ b/yuccacroft/tests/transcript/mod.rs
@@ -0,0 +1,172 @@
+//! Transcripts of whole sessions, and callers, operators and upstreams that write them.
+
+pub mod operator;
+pub mod upstream;
+
+use {
+    bytes::Bytes,
+    http::{HeaderMap, Method, Request},
+    std::{
+        collections::BTreeMap,
+        fs,
+        path::Path,
+        sync::{Arc, Mutex},
+    },
+    yuccacroft_fakes::caller::{Answer, Caller},
+};
+
+/// Set to anything, it makes the tests rewrite the golden files instead of comparing.
+const REWRITE: &str = "YUCCACROFT_REWRITE_SESSIONS";
+/// Headers that depend on the machine or say nothing.
+const HIDDEN: [&str; 5] = ["date", "host", "content-length", "accept", "user-agent"];
+
+/// The messages of one session in the order in which they were seen.
+#[derive(Clone, Default)]
+pub struct Transcript(Arc<Mutex<String>>);
+
+/// Names what differs from run to run by its kind and the order of its first appearance.
+#[derive(Default)]
+struct Names {
+    known: BTreeMap<String, String>,
+    counts: BTreeMap<&'static str, usize>,
+}
+
+impl Transcript {
+    /// Adds a remark of the test.
+    pub fn note(&self, text: &str) {
+        self.push(&format!("\n# {text}\n"));
+    }
+
+    /// Adds a message of an actor.
+    pub fn message(&self, actor: &str, head: &str, headers: &HeaderMap, body: &[u8]) {
+        let mut text = format!("{actor} {head}\n");
+        for (name, value) in headers {
+            if !HIDDEN.contains(&name.as_str()) {
+                text.push_str(&format!("    {name}: {}\n", value.to_str().unwrap_or("(binary)")));
+            }
+        }
+        for line in String::from_utf8_lossy(body).lines() {
+            text.push_str(&format!("    | {line}\n"));
+        }
+        self.push(&text);
+    }
+
+    /// Compares the transcript with the golden file of that name.
+    pub fn compare(&self, name: &str) {
+        let text = normalised(self.0.lock().unwrap().trim_start());
+        let file = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/sessions/{name}.txt"));
+        if std::env::var_os(REWRITE).is_some() {
+            fs::write(&file, text).unwrap();
+            return;
+        }
+        let golden = fs::read_to_string(&file).unwrap_or_default();
+        for (number, (expected, found)) in golden.lines().zip(text.lines()).enumerate() {
+            assert_eq!(found, expected, "{name}.txt line {}; all:\n{text}", number + 1);
+        }
+        assert_eq!(text, golden, "{name}.txt has another length");
+    }
+
+    fn push(&self, text: &str) {
+        self.0.lock().unwrap().push_str(text);
+    }
+}
+
+/// Sends a request as a caller and notes both messages.
+pub async fn call(
+    transcript: &Transcript,
+    caller: &mut Caller,
+    request: Request<()>,
+    body: &'static [u8],
+) -> Answer {
+    note_request(transcript, &request, body);
+    let answer = caller.request(request, Bytes::from_static(body)).await.unwrap();
+    note_answer(transcript, &answer);
+    answer
+}
+
+/// Notes a request of a caller.
+pub fn note_request(transcript: &Transcript, request: &Request<()>, body: &[u8]) {
+    let head = format!("{} {}", request.method(), request.uri().path());
+    transcript.message("caller sends", &head, request.headers(), body);
+}
+
+/// Notes an answer that a caller received.
+pub fn note_answer(transcript: &Transcript, answer: &Answer) {
+    let Answer { status, headers, body, .. } = answer;
+    transcript.message("caller receives", &status.to_string(), headers, body);
+}
+
+/// Builds a request of a caller.
+pub fn request(method: Method, path: &str, headers: &[(&str, &str)]) -> Request<()> {
+    let uri = format!("https://{}{path}", crate::support::SERVICE);
+    let mut request = Request::builder().method(method).uri(uri);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(()).unwrap()
+}
+
+fn normalised(text: &str) -> String {
+    let mut names = Names::default();
+    let mut lines = String::new();
+    for line in text.lines() {
+        lines.push_str(&names.line(line));
+        lines.push('\n');
+    }
+    lines
+}
+
+impl Names {
+    fn line(&mut self, line: &str) -> String {
+        let line = self.replace(line, "revision", "\"revision\": \"", |c| c.is_ascii_digit());
+        // Another balancer may or may not have the change in force when it answers.
+        let line = self.replace(&line, "in force", "\"in_force\": \"", |c| c.is_ascii_digit());
+        let line = self.replace(&line, "revision", "\"base\": \"", |c| c.is_ascii_digit());
+        let line = self.replace(&line, "revision", "on revision ", |c| c.is_ascii_digit());
+        let line = self.replace(&line, "revision", ", but ", |c| c.is_ascii_digit());
+        let line = self.replace(&line, "revision", "if-match: \"", |c| c.is_ascii_digit());
+        let line = self.replace(&line, "change", "\"change\": \"", |c| c.is_ascii_hexdigit());
+        let line =
+            self.replace(&line, "incarnation", "\"incarnation\": \"", |c| c.is_ascii_digit());
+        let line = self.replace(&line, "uptime", "\"uptime\": \"", |c| c != '"');
+        self.replace(&line, "address", "127.", |c| c.is_ascii_digit() || c == '.' || c == ':')
+    }
+
+    fn replace(
+        &mut self,
+        line: &str,
+        kind: &'static str,
+        before: &str,
+        belongs: fn(char) -> bool,
+    ) -> String {
+        let mut text = String::new();
+        let mut rest = line;
+        while let Some(position) = rest.find(before) {
+            let (head, tail) = rest.split_at(position + before.len());
+            let end = tail.find(|c| !belongs(c)).unwrap_or(tail.len());
+            // The name of an address stands for all of it.
+            text.push_str(head.strip_suffix("127.").unwrap_or(head));
+            text.push_str(&self.name(kind, &tail[..end]));
+            rest = &tail[end..];
+        }
+        text + rest
+    }
+
+    fn name(&mut self, kind: &'static str, value: &str) -> String {
+        // Revision zero has a meaning of its own: there is no contract.
+        if value.is_empty() || (kind == "revision" && value == "0") {
+            return value.to_owned();
+        }
+        if kind == "in force" || kind == "uptime" {
+            return format!("<{kind}>");
+        }
+        if let Some(name) = self.known.get(&format!("{kind} {value}")) {
+            return name.clone();
+        }
+        let count = self.counts.entry(kind).or_default();
+        *count += 1;
+        let name = format!("<{kind} {count}>");
+        self.known.insert(format!("{kind} {value}"), name.clone());
+        name
+    }
+}
--- /dev/null
+++ b/yuccacroft/tests/transcript/operator.rs
@@ -0,0 +1,98 @@
+//! An operator who uses the administration interface of a balancer.
+
+use {
+    super::Transcript,
+    bytes::Bytes,
+    http::{Method, Request, StatusCode, header},
+    http_body_util::{BodyExt, Full},
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    serde_json::Value,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+const DEADLINE: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(20);
+
+/// An operator with a name and perhaps a token.
+pub struct Operator {
+    name: &'static str,
+    admin: SocketAddr,
+    token: Option<&'static str>,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Operator {
+    /// Creates an operator at one balancer.
+    pub fn new(name: &'static str, admin: SocketAddr, token: Option<&'static str>) -> Self {
+        let client = Client::builder(TokioExecutor::new()).build(HttpConnector::new());
+        Self { name, admin, token, client }
+    }
+
+    /// Makes a call and notes both messages.
+    pub async fn call(
+        &self,
+        transcript: &Transcript,
+        method: Method,
+        path: &str,
+        body: Value,
+    ) -> (StatusCode, Value) {
+        let shown = pretty(&body);
+        let request = self.request(&method, path, &body);
+        let head = format!("{method} {path}");
+        let actor = format!("{} sends", self.name);
+        transcript.message(&actor, &head, request.headers(), shown.as_bytes());
+        let response = self.client.request(request).await.unwrap();
+        let (parts, body) = response.into_parts();
+        let bytes = body.collect().await.unwrap().to_bytes();
+        let value: Value = serde_json::from_slice(&bytes).unwrap_or_default();
+        let actor = format!("{} receives", self.name);
+        let shown = if value.is_null() { bytes.to_vec() } else { pretty(&value).into_bytes() };
+        transcript.message(&actor, &parts.status.to_string(), &parts.headers, &shown);
+        (parts.status, value)
+    }
+
+    /// Reads a path again and again until the answer is as wanted. Nothing is noted.
+    pub async fn wait_for(&self, path: &str, wanted: impl Fn(&Value) -> bool) -> Value {
+        let begin = Instant::now();
+        loop {
+            let request = self.request(&Method::GET, path, &Value::Null);
+            if let Ok(response) = self.client.request(request).await {
+                let bytes = response.into_body().collect().await.unwrap().to_bytes();
+                let value = serde_json::from_slice(&bytes).unwrap_or_default();
+                if wanted(&value) {
+                    return value;
+                }
+            }
+            assert!(begin.elapsed() < DEADLINE, "{path} did not become as wanted");
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    fn request(&self, method: &Method, path: &str, body: &Value) -> Request<Full<Bytes>> {
+        let mut request = Request::builder().method(method);
+        request = request.uri(format!("http://{}{path}", self.admin));
+        if let Some(token) = self.token {
+            request = request.header(header::AUTHORIZATION, format!("Bearer {token}"));
+        }
+        let mut bytes = Bytes::new();
+        if !body.is_null() {
+            request = request.header(header::CONTENT_TYPE, "application/json");
+            bytes = body.to_string().into();
+        }
+        request.body(Full::new(bytes)).unwrap()
+    }
+}
+
+fn pretty(value: &Value) -> String {
+    if value.is_null() {
+        return String::new();
+    }
+    // The text of a contract is shown line by line, as a person reads it.
+    serde_json::to_string_pretty(value).unwrap().replace("\\n", "\n    ")
+}
