--- a/yuccacroft-agent/src/lib.rs
+++ b/yuccacroft-agent/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod operate;
 pub mod packet;
 pub mod process;
+pub mod seats;
 pub mod socket;
 pub mod upstream;
--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -16,7 +16,7 @@
     },
     yuccacroft_core::{
         contract::{
-            Contract,
+            Accepted, Contract,
             register::{self, Register},
             stored,
         },
@@ -70,15 +70,12 @@
     }
 
     /// Returns the contract of a customer that is in force.
-    pub fn contract(
-        &self,
-        customer: &Customer,
-    ) -> Option<Arc<Contract<yuccacroft_core::contract::Accepted>>> {
+    pub fn contract(&self, customer: &Customer) -> Option<Arc<Contract<Accepted>>> {
         locked(&self.register).get(customer).cloned()
     }
 
     /// Returns all contracts in force.
-    pub fn contracts(&self) -> Vec<Arc<Contract<yuccacroft_core::contract::Accepted>>> {
+    pub fn contracts(&self) -> Vec<Arc<Contract<Accepted>>> {
         locked(&self.register).iter().cloned().collect()
     }
 
@@ -118,7 +115,7 @@
     }
 
     /// Puts a contract in force unless a newer one is.
-    pub fn learn(&self, contract: Arc<Contract<yuccacroft_core::contract::Accepted>>) {
+    pub fn learn(&self, contract: Arc<Contract<Accepted>>) {
         let event = register::Event::Learned(contract);
         let actions = locked(&self.register).step(event, self.clock.now());
         for register::Action::Apply { contract, replaced } in actions {
@@ -176,9 +173,7 @@
     control.welcome(&headers, &body)
 }
 
-fn parse(
-    item: &Item,
-) -> yuccacroft_core::errors::Result<Contract<yuccacroft_core::contract::Accepted>> {
+fn parse(item: &Item) -> yuccacroft_core::errors::Result<Contract<Accepted>> {
     stored::decode(&item.key, &item.value, item.revision)
 }
 
--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod message;
 pub mod proxy;
 pub mod seal;
+pub mod seat;
