--- a/yuccacroft/src/cli.rs
+++ b/yuccacroft/src/cli.rs
@@ -1,7 +1,6 @@
 //! The command line.
 
 mod check;
-mod client;
 mod operate;
 mod role;
 
--- a/yuccacroft/src/cli/operate.rs
+++ b/yuccacroft/src/cli/operate.rs
@@ -1,8 +1,10 @@
 //! The commands of operators, which talk to the administration interface of a process.
 
 use {
-    super::client::Client,
-    crate::errors::{Error, Result},
+    crate::{
+        client::Client,
+        errors::{Error, Result},
+    },
     argh::FromArgs,
     http::Method,
     std::{fs, net::SocketAddr, path::PathBuf},
@@ -16,8 +18,6 @@
 
 /// The comment by which `contract get` tells `contract put` the revision.
 const REVISION_PREFIX: &str = "; revision ";
-/// A call with a change id may be repeated; see [`Message::change`].
-const PUT_ATTEMPTS: u32 = 3;
 
 /// Read and change the contracts of customers.
 #[derive(Debug, FromArgs)]
@@ -127,7 +127,7 @@
 
 impl Get {
     async fn run(self) -> Result<()> {
-        let client = Client::new(self.admin, &self.token_file)?;
+        let client = Client::with_token_file(self.admin, &self.token_file)?;
         let stored: Stored = client.get(&format!("/v1/contracts/{}", self.customer)).await?;
         if stored.source == Source::Balancer {
             eprintln!("the store does not answer; this is the contract in force on the balancer");
@@ -157,9 +157,8 @@
             force: self.force,
             contract: text.into(),
         };
-        let client = Client::new(self.admin, &self.token_file)?;
-        let path = format!("/v1/contracts/{}", draft.customer());
-        let stored = send(&client, &path, &message).await?;
+        let client = Client::with_token_file(self.admin, &self.token_file)?;
+        let stored = client.put(draft.customer(), &message).await?;
         if stored.change == change {
             println!("accepted: {} revision {} change {change}", stored.customer, stored.revision);
         } else {
@@ -172,7 +171,7 @@
 
 impl List {
     async fn run(self) -> Result<()> {
-        let client = Client::new(self.admin, &self.token_file)?;
+        let client = Client::with_token_file(self.admin, &self.token_file)?;
         let contracts: Vec<InForce> = client.get("/v1/contracts").await?;
         for InForce { customer, revision, services, .. } in contracts {
             let services: Vec<_> = services.iter().map(ToString::to_string).collect();
@@ -185,7 +184,7 @@
 impl Drain {
     /// Runs the command.
     pub async fn run(self) -> Result<()> {
-        let client = Client::new(self.admin, &self.token_file)?;
+        let client = Client::with_token_file(self.admin, &self.token_file)?;
         let path = format!("/v1/members/{}/drain", self.instance);
         let report: Report = client.send(Method::POST, &path, Vec::new()).await?;
         let Report { connections, requests, .. } = report;
@@ -197,7 +196,7 @@
 impl Dump {
     /// Runs the command.
     pub async fn run(self) -> Result<()> {
-        let client = Client::new(self.admin, &self.token_file)?;
+        let client = Client::with_token_file(self.admin, &self.token_file)?;
         if self.json {
             println!("{}", client.text(DUMP_PATH).await?);
         } else {
@@ -207,22 +206,6 @@
     }
 }
 
-/// Sends a change, again when an answer is lost: the change id keeps it from being made twice.
-async fn send(client: &Client, path: &str, message: &Message) -> Result<Stored> {
-    let body =
-        serde_json::to_vec(message).map_err(|error| Error::Usage(error.to_string().into()))?;
-    let mut lost = false;
-    for _ in 0..PUT_ATTEMPTS {
-        match client.send(Method::PUT, path, body.clone()).await {
-            Err(Error::Lost(_)) => lost = true,
-            Err(Error::Unreachable(_)) if lost => {}
-            answer => return answer,
-        }
-    }
-    let change = message.change.unwrap_or_default();
-    Err(Error::Lost(format!("change {change} may be in force, read the contract again").into()))
-}
-
 fn base(text: &str) -> Option<Revision> {
     text.lines().next()?.strip_prefix(REVISION_PREFIX)?.trim().parse().ok()
 }
--- a/yuccacroft/src/cli/client.rs
+++ b/yuccacroft/src/client.rs
@@ -11,12 +11,17 @@
     },
     serde::de::DeserializeOwned,
     std::{fs, net::SocketAddr, path::Path, time::Duration},
-    yuccacroft_core::token::Token,
-    yuccacroft_wire::admin::Problem,
+    yuccacroft_core::{
+        ids::{Change, Customer},
+        token::Token,
+    },
+    yuccacroft_wire::admin::{Problem, Put, Stored},
 };
 
 /// Longer than a balancer needs to settle a write with lost answers.
 const TIMEOUT: Duration = Duration::from_secs(15);
+/// A change with an id may be sent again; see [`Put::change`].
+const PUT_ATTEMPTS: u32 = 3;
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
 /// A client of one administration interface.
@@ -27,8 +32,17 @@
 }
 
 impl Client {
+    /// Creates a client.
+    pub fn new(address: SocketAddr, token: Token) -> Self {
+        // A change must not be repeated without its id, so nothing is repeated by the library.
+        let pool = Pool::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(HttpConnector::new());
+        Self { address, token, pool }
+    }
+
     /// Creates a client with the token that a file holds.
-    pub fn new(address: SocketAddr, token_file: &Path) -> Result<Self> {
+    pub fn with_token_file(address: SocketAddr, token_file: &Path) -> Result<Self> {
         let name = token_file.display().to_string();
         let text = fs::read_to_string(token_file)
             .map_err(|cause| Error::File { name: name.as_str().into(), cause })?;
@@ -36,11 +50,7 @@
         let token = token.map_err(|error: yuccacroft_core::errors::Error| {
             Error::Usage(format!("{name}: {error}").into())
         })?;
-        // A change must not be repeated without its id, so nothing is repeated by the library.
-        let pool = Pool::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build(HttpConnector::new());
-        Ok(Self { address, token, pool })
+        Ok(Self::new(address, token))
     }
 
     /// Reads JSON from a path.
@@ -64,6 +74,26 @@
         decode(&self.call(method, path, body.into()).await?)
     }
 
+    /// Sends a change of a contract, again when an answer is lost: the change id keeps it from being
+    /// made twice.
+    pub async fn put(&self, customer: &Customer, message: &Put) -> Result<Stored> {
+        let path = format!("/v1/contracts/{customer}");
+        let change = Some(message.change.unwrap_or_else(|| Change::new(rand::random())));
+        let message = Put { change, ..message.clone() };
+        let body =
+            serde_json::to_vec(&message).map_err(|error| Error::Usage(error.to_string().into()))?;
+        let mut lost = false;
+        for _ in 0..PUT_ATTEMPTS {
+            match self.send(Method::PUT, &path, body.clone()).await {
+                Err(Error::Lost(_)) => lost = true,
+                Err(Error::Unreachable(_)) if lost => {}
+                answer => return answer,
+            }
+        }
+        let change = change.unwrap_or_default();
+        Err(Error::Lost(format!("change {change} may be in force, read the contract again").into()))
+    }
+
     async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes> {
         let request = Request::builder()
             .method(method)
--- a/yuccacroft/src/demo.rs
+++ b/yuccacroft/src/demo.rs
@@ -1,138 +1,198 @@
 //! The demo: the whole system on the loopback interface, in one process.
 
+mod callers;
+mod system;
+mod tally;
+
 use {
     crate::{
+        client::Client,
         errors::{Error, Result},
         logs,
     },
-    bytes::Bytes,
-    slog::Logger,
-    std::{
-        net::{SocketAddr, SocketAddrV4, UdpSocket},
-        time::Duration,
-    },
-    yuccacroft_agent::{endpoint, process as agent},
-    yuccacroft_balancer::{control::CONTRACTS, process as balancer},
+    callers::{Board, download, reserve},
+    std::time::{Duration, Instant},
+    system::{Site, System},
+    tally::Tally,
     yuccacroft_core::{
         ids::{Instance, Revision},
-        key::Secret,
-        units::Weight,
+        member::Phase,
     },
-    yuccacroft_fakes::{
-        caller::{self, Caller},
-        certificate::Certificate,
-        fabric::Fabric,
-        store::Store,
-        upstream::Upstream,
-    },
-    yuccacroft_platform::{etcd::Gateway, store::Store as _},
+    yuccacroft_fakes::caller,
+    yuccacroft_wire::admin::{Flows, InForce, Kind, Member, Put, Report, Stored},
 };
 
-const BALANCERS: usize = 3;
-const AGENTS: usize = 3;
-const WORK: Duration = Duration::from_millis(20);
-const SERVICE_NAME: &str = "booking.kampvuur.example";
-const KEY: [u8; 32] = [7; 32];
+/// Boards that parents leave open from the beginning to the end.
+const BOARDS: usize = 3;
+const RESERVATIONS: u32 = 40;
+const PACK_CHUNKS: u32 = 512;
+/// A contract change has to be in force everywhere within this time at today's sizes.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
+const POLL: Duration = Duration::from_millis(20);
+
+type Outcome<T> = std::result::Result<T, caller::Error>;
 
-/// Runs the demo. An error means that an answer was not whole.
+/// Runs the demo. An error means that an answer was not whole, a flow broke or a step failed.
 pub async fn run() -> Result<()> {
-    play().await.map_err(|error| Error::Demo(error.to_string().into()))
+    let show = Show { begin: Instant::now() };
+    let tally = play(&show).await.map_err(|error| Error::Demo(error.to_string().into()))?;
+    println!("\n{tally}");
+    tally.verdict().map_err(Error::Demo)?;
+    println!("demo ok");
+    Ok(())
+}
+
+/// Prints what happens with the time since the beginning.
+struct Show {
+    begin: Instant,
 }
 
-async fn play() -> std::result::Result<(), caller::Error> {
-    let log = logs::silent();
-    let service = free_address()?;
-    let store = Store::start("127.0.0.1:0".parse()?).await?;
-    let gateway = Gateway::new(store.address(), Duration::from_secs(1));
-    let key = format!("{CONTRACTS}kampvuur");
-    gateway.put(&key, &contract(service), Revision::default()).await?;
-
-    let mut balancers = Vec::new();
-    let (mut packets, mut controls) = (Vec::new(), Vec::new());
-    for index in 0..BALANCERS {
-        let settings = balancer_settings(index, store.address())?;
-        packets.push(settings.packets);
-        controls.push(settings.control);
-        balancers.push(balancer::Process::new(settings, log.clone()).serve().await?);
+impl Show {
+    fn line(&self, text: &str) {
+        println!("{:6.2} s  {text}", self.begin.elapsed().as_secs_f64());
     }
-    let certificate = Certificate::new(SERVICE_NAME);
-    let mut agents = Vec::new();
-    let mut upstreams = Vec::new();
-    for index in 0..AGENTS {
-        let upstream =
-            Upstream::start(&format!("upstream-{index}"), "127.0.0.1:0".parse()?, WORK).await?;
-        agents.push(start_agent(index, &upstream, &controls, &certificate, &log).await?);
-        upstreams.push(upstream);
+}
+
+async fn play(show: &Show) -> Outcome<Tally> {
+    let mut system = System::start(&logs::silent()).await?;
+    let mut tally = Tally::default();
+    show.line("3 balancers behind a fabric that sprays packets; 3 booking and 2 pack upstreams");
+    let mut boards = Vec::new();
+    for _ in 0..BOARDS {
+        boards.push(Board::open(&system).await?);
     }
-    let _fabric = Fabric::start(&[service], packets, 1).await?;
-    let mut caller = Caller::connect(service, SERVICE_NAME, &certificate.certificate).await?;
-    let mut board = caller.feed("/board").await?;
-    board.next().await?;
-    let answer = caller.reserve("seat-1", Bytes::from_static(b"two seats")).await?;
-    println!("reservation: {} {}", answer.status, String::from_utf8_lossy(&answer.body));
-    println!("demo ok");
+    show.line(&format!("{BOARDS} seat boards are open and stay open to the end"));
+    reservations(show, &system, &mut tally, "before").await?;
+    pack(show, &system, &mut tally).await?;
+    update(show, &system, &mut boards, &mut tally).await;
+
+    contract_change(show, &system, &mut tally).await?;
+    reservations(show, &system, &mut tally, "after the change").await?;
+    update(show, &system, &mut boards, &mut tally).await;
+
+    drain(show, &system).await?;
+    reservations(show, &system, &mut tally, "after the drain").await?;
+    update(show, &system, &mut boards, &mut tally).await;
+
+    replacement(show, &mut system, &mut tally).await?;
+    reservations(show, &system, &mut tally, "after the replacement").await?;
+    update(show, &system, &mut boards, &mut tally).await;
+
+    tally.broken_flows += boards.iter().filter(|board| board.is_broken()).count();
+    drop(boards);
+    system.stop().await;
+    show.line("all processes have stopped");
+    Ok(tally)
+}
+
+/// Several callers reserve at the same time.
+async fn reservations(show: &Show, system: &System, tally: &mut Tally, when: &str) -> Outcome<()> {
+    let begin = Instant::now();
+    let name = when.replace(' ', "-");
+    let calls = (0..RESERVATIONS).map(|number| reserve(system, format!("{name}-{number}")));
+    let answers = futures::future::join_all(calls).await;
+    let before = tally.whole;
+    for answer in answers {
+        tally.count(answer);
+    }
+    let (whole, took) = (tally.whole - before, begin.elapsed().as_millis());
+    show.line(&format!("{when}: {whole} of {RESERVATIONS} reservations made in {took} ms"));
     Ok(())
 }
 
-async fn start_agent(
-    index: usize,
-    upstream: &Upstream,
-    controls: &[SocketAddr],
-    certificate: &Certificate,
-    log: &Logger,
-) -> std::result::Result<agent::Process<agent::Serving>, caller::Error> {
-    let settings = agent::Settings {
-        name: format!("agent-{index}").parse()?,
-        domain: format!("vlaanderen-{}", index % 3).parse()?,
-        customer: "kampvuur".parse()?,
-        service: "booking".parse()?,
-        key: Secret::new(KEY),
-        capsules: Instance::new(free_v4()?),
-        balancers: controls.into(),
-        upstream: upstream.address(),
-        weight: Weight::new(100),
-        certificate: endpoint::Certificate {
-            chain: vec![certificate.certificate.clone()],
-            key: certificate.key.clone_key(),
-        },
-    };
-    Ok(agent::Process::new(settings, log.clone()).serve().await?)
+async fn pack(show: &Show, system: &System, tally: &mut Tally) -> Outcome<()> {
+    tally.count(download(system, PACK_CHUNKS).await);
+    show.line(&format!("a camp pack of {} KiB was downloaded", PACK_CHUNKS * 16));
+    Ok(())
 }
 
-fn balancer_settings(
-    index: usize,
-    store: SocketAddr,
-) -> std::result::Result<balancer::Settings, caller::Error> {
-    Ok(balancer::Settings {
-        name: format!("balancer-{index}").parse()?,
-        domain: format!("vlaanderen-{}", index % 3).parse()?,
-        packets: free_address()?,
-        capsules: free_v4()?,
-        control: free_tcp()?,
-        store,
-        threads: 1,
-    })
+/// Changes the seats and waits until all boards show it.
+async fn update(show: &Show, system: &System, boards: &mut [Board], tally: &mut Tally) {
+    let line = system.update_boards();
+    let mut shown = 0;
+    for board in boards.iter_mut() {
+        if board.shows(line).await {
+            shown += 1;
+        } else {
+            tally.broken_flows += 1;
+        }
+    }
+    show.line(&format!("{shown} of {} boards show the new seats (line {line})", boards.len()));
 }
 
-fn contract(service: SocketAddr) -> String {
-    let key = Secret::new(KEY);
-    format!(
-        "[customer]\nname = kampvuur\nkey = {key}\ncapacity = 28\n\n[service booking]\n\
-         addresses = {service}\nslots = 4\nconnections = 2000\nupstreams_max = 7\nshare = 28\n"
-    )
+async fn contract_change(show: &Show, system: &System, tally: &mut Tally) -> Outcome<()> {
+    let path = format!("/v1/contracts/{}", system::CUSTOMER);
+    let (anna, ben) = (system.operator(0), system.operator(1));
+    let seen: Stored = anna.get(&path).await?;
+    let put = |wait: &str| Put {
+        base: Some(seen.revision),
+        change: None,
+        force: false,
+        contract: seen.contract.replace("wait = 500 ms", wait).into(),
+    };
+    let begin = Instant::now();
+    let accepted = anna.put(&seen.customer, &put("wait = 800 ms")).await?;
+    in_force(system, accepted.revision).await?;
+    tally.changes += 1;
+    let took = begin.elapsed().as_millis();
+    show.line(&format!("anna's contract change is in force on all balancers after {took} ms"));
+    match ben.put(&seen.customer, &put("wait = 300 ms")).await {
+        Err(Error::Refused(problem)) if problem.error == Kind::Conflict => {
+            show.line("ben's change of the same contract is refused and shows him anna's");
+            Ok(())
+        }
+        _ => Err("two changes on one revision were not told apart".into()),
+    }
 }
 
-fn free_address() -> std::io::Result<SocketAddr> {
-    UdpSocket::bind("127.0.0.1:0")?.local_addr()
+async fn in_force(system: &System, revision: Revision) -> Outcome<()> {
+    let begin = Instant::now();
+    for balancer in 0..system.balancers() {
+        let operator = system.operator(balancer);
+        loop {
+            let contracts: Vec<InForce> = operator.get("/v1/contracts").await?;
+            if contracts.iter().any(|contract| contract.revision >= revision) {
+                break;
+            }
+            if begin.elapsed() > IN_FORCE_WITHIN {
+                return Err("a contract change was not in force in time".into());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+    Ok(())
 }
 
-fn free_tcp() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
+/// Drains the booking upstream with the most connections.
+async fn drain(show: &Show, system: &System) -> Outcome<()> {
+    let operator = system.operator(0);
+    let flows: Vec<Flows> = operator.get("/v1/flows").await?;
+    let booking = |instance: Instance| system.site(instance) == Some(Site::Booking);
+    let held = |flows: &&Flows| flows.report.map(|report| report.connections);
+    let Some(Flows { instance, .. }) =
+        flows.iter().filter(|f| booking(f.instance)).max_by_key(held)
+    else {
+        return Err("no balancer knows a booking upstream".into());
+    };
+    let path = format!("/v1/members/{instance}/drain");
+    let report: Report = operator.send(http::Method::POST, &path, Vec::new()).await?;
+    let boards = report.requests;
+    show.line(&format!("an operator drains one upstream, which keeps its {boards} open boards"));
+    Ok(())
 }
 
-fn free_v4() -> std::result::Result<SocketAddrV4, caller::Error> {
-    match free_address()? {
-        SocketAddr::V4(address) => Ok(address),
-        SocketAddr::V6(_) => Err("loopback is not IPv4".into()),
-    }
+/// Replaces a balancer while a download and the boards go on.
+async fn replacement(show: &Show, system: &mut System, tally: &mut Tally) -> Outcome<()> {
+    let (address, root) = system.entry(Site::Pack);
+    let download = tokio::spawn(callers::download_from(address, root, PACK_CHUNKS));
+    system.replace_balancer().await?;
+    tally.count(download.await?);
+    show.line("a balancer was replaced by a new one during a pack download");
+    Ok(())
+}
+
+/// Returns the number of members that take new flows, as a balancer sees them.
+async fn serving(operator: &Client) -> usize {
+    let members = operator.get::<Vec<Member>>("/v1/members").await.unwrap_or_default();
+    members.iter().filter(|member| member.phase == Phase::Serving).count()
 }
--- a/yuccacroft/src/lib.rs
+++ b/yuccacroft/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(rust_2018_idioms)]
 
 pub mod cli;
+pub mod client;
 pub mod demo;
 pub mod errors;
 pub mod logs;
