--- a/yuccacroft-agent/src/operate.rs
+++ b/yuccacroft-agent/src/operate.rs
@@ -1,7 +1,7 @@
 //! Orders of operators, which reach the agent through a balancer, and what the agent holds.
 
 use {
-    crate::{desk::Desk, endpoint::Service},
+    crate::{desk::Desk, endpoint::Acceptor},
     axum::{
         Router,
         body::Bytes,
@@ -36,7 +36,7 @@
     key: Secret,
     book: Arc<Book>,
     desk: Arc<Desk>,
-    service: Arc<Service>,
+    acceptor: Arc<Acceptor>,
     entry: watch::Receiver<Entry>,
     drain: watch::Sender<bool>,
 }
@@ -48,11 +48,11 @@
         key: Secret,
         book: Arc<Book>,
         desk: Arc<Desk>,
-        service: Arc<Service>,
+        acceptor: Arc<Acceptor>,
         entry: watch::Receiver<Entry>,
         drain: watch::Sender<bool>,
     ) -> Self {
-        Self { key, book, desk, service, entry, drain }
+        Self { key, book, desk, acceptor, entry, drain }
     }
 
     /// Returns the routes of orders.
@@ -71,7 +71,7 @@
             incarnation: self.book.own().incarnation,
             phase: self.entry.borrow().phase,
             connections: self.book.open(),
-            requests: Count::new(self.service.active() as u64),
+            requests: Count::new(self.acceptor.active() as u64),
             running: Slots::new(self.desk.running()),
         }
     }
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -2,49 +2,27 @@
 
 use {
     crate::{
-        admin::Admin,
         announce::Herald,
-        chain::Limits,
-        desk::Desk,
-        endpoint::{self, Certificate, Service},
+        assembly::{self, Parts, Plan, Sockets},
+        endpoint::Certificate,
         errors::{Error, Result},
-        operate::Operator,
-        packet,
-        socket::{Identity, Socket},
-        upstream::Client,
     },
-    axum::Router,
-    slog::{Logger, error, info},
+    slog::{Logger, info},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{
-        net::{TcpListener, UdpSocket},
-        sync::watch,
-        task::JoinSet,
-    },
     yuccacroft_core::{
-        admission::Gate,
-        contract::{Accepted, Contract, Terms},
+        contract::{Accepted, Contract},
         flow::Hop,
         ids::{Customer, Domain, Instance, Process as Name, Revision, Service as ServiceName},
-        key::{Digest, Secret},
+        key::Secret,
         member::{Entry, Phase},
-        ownership::Book,
-        tag::Owner,
-        time::Span,
         units::Weight,
     },
-    yuccacroft_rpc::{
-        admin::Access,
-        clock::{self, Clock},
-    },
-    yuccacroft_wire::{admin::InForce, capsule::Seal},
+    yuccacroft_rpc::{admin::Access, clock},
 };
 
-const ANNOUNCE_EVERY: Duration = Duration::from_secs(2);
 const FIRST_ANNOUNCE_EVERY: Duration = Duration::from_millis(200);
 const FIRST_ANNOUNCE_TRIES: u32 = 150;
 const DRAIN_POLL: Duration = Duration::from_millis(20);
-const RECEIVERS: usize = 2;
 
 /// The checked settings of an agent.
 #[derive(Debug)]
@@ -95,22 +73,6 @@
     state: S,
 }
 
-struct Parts {
-    tasks: JoinSet<()>,
-    endpoint: quinn::Endpoint,
-    service: Arc<Service>,
-    book: Arc<Book>,
-    herald: Arc<Herald>,
-    entry: watch::Sender<Entry>,
-    leave: watch::Sender<bool>,
-    contract: watch::Receiver<InForce>,
-    operator: Arc<Operator>,
-    ordered: watch::Receiver<bool>,
-    clock: Clock,
-    drain: Span,
-    log: Logger,
-}
-
 impl Process<Starting> {
     /// Prepares a process.
     pub fn new(settings: Settings, log: Logger) -> Self {
@@ -127,27 +89,12 @@
     pub async fn serve(self) -> Result<Process<Serving>> {
         let Starting { settings, log, admin } = self.state;
         let own = Hop { instance: settings.capsules, incarnation: clock::incarnation() };
-        let udp = UdpSocket::bind(own.instance.address())
-            .await
-            .map_err(|cause| Error::Socket { name: "capsules", cause })?;
-        let control = listen("control", own.instance.address().into()).await?;
-        let admin = match admin {
-            Some(access) => Some((listen("admin", access.listen).await?, access)),
-            None => None,
-        };
-        let (name, domain) = (settings.name.clone(), settings.domain.clone());
+        let sockets = Sockets::open(own.instance.address(), admin.as_ref()).await?;
         let balancers = settings.balancers.clone();
         let herald = Arc::new(Herald::new(balancers, settings.key.clone(), log.clone()));
         let entry = first_entry(&settings, own);
         let contract = first_contract(&herald, &entry).await?;
-        let terms = contract.service(&settings.service).ok_or(Error::Contract)?.clone();
-        let mut parts = assemble(settings, log, own, udp, herald, entry, &contract, &terms)?;
-        spawn_server(&mut parts.tasks, control, parts.operator.router());
-        if let Some((listener, access)) = admin {
-            let (clock, operator) = (parts.clock, parts.operator.clone());
-            let admin = Admin::new(name, domain, clock, operator, parts.contract.clone());
-            spawn_server(&mut parts.tasks, listener, admin.router(&access));
-        }
+        let parts = assembly::assemble(Plan { settings, log, sockets, herald, entry, contract })?;
         info!(parts.log, "serving";
             "instance" => %own.instance, "incarnation" => %own.incarnation);
         Ok(Process { state: Serving { parts } })
@@ -204,12 +151,13 @@
     /// the contract is over; then the process ends.
     pub async fn stop(self) {
         let mut parts = self.state.parts;
+        let drain = parts.terms.borrow().drain;
         let idle = async {
-            while parts.service.active() > 0 || parts.book.open().get() > 0 {
+            while parts.acceptor.active() > 0 || parts.book.open().get() > 0 {
                 tokio::time::sleep(DRAIN_POLL).await;
             }
         };
-        let whole = tokio::time::timeout(parts.drain.into(), idle).await.is_ok();
+        let whole = tokio::time::timeout(drain.into(), idle).await.is_ok();
         parts.entry.send_modify(|entry| {
             entry.phase = Phase::Left;
             entry.version += 1;
@@ -217,6 +165,9 @@
         let entry = parts.entry.borrow().clone();
         let revision = parts.contract.borrow().revision;
         parts.herald.announce(&entry, revision).await;
+        // Nothing may run on a grant that others can take.
+        parts.desk.close();
+        parts.claimant.release(&parts.terms.borrow().clone()).await;
         parts.endpoint.close(quinn::VarInt::from_u32(0), b"stop");
         parts.endpoint.wait_idle().await;
         parts.tasks.shutdown().await;
@@ -224,12 +175,6 @@
     }
 }
 
-impl std::fmt::Debug for Parts {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Parts(..)")
-    }
-}
-
 fn first_entry(settings: &Settings, own: Hop) -> Entry {
     Entry {
         customer: settings.customer.clone(),
@@ -254,125 +199,3 @@
     }
     Err(Error::Contract)
 }
-
-#[expect(clippy::too_many_arguments)]
-fn assemble(
-    settings: Settings,
-    log: Logger,
-    own: Hop,
-    udp: UdpSocket,
-    herald: Arc<Herald>,
-    mut entry: Entry,
-    contract: &Contract<Accepted>,
-    terms: &Terms,
-) -> Result<Parts> {
-    let clock = Clock::new();
-    let (customer, name) = (&settings.customer, &settings.service);
-    let derive = |purpose| settings.key.derive(purpose, customer, name);
-    let digest = Digest::new(customer, name);
-    let book = Arc::new(Book::new(own, terms.connections));
-    let identity = Identity { own, digest, seal: Seal::new(&derive("capsule")) };
-    let chain = packet::chain(digest, book.clone());
-    let socket = Arc::new(Socket::new(udp, identity, chain, clock));
-    socket.set_revision(contract.revision());
-    let owner = Owner { instance: own.instance, incarnation: own.incarnation };
-    let endpoint = quinn::Endpoint::new_with_abstract_socket(
-        endpoint::endpoint_config(owner, &derive("tag"), &derive("reset")),
-        Some(endpoint::server_config(settings.certificate)?),
-        socket.clone(),
-        Arc::new(quinn::TokioRuntime),
-    )
-    .map_err(|cause| Error::Socket { name: "quic", cause })?;
-    let (limits, limits_in_force) = watch::channel((Limits::from(terms), terms.wait));
-    let desk = Arc::new(Desk::new(Gate::new(terms.slots), clock));
-    let upstream = Client::new(settings.upstream);
-    let service =
-        Service::new(desk.clone(), upstream, book.clone(), clock, limits_in_force, log.clone());
-    let service = Arc::new(service);
-    let (leave, leaving) = watch::channel(false);
-    let mut tasks = JoinSet::new();
-    for _ in 0..RECEIVERS {
-        let (socket, log) = (socket.clone(), log.clone());
-        tasks.spawn(async move {
-            if let Err(cause) = socket.run().await {
-                error!(log, "socket_failed"; "error" => %cause);
-            }
-        });
-    }
-    tasks.spawn(service.clone().accept(endpoint.clone(), leaving));
-    entry.phase = Phase::Serving;
-    entry.version += 1;
-    let (entry, _) = watch::channel(entry);
-    let (known, in_force) = watch::channel(InForce::from(contract));
-    let (order, ordered) = watch::channel(false);
-    let operator =
-        Operator::new(settings.key, book.clone(), desk, service.clone(), entry.subscribe(), order);
-    let follower = Follower { herald: herald.clone(), name: name.clone(), known, limits, socket };
-    let entries = entry.subscribe();
-    let follow_book = book.clone();
-    tasks.spawn(async move { follower.run(entries, &follow_book, clock).await });
-    let drain = terms.drain;
-    Ok(Parts {
-        tasks,
-        endpoint,
-        service,
-        book,
-        herald,
-        entry,
-        leave,
-        contract: in_force,
-        operator: Arc::new(operator),
-        ordered,
-        clock,
-        drain,
-        log,
-    })
-}
-
-async fn listen(name: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|cause| Error::Socket { name, cause })
-}
-
-fn spawn_server(tasks: &mut JoinSet<()>, listener: TcpListener, router: Router) {
-    tasks.spawn(async move {
-        // The server ends with the process; its only error is a broken listener.
-        let _ = axum::serve(listener, router).await;
-    });
-}
-
-/// Announces the agent and puts newer contracts in force.
-struct Follower {
-    herald: Arc<Herald>,
-    name: ServiceName,
-    known: watch::Sender<InForce>,
-    limits: watch::Sender<(Limits, Span)>,
-    socket: Arc<Socket>,
-}
-
-impl Follower {
-    async fn run(&self, entries: watch::Receiver<Entry>, book: &Book, clock: Clock) {
-        let mut timer = tokio::time::interval(ANNOUNCE_EVERY);
-        loop {
-            timer.tick().await;
-            let entry = entries.borrow().clone();
-            let revision = self.known.borrow().revision;
-            let news = self.herald.announce(&entry, revision).await;
-            if let Some(contract) = news.contract {
-                self.apply(&contract);
-            }
-            book.expire(clock.now());
-            self.socket.expire();
-        }
-    }
-
-    fn apply(&self, contract: &Contract<Accepted>) {
-        if contract.revision() <= self.known.borrow().revision {
-            return;
-        }
-        if let Some(terms) = contract.service(&self.name) {
-            let _ = self.limits.send((Limits::from(terms), terms.wait));
-        }
-        self.socket.set_revision(contract.revision());
-        let _ = self.known.send(InForce::from(contract));
-    }
-}
--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -8,7 +8,9 @@
 
 pub mod admin;
 pub mod capsule;
+pub mod claim;
 pub mod errors;
+pub mod handoff;
 pub mod invariant;
 pub mod message;
 pub mod proxy;
