--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -137,8 +137,9 @@
         for roster::Action::Rebuild { customer, service, candidates } in actions {
             let Some(contract) = locked(&self.register).get(&customer).cloned() else { continue };
             let members = candidates.len();
+            let serving = candidates.iter().filter(|c| c.weight.get() > 0).count();
             info!(self.log, "members_changed";
-                "members" => members, "service" => %service, "customer" => %customer);
+                "serving" => serving, "members" => members, "service" => %service, "customer" => %customer);
             self.routes.rebuild(&contract, &service, &candidates, self.clock.now());
         }
     }
--- a/yuccacroft/src/demo/system.rs
+++ b/yuccacroft/src/demo/system.rs
@@ -162,7 +162,7 @@
         let wanted = serving(&self.operator(0)).await;
         let old = self.balancers.remove(0);
         self.spray();
-        old.process.stop().await;
+        old.process.drain().stop().await;
         let process = balancer::Process::new(old.settings.clone(), self.log.clone());
         let process = process.with_admin(Some(old.access.clone())).serve().await?;
         self.balancers.push(Balancer { process, ..old });
@@ -179,9 +179,8 @@
             let _ = agent.running.await;
         });
         futures::future::join_all(running).await;
-        for balancer in self.balancers {
-            balancer.process.stop().await;
-        }
+        let stopping = self.balancers.into_iter().map(|b| b.process.drain().stop());
+        futures::future::join_all(stopping).await;
     }
 
     fn spray(&self) {
--- /dev/null
+++ b/yuccacroft/tests/faults/fleet/board.rs
@@ -0,0 +1,79 @@
+//! A seat board as a caller shows it: it reads and moves on its own.
+
+use {
+    super::DEADLINE,
+    http::StatusCode,
+    std::sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    tokio::{sync::mpsc, task::JoinHandle},
+    yuccacroft_fakes::{caller::Error, viewer::Viewer},
+};
+
+/// An open seat board.
+pub struct Board {
+    /// The name of the upstream at which it was opened.
+    pub upstream: String,
+    parts: mpsc::UnboundedReceiver<Result<String, Error>>,
+    moves: Arc<AtomicU32>,
+    task: JoinHandle<()>,
+}
+
+impl Board {
+    pub async fn new(mut viewer: Viewer) -> Result<Self, Error> {
+        let who = viewer.caller().get("/who").await?;
+        if who.status != StatusCode::OK {
+            return Err(who.proxy_status.to_string().into());
+        }
+        let (sender, parts) = mpsc::unbounded_channel();
+        let moves = Arc::new(AtomicU32::new(0));
+        let counted = moves.clone();
+        let task = tokio::spawn(async move {
+            loop {
+                let part = match viewer.next().await {
+                    Ok(Some(part)) => Ok(String::from_utf8_lossy(&part).into_owned()),
+                    Ok(None) => Err("the board ended".into()),
+                    Err(error) => Err(error),
+                };
+                counted.store(viewer.moves(), Ordering::Relaxed);
+                let ended = part.is_err();
+                if sender.send(part).is_err() || ended {
+                    return;
+                }
+            }
+        });
+        let upstream = String::from_utf8_lossy(&who.body).into_owned();
+        Ok(Self { upstream, parts, moves, task })
+    }
+
+    /// Waits until the board shows a line.
+    pub async fn shows(&mut self, line: u64) -> Result<(), Error> {
+        let wanted = format!("board {line}\n");
+        let read = async {
+            loop {
+                match self.parts.recv().await {
+                    Some(part) if *part.as_ref().unwrap_or(&String::new()) == wanted => {
+                        return Ok(());
+                    }
+                    Some(Ok(_)) => {}
+                    Some(Err(error)) => return Err(error),
+                    None => return Err("the board ended earlier".into()),
+                }
+            }
+        };
+        let read = tokio::time::timeout(DEADLINE, read).await;
+        read.unwrap_or_else(|_| Err("no line in time".into()))
+    }
+
+    /// Returns how often the board has moved.
+    pub fn moves(&self) -> u32 {
+        self.moves.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Board {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
