--- a/yuccacroft-fakes/src/upstream.rs
+++ b/yuccacroft-fakes/src/upstream.rs
@@ -73,6 +73,11 @@
         self.shared.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the number of open boards.
+    pub fn boards(&self) -> usize {
+        self.shared.board.receiver_count()
+    }
+
     /// Sends a line to all open boards.
     pub fn update_board(&self, line: u64) {
         self.shared.board.send_replace(line);
