Claim capacity before the first flow; let unanswered classes use the contract's wait

An agent announced itself before it had a grant; it now claims first. The gate took the time that a feed had been open for as the service time of its class, so the next board of a cold agent could wait only 54 ms while the first one held the slot for 250 ms; a class without an answer now waits as long as the contract says.

--- a/yuccacroft-agent/src/assembly.rs
+++ b/yuccacroft-agent/src/assembly.rs
@@ -70,6 +70,8 @@
     pub sockets: Sockets,
     /// Announces the agent.
     pub herald: Arc<Herald>,
+    /// Holds the agent's part of the customer's capacity.
+    pub claimant: Arc<Claimant>,
     /// The member entry, which says that no flow is taken yet.
     pub entry: Entry,
     /// The contract that a balancer told.
@@ -139,7 +141,7 @@
 
 /// Creates all parts and starts their tasks.
 pub fn assemble(plan: Plan) -> Result<Parts> {
-    let Plan { settings, log, sockets, herald, mut entry, contract } = plan;
+    let Plan { settings, log, sockets, herald, claimant, mut entry, contract } = plan;
     let terms = contract.service(&settings.service).ok_or(Error::Contract)?;
     let (clock, own) = (Clock::new(), entry.hop());
     let derive = |purpose: &str| derive(&settings, purpose);
@@ -152,15 +154,8 @@
         Seals { capsule: Seal::new(&derive("capsule")), claim: Seal::new(&derive("claim")) };
     let socket = Socket::new(sockets.capsules, seals, scope.clone(), book.clone(), clock);
     let socket = Arc::new(socket);
-    let front = front(&settings, own, terms, &book, clock, &log);
-    let claimant = Arc::new(Claimant::new(
-        settings.balancers.clone(),
-        settings.customer.clone(),
-        settings.key.clone(),
-        own,
-        clock,
-        log.clone(),
-    ));
+    let slots = terms.slots.min(claimant.allowed());
+    let front = front(&settings, own, terms, slots, &book, clock, &log);
     let (tag, reset, handoff) = (derive("tag"), derive("reset"), derive(PURPOSE));
     let endpoint = quic(own, (&tag, &reset), socket.clone(), settings.certificate)?;
 
@@ -238,15 +233,14 @@
     settings: &Settings,
     own: Hop,
     terms: &Terms,
+    slots: Slots,
     book: &Arc<Book>,
     clock: Clock,
     log: &Logger,
 ) -> Front {
     let derive = |purpose: &str| derive(settings, purpose);
     let (limits, limits_in_force) = watch::channel(Limits::from(terms));
-    // No request runs before the agent has a grant of its customer's capacity.
-    let gate =
-        admission::Settings { slots: Slots::default(), wait: terms.wait, warmup: terms.warmup };
+    let gate = admission::Settings { slots, wait: terms.wait, warmup: terms.warmup };
     let desk = Arc::new(Desk::new(Gate::new(gate, clock.now()), clock));
     let records = Arc::new(Records::new(PART_BOUNDS, clock));
     let owners = Arc::new(Owners::new(&derive("owner"), own));
--- a/yuccacroft-agent/src/follower.rs
+++ b/yuccacroft-agent/src/follower.rs
@@ -128,7 +128,7 @@
             let hops: Vec<_> = news.siblings.iter().map(hop).collect();
             self.socket.set_siblings(&hops);
             self.siblings.replace(&hops);
-            self.claimant.contact(asked);
+            self.claimant.contact(self.clock.now().since(asked));
         }
     }
 
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -6,11 +6,12 @@
         assembly::{self, Parts, Plan, Sockets},
         endpoint::Certificate,
         errors::{Error, Result},
+        seats::Claimant,
     },
     slog::{Logger, info},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     yuccacroft_core::{
-        contract::{Accepted, Contract},
+        contract::{Accepted, Contract, Terms},
         flow::Hop,
         ids::{Customer, Domain, Instance, Process as Name, Revision, Service as ServiceName},
         key::Secret,
@@ -22,6 +23,7 @@
 
 const FIRST_ANNOUNCE_EVERY: Duration = Duration::from_millis(200);
 const FIRST_ANNOUNCE_TRIES: u32 = 150;
+const FIRST_CLAIM_TRIES: u32 = 5;
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
 /// The checked settings of an agent.
@@ -94,7 +96,11 @@
         let herald = Arc::new(Herald::new(balancers, settings.key.clone(), log.clone()));
         let entry = first_entry(&settings, own);
         let contract = first_contract(&herald, &entry).await?;
-        let parts = assembly::assemble(Plan { settings, log, sockets, herald, entry, contract })?;
+        let claimant = Arc::new(Claimant::new(&settings, own, log.clone()));
+        let terms = contract.service(&settings.service).ok_or(Error::Contract)?;
+        first_claim(&claimant, terms).await;
+        let plan = Plan { settings, log, sockets, herald, claimant, entry, contract };
+        let parts = assembly::assemble(plan)?;
         info!(parts.log, "serving";
             "instance" => %own.instance, "incarnation" => %own.incarnation);
         Ok(Process { state: Serving { parts } })
@@ -167,7 +173,8 @@
         parts.herald.announce(&entry, revision).await;
         // Nothing may run on a grant that others can take.
         parts.desk.close();
-        parts.claimant.release(&parts.terms.borrow().clone()).await;
+        let terms = parts.terms.borrow().clone();
+        parts.claimant.release(&terms).await;
         parts.endpoint.close(quinn::VarInt::from_u32(0), b"stop");
         parts.endpoint.wait_idle().await;
         parts.tasks.shutdown().await;
@@ -188,6 +195,17 @@
     }
 }
 
+/// Claims capacity before the first flow comes. Without the store the agent starts all the same: it
+/// hands its requests to siblings until it has a grant.
+async fn first_claim(claimant: &Claimant, terms: &Terms) {
+    for _ in 0..FIRST_CLAIM_TRIES {
+        if claimant.claim(terms).await {
+            return;
+        }
+        tokio::time::sleep(FIRST_ANNOUNCE_EVERY).await;
+    }
+}
+
 /// Asks for the contract while the entry still says that no flow is taken.
 async fn first_contract(herald: &Herald, entry: &Entry) -> Result<Contract<Accepted>> {
     for _ in 0..FIRST_ANNOUNCE_TRIES {
--- a/yuccacroft-agent/src/seats.rs
+++ b/yuccacroft-agent/src/seats.rs
@@ -1,6 +1,7 @@
 //! The agent's claim on its customer's capacity.
 
 use {
+    crate::process::Settings,
     slog::{Logger, info, warn},
     std::{
         net::SocketAddr,
@@ -20,7 +21,7 @@
             holder::{Granted, Holder},
             portion,
         },
-        time::Moment,
+        time::{Moment, Span},
         units::Slots,
     },
     yuccacroft_rpc::{client::Client, clock::Clock},
@@ -46,16 +47,18 @@
 
 impl Claimant {
     /// Creates the claimant of an agent that has no grant yet.
-    pub fn new(
-        balancers: Box<[SocketAddr]>,
-        customer: Customer,
-        key: Secret,
-        hop: Hop,
-        clock: Clock,
-        log: Logger,
-    ) -> Self {
-        let (client, number, grant) = (Client::new(TIMEOUT), AtomicU32::new(0), Mutex::new(None));
-        Self { client, balancers, customer, key, hop, clock, number, grant, log }
+    pub fn new(settings: &Settings, hop: Hop, log: Logger) -> Self {
+        Self {
+            client: Client::new(TIMEOUT),
+            balancers: settings.balancers.clone(),
+            customer: settings.customer.clone(),
+            key: settings.key.clone(),
+            hop,
+            clock: Clock::new(),
+            number: AtomicU32::new(0),
+            grant: Mutex::new(None),
+            log,
+        }
     }
 
     /// Returns the slots that may be used now.
@@ -64,8 +67,9 @@
         self.grant().as_ref().map_or(Slots::default(), |holder| holder.allowed(now))
     }
 
-    /// Notes that a balancer answered a message sent at `asked`.
-    pub fn contact(&self, asked: Moment) {
+    /// Notes that a balancer answered a message sent just now.
+    pub fn contact(&self, took: Span) {
+        let asked = self.clock.now() - took;
         if let Some(holder) = self.grant().as_mut() {
             holder.contact(asked);
         }
--- a/yuccacroft-core/src/admission.rs
+++ b/yuccacroft-core/src/admission.rs
@@ -261,7 +261,12 @@
     }
 
     fn longest_wait(&self, class: Class, long: bool) -> Span {
-        let Some(mean) = self.classes.mean(class) else { return self.settings.wait };
+        // The time that an unanswered request has run for says little about its class: it may be a
+        // feed, which gives its slot back long before its answer ends.
+        if !self.classes.is_answered(class) {
+            return self.settings.wait;
+        }
+        let mean = self.classes.mean(class).unwrap_or_default();
         let own = if long { self.settings.wait } else { mean.times(WAIT_FACTOR) };
         own.max(SHORTEST_WAIT).min(self.settings.wait)
     }
--- a/yuccacroft/src/client.rs
+++ b/yuccacroft/src/client.rs
@@ -78,8 +78,8 @@
     /// made twice.
     pub async fn put(&self, customer: &Customer, message: &Put) -> Result<Stored> {
         let path = format!("/v1/contracts/{customer}");
-        let change = Some(message.change.unwrap_or_else(|| Change::new(rand::random())));
-        let message = Put { change, ..message.clone() };
+        let change = message.change.unwrap_or_else(|| Change::new(rand::random()));
+        let message = Put { change: Some(change), ..message.clone() };
         let body =
             serde_json::to_vec(&message).map_err(|error| Error::Usage(error.to_string().into()))?;
         let mut lost = false;
@@ -90,7 +90,6 @@
                 answer => return answer,
             }
         }
-        let change = change.unwrap_or_default();
         Err(Error::Lost(format!("change {change} may be in force, read the contract again").into()))
     }
 
--- a/yuccacroft/src/demo/system.rs
+++ b/yuccacroft/src/demo/system.rs
@@ -162,7 +162,7 @@
         let wanted = serving(&self.operator(0)).await;
         let old = self.balancers.remove(0);
         self.spray();
-        old.process.stop().await;
+        old.process.drain().stop().await;
         let process = balancer::Process::new(old.settings.clone(), self.log.clone());
         let process = process.with_admin(Some(old.access.clone())).serve().await?;
         self.balancers.push(Balancer { process, ..old });
@@ -180,7 +180,7 @@
         });
         futures::future::join_all(running).await;
         for balancer in self.balancers {
-            balancer.process.stop().await;
+            balancer.process.drain().stop().await;
         }
     }
 
