Give the store client watches, leases and a count of calls

Balancers polled all contracts every second, so that the calls of the store grew with the fleet and a change waited for the next poll.

The trait of the store has watch, grant, renew, revoke, and two writes that belong to a lease: claim, and put_held, which the store refuses once the lease has ended. The client speaks the gateway's stream of /v3/watch and reports a compacted history as its own notice. TCP keep-alive ends a watch whose path has lost its state. Every call counts in yuccacroft_store_calls_total; a watch counts once.

The stand-in has the same calls, outages that end watches, slow answers, lost answers, compaction, and a count of calls for each kind.

--- a/yuccacroft-core/src/lib.rs
+++ b/yuccacroft-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ids;
 pub mod ini;
 pub mod key;
+pub mod lease;
 pub mod member;
 pub mod ownership;
 pub mod placement;
--- a/yuccacroft-fakes/src/store.rs
+++ b/yuccacroft-fakes/src/store.rs
@@ -1,22 +1,25 @@
-//! The platform's key-value store: range and transaction of the etcd JSON gateway.
+//! The platform's key-value store: range, transaction, watch and leases of the etcd JSON gateway.
+
+mod data;
+mod faults;
+mod watch;
+
+pub use self::faults::Kind;
 
 use {
+    self::{data::Data, faults::Faults},
     axum::{Json, Router, extract::State, http::StatusCode, routing::post},
-    base64::{Engine, engine::general_purpose::STANDARD},
     serde_json::{Value, json},
     std::{
-        collections::BTreeMap,
         io,
         net::SocketAddr,
-        sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
-        },
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, task::JoinHandle},
+    tokio::{net::TcpListener, sync::watch as signal, task::JoinHandle},
 };
 
-/// A store that can be switched off.
+/// A store that can be switched off, slowed down and made to lose answers.
 #[derive(Debug)]
 pub struct Store {
     address: SocketAddr,
@@ -24,18 +27,12 @@
     server: JoinHandle<()>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
     data: Mutex<Data>,
-    down: AtomicBool,
-    lose_answers: AtomicBool,
-    calls: AtomicU64,
-}
-
-#[derive(Debug, Default)]
-struct Data {
-    revision: u64,
-    items: BTreeMap<Vec<u8>, (Vec<u8>, u64)>,
+    faults: Faults,
+    /// Counts changes, so that watches wake up.
+    changes: signal::Sender<u64>,
 }
 
 impl Store {
@@ -43,10 +40,16 @@
     pub async fn start(address: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let shared = Arc::new(Shared::default());
+        let (changes, _) = signal::channel(0);
+        let shared =
+            Arc::new(Shared { data: Mutex::default(), faults: Faults::default(), changes });
         let router = Router::new()
             .route("/v3/kv/range", post(range))
             .route("/v3/kv/txn", post(transaction))
+            .route("/v3/watch", post(watch::open))
+            .route("/v3/lease/grant", post(grant))
+            .route("/v3/lease/keepalive", post(renew))
+            .route("/v3/lease/revoke", post(revoke))
             .with_state(shared.clone());
         let server = tokio::spawn(async move {
             // The only error is a broken listener, which callers notice.
@@ -60,19 +63,47 @@
         self.address
     }
 
-    /// Begins or ends an outage, in which every call fails without effect.
+    /// Begins or ends an outage, in which every call fails without effect and watches end.
     pub fn set_down(&self, down: bool) {
-        self.shared.down.store(down, Ordering::SeqCst);
+        self.shared.faults.set_down(down);
+        self.shared.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Delays every answer.
+    pub fn set_delay(&self, delay: Duration) {
+        self.shared.faults.set_delay(delay);
     }
 
     /// Begins or ends a time in which writes take effect but their answers fail.
     pub fn set_lose_answers(&self, lose: bool) {
-        self.shared.lose_answers.store(lose, Ordering::SeqCst);
+        self.shared.faults.set_lose_answers(lose);
+    }
+
+    /// Loses the answers of the next writes, which take effect.
+    pub fn lose_next_answers(&self, count: u64) {
+        self.shared.faults.lose_next_answers(count);
+    }
+
+    /// Forgets the history up to the present revision. Watches from before it are cancelled.
+    pub fn compact(&self) {
+        self.shared.data().compact();
+        self.shared.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Ends a lease at once, as when its term has passed.
+    pub fn expire_lease(&self, id: u64) {
+        self.shared.data().revoke(id);
+        self.shared.changes.send_modify(|count| *count += 1);
     }
 
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u64 {
-        self.shared.calls.load(Ordering::SeqCst)
+        self.shared.faults.calls()
+    }
+
+    /// Returns the number of calls of one kind so far.
+    pub fn calls_of(&self, kind: Kind) -> u64 {
+        self.shared.faults.calls_of(kind)
     }
 }
 
@@ -84,83 +115,62 @@
 
 impl Shared {
     fn data(&self) -> MutexGuard<'_, Data> {
-        self.data.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn begin(&self) -> Result<(), StatusCode> {
-        self.calls.fetch_add(1, Ordering::SeqCst);
-        if self.down.load(Ordering::SeqCst) { Err(StatusCode::SERVICE_UNAVAILABLE) } else { Ok(()) }
-    }
-}
-
-impl Data {
-    fn range(&self, query: &Value) -> Value {
-        let key = bytes(&query["key"]);
-        let found: Vec<Value> = match query.get("range_end") {
-            None => self.items.get_key_value(&key).map(pair).into_iter().collect(),
-            Some(end) => self.items.range(key..bytes(end)).map(pair).collect(),
-        };
-        json!({"header": {"revision": self.revision.to_string()}, "kvs": found})
+        let mut data = self.data.lock().unwrap_or_else(PoisonError::into_inner);
+        data.expire(Instant::now());
+        data
     }
 
-    fn put(&mut self, query: &Value) {
-        self.revision += 1;
-        self.items.insert(bytes(&query["key"]), (bytes(&query["value"]), self.revision));
+    /// Counts a call and applies the faults that keep it from taking effect.
+    async fn begin(&self, kind: Kind) -> Result<(), StatusCode> {
+        self.faults.count(kind);
+        let delay = self.faults.delay();
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        if self.faults.is_down() { Err(StatusCode::SERVICE_UNAVAILABLE) } else { Ok(()) }
     }
 
-    fn holds(&self, compare: &Value) -> bool {
-        let known = self.items.get(&bytes(&compare["key"])).map_or(0, |(_, revision)| *revision);
-        compare["mod_revision"].as_str() == Some(&known.to_string())
+    /// Wakes the watches and applies the faults that lose the answer of a write.
+    fn finish(&self) -> Result<(), StatusCode> {
+        self.changes.send_modify(|count| *count += 1);
+        if self.faults.loses_answer() { Err(StatusCode::GATEWAY_TIMEOUT) } else { Ok(()) }
     }
 }
 
-async fn range(
-    State(shared): State<Arc<Shared>>,
-    Json(query): Json<Value>,
-) -> Result<Json<Value>, StatusCode> {
-    shared.begin()?;
+type Answer = Result<Json<Value>, StatusCode>;
+
+async fn range(State(shared): State<Arc<Shared>>, Json(query): Json<Value>) -> Answer {
+    shared.begin(Kind::Range).await?;
     let answer = shared.data().range(&query);
     Ok(Json(answer))
 }
 
-async fn transaction(
-    State(shared): State<Arc<Shared>>,
-    Json(query): Json<Value>,
-) -> Result<Json<Value>, StatusCode> {
-    shared.begin()?;
-    let answer = apply(&mut shared.data(), &query);
-    if shared.lose_answers.load(Ordering::SeqCst) {
-        return Err(StatusCode::GATEWAY_TIMEOUT);
-    }
+async fn transaction(State(shared): State<Arc<Shared>>, Json(query): Json<Value>) -> Answer {
+    shared.begin(Kind::Transaction).await?;
+    let answer = shared.data().transact(&query);
+    shared.finish()?;
     Ok(Json(answer))
 }
 
-fn apply(data: &mut Data, query: &Value) -> Value {
-    let none = Vec::new();
-    let list = |name: &str| query[name].as_array().unwrap_or(&none);
-    let succeeded = list("compare").iter().all(|compare| data.holds(compare));
-    let mut responses = Vec::new();
-    for operation in list(if succeeded { "success" } else { "failure" }) {
-        if let Some(put) = operation.get("request_put") {
-            data.put(put);
-            responses.push(json!({"response_put": {}}));
-        }
-        if let Some(query) = operation.get("request_range") {
-            responses.push(json!({"response_range": data.range(query)}));
-        }
-    }
-    let header = json!({"revision": data.revision.to_string()});
-    json!({"header": header, "succeeded": succeeded, "responses": responses})
+async fn grant(State(shared): State<Arc<Shared>>, Json(query): Json<Value>) -> Answer {
+    shared.begin(Kind::Grant).await?;
+    let seconds = data::number(&query["TTL"]);
+    let id = shared.data().grant(Duration::from_secs(seconds), Instant::now());
+    shared.finish()?;
+    Ok(Json(json!({"ID": id.to_string(), "TTL": seconds.to_string()})))
 }
 
-fn bytes(text: &Value) -> Vec<u8> {
-    STANDARD.decode(text.as_str().unwrap_or_default()).unwrap_or_default()
+async fn renew(State(shared): State<Arc<Shared>>, Json(query): Json<Value>) -> Answer {
+    shared.begin(Kind::Renew).await?;
+    let id = data::number(&query["ID"]);
+    let seconds = shared.data().renew(id, Instant::now());
+    shared.finish()?;
+    Ok(Json(json!({"result": {"ID": id.to_string(), "TTL": seconds.to_string()}})))
 }
 
-fn pair((key, (value, revision)): (&Vec<u8>, &(Vec<u8>, u64))) -> Value {
-    json!({
-        "key": STANDARD.encode(key),
-        "value": STANDARD.encode(value),
-        "mod_revision": revision.to_string(),
-    })
+async fn revoke(State(shared): State<Arc<Shared>>, Json(query): Json<Value>) -> Answer {
+    shared.begin(Kind::Revoke).await?;
+    shared.data().revoke(data::number(&query["ID"]));
+    shared.finish()?;
+    Ok(Json(json!({})))
 }
--- /dev/null
+++ b/yuccacroft-fakes/src/store/data.rs
@@ -0,0 +1,188 @@
+//! Keys, history and leases of the store.
+
+use {
+    base64::{Engine, engine::general_purpose::STANDARD},
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// A key with its value and the lease that it belongs to; zero is none.
+#[derive(Clone, Debug)]
+struct Item {
+    value: Vec<u8>,
+    revision: u64,
+    lease: u64,
+}
+
+/// A change of the history; a removal has no value.
+#[derive(Clone, Debug)]
+struct Change {
+    revision: u64,
+    key: Vec<u8>,
+    value: Option<Vec<u8>>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    term: Duration,
+    until: Instant,
+}
+
+/// Everything that the store holds.
+#[derive(Debug, Default)]
+pub struct Data {
+    revision: u64,
+    items: BTreeMap<Vec<u8>, Item>,
+    history: Vec<Change>,
+    compacted: u64,
+    leases: BTreeMap<u64, Lease>,
+    last_lease: u64,
+}
+
+/// What a watch finds.
+pub enum Found {
+    /// Events, and the revision of the store.
+    Events(Vec<Value>, u64),
+    /// The history was forgotten up to this revision.
+    Compacted(u64),
+}
+
+impl Data {
+    /// Answers a read.
+    pub fn range(&self, query: &Value) -> Value {
+        let key = bytes(&query["key"]);
+        let found: Vec<Value> = match query.get("range_end") {
+            None => self.items.get_key_value(&key).map(pair).into_iter().collect(),
+            Some(end) => self.items.range(key..bytes(end)).map(pair).collect(),
+        };
+        json!({"header": {"revision": self.revision.to_string()}, "kvs": found})
+    }
+
+    /// Carries out a transaction.
+    pub fn transact(&mut self, query: &Value) -> Value {
+        let none = Vec::new();
+        let list = |name: &str| query[name].as_array().unwrap_or(&none).clone();
+        let succeeded = list("compare").iter().all(|compare| self.holds(compare));
+        let mut responses = Vec::new();
+        for operation in list(if succeeded { "success" } else { "failure" }) {
+            if let Some(put) = operation.get("request_put") {
+                self.put(put);
+                responses.push(json!({"response_put": {}}));
+            }
+            if let Some(query) = operation.get("request_range") {
+                responses.push(json!({"response_range": self.range(query)}));
+            }
+        }
+        let header = json!({"revision": self.revision.to_string()});
+        json!({"header": header, "succeeded": succeeded, "responses": responses})
+    }
+
+    /// Returns the events from a revision on within a range of keys.
+    pub fn since(&self, from: u64, key: &[u8], end: &[u8]) -> Found {
+        if from <= self.compacted {
+            return Found::Compacted(self.compacted);
+        }
+        let inside =
+            |change: &&Change| change.revision >= from && *change.key >= *key && *change.key < *end;
+        Found::Events(self.history.iter().filter(inside).map(event).collect(), self.revision)
+    }
+
+    /// Returns the present revision.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Forgets the history.
+    pub fn compact(&mut self) {
+        self.history.clear();
+        self.compacted = self.revision;
+    }
+
+    /// Creates a lease.
+    pub fn grant(&mut self, term: Duration, now: Instant) -> u64 {
+        self.last_lease += 1;
+        self.leases.insert(self.last_lease, Lease { term, until: now + term });
+        self.last_lease
+    }
+
+    /// Renews a lease and returns its term in seconds; zero when it has ended.
+    pub fn renew(&mut self, id: u64, now: Instant) -> u64 {
+        let Some(lease) = self.leases.get_mut(&id) else { return 0 };
+        lease.until = now + lease.term;
+        lease.term.as_secs()
+    }
+
+    /// Ends a lease and removes its keys.
+    pub fn revoke(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let owned = self.items.iter().filter(|(_, item)| item.lease == id && id != 0);
+        let keys: Vec<Vec<u8>> = owned.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.items.remove(&key);
+            self.revision += 1;
+            self.history.push(Change { revision: self.revision, key, value: None });
+        }
+    }
+
+    /// Ends the leases whose term has passed.
+    pub fn expire(&mut self, now: Instant) {
+        let over = self.leases.iter().filter(|(_, lease)| lease.until <= now);
+        let over: Vec<u64> = over.map(|(id, _)| *id).collect();
+        over.into_iter().for_each(|id| self.revoke(id));
+    }
+
+    fn put(&mut self, query: &Value) {
+        self.revision += 1;
+        let (key, value) = (bytes(&query["key"]), bytes(&query["value"]));
+        let lease = number(&query["lease"]);
+        let item = Item { value: value.clone(), revision: self.revision, lease };
+        self.items.insert(key.clone(), item);
+        self.history.push(Change { revision: self.revision, key, value: Some(value) });
+    }
+
+    fn holds(&self, compare: &Value) -> bool {
+        let known = self.items.get(&bytes(&compare["key"]));
+        match compare["target"].as_str() {
+            Some("LEASE") => {
+                let lease = known.map_or(0, |item| item.lease);
+                lease != 0 && number(&compare["lease"]) == lease
+            }
+            _ => known.map_or(0, |item| item.revision) == number(&compare["mod_revision"]),
+        }
+    }
+}
+
+/// Decodes a number, which the gateway writes as text. Anything else is the largest number.
+pub fn number(text: &Value) -> u64 {
+    match text {
+        Value::Null => 0,
+        text => text.as_str().and_then(|text| text.parse().ok()).unwrap_or(u64::MAX),
+    }
+}
+
+/// Decodes a key or value.
+pub fn bytes(text: &Value) -> Vec<u8> {
+    STANDARD.decode(text.as_str().unwrap_or_default()).unwrap_or_default()
+}
+
+fn pair((key, item): (&Vec<u8>, &Item)) -> Value {
+    json!({
+        "key": STANDARD.encode(key),
+        "value": STANDARD.encode(&item.value),
+        "mod_revision": item.revision.to_string(),
+    })
+}
+
+fn event(change: &Change) -> Value {
+    let revision = change.revision.to_string();
+    let key = STANDARD.encode(&change.key);
+    match &change.value {
+        Some(value) => {
+            json!({"kv": {"key": key, "value": STANDARD.encode(value), "mod_revision": revision}})
+        }
+        None => json!({"type": "DELETE", "kv": {"key": key, "mod_revision": revision}}),
+    }
+}
--- a/yuccacroft-platform/src/etcd.rs
+++ b/yuccacroft-platform/src/etcd.rs
@@ -3,10 +3,17 @@
 //! Source: etcd documentation, "gRPC gateway". Keys and values are base64, 64-bit numbers are
 //! decimal strings.
 
+mod query;
+mod watch;
+
 use {
+    self::query::{
+        Compare, Expected, GrantAnswer, GrantQuery, LeaseQuery, Operation, Range, RangeAnswer,
+        RenewAnswer, RevokeAnswer, Transaction, TransactionAnswer, item, protocol, revision,
+    },
     crate::{
         errors::{Error, Result},
-        store::{Item, Listing, Outcome, Store},
+        store::{Item, Listing, Outcome, Store, Watch},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::Bytes,
@@ -15,13 +22,22 @@
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
     },
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde::{Serialize, de::DeserializeOwned},
     std::{net::SocketAddr, time::Duration},
-    yuccacroft_core::ids::Revision,
+    yuccacroft_core::{
+        ids::Revision,
+        lease::{Id, Permit},
+        time::Span,
+    },
 };
 
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
+const MILLIS_PER_SECOND: u64 = 1_000;
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+const KEEP_ALIVE_TRIES: u32 = 2;
+/// The metric that counts calls, with the kind as a label.
+pub const CALLS: &str = "yuccacroft_store_calls_total";
 
 /// A connection pool to one address of the store.
 #[derive(Clone, Debug)]
@@ -31,92 +47,53 @@
     timeout: Duration,
 }
 
-#[derive(Serialize)]
-struct Range<'a> {
-    key: &'a str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    range_end: Option<&'a str>,
-}
-
-#[derive(Deserialize)]
-struct RangeAnswer {
-    #[serde(default)]
-    header: Header,
-    #[serde(default)]
-    kvs: Vec<Pair>,
-}
-
-#[derive(Default, Deserialize)]
-struct Header {
-    #[serde(default)]
-    revision: Box<str>,
-}
-
-#[derive(Deserialize)]
-struct Pair {
-    key: Box<str>,
-    #[serde(default)]
-    value: Box<str>,
-    mod_revision: Box<str>,
-}
-
-#[derive(Serialize)]
-struct Transaction<'a> {
-    compare: [Compare<'a>; 1],
-    success: [Operation<'a>; 1],
-    failure: [Operation<'a>; 1],
-}
-
-#[derive(Serialize)]
-struct Compare<'a> {
-    key: &'a str,
-    target: &'static str,
-    result: &'static str,
-    mod_revision: Box<str>,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "snake_case")]
-enum Operation<'a> {
-    RequestPut { key: &'a str, value: &'a str },
-    RequestRange(Range<'a>),
-}
-
-#[derive(Deserialize)]
-struct TransactionAnswer {
-    #[serde(default)]
-    header: Header,
-    #[serde(default)]
-    succeeded: bool,
-    #[serde(default)]
-    responses: Vec<OperationAnswer>,
-}
-
-#[derive(Deserialize)]
-struct OperationAnswer {
-    response_range: Option<RangeAnswer>,
-}
-
 impl Gateway {
     /// Creates a client. A call that takes longer than `timeout` counts as lost.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build(HttpConnector::new());
+        let mut connector = HttpConnector::new();
+        // A watch may wait for hours, in which something on the way can lose its state.
+        connector.set_keepalive(Some(KEEP_ALIVE));
+        connector.set_keepalive_interval(Some(KEEP_ALIVE));
+        connector.set_keepalive_retries(Some(KEEP_ALIVE_TRIES));
+        let client =
+            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
         Self { address, client, timeout }
     }
 
-    async fn call<Q: Serialize, A: DeserializeOwned>(&self, path: &str, query: &Q) -> Result<A> {
-        let body = serde_json::to_vec(query).map_err(|e| protocol(&e))?;
-        let request = http::Request::post(format!("http://{}{path}", self.address))
-            .header(http::header::CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|e| protocol(&e))?;
+    async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &'static str,
+        query: &Q,
+    ) -> Result<A> {
+        let request = self.request(path, query)?;
         let answer = tokio::time::timeout(self.timeout, self.exchange(request));
         let bytes = answer.await.map_err(|_| Error::Uncertain("timeout".into()))??;
         serde_json::from_slice(&bytes).map_err(|e| protocol(&e))
     }
 
+    fn request<Q: Serialize>(
+        &self,
+        path: &'static str,
+        query: &Q,
+    ) -> Result<http::Request<Full<Bytes>>> {
+        metrics::counter!(CALLS, "path" => path).increment(1);
+        let body = serde_json::to_vec(query).map_err(|e| protocol(&e))?;
+        http::Request::post(format!("http://{}{path}", self.address))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| protocol(&e))
+    }
+
+    async fn transact(&self, query: &Transaction<'_>) -> Result<Outcome> {
+        let answer: TransactionAnswer = self.call("/v3/kv/txn", query).await?;
+        if answer.succeeded {
+            return Ok(Outcome::Accepted(revision(&answer.header.revision)?));
+        }
+        let found = answer.responses.into_iter().find_map(|r| r.response_range);
+        let pair = found.and_then(|range| range.kvs.into_iter().next());
+        Ok(Outcome::Conflict(pair.map(item).transpose()?))
+    }
+
     async fn exchange(&self, request: http::Request<Full<Bytes>>) -> Result<Bytes> {
         let response = self.client.request(request).await.map_err(|error| {
             let text = error.to_string().into();
@@ -152,24 +129,74 @@
 
     async fn put(&self, key: &str, value: &str, base: Revision) -> Result<Outcome> {
         let (key, value) = (STANDARD.encode(key), STANDARD.encode(value));
-        let compare = Compare {
-            key: &key,
-            target: "MOD",
-            result: "EQUAL",
-            mod_revision: base.to_string().into(),
-        };
+        let expected = Expected::Mod { mod_revision: base.to_string().into() };
         let query = Transaction {
-            compare: [compare],
-            success: [Operation::RequestPut { key: &key, value: &value }],
+            compare: [Compare { key: &key, result: "EQUAL", expected }],
+            success: [Operation::RequestPut { key: &key, value: &value, lease: None }],
             failure: [Operation::RequestRange(Range { key: &key, range_end: None })],
         };
-        let answer: TransactionAnswer = self.call("/v3/kv/txn", &query).await?;
-        if answer.succeeded {
-            return Ok(Outcome::Accepted(revision(&answer.header.revision)?));
+        self.transact(&query).await
+    }
+
+    async fn watch(&self, prefix: &str, from: Revision) -> Result<Watch> {
+        let query = watch::query(prefix, &prefix_end(prefix), from);
+        let request = self.request("/v3/watch", &query)?;
+        let response = tokio::time::timeout(self.timeout, self.client.request(request)).await;
+        let response = response
+            .map_err(|_| Error::Unreachable("timeout".into()))?
+            .map_err(|error| Error::Unreachable(error.to_string().into()))?;
+        if !response.status().is_success() {
+            return Err(Error::Unreachable(response.status().to_string().into()));
         }
-        let found = answer.responses.into_iter().find_map(|r| r.response_range);
-        let pair = found.and_then(|range| range.kvs.into_iter().next());
-        Ok(Outcome::Conflict(pair.map(item).transpose()?))
+        Ok(Watch::new(watch::notices(response.into_body())))
+    }
+
+    async fn grant(&self, term: Span) -> Result<Id> {
+        let seconds = (term.as_millis() / MILLIS_PER_SECOND).max(1).to_string().into();
+        let answer: GrantAnswer = self.call("/v3/lease/grant", &GrantQuery { seconds }).await?;
+        answer.id.parse().map_err(|e: yuccacroft_core::errors::Error| protocol(&e))
+    }
+
+    async fn renew(&self, lease: Id) -> Result<bool> {
+        let query = LeaseQuery { id: lease.to_string().into() };
+        let answer: RenewAnswer = self.call("/v3/lease/keepalive", &query).await?;
+        Ok(!matches!(&*answer.result.seconds, "" | "0"))
+    }
+
+    async fn revoke(&self, lease: Id) -> Result<()> {
+        let query = LeaseQuery { id: lease.to_string().into() };
+        let _: RevokeAnswer = self.call("/v3/lease/revoke", &query).await?;
+        Ok(())
+    }
+
+    async fn claim(&self, key: &str, value: &str, lease: Id) -> Result<Outcome> {
+        let (key, value) = (STANDARD.encode(key), STANDARD.encode(value));
+        let expected = Expected::Mod { mod_revision: "0".into() };
+        let lease = Some(lease.to_string().into());
+        let query = Transaction {
+            compare: [Compare { key: &key, result: "EQUAL", expected }],
+            success: [Operation::RequestPut { key: &key, value: &value, lease }],
+            failure: [Operation::RequestRange(Range { key: &key, range_end: None })],
+        };
+        self.transact(&query).await
+    }
+
+    async fn put_held(
+        &self,
+        key: &str,
+        value: &str,
+        claimed: &str,
+        permit: Permit,
+    ) -> Result<Outcome> {
+        let (key, value) = (STANDARD.encode(key), STANDARD.encode(value));
+        let claimed = STANDARD.encode(claimed);
+        let expected = Expected::Lease { lease: permit.lease().to_string().into() };
+        let query = Transaction {
+            compare: [Compare { key: &claimed, result: "EQUAL", expected }],
+            success: [Operation::RequestPut { key: &key, value: &value, lease: None }],
+            failure: [Operation::RequestRange(Range { key: &claimed, range_end: None })],
+        };
+        self.transact(&query).await
     }
 }
 
@@ -184,24 +211,3 @@
     }
     vec![0]
 }
-
-fn item(pair: Pair) -> Result<Item> {
-    Ok(Item {
-        key: text(&pair.key)?,
-        value: text(&pair.value)?,
-        revision: revision(&pair.mod_revision)?,
-    })
-}
-
-fn text(encoded: &str) -> Result<Box<str>> {
-    let bytes = STANDARD.decode(encoded).map_err(|e| protocol(&e))?;
-    String::from_utf8(bytes).map(Into::into).map_err(|e| protocol(&e))
-}
-
-fn revision(text: &str) -> Result<Revision> {
-    text.parse().map_err(|e: yuccacroft_core::errors::Error| protocol(&e))
-}
-
-fn protocol(cause: &dyn std::fmt::Display) -> Error {
-    Error::Protocol(cause.to_string().into())
-}
--- /dev/null
+++ b/yuccacroft-platform/src/etcd/query.rs
@@ -0,0 +1,143 @@
+//! The JSON bodies of the gateway.
+
+use {
+    crate::{
+        errors::{Error, Result},
+        store::Item,
+    },
+    base64::{Engine, engine::general_purpose::STANDARD},
+    serde::{Deserialize, Serialize},
+    yuccacroft_core::ids::Revision,
+};
+
+#[derive(Serialize)]
+pub(super) struct Range<'a> {
+    pub key: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub range_end: Option<&'a str>,
+}
+
+#[derive(Deserialize)]
+pub(super) struct RangeAnswer {
+    #[serde(default)]
+    pub header: Header,
+    #[serde(default)]
+    pub kvs: Vec<Pair>,
+}
+
+#[derive(Default, Deserialize)]
+pub(super) struct Header {
+    #[serde(default)]
+    pub revision: Box<str>,
+}
+
+#[derive(Deserialize)]
+pub(super) struct Pair {
+    pub key: Box<str>,
+    #[serde(default)]
+    pub value: Box<str>,
+    pub mod_revision: Box<str>,
+}
+
+#[derive(Serialize)]
+pub(super) struct Transaction<'a> {
+    pub compare: [Compare<'a>; 1],
+    pub success: [Operation<'a>; 1],
+    pub failure: [Operation<'a>; 1],
+}
+
+#[derive(Serialize)]
+pub(super) struct Compare<'a> {
+    pub key: &'a str,
+    pub result: &'static str,
+    #[serde(flatten)]
+    pub expected: Expected,
+}
+
+#[derive(Serialize)]
+#[serde(tag = "target", rename_all = "UPPERCASE")]
+pub(super) enum Expected {
+    Mod { mod_revision: Box<str> },
+    Lease { lease: Box<str> },
+}
+
+#[derive(Serialize)]
+pub(super) struct GrantQuery {
+    #[serde(rename = "TTL")]
+    pub seconds: Box<str>,
+}
+
+#[derive(Deserialize)]
+pub(super) struct GrantAnswer {
+    #[serde(rename = "ID")]
+    pub id: Box<str>,
+}
+
+#[derive(Serialize)]
+pub(super) struct LeaseQuery {
+    #[serde(rename = "ID")]
+    pub id: Box<str>,
+}
+
+#[derive(Deserialize)]
+pub(super) struct RenewAnswer {
+    pub result: Renewal,
+}
+
+#[derive(Deserialize)]
+pub(super) struct Renewal {
+    /// Left out or zero when the lease has ended.
+    #[serde(rename = "TTL", default)]
+    pub seconds: Box<str>,
+}
+
+#[derive(Deserialize)]
+pub(super) struct RevokeAnswer {}
+
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum Operation<'a> {
+    RequestPut {
+        key: &'a str,
+        value: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        lease: Option<Box<str>>,
+    },
+    RequestRange(Range<'a>),
+}
+
+#[derive(Deserialize)]
+pub(super) struct TransactionAnswer {
+    #[serde(default)]
+    pub header: Header,
+    #[serde(default)]
+    pub succeeded: bool,
+    #[serde(default)]
+    pub responses: Vec<OperationAnswer>,
+}
+
+#[derive(Deserialize)]
+pub(super) struct OperationAnswer {
+    pub response_range: Option<RangeAnswer>,
+}
+
+pub(super) fn item(pair: Pair) -> Result<Item> {
+    Ok(Item {
+        key: text(&pair.key)?,
+        value: text(&pair.value)?,
+        revision: revision(&pair.mod_revision)?,
+    })
+}
+
+pub(super) fn text(encoded: &str) -> Result<Box<str>> {
+    let bytes = STANDARD.decode(encoded).map_err(|e| protocol(&e))?;
+    String::from_utf8(bytes).map(Into::into).map_err(|e| protocol(&e))
+}
+
+pub(super) fn revision(text: &str) -> Result<Revision> {
+    text.parse().map_err(|e: yuccacroft_core::errors::Error| protocol(&e))
+}
+
+pub(super) fn protocol(cause: &dyn std::fmt::Display) -> Error {
+    Error::Protocol(cause.to_string().into())
+}
--- /dev/null
+++ b/yuccacroft-platform/src/etcd/watch.rs
@@ -0,0 +1,127 @@
+//! The stream of a watch: one JSON object a line.
+
+use {
+    super::query::{Header, Pair, item, protocol, revision},
+    crate::{
+        errors::{Error, Result},
+        store::{Item, Listing, Notice},
+    },
+    base64::{Engine, engine::general_purpose::STANDARD},
+    bytes::BytesMut,
+    futures::stream::{self, Stream},
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    serde::{Deserialize, Serialize},
+    yuccacroft_core::ids::Revision,
+};
+
+/// Largest line that is read, in bytes: many values of the largest size.
+const MAX_LINE_BYTES: usize = 64 << 20;
+
+#[derive(Serialize)]
+pub(super) struct Query {
+    create_request: Create,
+}
+
+#[derive(Serialize)]
+struct Create {
+    key: Box<str>,
+    range_end: Box<str>,
+    start_revision: Box<str>,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    result: Answer,
+}
+
+#[derive(Deserialize)]
+struct Answer {
+    #[serde(default)]
+    header: Header,
+    #[serde(default)]
+    canceled: bool,
+    #[serde(default)]
+    compact_revision: Option<Box<str>>,
+    #[serde(default)]
+    events: Vec<Event>,
+}
+
+#[derive(Deserialize)]
+struct Event {
+    /// Left out for a write.
+    #[serde(rename = "type", default)]
+    kind: Box<str>,
+    kv: Pair,
+}
+
+struct State {
+    body: Incoming,
+    buffer: BytesMut,
+    ended: bool,
+}
+
+/// Builds the request of a watch.
+pub(super) fn query(prefix: &str, end: &[u8], from: Revision) -> Query {
+    let create_request = Create {
+        key: STANDARD.encode(prefix).into(),
+        range_end: STANDARD.encode(end).into(),
+        start_revision: from.to_string().into(),
+    };
+    Query { create_request }
+}
+
+/// Reads the notices of an answer until it ends or fails.
+pub(super) fn notices(body: Incoming) -> impl Stream<Item = Result<Notice>> + Send + 'static {
+    let state = State { body, buffer: BytesMut::new(), ended: false };
+    stream::unfold(state, |mut state| async move {
+        if state.ended {
+            return None;
+        }
+        let notice = state.next().await.transpose()?;
+        state.ended = !matches!(notice, Ok(Notice::Changed(_)));
+        Some((notice, state))
+    })
+}
+
+impl State {
+    async fn next(&mut self) -> Result<Option<Notice>> {
+        loop {
+            while let Some(end) = self.buffer.iter().position(|&byte| byte == b'\n') {
+                let line = self.buffer.split_to(end + 1);
+                if let Some(notice) = parse(&line)? {
+                    return Ok(Some(notice));
+                }
+            }
+            if self.buffer.len() > MAX_LINE_BYTES {
+                return Err(Error::Protocol("line of a watch is too long".into()));
+            }
+            let Some(frame) = self.body.frame().await else { return Ok(None) };
+            let frame = frame.map_err(|error| Error::Unreachable(error.to_string().into()))?;
+            if let Some(data) = frame.data_ref() {
+                self.buffer.extend_from_slice(data);
+            }
+        }
+    }
+}
+
+/// Reads one line; the confirmation of the watch and bare progress bring no notice.
+fn parse(line: &[u8]) -> Result<Option<Notice>> {
+    if line.iter().all(u8::is_ascii_whitespace) {
+        return Ok(None);
+    }
+    let Line { result } = serde_json::from_slice(line).map_err(|error| protocol(&error))?;
+    if let Some(compacted) = result.compact_revision.filter(|text| &**text != "0") {
+        return Ok(Some(Notice::Compacted(revision(&compacted)?)));
+    }
+    if result.canceled {
+        return Err(Error::Unreachable("the store has ended the watch".into()));
+    }
+    if result.events.is_empty() {
+        return Ok(None);
+    }
+    let written = result.events.into_iter().filter(|event| &*event.kind != "DELETE");
+    let items: Result<Vec<Item>> = written.map(|event| item(event.kv)).collect();
+    let revision = revision(&result.header.revision)?;
+    Ok(Some(Notice::Changed(Listing { revision, items: items?.into() })))
+}
--- a/yuccacroft-platform/src/store.rs
+++ b/yuccacroft-platform/src/store.rs
@@ -1,6 +1,21 @@
 //! The trait of the key-value store.
 
-use {crate::errors::Result, std::future::Future, yuccacroft_core::ids::Revision};
+use {
+    crate::errors::Result,
+    futures::{
+        StreamExt,
+        stream::{BoxStream, Stream},
+    },
+    std::{
+        fmt::{Debug, Formatter},
+        future::Future,
+    },
+    yuccacroft_core::{
+        ids::Revision,
+        lease::{Id, Permit},
+        time::Span,
+    },
+};
 
 /// A key with its value.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,6 +46,39 @@
     Conflict(Option<Item>),
 }
 
+/// What a watch tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// Keys were written, in this order. Removed keys are left out.
+    Changed(Listing),
+    /// The history from the wanted revision on is gone. The watch has ended; a new listing shows
+    /// the present state.
+    Compacted(Revision),
+}
+
+/// A running watch. It ends when it is dropped.
+pub struct Watch {
+    notices: BoxStream<'static, Result<Notice>>,
+}
+
+impl Watch {
+    /// Wraps the notices of an implementer.
+    pub fn new(notices: impl Stream<Item = Result<Notice>> + Send + 'static) -> Self {
+        Self { notices: notices.boxed() }
+    }
+
+    /// Waits for the next notice; `None` means that the store has ended the watch.
+    pub async fn next(&mut self) -> Option<Result<Notice>> {
+        self.notices.next().await
+    }
+}
+
+impl Debug for Watch {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Watch(..)")
+    }
+}
+
 /// A key-value store with compare-and-swap.
 ///
 /// Every call counts against the store's rates. An implementer never repeats a write by itself:
@@ -50,4 +98,35 @@
         value: &str,
         base: Revision,
     ) -> impl Future<Output = Result<Outcome>> + Send;
+
+    /// Watches all keys with a prefix from a revision on. It counts as one call however long it
+    /// waits.
+    fn watch(&self, prefix: &str, from: Revision) -> impl Future<Output = Result<Watch>> + Send;
+
+    /// Creates a lease with a term in whole seconds.
+    fn grant(&self, term: Span) -> impl Future<Output = Result<Id>> + Send;
+
+    /// Renews a lease; false means that it has ended.
+    fn renew(&self, lease: Id) -> impl Future<Output = Result<bool>> + Send;
+
+    /// Ends a lease, which removes its keys.
+    fn revoke(&self, lease: Id) -> impl Future<Output = Result<()>> + Send;
+
+    /// Creates a key that lives as long as a lease, if nobody else has created it.
+    fn claim(
+        &self,
+        key: &str,
+        value: &str,
+        lease: Id,
+    ) -> impl Future<Output = Result<Outcome>> + Send;
+
+    /// Writes a key if `claimed` still belongs to the lease of the permit. This closes the gap
+    /// between the holder's check and the write, in which the holder may have been paused.
+    fn put_held(
+        &self,
+        key: &str,
+        value: &str,
+        claimed: &str,
+        permit: Permit,
+    ) -> impl Future<Output = Result<Outcome>> + Send;
 }
