--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -251,7 +251,7 @@
     let (entry, _) = watch::channel(entry);
     let (known, revision) = watch::channel(contract.revision());
     let follower = Follower { herald: herald.clone(), name: name.clone(), known, limits, socket };
-    let entries = entry.subscribe();
+    let entries = entry.clone();
     let follow_book = book.clone();
     tasks.spawn(async move { follower.run(entries, &follow_book, clock).await });
     let drain = terms.drain;
@@ -268,7 +268,7 @@
 }
 
 impl Follower {
-    async fn run(&self, entries: watch::Receiver<Entry>, book: &Book, clock: Clock) {
+    async fn run(&self, entries: watch::Sender<Entry>, book: &Book, clock: Clock) {
         let mut timer = tokio::time::interval(ANNOUNCE_EVERY);
         loop {
             timer.tick().await;
@@ -278,11 +278,22 @@
             if let Some(contract) = news.contract {
                 self.apply(&contract);
             }
+            if let Some(version) = news.refute {
+                self.refute(&entries, version).await;
+            }
             book.expire(clock.now());
             self.socket.expire();
         }
     }
 
+    /// Answers a suspicion at once with a newer version of the entry.
+    async fn refute(&self, entries: &watch::Sender<Entry>, version: u32) {
+        entries.send_modify(|entry| entry.version = entry.version.max(version) + 1);
+        let entry = entries.borrow().clone();
+        let revision = *self.known.borrow();
+        self.herald.announce(&entry, revision).await;
+    }
+
     fn apply(&self, contract: &Contract<Accepted>) {
         if contract.revision() <= *self.known.borrow() {
             return;
--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -1,163 +1,282 @@
-//! The shell of the balancer's controllers: store, announcements, timers.
+//! The shell of the balancer's controllers.
+//!
+//! Each controller has its own lock, and no two locks are held at a time. What changes the table
+//! of the packet path goes through one queue in the order of the decisions, so that an older
+//! contract is never put in force behind a newer one.
+
+mod announcements;
+mod mesh;
+mod store;
+
+pub use self::{
+    announcements::ANNOUNCE_PATH,
+    store::{CONTRACTS, Submission},
+};
 
 use {
     crate::service::Routes,
-    axum::{
-        Router,
-        body::Bytes,
-        extract::State,
-        http::{HeaderMap, StatusCode},
-        routing::post,
-    },
-    slog::{Logger, info, warn},
+    axum::Router,
+    rand::random,
+    slog::{Logger, info},
     std::{
+        net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
+    tokio::sync::mpsc,
     yuccacroft_core::{
         contract::{
-            Contract,
+            Accepted, Contract,
+            follower::{self, Follower},
             register::{self, Register},
         },
         controller::Controller,
-        ids::Change,
-        member::roster::{self, Roster},
-        time::Span,
-    },
-    yuccacroft_platform::{
-        errors::Result as StoreResult,
-        store::{Item, Store},
+        gossip::{
+            entry::Item,
+            exchange::{self, Exchange},
+            message::Message,
+            peer::{Node, Peer},
+        },
+        ids::{Customer, Domain, Service},
+        key::Secret,
+        member::{
+            Standing,
+            roster::{self, Roster, Timing},
+        },
     },
-    yuccacroft_rpc::clock::{self, Clock},
-    yuccacroft_wire::{
-        message::{self, Announce, Sibling, Welcome},
-        seal,
+    yuccacroft_rpc::{
+        client::Client,
+        clock::{self, Clock},
     },
 };
 
-/// The store's keys of contracts begin with this; the customer's name follows.
-pub const CONTRACTS: &str = "/yuccacroft/contracts/";
-/// The path of [`Announce`] messages.
-pub const ANNOUNCE_PATH: &str = "/v1/announce";
+const TICK: Duration = Duration::from_millis(100);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How a balancer reaches the others.
+#[derive(Clone, Debug)]
+pub struct Mesh {
+    /// The key that authenticates balancers to each other.
+    pub key: Secret,
+    /// The control addresses of some balancers.
+    pub peers: Box<[SocketAddr]>,
+}
 
-const SILENCE: Span = Span::from_secs(10);
-const TICK: Duration = Duration::from_millis(500);
-const STORE_POLL: Duration = Duration::from_secs(1);
+/// What the controllers of a balancer start with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The control address of this balancer.
+    pub control: SocketAddr,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Its mesh; a balancer without one knows no other.
+    pub mesh: Option<Mesh>,
+}
 
-/// The controllers of one balancer with their locks. No two locks are held at a time.
+/// The controllers of one balancer with their locks.
 pub struct Control {
     clock: Clock,
     log: Logger,
     routes: Arc<Routes>,
+    client: Client,
+    key: Option<Secret>,
     register: Mutex<Register>,
     roster: Mutex<Roster>,
+    exchange: Mutex<Exchange>,
+    follower: Mutex<Follower>,
+    changes: mpsc::UnboundedSender<Change>,
+    pending: Mutex<Option<mpsc::UnboundedReceiver<Change>>>,
+    reading: store::Orders,
+}
+
+/// A change of the table of the packet path.
+#[derive(Debug)]
+enum Change {
+    Apply { contract: Arc<Contract<Accepted>>, replaced: Option<Arc<Contract<Accepted>>> },
+    Rebuild { customer: Customer, service: Service },
 }
 
 impl Control {
     /// Creates the controllers over the table that the packet path reads.
-    pub fn new(routes: Arc<Routes>, clock: Clock, log: Logger) -> Self {
-        let roster = Mutex::new(Roster::new(SILENCE));
-        Self { clock, log, routes, register: Mutex::new(Register::new()), roster }
+    pub fn new(setup: Setup, routes: Arc<Routes>, clock: Clock, log: Logger) -> Self {
+        let node = Node::new(setup.control);
+        let own = Peer {
+            node,
+            domain: setup.domain.clone(),
+            incarnation: clock::incarnation(),
+            version: 0,
+            standing: Standing::Trusted,
+        };
+        let seeds: Vec<Node> =
+            setup.mesh.iter().flat_map(|mesh| mesh.peers.iter()).copied().map(Node::new).collect();
+        let exchange = Exchange::new(own, &seeds, exchange::Settings::default(), random());
+        let (changes, pending) = mpsc::unbounded_channel();
+        let control = Self {
+            clock,
+            log,
+            routes,
+            client: Client::new(CALL_TIMEOUT),
+            key: setup.mesh.map(|mesh| mesh.key),
+            register: Mutex::new(Register::new()),
+            roster: Mutex::new(Roster::new(node, Timing::default())),
+            follower: Mutex::new(Follower::new(node, setup.domain, random())),
+            exchange: Mutex::new(exchange),
+            changes,
+            pending: Mutex::new(Some(pending)),
+            reading: store::Orders::default(),
+        };
+        let peers = locked(&control.exchange).peers();
+        control.step_roster_quietly(roster::Event::Peers(peers));
+        control
     }
 
-    /// Returns the routes of messages from agents.
+    /// Returns the routes of messages from agents and balancers.
     pub fn router(self: &Arc<Self>) -> Router {
-        Router::new().route(ANNOUNCE_PATH, post(announce)).with_state(self.clone())
+        announcements::router(self).merge(mesh::router(self))
     }
 
-    /// Keeps the contracts up to date from the store.
-    pub async fn follow<S: Store>(&self, store: &S) {
-        let mut timer = tokio::time::interval(STORE_POLL);
+    /// Lets time pass for all controllers.
+    pub async fn tick(self: &Arc<Self>) {
+        let mut timer = tokio::time::interval(TICK);
         loop {
             timer.tick().await;
-            if let Err(error) = self.refresh(store).await {
-                warn!(self.log, "store_failed"; "error" => %error);
+            self.step_roster(roster::Event::Tick);
+            self.step_follower(follower::Event::Tick);
+            self.step_exchange(exchange::Event::Tick);
+        }
+    }
+
+    /// Carries out the changes of the packet path's table in their order.
+    pub async fn apply(&self) {
+        let Some(mut pending) = locked(&self.pending).take() else { return };
+        while let Some(change) = pending.recv().await {
+            match change {
+                Change::Apply { contract, replaced } => {
+                    self.put_in_force(&contract, replaced.as_deref());
+                }
+                Change::Rebuild { customer, service } => self.rebuild(&customer, &service),
             }
         }
     }
 
-    /// Lets time pass for all controllers.
-    pub async fn tick(&self) {
-        let mut timer = tokio::time::interval(TICK);
-        loop {
-            timer.tick().await;
-            self.step_roster(roster::Event::Tick);
+    /// Returns the contract of a customer that is in force.
+    pub fn contract(&self, customer: &Customer) -> Option<Arc<Contract<Accepted>>> {
+        locked(&self.register).get(customer).cloned()
+    }
+
+    /// Returns all contracts in force.
+    pub fn contracts(&self) -> Vec<Arc<Contract<Accepted>>> {
+        locked(&self.register).iter().cloned().collect()
+    }
+
+    /// Returns the balancers that this one knows, itself included.
+    pub fn peers(&self) -> Vec<(Node, Domain)> {
+        locked(&self.exchange).peers()
+    }
+
+    fn put_in_force(&self, contract: &Contract<Accepted>, replaced: Option<&Contract<Accepted>>) {
+        self.routes.apply(contract, replaced);
+        let (customer, revision) = (contract.customer(), contract.revision());
+        info!(self.log, "contract_in_force"; "customer" => %customer, "revision" => %revision);
+        for terms in contract.terms() {
+            self.rebuild(customer, &terms.service);
         }
     }
 
-    async fn refresh<S: Store>(&self, store: &S) -> StoreResult<()> {
-        for item in store.list(CONTRACTS).await?.items {
-            match parse(&item) {
-                Ok(contract) => self.learn(Arc::new(contract)),
-                Err(error) => warn!(self.log, "contract_invalid"; "error" => %error),
+    fn rebuild(&self, customer: &Customer, service: &Service) {
+        let Some(contract) = self.contract(customer) else { return };
+        let candidates = locked(&self.roster).candidates(customer, service);
+        info!(self.log, "members_changed";
+            "members" => candidates.len(), "service" => %service, "customer" => %customer);
+        self.routes.rebuild(&contract, service, &candidates);
+    }
+
+    /// Feeds the exchange and carries out what follows, except for the answer of a request.
+    fn step_exchange(self: &Arc<Self>, event: exchange::Event) -> Option<Message> {
+        let actions = locked(&self.exchange).step(event, self.clock.now());
+        let mut reply = None;
+        for action in actions {
+            match action {
+                exchange::Action::Send { to, message } => self.send(to, message),
+                exchange::Action::Reply(message) => reply = Some(message),
+                exchange::Action::Learned(item) => self.learned(item),
+                exchange::Action::Peers(peers) => {
+                    self.step_roster(roster::Event::Peers(peers.clone()));
+                    self.step_follower(follower::Event::Peers(peers));
+                }
+                exchange::Action::Joined => info!(self.log, "joined"),
             }
         }
-        Ok(())
+        reply
     }
 
-    fn learn(&self, contract: Arc<Contract<yuccacroft_core::contract::Accepted>>) {
-        let event = register::Event::Learned(contract);
-        let actions = locked(&self.register).step(event, self.clock.now());
-        for register::Action::Apply { contract, replaced } in actions {
-            self.routes.apply(&contract, replaced.as_deref());
-            let (customer, revision) = (contract.customer(), contract.revision());
-            info!(self.log, "contract_in_force"; "customer" => %customer, "revision" => %revision);
-            for terms in contract.terms() {
-                let candidates = locked(&self.roster).candidates(customer, &terms.service);
-                self.routes.rebuild(&contract, &terms.service, &candidates);
+    fn learned(&self, item: Item) {
+        match item {
+            Item::Contract(contract) => self.step_register(contract),
+            Item::Member(record) => {
+                self.step_roster_quietly(roster::Event::Learned(record));
             }
+            Item::Outage(outage) => {
+                info!(self.log, "domain_changed";
+                    "lost" => outage.is_lost(), "domain" => %outage.domain);
+                self.step_roster_quietly(roster::Event::Outage(outage));
+            }
+            Item::Peer(_) => {}
         }
     }
 
-    fn step_roster(&self, event: roster::Event) {
-        let actions = locked(&self.roster).step(event, self.clock.now());
-        for roster::Action::Rebuild { customer, service, candidates } in actions {
-            let Some(contract) = locked(&self.register).get(&customer).cloned() else { continue };
-            let members = candidates.len();
-            info!(self.log, "members_changed";
-                "members" => members, "service" => %service, "customer" => %customer);
-            self.routes.rebuild(&contract, &service, &candidates);
+    fn step_register(&self, contract: Arc<Contract<Accepted>>) {
+        let mut register = locked(&self.register);
+        let event = register::Event::Learned(contract);
+        for register::Action::Apply { contract, replaced } in register.step(event, self.clock.now())
+        {
+            // The receiver lives as long as the process.
+            let _ = self.changes.send(Change::Apply { contract, replaced });
         }
     }
 
-    fn welcome(&self, headers: &HeaderMap, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
-        let announce: Announce = message::decode(body).map_err(|_| StatusCode::BAD_REQUEST)?;
-        let entry = announce.entry;
-        let contract = locked(&self.register).get(&entry.customer).cloned();
-        let contract = contract.ok_or(StatusCode::NOT_FOUND)?;
-        let text = headers.get(seal::HEADER).and_then(|value| value.to_str().ok());
-        let text = text.ok_or(StatusCode::UNAUTHORIZED)?;
-        seal::verify(contract.key(), ANNOUNCE_PATH, clock::wall(), body, text)
-            .map_err(|_| StatusCode::UNAUTHORIZED)?;
-        contract.service(&entry.service).ok_or(StatusCode::NOT_FOUND)?;
-        let (customer, service) = (entry.customer.clone(), entry.service.clone());
-        let own = entry.instance;
-        self.step_roster(roster::Event::Announced(entry));
-        let siblings = locked(&self.roster)
-            .of(&customer, &service)
-            .filter(|other| other.instance != own)
-            .map(|other| Sibling { instance: other.instance, incarnation: other.incarnation })
-            .collect();
-        let newer = contract.revision() > announce.revision;
-        let contract = newer.then(|| Contract::clone(&contract));
-        message::encode(&Welcome { contract, siblings })
-            .map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+    fn step_roster(self: &Arc<Self>, event: roster::Event) {
+        for action in self.step_roster_quietly(event) {
+            match action {
+                roster::Action::Publish(item) => {
+                    self.step_exchange(exchange::Event::Local(item));
+                }
+                roster::Action::Report { to, reports } => self.report(to, reports),
+                roster::Action::Rebuild { .. } => {}
+            }
+        }
     }
-}
 
-async fn announce(
-    State(control): State<Arc<Control>>,
-    headers: HeaderMap,
-    body: Bytes,
-) -> Result<Vec<u8>, StatusCode> {
-    control.welcome(&headers, &body)
-}
+    /// Feeds the roster, queues what concerns the packet path and returns the rest.
+    fn step_roster_quietly(&self, event: roster::Event) -> Vec<roster::Action> {
+        let mut roster = locked(&self.roster);
+        let mut rest = Vec::new();
+        for action in roster.step(event, self.clock.now()) {
+            match action {
+                roster::Action::Rebuild { customer, service, .. } => {
+                    // The receiver lives as long as the process.
+                    let _ = self.changes.send(Change::Rebuild { customer, service });
+                }
+                other => rest.push(other),
+            }
+        }
+        rest
+    }
 
-fn parse(
-    item: &Item,
-) -> yuccacroft_core::errors::Result<Contract<yuccacroft_core::contract::Accepted>> {
-    let checked = Contract::parse(&item.key, &item.value)?.check(&item.key)?;
-    Ok(checked.accept(item.revision, Change::default()))
+    fn step_follower(self: &Arc<Self>, event: follower::Event) {
+        let actions = locked(&self.follower).step(event, self.clock.now());
+        for action in actions {
+            match action {
+                follower::Action::Learned(contract) => self.learn_contract(contract),
+                other => self.reading.push(other),
+            }
+        }
+    }
+
+    /// Takes a contract from the store and spreads it.
+    fn learn_contract(self: &Arc<Self>, contract: Arc<Contract<Accepted>>) {
+        self.step_exchange(exchange::Event::Local(Item::Contract(contract)));
+    }
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- /dev/null
+++ b/yuccacroft-balancer/src/control/announcements.rs
@@ -0,0 +1,108 @@
+//! Announcements of agents.
+
+use {
+    super::{Control, locked},
+    axum::{
+        Router,
+        body::Bytes,
+        extract::State,
+        http::{HeaderMap, StatusCode},
+        routing::post,
+    },
+    std::{net::SocketAddr, sync::Arc},
+    yuccacroft_core::{
+        contract::{Accepted, Contract},
+        ids::Instance,
+        key::Secret,
+        member::{Entry, roster},
+        rendezvous,
+    },
+    yuccacroft_rpc::clock,
+    yuccacroft_wire::{
+        message::{self, Announce, Sibling, Welcome},
+        seal,
+    },
+};
+
+/// The path of [`Announce`] messages.
+pub const ANNOUNCE_PATH: &str = "/v1/announce";
+/// Balancers that an agent is told besides its registrars.
+const OTHERS: usize = 4;
+
+/// Returns the routes of messages from agents.
+pub fn router(control: &Arc<Control>) -> Router {
+    Router::new().route(ANNOUNCE_PATH, post(announce)).with_state(control.clone())
+}
+
+async fn announce(
+    State(control): State<Arc<Control>>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Result<Vec<u8>, StatusCode> {
+    control.welcome(&headers, &body)
+}
+
+/// Checks the authenticator of a message.
+pub fn authenticate(
+    headers: &HeaderMap,
+    key: &Secret,
+    path: &str,
+    body: &[u8],
+) -> Result<(), StatusCode> {
+    let text = headers.get(seal::HEADER).and_then(|value| value.to_str().ok());
+    let text = text.ok_or(StatusCode::UNAUTHORIZED)?;
+    seal::verify(key, path, clock::wall(), body, text).map_err(|_| StatusCode::UNAUTHORIZED)
+}
+
+impl Control {
+    fn welcome(self: &Arc<Self>, headers: &HeaderMap, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
+        let announce: Announce = message::decode(body).map_err(|_| StatusCode::BAD_REQUEST)?;
+        let contract = self.contract(&announce.entry.customer).ok_or(StatusCode::NOT_FOUND)?;
+        authenticate(headers, contract.key(), ANNOUNCE_PATH, body)?;
+        contract.service(&announce.entry.service).ok_or(StatusCode::NOT_FOUND)?;
+        // The refutation is read before the announcement, which may end the suspicion at once.
+        let refute = locked(&self.roster).refutation(announce.entry.instance);
+        let refute = refute.filter(|&version| version >= announce.entry.version);
+        self.step_roster(roster::Event::Announced(announce.entry.clone()));
+        let welcome = self.answer(&announce, &contract, refute);
+        message::encode(&welcome).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+    }
+
+    fn answer(
+        &self,
+        announce: &Announce,
+        contract: &Contract<Accepted>,
+        refute: Option<u32>,
+    ) -> Welcome {
+        let instance = announce.entry.instance;
+        let siblings = self.siblings(&announce.entry);
+        let known = message::siblings_digest(&siblings) == announce.siblings;
+        let registrars = locked(&self.roster).registrars(instance);
+        let newer = contract.revision() > announce.revision;
+        Welcome {
+            contract: newer.then(|| contract.clone()),
+            siblings: (!known).then_some(siblings),
+            registrars: registrars.into_iter().map(|node| node.address()).collect(),
+            others: self.others(instance),
+            refute,
+        }
+    }
+
+    fn siblings(&self, entry: &Entry) -> Box<[Sibling]> {
+        let roster = locked(&self.roster);
+        let all = roster.of(&entry.customer, &entry.service);
+        let others = all.filter(|other| other.instance != entry.instance);
+        others
+            .map(|other| Sibling { instance: other.instance, incarnation: other.incarnation })
+            .collect()
+    }
+
+    /// Chooses the same few balancers for an agent every time, so that its answer stays small
+    /// and the agents spread over all balancers.
+    fn others(&self, instance: Instance) -> Box<[SocketAddr]> {
+        let key = rendezvous::digest(&(instance, "others"));
+        let peers = self.peers();
+        let nodes = peers.iter().map(|(node, _)| (*node, rendezvous::digest(node)));
+        rendezvous::choose(key, nodes, OTHERS).into_iter().map(|node| node.address()).collect()
+    }
+}
--- a/yuccacroft-balancer/src/process.rs
+++ b/yuccacroft-balancer/src/process.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        control::Control,
+        control::{Control, Mesh, Setup},
         errors::{Error, Result},
         relay::{Port, Relay},
         service::Routes,
@@ -39,6 +39,8 @@
     pub control: SocketAddr,
     /// The address of the store's gateway.
     pub store: SocketAddr,
+    /// The other balancers; without them every contract comes from the store.
+    pub mesh: Option<Mesh>,
     /// Threads of each direction of the packet path.
     pub threads: usize,
 }
@@ -51,10 +53,10 @@
 }
 
 /// The process forwards packets.
-#[derive(Debug)]
 pub struct Serving {
     tasks: JoinSet<()>,
     server: JoinHandle<()>,
+    control: Arc<Control>,
     log: Logger,
 }
 
@@ -74,7 +76,12 @@
     pub async fn serve(self) -> Result<Process<Serving>> {
         let Starting { settings, log } = self.state;
         let routes = Arc::new(Routes::new());
-        let control = Arc::new(Control::new(routes.clone(), Clock::new(), log.clone()));
+        let setup = Setup {
+            control: settings.control,
+            domain: settings.domain.clone(),
+            mesh: settings.mesh.clone(),
+        };
+        let control = Arc::new(Control::new(setup, routes.clone(), Clock::new(), log.clone()));
         let packets = Port::bind("packets", settings.packets)?;
         let capsules = Port::bind("capsules", settings.capsules.into())?;
         let relay = Arc::new(Relay::new(packets, capsules, settings.capsules, routes));
@@ -90,19 +97,33 @@
         tasks.spawn(async move { follower.follow(&store).await });
         let ticker = control.clone();
         tasks.spawn(async move { ticker.tick().await });
+        let applier = control.clone();
+        tasks.spawn(async move { applier.apply().await });
         let router = control.router();
         let server = tokio::spawn(async move {
             // The server ends with the process; its only error is a broken listener.
             let _ = axum::serve(listener, router).await;
         });
         info!(log, "serving"; "name" => %settings.name, "domain" => %settings.domain);
-        Ok(Process { state: Serving { tasks, server, log } })
+        Ok(Process { state: Serving { tasks, server, control, log } })
+    }
+}
+
+impl std::fmt::Debug for Serving {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Serving(..)")
     }
 }
 
 impl Process<Serving> {
+    /// Returns the controllers.
+    pub fn control(&self) -> &Arc<Control> {
+        &self.state.control
+    }
+
     /// Stops the process. Flows go on through the other balancers, since none lives here.
     pub async fn stop(mut self) {
+        self.state.control.leave().await;
         self.state.server.abort();
         self.state.tasks.shutdown().await;
         info!(self.state.log, "stopped");
--- a/yuccacroft-core/src/contract.rs
+++ b/yuccacroft-core/src/contract.rs
@@ -3,7 +3,10 @@
 //! A contract passes from `Draft` (parsed) to `Checked` (free of faults) to `Accepted` (stored
 //! under a revision). Only an accepted one can be put in force.
 
+pub mod change;
+pub mod follower;
 pub mod register;
+pub mod writer;
 
 use {
     crate::{
@@ -85,6 +88,16 @@
         Ok(draft.expect("a contract without faults is complete"))
     }
 
+    /// Parses a value of the store: a contract with the section `[change]`, which a value that
+    /// was written by hand may lack.
+    pub fn parse_stored(source: &str, text: &str) -> Result<(Self, change::Origin)> {
+        let mut reader = Reader::new(source, text)?;
+        let draft = read(&mut reader);
+        let origin = change::Origin::read(&mut reader);
+        reader.finish()?;
+        Ok((draft.expect("a contract without faults is complete"), origin.unwrap_or_default()))
+    }
+
     /// Checks what concerns more than one key. The rules are listed in `docs/operators.md`.
     pub fn check(self, source: &str) -> Result<Contract<Checked>> {
         let mut faults = Faults { source, list: Vec::new() };
--- /dev/null
+++ b/yuccacroft-core/src/gossip/exchange.rs
@@ -0,0 +1,427 @@
+//! The controller of the exchange with other balancers.
+
+mod rumour;
+mod view;
+
+pub use self::view::Budget;
+
+use {
+    self::{rumour::Rumours, view::View},
+    super::{
+        entry::Item,
+        message::{Line, Message},
+        peer::{Node, Peer},
+        table::{Merge, Table},
+    },
+    crate::{
+        controller::Controller,
+        ids::{Domain, Incarnation},
+        member::Standing,
+        time::{Moment, Span},
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::sync::Arc,
+};
+
+/// Failed digest exchanges in a row before a balancer is suspected. With a fifth of all messages
+/// lost, an exchange of two messages fails in 36 of 100 cases, six in a row in 2 of 1,000.
+const FAILURES: u8 = 6;
+/// Every so many repairs go to a balancer that is thought lost, or to a seed, so that two parts
+/// of the fleet that lost sight of each other meet again.
+const STRAY_EVERY: u32 = 4;
+/// Entries of a snapshot page, in bytes.
+const PAGE_BYTES: usize = 256 << 10;
+/// Entries of a repair answer, in bytes.
+const DELTA_BYTES: usize = 32 << 10;
+/// Peers from which a joining balancer takes a snapshot.
+const SNAPSHOTS: usize = 3;
+/// Time after which a joining balancer without a whole snapshot asks again.
+const SNAPSHOT_RETRY: Span = Span::from_secs(2);
+
+/// What an exchange is tuned by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Peers that each push goes to.
+    pub fanout: usize,
+    /// Pushes of each entry by each balancer.
+    pub rounds: u8,
+    /// Time between two pushes.
+    pub round: Span,
+    /// Time between two comparisons with a random peer; zero switches repair off.
+    pub repair: Span,
+    /// Time after which a suspected balancer counts as lost.
+    pub loss: Span,
+    /// Bytes that pushes may use.
+    pub budget: Budget,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// This process learned an entry by itself, from the store or an agent.
+    Local(Item),
+    /// A peer sent a message and waits for the answer.
+    Request(Message),
+    /// A peer answered.
+    Answer {
+        /// The peer.
+        from: Node,
+        /// Its answer.
+        message: Message,
+    },
+    /// A peer did not answer, also on a new connection.
+    Failed {
+        /// The peer.
+        to: Node,
+        /// The message that brought no answer.
+        message: Message,
+    },
+    /// This process leaves.
+    Leave,
+    /// Time passed.
+    Tick,
+}
+
+/// What follows for the shell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message to a peer and bring back its answer.
+    Send {
+        /// The peer.
+        to: Node,
+        /// The message.
+        message: Message,
+    },
+    /// Answer the request.
+    Reply(Message),
+    /// An entry is new to this process.
+    Learned(Item),
+    /// The balancers that take part have changed.
+    Peers(Vec<(Node, Domain)>),
+    /// The first snapshot is complete.
+    Joined,
+}
+
+/// The state of one balancer in the exchange.
+#[derive(Debug)]
+pub struct Exchange {
+    own: Peer,
+    settings: Settings,
+    table: Table,
+    view: View,
+    rumours: Rumours,
+    rng: StdRng,
+    next_round: Moment,
+    next_repair: Moment,
+    repairs: u32,
+    join: Join,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Join {
+    Asking { until: Moment },
+    Joined,
+}
+
+impl Default for Settings {
+    /// Returns the settings that `docs/CAPACITY.md` assumes.
+    fn default() -> Self {
+        Self {
+            fanout: 3,
+            rounds: 6,
+            round: Span::from_millis(200),
+            repair: Span::from_secs(2),
+            loss: Span::from_secs(6),
+            budget: Budget::default(),
+        }
+    }
+}
+
+impl Exchange {
+    /// Creates the exchange of a balancer that knows some addresses of others.
+    pub fn new(own: Peer, seeds: &[Node], settings: Settings, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut table = Table::new();
+        let item = Item::Peer(Arc::new(own.clone()));
+        table.merge(&item, Moment::default());
+        let mut view = View::new(own.node, seeds);
+        view.note(&own, Moment::default());
+        let mut rumours = Rumours::new(settings.budget);
+        rumours.add(&item, settings.rounds);
+        let first = rng.random_range(0..=settings.repair.as_micros());
+        Self {
+            own,
+            settings,
+            table,
+            view,
+            rumours,
+            rng,
+            next_round: Moment::default(),
+            next_repair: Moment::default() + Span::from_micros(first),
+            repairs: 0,
+            join: Join::Asking { until: Moment::default() },
+        }
+    }
+
+    /// Returns the entries.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Returns the balancers that take part, this one included.
+    pub fn peers(&self) -> Vec<(Node, Domain)> {
+        self.view.live()
+    }
+
+    /// Returns this balancer's own entry.
+    pub fn own(&self) -> &Peer {
+        &self.own
+    }
+
+    fn learn(&mut self, item: Item, now: Moment, actions: &mut Vec<Action>) {
+        if self.table.merge(&item, now) != Merge::Taken {
+            return;
+        }
+        self.rumours.add(&item, self.settings.rounds);
+        if let Item::Peer(peer) = &item {
+            self.note_peer(peer, now, actions);
+        }
+        if let Item::Outage(outage) = &item {
+            self.view.set_lost(&outage.domain, outage.is_lost());
+            actions.push(Action::Peers(self.view.live()));
+        }
+        actions.push(Action::Learned(item));
+    }
+
+    fn note_peer(&mut self, peer: &Peer, now: Moment, actions: &mut Vec<Action>) {
+        if self.view.note(peer, now) {
+            actions.push(Action::Peers(self.view.live()));
+        }
+        let foreign = peer.node == self.own.node && *peer != self.own;
+        if foreign && self.own.standing == Standing::Trusted {
+            self.refute(peer, now, actions);
+        }
+    }
+
+    /// Answers an entry about this balancer that it did not write: it is alive, and its word goes
+    /// before what others think.
+    fn refute(&mut self, peer: &Peer, now: Moment, actions: &mut Vec<Action>) {
+        if peer.incarnation > self.own.incarnation {
+            self.own.incarnation = Incarnation::new(peer.incarnation.get() + 1);
+        }
+        self.own.version = self.own.version.max(peer.version) + 1;
+        let own = Item::Peer(Arc::new(self.own.clone()));
+        self.learn(own, now, actions);
+    }
+
+    fn leave(&mut self, now: Moment) -> Vec<Action> {
+        self.own.version += 1;
+        self.own.standing = Standing::Lost;
+        let own = Item::Peer(Arc::new(self.own.clone()));
+        let mut actions = Vec::new();
+        self.learn(own.clone(), now, &mut actions);
+        for to in self.view.pick(self.settings.fanout, &mut self.rng) {
+            actions.push(Action::Send { to, message: Message::Push(vec![own.clone()]) });
+        }
+        actions
+    }
+
+    fn answer(&mut self, message: Message, now: Moment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let reply = match message {
+            Message::Push(items) => {
+                items.into_iter().for_each(|item| self.learn(item, now, &mut actions));
+                Message::Done
+            }
+            Message::Digest(groups) => Message::Groups(self.table.differing_groups(&groups)),
+            Message::Lines { buckets, lines } => self.compare(&buckets, &lines),
+            Message::Snapshot { after } => {
+                let (items, next) = self.table.page(after, PAGE_BYTES);
+                Message::Page { items, next }
+            }
+            // The others are answers, which nobody sends as a request.
+            _ => Message::Done,
+        };
+        actions.push(Action::Reply(reply));
+        actions
+    }
+
+    fn compare(&self, buckets: &[u16], lines: &[Line]) -> Message {
+        let mut items = Vec::new();
+        let mut wanted = Vec::new();
+        let mut size = 0;
+        let mut add = |item: &Item| {
+            if size < DELTA_BYTES {
+                size += item.size();
+                items.push(item.clone());
+            }
+        };
+        let known = |key: u64| lines.binary_search_by_key(&key, |line| line.key).is_ok();
+        for line in lines {
+            match self.table.get(line.key) {
+                Some(item) if item.version() > line.version => add(item),
+                Some(item) if item.version() == line.version => {}
+                _ => wanted.push(line.key),
+            }
+        }
+        for (_, item) in buckets
+            .iter()
+            .flat_map(|&bucket| self.table.bucket(bucket))
+            .filter(|(key, _)| !known(*key))
+        {
+            add(item);
+        }
+        Message::Delta { items, wanted }
+    }
+
+    fn continue_with(&mut self, from: Node, message: Message, now: Moment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match message {
+            Message::Groups(groups) => {
+                self.view.answered(from);
+                let buckets = self.table.differing_buckets(&groups);
+                if !buckets.is_empty() {
+                    let message = self.lines(buckets);
+                    actions.push(Action::Send { to: from, message });
+                }
+            }
+            Message::Delta { items, wanted } => {
+                self.take_repair(items, now, &mut actions);
+                let items: Vec<Item> =
+                    wanted.iter().filter_map(|&key| self.table.get(key)).cloned().collect();
+                if !items.is_empty() {
+                    actions.push(Action::Send { to: from, message: Message::Push(items) });
+                }
+            }
+            Message::Page { items, next } => {
+                self.take_repair(items, now, &mut actions);
+                match next {
+                    Some(_) => actions.push(Action::Send {
+                        to: from,
+                        message: Message::Snapshot { after: next },
+                    }),
+                    None => self.joined(&mut actions),
+                }
+            }
+            _ => {}
+        }
+        actions
+    }
+
+    fn lines(&self, buckets: Vec<u16>) -> Message {
+        let lines = buckets.iter().flat_map(|&bucket| self.table.bucket(bucket));
+        let lines = lines.map(|(key, item)| Line { key, version: item.version() }).collect();
+        Message::Lines { buckets, lines }
+    }
+
+    /// Takes entries that came by comparison. One about something gone that was never known here
+    /// is left out, so that balancers cannot hand it around without end.
+    fn take_repair(&mut self, items: Vec<Item>, now: Moment, actions: &mut Vec<Action>) {
+        for item in items {
+            if !item.is_gone() || self.table.get(item.key().digest()).is_some() {
+                self.learn(item, now, actions);
+            }
+        }
+    }
+
+    fn joined(&mut self, actions: &mut Vec<Action>) {
+        if self.join != Join::Joined {
+            self.join = Join::Joined;
+            actions.push(Action::Joined);
+        }
+    }
+
+    fn failed(&mut self, to: Node, message: &Message, now: Moment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        // A push that fails says little, since other copies are on their way.
+        if matches!(message, Message::Digest(_))
+            && let Some(suspect) = self.view.failed(to, FAILURES)
+        {
+            self.learn(Item::Peer(Arc::new(suspect)), now, &mut actions);
+        }
+        actions
+    }
+
+    fn tick(&mut self, now: Moment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.table.expire(now);
+        for lost in self.view.overdue(now, self.settings.loss) {
+            self.learn(Item::Peer(Arc::new(lost)), now, &mut actions);
+        }
+        if now >= self.next_round {
+            self.next_round = now + self.settings.round;
+            self.push(now, &mut actions);
+        }
+        if self.settings.repair > Span::ZERO && now >= self.next_repair {
+            self.repair(now, &mut actions);
+        }
+        self.ask_snapshots(now, &mut actions);
+        actions
+    }
+
+    fn push(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        if self.rumours.is_empty() {
+            return;
+        }
+        let peers = self.view.pick(self.settings.fanout, &mut self.rng);
+        let items = self.rumours.take(&self.table, peers.len(), now);
+        if items.is_empty() {
+            return;
+        }
+        for to in peers {
+            actions.push(Action::Send { to, message: Message::Push(items.clone()) });
+        }
+    }
+
+    fn repair(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        // Half a period of jitter keeps balancers that started together from meeting in bursts.
+        let period = self.settings.repair.as_micros();
+        let wait = self.rng.random_range(period * 3 / 4..=period * 5 / 4);
+        self.next_repair = now + Span::from_micros(wait);
+        self.repairs += 1;
+        let stray = self.repairs.is_multiple_of(STRAY_EVERY);
+        let stray = stray.then(|| self.view.stray(&mut self.rng)).flatten();
+        let doubted = self.view.doubted();
+        let random = || self.view.pick(1, &mut self.rng).first().copied();
+        let target = stray.or_else(random);
+        for to in doubted.into_iter().chain(target) {
+            let message = Message::Digest(self.table.groups().to_vec());
+            actions.push(Action::Send { to, message });
+        }
+    }
+
+    fn ask_snapshots(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        let Join::Asking { until } = self.join else { return };
+        if now < until {
+            return;
+        }
+        self.join = Join::Asking { until: now + SNAPSHOT_RETRY };
+        let peers = self.view.pick(SNAPSHOTS, &mut self.rng);
+        if peers.is_empty() {
+            self.joined(actions);
+        }
+        for to in peers {
+            actions.push(Action::Send { to, message: Message::Snapshot { after: None } });
+        }
+    }
+}
+
+impl Controller for Exchange {
+    type Action = Action;
+    type Event = Event;
+
+    fn step(&mut self, event: Event, now: Moment) -> Vec<Action> {
+        match event {
+            Event::Local(item) => {
+                let mut actions = Vec::new();
+                self.learn(item, now, &mut actions);
+                actions
+            }
+            Event::Request(message) => self.answer(message, now),
+            Event::Answer { from, message } => self.continue_with(from, message, now),
+            Event::Failed { to, message } => self.failed(to, &message, now),
+            Event::Leave => self.leave(now),
+            Event::Tick => self.tick(now),
+        }
+    }
+}
--- /dev/null
+++ b/yuccacroft-core/src/gossip/exchange/rumour.rs
@@ -0,0 +1,83 @@
+//! The entries that a balancer still pushes.
+
+use {
+    super::{
+        super::{
+            entry::{Item, Version},
+            table::Table,
+        },
+        view::Budget,
+    },
+    crate::time::Moment,
+    std::collections::VecDeque,
+};
+
+/// Bytes of entries in one push message, below the payload of two Ethernet frames.
+const PUSH_BYTES: usize = 2_400;
+
+/// Entries to push, contracts and outages before all others: their time to take effect is
+/// bounded, that of members is not.
+#[derive(Clone, Debug)]
+pub struct Rumours {
+    urgent: VecDeque<Rumour>,
+    other: VecDeque<Rumour>,
+    budget: Budget,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Rumour {
+    key: u64,
+    version: Version,
+    left: u8,
+}
+
+impl Rumours {
+    /// Creates an empty queue.
+    pub fn new(budget: Budget) -> Self {
+        Self { urgent: VecDeque::new(), other: VecDeque::new(), budget }
+    }
+
+    /// Queues an entry for a number of pushes.
+    pub fn add(&mut self, item: &Item, rounds: u8) {
+        if rounds == 0 {
+            return;
+        }
+        let rumour = Rumour { key: item.key().digest(), version: item.version(), left: rounds };
+        match item {
+            Item::Contract(_) | Item::Outage(_) => self.urgent.push_back(rumour),
+            Item::Member(_) | Item::Peer(_) => self.other.push_back(rumour),
+        }
+    }
+
+    /// Returns true when nothing is to be pushed.
+    pub fn is_empty(&self) -> bool {
+        self.urgent.is_empty() && self.other.is_empty()
+    }
+
+    /// Takes the entries of one push to a number of peers, as far as the budget allows.
+    pub fn take(&mut self, table: &Table, peers: usize, now: Moment) -> Vec<Item> {
+        let allowed = self.budget.allowed(now) / peers.max(1);
+        let mut items = Vec::new();
+        let mut size = 0;
+        for queue in [&mut self.urgent, &mut self.other] {
+            let mut again = Vec::new();
+            // Zero or less means that earlier pushes have used the bytes of the present time.
+            while size < allowed.min(PUSH_BYTES)
+                && let Some(mut rumour) = queue.pop_front()
+            {
+                // A later version has its own place in the queue.
+                let held = table.get(rumour.key).filter(|item| item.version() == rumour.version);
+                let Some(item) = held else { continue };
+                size += item.size();
+                items.push(item.clone());
+                rumour.left -= 1;
+                if rumour.left > 0 {
+                    again.push(rumour);
+                }
+            }
+            queue.extend(again);
+        }
+        self.budget.spend(size * peers);
+        items
+    }
+}
--- /dev/null
+++ b/yuccacroft-core/src/gossip/peer.rs
@@ -0,0 +1,62 @@
+//! Balancers as they see each other.
+
+use {
+    crate::{
+        errors::{Error, Result},
+        ids::{Domain, Incarnation},
+        member::Standing,
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        fmt::{Display, Formatter},
+        net::SocketAddr,
+        str::FromStr,
+    },
+};
+
+/// The control address of a balancer, which also serves as its identity together with an
+/// [`Incarnation`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Node(SocketAddr);
+
+impl Node {
+    /// Wraps the address at which the balancer receives control messages.
+    pub const fn new(address: SocketAddr) -> Self {
+        Self(address)
+    }
+
+    /// Returns the address.
+    pub const fn address(self) -> SocketAddr {
+        self.0
+    }
+}
+
+impl Display for Node {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Node {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        text.parse().map(Self).map_err(|_| Error::expected("an address and port", text))
+    }
+}
+
+/// The entry of one balancer. The balancer itself writes it; others only lower its standing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Its control address.
+    pub node: Node,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Counts the changes of this entry within one incarnation.
+    pub version: u32,
+    /// What others think of it; a balancer that leaves sets it to [`Standing::Lost`] itself.
+    pub standing: Standing,
+}
--- a/yuccacroft-core/src/member.rs
+++ b/yuccacroft-core/src/member.rs
@@ -55,3 +55,40 @@
         Hop { instance: self.instance, incarnation: self.incarnation }
     }
 }
+
+/// What balancers think of a process. The order is the one in which a standing may get worse
+/// without a word of the process itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Standing {
+    /// It is heard from.
+    Trusted = 0,
+    /// It was not heard from for a while and gets little new work.
+    Suspected = 1,
+    /// It was not heard from for long and gets none.
+    Lost = 2,
+}
+
+/// An entry together with its standing. A new version of the entry starts as trusted again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The entry as its agent wrote it.
+    pub entry: Entry,
+    /// What the registrars think of the agent.
+    pub standing: Standing,
+}
+
+/// The state of a whole failure domain. Its loss is this one record instead of one a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outage {
+    /// The failure domain.
+    pub domain: Domain,
+    /// Counts the changes; the domain is lost while the number is odd.
+    pub epoch: u64,
+}
+
+impl Outage {
+    /// Returns true while the failure domain is lost.
+    pub fn is_lost(&self) -> bool {
+        self.epoch % 2 == 1
+    }
+}
--- a/yuccacroft-core/src/member/roster.rs
+++ b/yuccacroft-core/src/member/roster.rs
@@ -1,21 +1,65 @@
 //! The controller of the members that a balancer knows.
 
+mod duty;
+mod judge;
+
 use {
-    super::{Entry, Phase},
+    self::{
+        duty::{Duties, Duty},
+        judge::Judge,
+    },
+    super::{Entry, Outage, Phase, Record, Standing},
     crate::{
         controller::Controller,
-        ids::{Customer, Instance, Service},
+        gossip::{entry::Item, peer::Node},
+        ids::{Customer, Domain, Instance, Service},
         placement::Candidate,
         time::{Moment, Span},
+        units::Weight,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        sync::Arc,
     },
-    std::collections::BTreeMap,
 };
 
+pub use self::judge::Report;
+
+/// A suspected member keeps this fraction of its weight.
+const SUSPECTED_DIVISOR: u32 = 4;
+/// Time for which the entry of a member that is gone is kept, so that an older one from a balancer
+/// that was cut off cannot bring it back.
+const KEEP_GONE: Span = Span::from_secs(600);
+/// Members of a failure domain from which its loss is told from the loss of single members.
+/// Below it, single suspicions cost less than the wait for the others.
+const DOMAIN_MEMBERS: usize = 8;
+/// Time between two reports of the same member to the judges of its failure domain.
+const REPORT_EVERY: Span = Span::from_secs(5);
+
+/// How long silence is borne.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Silence after which a member is suspected.
+    pub silence: Span,
+    /// Silence after which it is taken out.
+    pub loss: Span,
+    /// Time between doubt and suspicion in which the loss of the failure domain can be noticed.
+    pub hold: Span,
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// An agent said that its upstream is there.
+    /// An agent announced its upstream to this process.
     Announced(Entry),
+    /// A member is known from other balancers.
+    Learned(Arc<Record>),
+    /// The state of a failure domain is known.
+    Outage(Outage),
+    /// The balancers that take part, this one included.
+    Peers(Vec<(Node, Domain)>),
+    /// A registrar told a judge of its members in one failure domain.
+    Reported(Vec<Report>),
     /// Time passed.
     Tick,
 }
@@ -32,88 +76,310 @@
         /// All members that take new flows.
         candidates: Vec<Candidate>,
     },
+    /// An entry that other balancers need.
+    Publish(Item),
+    /// Reports for the judge of a failure domain.
+    Report {
+        /// The judge.
+        to: Node,
+        /// What this registrar knows.
+        reports: Vec<Report>,
+    },
 }
 
 /// The members that a balancer knows.
 #[derive(Clone, Debug)]
 pub struct Roster {
-    silence: Span,
+    timing: Timing,
     members: BTreeMap<Instance, Member>,
+    services: BTreeMap<(Customer, Service), BTreeSet<Instance>>,
+    domains: BTreeMap<Domain, BTreeSet<Instance>>,
+    outages: BTreeMap<Domain, (Outage, Moment)>,
+    gone: VecDeque<(Moment, Instance)>,
+    changed: BTreeSet<(Customer, Service)>,
+    duties: Duties,
+    judge: Judge,
 }
 
 #[derive(Clone, Debug)]
 struct Member {
-    entry: Entry,
-    heard: Moment,
+    record: Arc<Record>,
+    fresh: Moment,
+}
+
+impl Default for Timing {
+    /// Returns the times for announcements every two seconds.
+    fn default() -> Self {
+        Self { silence: Span::from_secs(5), loss: Span::from_secs(10), hold: Span::from_secs(4) }
+    }
+}
+
+impl Record {
+    fn order(&self) -> (crate::ids::Incarnation, u32, Standing) {
+        (self.entry.incarnation, self.entry.version, self.standing)
+    }
 }
 
 impl Roster {
-    /// Creates an empty roster that drops members after `silence`.
-    pub fn new(silence: Span) -> Self {
-        Self { silence, members: BTreeMap::new() }
+    /// Creates the empty roster of the balancer at an address.
+    pub fn new(own: Node, timing: Timing) -> Self {
+        Self {
+            timing,
+            members: BTreeMap::new(),
+            services: BTreeMap::new(),
+            domains: BTreeMap::new(),
+            outages: BTreeMap::new(),
+            gone: VecDeque::new(),
+            changed: BTreeSet::new(),
+            duties: Duties::new(own),
+            judge: Judge::default(),
+        }
     }
 
-    /// Returns all entries.
+    /// Returns all entries, also of members that are gone.
     pub fn iter(&self) -> impl Iterator<Item = &Entry> {
-        self.members.values().map(|member| &member.entry)
+        self.members.values().map(|member| &member.record.entry)
+    }
+
+    /// Returns the standing of a member as others see it.
+    pub fn standing(&self, instance: Instance) -> Option<Standing> {
+        self.members.get(&instance).map(|member| self.judged(member))
     }
 
-    /// Returns the entries of one service.
+    /// Returns the entries of the members of one service that are not gone.
     pub fn of<'a>(
         &'a self,
-        customer: &'a Customer,
-        service: &'a Service,
-    ) -> impl Iterator<Item = &'a Entry> {
-        self.iter().filter(move |e| e.customer == *customer && e.service == *service)
+        customer: &Customer,
+        service: &Service,
+    ) -> impl Iterator<Item = &'a Entry> + use<'a> {
+        let instances = self.services.get(&(customer.clone(), service.clone()));
+        let members = instances.into_iter().flatten().filter_map(|i| self.members.get(i));
+        members
+            .filter(|m| m.record.entry.phase != Phase::Left && self.judged(m) != Standing::Lost)
+            .map(|member| &member.record.entry)
     }
 
-    /// Returns the members of a service that take new flows.
+    /// Returns the members of a service that take new flows. When every one of them seems lost,
+    /// this balancer is the one that is cut off, and it goes on with what it knew.
     pub fn candidates(&self, customer: &Customer, service: &Service) -> Vec<Candidate> {
-        let serving = self.of(customer, service).filter(|e| e.phase == Phase::Serving);
-        serving.map(|e| Candidate { hop: e.hop(), weight: e.weight }).collect()
+        let instances = self.services.get(&(customer.clone(), service.clone()));
+        let members = instances.into_iter().flatten().filter_map(|i| self.members.get(i));
+        let serving: Vec<&Member> =
+            members.filter(|member| member.record.entry.phase == Phase::Serving).collect();
+        let candidate = |member: &&Member, weight| {
+            (weight > 0)
+                .then(|| Candidate { hop: member.record.entry.hop(), weight: Weight::new(weight) })
+        };
+        let known = serving.iter().filter_map(|m| candidate(m, self.weight(m)));
+        let known: Vec<_> = known.collect();
+        if !known.is_empty() {
+            return known;
+        }
+        serving.iter().filter_map(|m| candidate(m, m.record.entry.weight.get())).collect()
+    }
+
+    /// Returns the balancers to which an agent announces itself, the best first.
+    pub fn registrars(&self, instance: Instance) -> Vec<Node> {
+        self.duties.registrars(instance)
+    }
+
+    /// Returns the version that an agent has to exceed to be trusted again, when it is not.
+    pub fn refutation(&self, instance: Instance) -> Option<u32> {
+        let member = self.members.get(&instance)?;
+        let doubted = self.judged(member) != Standing::Trusted;
+        doubted.then_some(member.record.entry.version)
+    }
+
+    fn weight(&self, member: &Member) -> u32 {
+        let weight = member.record.entry.weight.get();
+        match self.judged(member) {
+            Standing::Trusted => weight,
+            Standing::Suspected => (weight / SUSPECTED_DIVISOR).max(weight.min(1)),
+            Standing::Lost => 0,
+        }
+    }
+
+    /// Combines the standing of a member with that of its failure domain. A word of the agent
+    /// after the loss of the domain goes before it.
+    fn judged(&self, member: &Member) -> Standing {
+        let standing = member.record.standing;
+        match self.lost_since(&member.record.entry.domain) {
+            Some(since) if member.fresh <= since => Standing::Lost,
+            _ => standing,
+        }
+    }
+
+    fn lost_since(&self, domain: &Domain) -> Option<Moment> {
+        let (outage, since) = self.outages.get(domain)?;
+        outage.is_lost().then_some(*since)
     }
 
     fn announce(&mut self, entry: Entry, now: Moment) -> Vec<Action> {
-        let known = self.members.get_mut(&entry.instance);
-        if let Some(known) = known
-            && !entry.supersedes(&known.entry)
-        {
-            if entry == known.entry {
-                known.heard = now;
-            }
+        let instance = entry.instance;
+        let current = self.members.get(&instance);
+        let older = current.is_some_and(|known| known.record.entry.supersedes(&entry));
+        if older {
             return Vec::new();
         }
-        let changed = entry.clone();
-        let replaced = self.members.insert(entry.instance, Member { entry, heard: now });
-        let mut actions = vec![self.rebuild(&changed)];
-        // A reused address can leave its former service.
-        if let Some(Member { entry: old, .. }) = replaced
-            && (&old.customer, &old.service) != (&changed.customer, &changed.service)
-        {
-            actions.push(self.rebuild(&old));
+        let record = Arc::new(Record { entry, standing: Standing::Trusted });
+        let taken = self.take(&record, now);
+        self.duties.heard(instance, now);
+        if taken { vec![Action::Publish(Item::Member(record))] } else { Vec::new() }
+    }
+
+    /// Takes a record unless the known one is as new. Returns true when it was taken.
+    fn take(&mut self, record: &Arc<Record>, now: Moment) -> bool {
+        let entry = &record.entry;
+        let known = self.members.get(&entry.instance);
+        if known.is_some_and(|known| known.record.order() >= record.order()) {
+            return false;
         }
+        let spoke = known.is_none_or(|known| entry.supersedes(&known.record.entry));
+        let fresh = if spoke { now } else { known.map_or(now, |known| known.fresh) };
+        if let Some(known) = known.cloned() {
+            self.unlink(&known.record.entry);
+            self.duties.spoke(&known.record, record, now);
+        }
+        self.link(entry);
+        if record.standing == Standing::Lost || entry.phase == Phase::Left {
+            self.gone.push_back((now, entry.instance));
+            self.duties.remove(entry.instance);
+        } else {
+            self.duties.add(entry.instance, now);
+        }
+        self.members.insert(entry.instance, Member { record: record.clone(), fresh });
+        true
+    }
+
+    fn link(&mut self, entry: &Entry) {
+        let key = (entry.customer.clone(), entry.service.clone());
+        self.services.entry(key.clone()).or_default().insert(entry.instance);
+        self.domains.entry(entry.domain.clone()).or_default().insert(entry.instance);
+        self.changed.insert(key);
+    }
+
+    fn unlink(&mut self, entry: &Entry) {
+        let key = (entry.customer.clone(), entry.service.clone());
+        if let Some(instances) = self.services.get_mut(&key) {
+            instances.remove(&entry.instance);
+        }
+        if let Some(instances) = self.domains.get_mut(&entry.domain) {
+            instances.remove(&entry.instance);
+        }
+        self.changed.insert(key);
+    }
+
+    fn outage(&mut self, outage: Outage, now: Moment) {
+        let known = self.outages.get(&outage.domain);
+        if known.is_some_and(|(known, _)| known.epoch >= outage.epoch) {
+            return;
+        }
+        let members = self.domains.get(&outage.domain).into_iter().flatten();
+        let entries = members.filter_map(|i| self.members.get(i)).map(|m| &m.record.entry);
+        self.changed.extend(entries.map(|entry| (entry.customer.clone(), entry.service.clone())));
+        // Registrars start over, so that members that did not come back are doubted one by one.
+        if !outage.is_lost() {
+            let members = self.domains.get(&outage.domain).into_iter().flatten();
+            members.for_each(|&instance| self.duties.restart(instance, now));
+        }
+        self.judge.forget(&outage.domain);
+        self.outages.insert(outage.domain.clone(), (outage, now));
+    }
+
+    fn judge(&mut self, reports: &[Report], now: Moment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for domain in self.judge.note(reports, now) {
+            let members = self.live_members(&domain);
+            let epoch = self.outages.get(&domain).map_or(0, |(outage, _)| outage.epoch);
+            if let Some(outage) = self.judge.decide(&domain, members, epoch) {
+                self.outage(outage.clone(), now);
+                actions.push(Action::Publish(Item::Outage(outage)));
+            }
+        }
+        actions
+    }
+
+    /// Counts the members of a failure domain that did not leave by themselves.
+    fn live_members(&self, domain: &Domain) -> usize {
+        let members = self.domains.get(domain).into_iter().flatten();
+        let records = members.filter_map(|i| self.members.get(i)).map(|member| &member.record);
+        records.filter(|r| r.entry.phase != Phase::Left && r.standing != Standing::Lost).count()
+    }
+
+    fn tick(&mut self, now: Moment) -> Vec<Action> {
+        let mut actions = self.watch(now);
+        self.drop_gone(now);
+        let changed = std::mem::take(&mut self.changed);
+        actions.extend(changed.into_iter().map(|(customer, service)| {
+            let candidates = self.candidates(&customer, &service);
+            Action::Rebuild { customer, service, candidates }
+        }));
         actions
     }
 
-    fn expire(&mut self, now: Moment) -> Vec<Action> {
-        let silence = self.silence;
-        let mut gone: Vec<Entry> = Vec::new();
-        self.members.retain(|_, member| {
-            let keep = now.since(member.heard) < silence;
-            if !keep {
-                gone.push(member.entry.clone());
+    /// Goes over the members that announce themselves to this process.
+    fn watch(&mut self, now: Moment) -> Vec<Action> {
+        let mut worse: Vec<Arc<Record>> = Vec::new();
+        let mut reports: BTreeMap<Node, Vec<Report>> = BTreeMap::new();
+        let duties: Vec<(Instance, Duty)> = self.duties.iter().collect();
+        for (instance, duty) in duties {
+            let Some(member) = self.members.get(&instance) else { continue };
+            let entry = &member.record.entry;
+            let silent = duty.is_silent(self.timing.silence, now);
+            let lost = self.lost_since(&entry.domain).is_some();
+            let large = self.domains.get(&entry.domain).map_or(0, BTreeSet::len) >= DOMAIN_MEMBERS;
+            let due = duty.reported.is_none_or(|at| now.since(at) >= REPORT_EVERY);
+            if large && (lost || silent) && due {
+                let report = Report { instance, domain: entry.domain.clone(), alive: !silent };
+                for judge in self.duties.judges(&entry.domain) {
+                    reports.entry(judge).or_default().push(report.clone());
+                }
+                self.duties.note_report(instance, now);
+            }
+            if silent && !lost {
+                worse.extend(self.worsened(member, duty, large, now));
             }
-            keep
-        });
-        gone.sort_by(|a, b| (&a.customer, &a.service).cmp(&(&b.customer, &b.service)));
-        gone.dedup_by(|a, b| (&a.customer, &a.service) == (&b.customer, &b.service));
-        gone.iter().map(|entry| self.rebuild(entry)).collect()
+        }
+        let mut actions = Vec::new();
+        for record in worse {
+            self.take(&record, now);
+            actions.push(Action::Publish(Item::Member(record)));
+        }
+        actions.extend(reports.into_iter().map(|(to, reports)| Action::Report { to, reports }));
+        actions
     }
 
-    fn rebuild(&self, entry: &Entry) -> Action {
-        let (customer, service) = (entry.customer.clone(), entry.service.clone());
-        let candidates = self.candidates(&customer, &service);
-        Action::Rebuild { customer, service, candidates }
+    fn worsened(
+        &self,
+        member: &Member,
+        duty: Duty,
+        large: bool,
+        now: Moment,
+    ) -> Option<Arc<Record>> {
+        let hold = if large { self.timing.hold } else { Span::ZERO };
+        let standing = match member.record.standing {
+            Standing::Trusted if duty.is_silent(self.timing.silence + hold, now) => {
+                Standing::Suspected
+            }
+            Standing::Suspected if duty.is_silent(self.timing.loss + hold, now) => Standing::Lost,
+            _ => return None,
+        };
+        Some(Arc::new(Record { entry: member.record.entry.clone(), standing }))
+    }
+
+    fn drop_gone(&mut self, now: Moment) {
+        while let Some((since, instance)) = self.gone.front().copied()
+            && now.since(since) >= KEEP_GONE
+        {
+            self.gone.pop_front();
+            let Some(member) = self.members.get(&instance) else { continue };
+            let record = member.record.clone();
+            let gone = record.standing == Standing::Lost || record.entry.phase == Phase::Left;
+            if gone && member.fresh <= since {
+                self.unlink(&record.entry);
+                self.members.remove(&instance);
+            }
+        }
     }
 }
 
@@ -124,7 +390,20 @@
     fn step(&mut self, event: Event, now: Moment) -> Vec<Action> {
         match event {
             Event::Announced(entry) => self.announce(entry, now),
-            Event::Tick => self.expire(now),
+            Event::Learned(record) => {
+                self.take(&record, now);
+                Vec::new()
+            }
+            Event::Outage(outage) => {
+                self.outage(outage, now);
+                Vec::new()
+            }
+            Event::Peers(peers) => {
+                self.duties.set_peers(&peers, self.members.keys().copied(), now);
+                Vec::new()
+            }
+            Event::Reported(reports) => self.judge(&reports, now),
+            Event::Tick => self.tick(now),
         }
     }
 }
--- a/yuccacroft-rpc/src/client.rs
+++ b/yuccacroft-rpc/src/client.rs
@@ -21,6 +21,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     pool: Pool<HttpConnector, Full<Bytes>>,
+    fresh: Pool<HttpConnector, Full<Bytes>>,
     timeout: Duration,
 }
 
@@ -32,7 +33,26 @@
             .retry_canceled_requests(false)
             .pool_idle_timeout(Duration::from_secs(15))
             .build(HttpConnector::new());
-        Self { pool, timeout }
+        let fresh = Pool::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .pool_max_idle_per_host(0)
+            .build(HttpConnector::new());
+        Self { pool, fresh, timeout }
+    }
+
+    /// Sends an idempotent message, a second time on a new connection when no answer came. A kept
+    /// connection can be silent while new ones work, which says nothing of the peer.
+    pub async fn call_again<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        secret: &Secret,
+        query: &Q,
+    ) -> Result<A> {
+        match self.call(peer, path, secret, query).await {
+            Err(Error::Lost(_)) => self.call_on(&self.fresh, peer, path, secret, query).await,
+            other => other,
+        }
     }
 
     /// Sends a message to a path of a peer and reads its answer.
@@ -42,26 +62,40 @@
         path: &str,
         secret: &Secret,
         query: &Q,
+    ) -> Result<A> {
+        self.call_on(&self.pool, peer, path, secret, query).await
+    }
+
+    async fn call_on<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        pool: &Pool<HttpConnector, Full<Bytes>>,
+        peer: SocketAddr,
+        path: &str,
+        secret: &Secret,
+        query: &Q,
     ) -> Result<A> {
         let body = message::encode(query)?;
         let request = http::Request::post(format!("http://{peer}{path}"))
             .header(seal::HEADER, seal::sign(secret, path, clock::wall(), &body))
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| Error::Unreachable(error.to_string().into()))?;
-        let exchange = tokio::time::timeout(self.timeout, self.exchange(request));
+        let exchange = tokio::time::timeout(self.timeout, exchange(pool, request));
         let bytes = exchange.await.map_err(|_| Error::Lost("timeout".into()))??;
         Ok(message::decode(&bytes)?)
     }
+}
 
-    async fn exchange(&self, request: http::Request<Full<Bytes>>) -> Result<Bytes> {
-        let response = self.pool.request(request).await.map_err(|error| {
-            let text = error.to_string().into();
-            if error.is_connect() { Error::Unreachable(text) } else { Error::Lost(text) }
-        })?;
-        if !response.status().is_success() {
-            return Err(Error::Refused(response.status()));
-        }
-        let body = Limited::new(response.into_body(), message::MAX_BYTES).collect().await;
-        body.map(|body| body.to_bytes()).map_err(|error| Error::Lost(error.to_string().into()))
+async fn exchange(
+    pool: &Pool<HttpConnector, Full<Bytes>>,
+    request: http::Request<Full<Bytes>>,
+) -> Result<Bytes> {
+    let response = pool.request(request).await.map_err(|error| {
+        let text = error.to_string().into();
+        if error.is_connect() { Error::Unreachable(text) } else { Error::Lost(text) }
+    })?;
+    if !response.status().is_success() {
+        return Err(Error::Refused(response.status()));
     }
+    let body = Limited::new(response.into_body(), message::MAX_BYTES).collect().await;
+    body.map(|body| body.to_bytes()).map_err(|error| Error::Lost(error.to_string().into()))
 }
--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod capsule;
 pub mod errors;
+pub mod exchange;
 pub mod invariant;
 pub mod message;
 pub mod proxy;
--- a/yuccacroft-wire/src/message.rs
+++ b/yuccacroft-wire/src/message.rs
@@ -3,10 +3,12 @@
 use {
     crate::errors::{Error, Result},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::net::SocketAddr,
     yuccacroft_core::{
         contract::{Accepted, Contract},
         ids::{Incarnation, Instance, Revision},
         member::Entry,
+        rendezvous,
     },
 };
 
@@ -21,6 +23,8 @@
     pub entry: Entry,
     /// The revision of the contract that the agent follows.
     pub revision: Revision,
+    /// The digest of the siblings that the agent knows, see [`siblings_digest`].
+    pub siblings: u64,
 }
 
 /// The answer to an [`Announce`].
@@ -28,8 +32,14 @@
 pub struct Welcome {
     /// The contract, when the agent's revision is not the current one.
     pub contract: Option<Contract<Accepted>>,
-    /// The other agents of the service.
-    pub siblings: Box<[Sibling]>,
+    /// The other agents of the service, when the agent knows others.
+    pub siblings: Option<Box<[Sibling]>>,
+    /// The balancers to which the agent announces itself from now on.
+    pub registrars: Box<[SocketAddr]>,
+    /// Some balancers to turn to when no registrar answers.
+    pub others: Box<[SocketAddr]>,
+    /// The version that the agent has to exceed, when it was suspected.
+    pub refute: Option<u32>,
 }
 
 /// Another agent of the same service.
@@ -41,6 +51,12 @@
     pub incarnation: Incarnation,
 }
 
+/// Returns the digest of a list of siblings, so that it travels only when it has changed.
+pub fn siblings_digest(siblings: &[Sibling]) -> u64 {
+    let digests = siblings.iter().map(|s| rendezvous::digest(&(s.instance, s.incarnation)));
+    digests.fold(0, |sum, digest| sum ^ digest)
+}
+
 /// Encodes a message behind a version byte.
 pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
     let mut bytes = vec![VERSION];
--- a/yuccacroft/src/demo.rs
+++ b/yuccacroft/src/demo.rs
@@ -12,7 +12,10 @@
         time::Duration,
     },
     yuccacroft_agent::{endpoint, process as agent},
-    yuccacroft_balancer::{control::CONTRACTS, process as balancer},
+    yuccacroft_balancer::{
+        control::{CONTRACTS, Mesh},
+        process as balancer,
+    },
     yuccacroft_core::{
         ids::{Instance, Revision},
         key::Secret,
@@ -33,6 +36,7 @@
 const WORK: Duration = Duration::from_millis(20);
 const SERVICE_NAME: &str = "booking.kampvuur.example";
 const KEY: [u8; 32] = [7; 32];
+const MESH_KEY: [u8; 32] = [9; 32];
 
 /// Runs the demo. An error means that an answer was not whole.
 pub async fn run() -> Result<()> {
@@ -49,8 +53,9 @@
 
     let mut balancers = Vec::new();
     let (mut packets, mut controls) = (Vec::new(), Vec::new());
+    let peers = (0..BALANCERS).map(|_| free_tcp()).collect::<std::io::Result<Vec<_>>>()?;
     for index in 0..BALANCERS {
-        let settings = balancer_settings(index, store.address())?;
+        let settings = balancer_settings(index, &peers, store.address())?;
         packets.push(settings.packets);
         controls.push(settings.control);
         balancers.push(balancer::Process::new(settings, log.clone()).serve().await?);
@@ -101,6 +106,7 @@
 
 fn balancer_settings(
     index: usize,
+    peers: &[SocketAddr],
     store: SocketAddr,
 ) -> std::result::Result<balancer::Settings, caller::Error> {
     Ok(balancer::Settings {
@@ -108,8 +114,9 @@
         domain: format!("vlaanderen-{}", index % 3).parse()?,
         packets: free_address()?,
         capsules: free_v4()?,
-        control: free_tcp()?,
+        control: peers[index],
         store,
+        mesh: Some(Mesh { key: Secret::new(MESH_KEY), peers: peers.into() }),
         threads: 1,
     })
 }
--- a/yuccacroft/src/settings.rs
+++ b/yuccacroft/src/settings.rs
@@ -5,7 +5,7 @@
     rustls_pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
     std::{fs, path::Path},
     yuccacroft_agent::{endpoint::Certificate, process as agent},
-    yuccacroft_balancer::process as balancer,
+    yuccacroft_balancer::{control::Mesh, process as balancer},
     yuccacroft_core::{errors::Fault, ini::Reader, units::Weight},
 };
 
@@ -23,6 +23,7 @@
     let control = reader.required("listen", "control", ADDRESS);
     let store = reader.required("store", "address", ADDRESS);
     let threads = reader.optional("process", "threads", "a number of threads", DEFAULT_THREADS);
+    let mesh = mesh(&mut reader);
     let settings = (|| {
         Some(balancer::Settings {
             name: name?,
@@ -31,12 +32,23 @@
             capsules: capsules?,
             control: control?,
             store: store?,
+            mesh,
             threads: threads?,
         })
     })();
     finish(reader, settings)
 }
 
+/// Reads how to reach other balancers; a balancer without the section knows no other.
+fn mesh(reader: &mut Reader) -> Option<Mesh> {
+    if !reader.has("mesh") {
+        return None;
+    }
+    let key = reader.required("mesh", "key", "64 hexadecimal digits");
+    let peers = reader.list("mesh", "peers", "control addresses of balancers");
+    Some(Mesh { key: key?, peers: peers.into() })
+}
+
 /// Reads the settings of an agent and the certificate files that they name.
 pub fn agent(file: &Path) -> Result<agent::Settings> {
     let mut reader = open(file)?;
--- a/yuccacroft/tests/support/mod.rs
+++ b/yuccacroft/tests/support/mod.rs
@@ -21,6 +21,7 @@
 const WORK: Duration = Duration::from_millis(5);
 const CONNECT_DEADLINE: Duration = Duration::from_secs(30);
 const KEY: [u8; 32] = [7; 32];
+const MESH_KEY: [u8; 32] = [9; 32];
 
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
 
@@ -52,9 +53,10 @@
         fs::write(folder.join("service.pem"), certificate.certificate_pem.as_bytes()).unwrap();
         fs::write(folder.join("service.key"), certificate.key_pem.as_bytes()).unwrap();
         let (mut processes, mut packets, mut controls) = (Vec::new(), Vec::new(), Vec::new());
-        for index in 0..3 {
-            let (packet, control) = (free_udp(), free_tcp());
-            let text = balancer(index, packet, control, store.address());
+        let peers: Vec<SocketAddr> = (0..3).map(|_| free_tcp()).collect();
+        for (index, &control) in peers.iter().enumerate() {
+            let packet = free_udp();
+            let text = balancer(index, packet, &peers, store.address());
             processes.push(run(&folder, "balancer", index, &text));
             packets.push(packet);
             controls.push(control);
@@ -112,11 +114,16 @@
     )
 }
 
-fn balancer(index: usize, packets: SocketAddr, control: SocketAddr, store: SocketAddr) -> String {
+fn balancer(index: usize, packets: SocketAddr, peers: &[SocketAddr], store: SocketAddr) -> String {
+    let control = peers[index];
+    let key = Secret::new(MESH_KEY);
+    let peers: Vec<_> = peers.iter().map(ToString::to_string).collect();
     format!(
         "[process]\nname = balancer-{index}\ndomain = vlaanderen-{index}\n\n[listen]\n\
-         packets = {packets}\ncapsules = {}\ncontrol = {control}\n\n[store]\naddress = {store}\n",
-        free_udp()
+         packets = {packets}\ncapsules = {}\ncontrol = {control}\n\n[store]\naddress = {store}\n\n\
+         [mesh]\nkey = {key}\npeers = {}\n",
+        free_udp(),
+        peers.join(", ")
     )
 }
 
