Hold contracts of peers back until a balancer has joined; test recovery

A restarted balancer put the contract of the first peer that answered in force, which can be older than the one that it had before the restart. A balancer reads the store only after it has joined, since a fleet that starts together would otherwise list all contracts once a process.

One question at a time and ten failures in a row are needed now.

The stand-in fleet runs the controllers of many balancers under virtual time.

--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -204,7 +204,10 @@
                     self.step_roster(roster::Event::Peers(peers.clone()));
                     self.step_follower(follower::Event::Peers(peers));
                 }
-                exchange::Action::Joined => info!(self.log, "joined"),
+                exchange::Action::Joined => {
+                    info!(self.log, "joined");
+                    self.step_follower(follower::Event::Joined);
+                }
             }
         }
         reply
--- a/yuccacroft-core/src/contract/follower.rs
+++ b/yuccacroft-core/src/contract/follower.rs
@@ -29,6 +29,8 @@
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// This balancer has joined the others, or found none.
+    Joined,
     /// The balancers that take part, this one included.
     Peers(Vec<(Node, Domain)>),
     /// The store listed all contracts as of a revision.
@@ -72,6 +74,8 @@
     own: Node,
     domain: Domain,
     everyone: bool,
+    joined: bool,
+    peers: Vec<(Node, Domain)>,
     state: State,
     failures: u32,
     rng: StdRng,
@@ -86,11 +90,13 @@
 }
 
 impl Follower {
-    /// Creates the reading of a balancer. It knows of no peer and reads, until it learns of more.
+    /// Creates the reading of a balancer. It does not read before it has joined, since many
+    /// balancers that start together would all read.
     pub fn new(own: Node, domain: Domain, seed: u64) -> Self {
         let rng = StdRng::seed_from_u64(seed);
-        let state = State::Waiting { until: Moment::default() };
-        Self { own, domain, everyone: false, state, failures: 0, rng }
+        let peers = vec![(own, domain.clone())];
+        let (everyone, joined, state) = (false, false, State::Idle);
+        Self { own, domain, everyone, joined, peers, state, failures: 0, rng }
     }
 
     /// Makes the balancer a reader whatever its peers are, as the baseline of the bench.
@@ -104,9 +110,9 @@
         self.state != State::Idle
     }
 
-    fn peers(&mut self, peers: &[(Node, Domain)], now: Moment) -> Vec<Action> {
-        let chosen = self.everyone || is_reader(self.own, &self.domain, peers);
-        match (chosen, self.state) {
+    fn choose(&mut self, now: Moment) -> Vec<Action> {
+        let chosen = self.everyone || is_reader(self.own, &self.domain, &self.peers);
+        match (chosen && self.joined, self.state) {
             (true, State::Idle) => {
                 let wait = self.jitter(FIRST_BACKOFF);
                 self.state = State::Waiting { until: now + wait };
@@ -173,7 +179,14 @@
 
     fn step(&mut self, event: Event, now: Moment) -> Vec<Action> {
         match event {
-            Event::Peers(peers) => self.peers(&peers, now),
+            Event::Joined => {
+                self.joined = true;
+                self.choose(now)
+            }
+            Event::Peers(peers) => {
+                self.peers = peers;
+                self.choose(now)
+            }
             Event::Listed { contracts, revision } => {
                 let mut actions: Vec<_> = contracts.into_iter().map(Action::Learned).collect();
                 if self.state == State::Listing {
--- a/yuccacroft-core/src/gossip/exchange.rs
+++ b/yuccacroft-core/src/gossip/exchange.rs
@@ -20,12 +20,15 @@
         time::{Moment, Span},
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
-    std::sync::Arc,
+    std::{collections::BTreeSet, sync::Arc},
 };
 
 /// Failed digest exchanges in a row before a balancer is suspected. With a fifth of all messages
-/// lost, an exchange of two messages fails in 36 of 100 cases, six in a row in 2 of 1,000.
-const FAILURES: u8 = 6;
+/// lost, an exchange of two messages fails in 36 of 100 cases, ten in a row in 4 of 100,000. With
+/// six in a row, 1,700 balancers suspected two of each other a second for nothing.
+const FAILURES: u8 = 10;
+/// Time between two exchanges with a balancer that did not answer the last one.
+const DOUBT_RETRY: Span = Span::from_millis(500);
 /// Every so many repairs go to a balancer that is thought lost, or to a seed, so that two parts
 /// of the fleet that lost sight of each other meet again.
 const STRAY_EVERY: u32 = 4;
@@ -35,8 +38,10 @@
 const DELTA_BYTES: usize = 32 << 10;
 /// Peers from which a joining balancer takes a snapshot.
 const SNAPSHOTS: usize = 3;
-/// Time after which a joining balancer without a whole snapshot asks again.
-const SNAPSHOT_RETRY: Span = Span::from_secs(2);
+/// Time after which a joining balancer with a single snapshot asks again.
+const SNAPSHOT_RETRY: Span = Span::from_millis(500);
+/// Rounds after which a single snapshot is enough.
+const SNAPSHOT_ROUNDS: u32 = 3;
 
 /// What an exchange is tuned by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,7 +103,7 @@
     Learned(Item),
     /// The balancers that take part have changed.
     Peers(Vec<(Node, Domain)>),
-    /// The first snapshot is complete.
+    /// The first snapshots are complete, or no other balancer was found.
     Joined,
 }
 
@@ -113,13 +118,17 @@
     rng: StdRng,
     next_round: Moment,
     next_repair: Moment,
+    next_doubt: Moment,
     repairs: u32,
     join: Join,
 }
 
+/// How far a balancer has come with its first snapshots. Until it has joined, it holds back the
+/// contracts of its peers: one of them may be behind, and a restarted process must not put an
+/// older contract in force than before.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Join {
-    Asking { until: Moment },
+    Asking { open: BTreeSet<Node>, answered: usize, rounds: u32, again: Moment },
     Joined,
 }
 
@@ -145,7 +154,7 @@
         let item = Item::Peer(Arc::new(own.clone()));
         table.merge(&item, Moment::default());
         let mut view = View::new(own.node, seeds);
-        view.note(&own, Moment::default());
+        view.note(&Arc::new(own.clone()), Moment::default());
         let mut rumours = Rumours::new(settings.budget);
         rumours.add(&item, settings.rounds);
         let first = rng.random_range(0..=settings.repair.as_micros());
@@ -158,8 +167,14 @@
             rng,
             next_round: Moment::default(),
             next_repair: Moment::default() + Span::from_micros(first),
+            next_doubt: Moment::default(),
             repairs: 0,
-            join: Join::Asking { until: Moment::default() },
+            join: Join::Asking {
+                open: BTreeSet::new(),
+                answered: 0,
+                rounds: 0,
+                again: Moment::default(),
+            },
         }
     }
 
@@ -179,25 +194,42 @@
     }
 
     fn learn(&mut self, item: Item, now: Moment, actions: &mut Vec<Action>) {
+        let rounds = self.settings.rounds;
+        self.learn_for(item, rounds, now, actions);
+    }
+
+    /// Takes an entry and pushes it a number of times if it is new.
+    fn learn_for(&mut self, item: Item, rounds: u8, now: Moment, actions: &mut Vec<Action>) {
         if self.table.merge(&item, now) != Merge::Taken {
             return;
         }
-        self.rumours.add(&item, self.settings.rounds);
+        self.rumours.add(&item, rounds);
         if let Item::Peer(peer) = &item {
             self.note_peer(peer, now, actions);
         }
         if let Item::Outage(outage) = &item {
             self.view.set_lost(&outage.domain, outage.is_lost());
-            actions.push(Action::Peers(self.view.live()));
         }
-        actions.push(Action::Learned(item));
+        let held_back = matches!(item, Item::Contract(_)) && self.join != Join::Joined;
+        if !held_back {
+            actions.push(Action::Learned(item));
+        }
     }
 
-    fn note_peer(&mut self, peer: &Peer, now: Moment, actions: &mut Vec<Action>) {
-        if self.view.note(peer, now) {
-            actions.push(Action::Peers(self.view.live()));
+    /// Takes an entry that this process learned by itself. A contract of the store is in force
+    /// whatever the peers know.
+    fn local(&mut self, item: Item, now: Moment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.learn(item.clone(), now, &mut actions);
+        if self.join != Join::Joined && matches!(item, Item::Contract(_)) {
+            actions.push(Action::Learned(item));
         }
-        let foreign = peer.node == self.own.node && *peer != self.own;
+        actions
+    }
+
+    fn note_peer(&mut self, peer: &Arc<Peer>, now: Moment, actions: &mut Vec<Action>) {
+        self.view.note(peer, now);
+        let foreign = peer.node == self.own.node && **peer != self.own;
         if foreign && self.own.standing == Standing::Trusted {
             self.refute(peer, now, actions);
         }
@@ -294,7 +326,7 @@
                 }
             }
             Message::Page { items, next } => {
-                self.take_repair(items, now, &mut actions);
+                self.take_page(items, now, &mut actions);
                 match next {
                     Some(_) => actions.push(Action::Send {
                         to: from,
@@ -315,24 +347,56 @@
     }
 
     /// Takes entries that came by comparison. One about something gone that was never known here
-    /// is left out, so that balancers cannot hand it around without end.
+    /// is left out, so that balancers cannot hand it around without end. Members and balancers are
+    /// not pushed on: after a long absence there can be thousands, and others have them already.
     fn take_repair(&mut self, items: Vec<Item>, now: Moment, actions: &mut Vec<Action>) {
         for item in items {
-            if !item.is_gone() || self.table.get(item.key().digest()).is_some() {
-                self.learn(item, now, actions);
+            if item.is_gone() && self.table.get(item.key().digest()).is_none() {
+                continue;
             }
+            let urgent = matches!(item, Item::Contract(_) | Item::Outage(_));
+            let rounds = if urgent { self.settings.rounds } else { 0 };
+            self.learn_for(item, rounds, now, actions);
         }
     }
 
-    fn joined(&mut self, actions: &mut Vec<Action>) {
-        if self.join != Join::Joined {
-            self.join = Join::Joined;
-            actions.push(Action::Joined);
+    /// Takes a page of a snapshot, which is known to others by its nature.
+    fn take_page(&mut self, items: Vec<Item>, now: Moment, actions: &mut Vec<Action>) {
+        for item in items {
+            self.learn_for(item, 0, now, actions);
         }
     }
 
+    /// Notes the end of one snapshot. The balancer has joined with two whole ones, or when nobody
+    /// is left to ask.
+    fn settled(&mut self, from: Node, whole: bool, now: Moment, actions: &mut Vec<Action>) {
+        let Join::Asking { open, answered, rounds, again } = &mut self.join else { return };
+        if !open.remove(&from) {
+            return;
+        }
+        *answered += usize::from(whole);
+        if !open.is_empty() {
+            return;
+        }
+        if *answered == 1 && *rounds < SNAPSHOT_ROUNDS && self.view.choices() > 1 {
+            *again = now + SNAPSHOT_RETRY;
+            return;
+        }
+        self.joined(actions);
+    }
+
+    fn joined(&mut self, actions: &mut Vec<Action>) {
+        self.join = Join::Joined;
+        let contracts = self.table.iter().filter(|item| matches!(item, Item::Contract(_)));
+        actions.extend(contracts.cloned().map(Action::Learned));
+        actions.push(Action::Joined);
+    }
+
     fn failed(&mut self, to: Node, message: &Message, now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
+        if matches!(message, Message::Snapshot { .. }) {
+            self.settled(to, false, now, &mut actions);
+        }
         // A push that fails says little, since other copies are on their way.
         if matches!(message, Message::Digest(_))
             && let Some(suspect) = self.view.failed(to, FAILURES)
@@ -355,6 +419,11 @@
         if self.settings.repair > Span::ZERO && now >= self.next_repair {
             self.repair(now, &mut actions);
         }
+        if now >= self.next_doubt {
+            self.next_doubt = now + DOUBT_RETRY;
+            let doubted = self.view.doubted();
+            doubted.into_iter().for_each(|to| actions.push(self.digest(to)));
+        }
         self.ask_snapshots(now, &mut actions);
         actions
     }
@@ -381,22 +450,24 @@
         self.repairs += 1;
         let stray = self.repairs.is_multiple_of(STRAY_EVERY);
         let stray = stray.then(|| self.view.stray(&mut self.rng)).flatten();
-        let doubted = self.view.doubted();
         let random = || self.view.pick(1, &mut self.rng).first().copied();
-        let target = stray.or_else(random);
-        for to in doubted.into_iter().chain(target) {
-            let message = Message::Digest(self.table.groups().to_vec());
-            actions.push(Action::Send { to, message });
+        if let Some(to) = stray.or_else(random) {
+            actions.push(self.digest(to));
         }
     }
 
+    fn digest(&self, to: Node) -> Action {
+        Action::Send { to, message: Message::Digest(self.table.groups().to_vec()) }
+    }
+
     fn ask_snapshots(&mut self, now: Moment, actions: &mut Vec<Action>) {
-        let Join::Asking { until } = self.join else { return };
-        if now < until {
+        let Join::Asking { open, rounds, again, .. } = &mut self.join else { return };
+        if !open.is_empty() || now < *again {
             return;
         }
-        self.join = Join::Asking { until: now + SNAPSHOT_RETRY };
         let peers = self.view.pick(SNAPSHOTS, &mut self.rng);
+        *rounds += 1;
+        open.extend(&peers);
         if peers.is_empty() {
             self.joined(actions);
         }
@@ -411,17 +482,18 @@
     type Event = Event;
 
     fn step(&mut self, event: Event, now: Moment) -> Vec<Action> {
-        match event {
-            Event::Local(item) => {
-                let mut actions = Vec::new();
-                self.learn(item, now, &mut actions);
-                actions
-            }
+        let mut actions = match event {
+            Event::Local(item) => self.local(item, now),
             Event::Request(message) => self.answer(message, now),
             Event::Answer { from, message } => self.continue_with(from, message, now),
             Event::Failed { to, message } => self.failed(to, &message, now),
             Event::Leave => self.leave(now),
             Event::Tick => self.tick(now),
+        };
+        // One action for all changes of a step: a snapshot brings thousands of balancers.
+        if self.view.settle() {
+            actions.push(Action::Peers(self.view.live()));
         }
+        actions
     }
 }
--- a/yuccacroft-core/src/gossip/exchange/view.rs
+++ b/yuccacroft-core/src/gossip/exchange/view.rs
@@ -8,7 +8,10 @@
         time::{Moment, Span},
     },
     rand::{RngExt, rngs::StdRng},
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
@@ -54,16 +57,25 @@
     }
 }
 
+/// Exchanges with one peer that failed in a row.
+#[derive(Clone, Copy, Debug, Default)]
+struct Doubt {
+    failures: u8,
+    /// Whether the next exchange is under way.
+    asked: bool,
+}
+
 /// Peers with what this balancer thinks of them.
 #[derive(Clone, Debug)]
 pub struct View {
     own: Node,
     seeds: Vec<Node>,
-    peers: BTreeMap<Node, Peer>,
+    peers: BTreeMap<Node, Arc<Peer>>,
+    changed: bool,
     targets: Vec<Node>,
     strays: Vec<Node>,
     lost_domains: BTreeSet<Domain>,
-    failures: BTreeMap<Node, u8>,
+    failures: BTreeMap<Node, Doubt>,
     suspects: BTreeMap<Node, Moment>,
 }
 
@@ -75,6 +87,7 @@
             own,
             seeds,
             peers: BTreeMap::new(),
+            changed: false,
             targets: Vec::new(),
             strays: Vec::new(),
             lost_domains: BTreeSet::new(),
@@ -85,8 +98,8 @@
         view
     }
 
-    /// Takes the newest entry of a peer. Returns true when the set of live ones has changed.
-    pub fn note(&mut self, peer: &Peer, now: Moment) -> bool {
+    /// Takes the newest entry of a peer.
+    pub fn note(&mut self, peer: &Arc<Peer>, now: Moment) {
         self.suspects.remove(&peer.node);
         if peer.standing == Standing::Suspected {
             self.suspects.insert(peer.node, now);
@@ -99,6 +112,14 @@
         };
         if changed {
             self.failures.remove(&peer.node);
+            self.changed = true;
+        }
+    }
+
+    /// Brings the choices up to date after changes. Returns true when the live ones have changed.
+    pub fn settle(&mut self) -> bool {
+        let changed = std::mem::take(&mut self.changed);
+        if changed {
             self.sort();
         }
         changed
@@ -111,7 +132,7 @@
         } else {
             self.lost_domains.remove(domain);
         }
-        self.sort();
+        self.changed = true;
     }
 
     /// Returns all live balancers, this one included.
@@ -120,6 +141,11 @@
         live.map(|peer| (peer.node, peer.domain.clone())).collect()
     }
 
+    /// Returns the number of peers that can be picked.
+    pub fn choices(&self) -> usize {
+        self.targets.len()
+    }
+
     /// Picks different random peers.
     pub fn pick(&self, count: usize, rng: &mut StdRng) -> Vec<Node> {
         let count = count.min(self.targets.len());
@@ -138,9 +164,14 @@
         (!self.strays.is_empty()).then(|| self.strays[rng.random_range(0..self.strays.len())])
     }
 
-    /// Returns the peers that failed to answer lately and are asked again.
-    pub fn doubted(&self) -> Vec<Node> {
-        self.failures.keys().copied().collect()
+    /// Returns the peers that failed to answer lately and are to be asked again.
+    pub fn doubted(&mut self) -> Vec<Node> {
+        let due = self.failures.iter_mut().filter(|(_, doubt)| !doubt.asked);
+        due.map(|(node, doubt)| {
+            doubt.asked = true;
+            *node
+        })
+        .collect()
     }
 
     /// Notes that a peer answered.
@@ -152,12 +183,13 @@
     /// failures. The peers of a lost failure domain are covered by the record of the domain.
     pub fn failed(&mut self, node: Node, limit: u8) -> Option<Peer> {
         let peer = self.peers.get(&node).filter(|peer| self.is_live(peer))?;
-        let failures = self.failures.entry(node).or_default();
-        *failures += 1;
-        if *failures < limit {
+        let doubt = self.failures.entry(node).or_default();
+        doubt.failures += 1;
+        doubt.asked = false;
+        if doubt.failures < limit {
             return None;
         }
-        let suspect = Peer { standing: Standing::Suspected, ..peer.clone() };
+        let suspect = Peer { standing: Standing::Suspected, ..Peer::clone(peer) };
         self.failures.remove(&node);
         (peer.standing == Standing::Trusted).then_some(suspect)
     }
@@ -166,7 +198,7 @@
     pub fn overdue(&self, now: Moment, loss: Span) -> Vec<Peer> {
         let overdue = self.suspects.iter().filter(|(_, since)| now.since(**since) >= loss);
         let peers = overdue.filter_map(|(node, _)| self.peers.get(node));
-        peers.map(|peer| Peer { standing: Standing::Lost, ..peer.clone() }).collect()
+        peers.map(|peer| Peer { standing: Standing::Lost, ..Peer::clone(peer) }).collect()
     }
 
     fn is_live(&self, peer: &Peer) -> bool {
--- /dev/null
+++ b/yuccacroft-core/tests/support/mod.rs
@@ -0,0 +1,62 @@
+//! Contracts and members for the tests of the controllers.
+#![allow(dead_code)]
+
+use {
+    std::net::{Ipv4Addr, SocketAddrV4},
+    yuccacroft_core::{
+        contract::{
+            Accepted, Checked, Contract,
+            change::{Origin, Stored},
+        },
+        ids::{Change, Customer, Incarnation, Instance, Revision},
+        key::Secret,
+        member::{Entry, Phase},
+        units::Weight,
+    },
+    yuccacroft_fakes::fleet,
+};
+
+pub fn customer() -> Customer {
+    "kampvuur".parse().unwrap()
+}
+
+/// Builds a contract with the given services.
+pub fn checked(services: &[&str]) -> Contract<Checked> {
+    let key = Secret::new([7; 32]);
+    let mut text = format!("[customer]\nname = kampvuur\nkey = {key}\ncapacity = 300\n");
+    for (index, service) in services.iter().enumerate() {
+        text += &format!(
+            "\n[service {service}]\naddresses = 10.0.0.{index}:443\nslots = 4\n\
+             connections = 2000\nupstreams_max = 7\nshare = 28\n"
+        );
+    }
+    Contract::parse("test", &text).unwrap().check("test").unwrap()
+}
+
+pub fn accepted(revision: u64) -> Contract<Accepted> {
+    checked(&["booking"]).accept(Revision::new(revision), Change::new(revision.into()))
+}
+
+pub fn stored(services: &[&str], revision: u64, change: Change, below: Option<&Stored>) -> Stored {
+    let contract = checked(services).accept(Revision::new(revision), change);
+    Stored { contract, origin: Origin::new(change, below) }
+}
+
+pub fn instance(index: usize) -> Instance {
+    let ip = Ipv4Addr::from_bits(0x0a80_0000 + index as u32);
+    Instance::new(SocketAddrV4::new(ip, 9_000))
+}
+
+/// Builds the entry of an agent in a failure domain.
+pub fn entry(index: usize, domain: usize) -> Entry {
+    Entry {
+        customer: customer(),
+        service: "booking".parse().unwrap(),
+        instance: instance(index),
+        incarnation: Incarnation::new(1_000),
+        version: 1,
+        domain: fleet::domain(domain),
+        weight: Weight::new(100),
+        phase: Phase::Serving,
+    }
+}
--- a/yuccacroft-fakes/src/lib.rs
+++ b/yuccacroft-fakes/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod caller;
 pub mod certificate;
 pub mod fabric;
+pub mod fleet;
 pub mod store;
 pub mod upstream;
