--- /dev/null
+++ b/yuccacroft-balancer/src/admin/editor.rs
@@ -0,0 +1,157 @@
+//! Changes of contracts: a compare-and-swap in the store whose outcome is always settled, or
+//! reported as unknown.
+
+use {
+    crate::control::{CONTRACTS, Control, Submission},
+    std::sync::Arc,
+    yuccacroft_core::{
+        contract::{Accepted, Checked, Contract, change::Stored as Value, writer::Verdict},
+        ids::{Change, Customer, Revision},
+    },
+    yuccacroft_platform::{
+        errors::Error as StoreError,
+        store::{Item, Store},
+    },
+    yuccacroft_rpc::admin::{Failure, failure},
+    yuccacroft_wire::admin::{Kind, Problem, Put, Source, Stored},
+};
+
+type Result<T> = std::result::Result<T, Failure>;
+
+/// Reads and writes contracts in the store on behalf of operators.
+pub struct Editor<S> {
+    store: S,
+    control: Arc<Control>,
+}
+
+impl<S: Store> Editor<S> {
+    /// Creates an editor; accepted changes are in force on this balancer at once.
+    pub fn new(store: S, control: Arc<Control>) -> Self {
+        Self { store, control }
+    }
+
+    /// Reads a contract from the store, or the one in force here when the store does not answer.
+    pub async fn read(&self, customer: &Customer) -> Result<Stored> {
+        match self.store.get(&key(customer)).await {
+            Ok(Some(item)) => self.describe(&item),
+            Ok(None) => Err(failure(Kind::NotFound, &format!("{customer} has no contract"))),
+            Err(error) => match self.control.contract(customer) {
+                Some(contract) => Ok(self.stored(&contract, Source::Balancer)),
+                None => Err(unavailable(&error)),
+            },
+        }
+    }
+
+    /// Changes a contract. A change that took effect before is not made again; the answer then
+    /// shows the present contract, which may already be a later one.
+    pub async fn write(&self, customer: &Customer, put: &Put, change: Change) -> Result<Stored> {
+        let base = put.base.ok_or_else(|| {
+            failure(Kind::BaseMissing, "If-Match or base must state the revision of the change")
+        })?;
+        let contract = checked(customer, &put.contract)?;
+        self.check_addresses(&contract).await?;
+        let submission =
+            Submission { contract: contract.clone(), base: Some(base), change, force: put.force };
+        match self.control.submit(&self.store, submission).await {
+            Verdict::Accepted { revision, latest: true } => {
+                Ok(self.stored(&contract.accept(revision, change), Source::Store))
+            }
+            Verdict::Accepted { .. } => self.read(customer).await,
+            verdict => Err(self.refusal(verdict, base)),
+        }
+    }
+
+    fn refusal(&self, verdict: Verdict, base: Revision) -> Failure {
+        match verdict {
+            Verdict::Conflict(present) => self.conflict(base, present.as_deref()),
+            Verdict::Removes(services) => {
+                let names: Vec<_> = services.iter().map(ToString::to_string).collect();
+                let names = names.join(", ");
+                let detail = format!("the change removes service {names} and is not forced");
+                failure(Kind::RemovesService, &detail)
+            }
+            Verdict::Unsettled(change) => {
+                let detail = format!(
+                    "the store's answer was lost and reading back failed; change {change} may be \
+                     in force, read the contract again before you repeat it"
+                );
+                failure(Kind::Unknown, &detail)
+            }
+            Verdict::Accepted { .. } | Verdict::Unavailable => {
+                failure(Kind::Unavailable, "nothing was changed: the store does not answer")
+            }
+        }
+    }
+
+    /// Refuses a contract that takes an address of another customer: the destination address
+    /// alone decides whose packet it is.
+    async fn check_addresses(&self, contract: &Contract<Checked>) -> Result<()> {
+        let own = key(contract.customer());
+        let listing = self.store.list(CONTRACTS).await.map_err(|error| unavailable(&error))?;
+        let mut others = listing.items.iter().filter(|item| *item.key != *own);
+        others.try_for_each(|item| refuse_shared_address(item, contract))
+    }
+
+    fn conflict(&self, base: Revision, present: Option<&Value>) -> Failure {
+        let current = present.map_or(Revision::default(), |value| value.contract.revision());
+        let detail = format!("the change is based on revision {base}, but {current} is accepted");
+        let present = present.map(|value| self.stored(&value.contract, Source::Store));
+        Failure(Problem::new(Kind::Conflict, &detail).with_present(present))
+    }
+
+    fn describe(&self, item: &Item) -> Result<Stored> {
+        let value = Value::parse(&item.key, &item.value, item.revision)
+            .map_err(|error| failure(Kind::Invalid, &error.to_string()))?;
+        Ok(self.stored(&value.contract, Source::Store))
+    }
+
+    fn stored(&self, contract: &Contract<Accepted>, source: Source) -> Stored {
+        let in_force = self.control.contract(contract.customer());
+        Stored {
+            customer: contract.customer().clone(),
+            revision: contract.revision(),
+            change: contract.change(),
+            in_force: in_force.map(|contract| contract.revision()).unwrap_or_default(),
+            source,
+            contract: contract.text().into(),
+        }
+    }
+}
+
+fn key(customer: &Customer) -> String {
+    format!("{CONTRACTS}{customer}")
+}
+
+fn unavailable(error: &StoreError) -> Failure {
+    failure(Kind::Unavailable, &format!("nothing was changed: {error}"))
+}
+
+fn checked(customer: &Customer, text: &str) -> Result<Contract<Checked>> {
+    let invalid =
+        |error: yuccacroft_core::errors::Error| failure(Kind::Invalid, &error.to_string());
+    let contract = Contract::parse("contract", text).map_err(invalid)?;
+    let contract = contract.check("contract").map_err(invalid)?;
+    if contract.customer() != customer {
+        let detail = format!("contract: [customer] name: expected {customer}, as in the path");
+        return Err(failure(Kind::Invalid, &detail));
+    }
+    Ok(contract)
+}
+
+fn refuse_shared_address(other: &Item, contract: &Contract<Checked>) -> Result<()> {
+    let Ok(other) = Value::parse(&other.key, &other.value, other.revision) else {
+        return Ok(());
+    };
+    let taken =
+        |address| other.contract.terms().iter().any(|terms| terms.addresses.contains(address));
+    for terms in contract.terms() {
+        if let Some(address) = terms.addresses.iter().find(|address| taken(address)) {
+            let section = &terms.service;
+            let detail = format!(
+                "contract: [service {section}] addresses: {address} belongs to another customer"
+            );
+            return Err(failure(Kind::Invalid, &detail));
+        }
+    }
+    Ok(())
+}
--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -40,7 +40,7 @@
         ids::{Customer, Domain, Service},
         key::Secret,
         member::{
-            Standing,
+            Entry, Standing,
             roster::{self, Roster, Timing},
         },
     },
@@ -143,6 +143,8 @@
             self.step_roster(roster::Event::Tick);
             self.step_follower(follower::Event::Tick);
             self.step_exchange(exchange::Event::Tick);
+            let contracts = self.contracts();
+            contracts.iter().for_each(|contract| self.routes.expire(contract, self.clock.now()));
         }
     }
 
@@ -169,6 +171,16 @@
         locked(&self.register).iter().cloned().collect()
     }
 
+    /// Returns all member entries.
+    pub fn members(&self) -> Vec<Entry> {
+        locked(&self.roster).iter().cloned().collect()
+    }
+
+    /// Puts a contract of the store in force unless a newer one is, and spreads it.
+    pub fn learn(self: &Arc<Self>, contract: Arc<Contract<Accepted>>) {
+        self.step_exchange(exchange::Event::Local(Item::Contract(contract)));
+    }
+
     /// Returns the balancers that this one knows, itself included.
     pub fn peers(&self) -> Vec<(Node, Domain)> {
         locked(&self.exchange).peers()
@@ -188,7 +200,7 @@
         let candidates = locked(&self.roster).candidates(customer, service);
         info!(self.log, "members_changed";
             "members" => candidates.len(), "service" => %service, "customer" => %customer);
-        self.routes.rebuild(&contract, service, &candidates);
+        self.routes.rebuild(&contract, service, &candidates, self.clock.now());
     }
 
     /// Feeds the exchange and carries out what follows, except for the answer of a request.
@@ -270,16 +282,11 @@
         let actions = locked(&self.follower).step(event, self.clock.now());
         for action in actions {
             match action {
-                follower::Action::Learned(contract) => self.learn_contract(contract),
+                follower::Action::Learned(contract) => self.learn(contract),
                 other => self.reading.push(other),
             }
         }
     }
-
-    /// Takes a contract from the store and spreads it.
-    fn learn_contract(self: &Arc<Self>, contract: Arc<Contract<Accepted>>) {
-        self.step_exchange(exchange::Event::Local(Item::Contract(contract)));
-    }
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/yuccacroft-balancer/src/control/store.rs
+++ b/yuccacroft-balancer/src/control/store.rs
@@ -24,7 +24,8 @@
 
 /// The store's keys of contracts begin with this; the customer's name follows.
 pub const CONTRACTS: &str = "/yuccacroft/contracts/";
-const WRITE_DEADLINE: Span = Span::from_secs(10);
+/// The store answers in milliseconds; after this time the operator is told that it does not.
+const WRITE_DEADLINE: Span = Span::from_secs(3);
 const WRITE_TICK: Duration = Duration::from_millis(100);
 
 /// What the follower asks of the store, in order.
@@ -173,7 +174,7 @@
     /// Puts an accepted contract in force here at once, without waiting for the watch.
     fn spread(self: &Arc<Self>, contract: Contract<Checked>, change: Change, verdict: &Verdict) {
         if let Verdict::Accepted { revision, latest: true } = verdict {
-            self.learn_contract(Arc::new(contract.accept(*revision, change)));
+            self.learn(Arc::new(contract.accept(*revision, change)));
         }
     }
 }
--- a/yuccacroft-balancer/src/lib.rs
+++ b/yuccacroft-balancer/src/lib.rs
@@ -3,9 +3,11 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod admin;
 pub mod control;
 pub mod errors;
 pub mod packet;
 pub mod process;
 pub mod relay;
+pub mod seats;
 pub mod service;
--- a/yuccacroft-balancer/src/process.rs
+++ b/yuccacroft-balancer/src/process.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::{
+        admin::Admin,
         control::{Control, Mesh, Setup},
         errors::{Error, Result},
         relay::{Port, Relay},
+        seats::Seats,
         service::Routes,
     },
     slog::{Logger, error, info},
@@ -19,9 +21,12 @@
     },
     yuccacroft_core::ids::{Domain, Process as Name},
     yuccacroft_platform::etcd::Gateway,
-    yuccacroft_rpc::clock::Clock,
+    yuccacroft_rpc::{admin::Access, clock::Clock},
 };
 
+/// Time for which a balancer forwards after it was told to stop. Agents choose another balancer
+/// for their replies after one second without a packet from this one.
+const SETTLE: Duration = Duration::from_secs(2);
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The checked settings of a balancer.
@@ -50,6 +55,7 @@
 pub struct Starting {
     settings: Settings,
     log: Logger,
+    admin: Option<Access>,
 }
 
 /// The process forwards packets.
@@ -60,6 +66,13 @@
     log: Logger,
 }
 
+/// The process forwards packets and takes no control messages.
+#[derive(Debug)]
+pub struct Draining {
+    tasks: JoinSet<()>,
+    log: Logger,
+}
+
 /// A balancer process in one state of its life cycle.
 #[derive(Debug)]
 pub struct Process<S> {
@@ -69,19 +82,26 @@
 impl Process<Starting> {
     /// Prepares a process.
     pub fn new(settings: Settings, log: Logger) -> Self {
-        Self { state: Starting { settings, log } }
+        Self { state: Starting { settings, log, admin: None } }
+    }
+
+    /// Opens the administration interface too.
+    pub fn with_admin(mut self, admin: Option<Access>) -> Self {
+        self.state.admin = admin;
+        self
     }
 
     /// Opens the sockets and begins to serve.
     pub async fn serve(self) -> Result<Process<Serving>> {
-        let Starting { settings, log } = self.state;
+        let Starting { settings, log, admin } = self.state;
         let routes = Arc::new(Routes::new());
+        let clock = Clock::new();
         let setup = Setup {
             control: settings.control,
             domain: settings.domain.clone(),
             mesh: settings.mesh.clone(),
         };
-        let control = Arc::new(Control::new(setup, routes.clone(), Clock::new(), log.clone()));
+        let control = Arc::new(Control::new(setup, routes.clone(), clock, log.clone()));
         let packets = Port::bind("packets", settings.packets)?;
         let capsules = Port::bind("capsules", settings.capsules.into())?;
         let relay = Arc::new(Relay::new(packets, capsules, settings.capsules, routes));
@@ -92,18 +112,25 @@
         for _ in 0..settings.threads.max(1) {
             spawn_relay(&mut tasks, &relay, &log);
         }
-        let store = Gateway::new(settings.store, STORE_TIMEOUT);
+        let store = Arc::new(Gateway::new(settings.store, STORE_TIMEOUT));
+        let seats = Arc::new(Seats::new(store.clone(), control.clone(), clock, log.clone()));
         let follower = control.clone();
-        tasks.spawn(async move { follower.follow(&store).await });
+        tasks.spawn(async move { follower.follow(&*store).await });
         let ticker = control.clone();
         tasks.spawn(async move { ticker.tick().await });
         let applier = control.clone();
         tasks.spawn(async move { applier.apply().await });
-        let router = control.router();
+        let router = control.router().merge(seats.router());
         let server = tokio::spawn(async move {
             // The server ends with the process; its only error is a broken listener.
             let _ = axum::serve(listener, router).await;
         });
+        if let Some(access) = admin {
+            let (name, domain) = (settings.name.clone(), settings.domain.clone());
+            let store = Gateway::new(settings.store, STORE_TIMEOUT);
+            let admin = Admin::new(name, domain, clock, control.clone(), store);
+            spawn_admin(&mut tasks, admin, access).await?;
+        }
         info!(log, "serving"; "name" => %settings.name, "domain" => %settings.domain);
         Ok(Process { state: Serving { tasks, server, control, log } })
     }
@@ -121,15 +148,39 @@
         &self.state.control
     }
 
-    /// Stops the process. Flows go on through the other balancers, since none lives here.
+    /// Stops taking announcements, so that agents and the fabric turn to the other balancers, and
+    /// goes on forwarding.
+    pub fn drain(self) -> Process<Draining> {
+        let Serving { mut tasks, server, control, log } = self.state;
+        tasks.spawn(async move { control.leave().await });
+        server.abort();
+        info!(log, "draining");
+        Process { state: Draining { tasks, log } }
+    }
+}
+
+impl Process<Draining> {
+    /// Forwards what is still on its way, then ends. Flows go on through the other balancers,
+    /// since none lives here.
     pub async fn stop(mut self) {
-        self.state.control.leave().await;
-        self.state.server.abort();
+        tokio::time::sleep(SETTLE).await;
         self.state.tasks.shutdown().await;
         info!(self.state.log, "stopped");
     }
 }
 
+async fn spawn_admin(tasks: &mut JoinSet<()>, admin: Admin<Gateway>, access: Access) -> Result<()> {
+    let listener = TcpListener::bind(access.listen)
+        .await
+        .map_err(|cause| Error::Socket { name: "admin", cause })?;
+    let router = admin.router(&access);
+    tasks.spawn(async move {
+        // The server ends with the process; its only error is a broken listener.
+        let _ = axum::serve(listener, router).await;
+    });
+    Ok(())
+}
+
 fn spawn_relay(tasks: &mut JoinSet<()>, relay: &Arc<Relay>, log: &Logger) {
     let (forward, back) = (relay.clone(), relay.clone());
     let (log, other) = (log.clone(), log.clone());
--- a/yuccacroft-core/src/contract/writer.rs
+++ b/yuccacroft-core/src/contract/writer.rs
@@ -19,7 +19,7 @@
 };
 
 /// Time between two attempts while the store does not answer.
-const RETRY: Span = Span::from_millis(500);
+const RETRY: Span = Span::from_millis(200);
 
 /// What the operator wants.
 #[derive(Clone, Debug)]
@@ -125,8 +125,14 @@
         if self.sent { self.settle(stored) } else { self.prepare(stored) }
     }
 
-    /// Checks the order against what the store holds and writes.
+    /// Checks the order against what the store holds and writes. A change that is there already
+    /// is not made again.
     fn prepare(&mut self, stored: Option<Box<Stored>>) -> Vec<Action> {
+        if let Some(found) = &stored
+            && found.origin.includes(self.order.change)
+        {
+            return self.accepted(found);
+        }
         let current = stored.as_ref().map_or(Revision::default(), |s| s.contract.revision());
         if self.order.base.is_some_and(|base| base != current) {
             return self.done(Verdict::Conflict(stored));
@@ -157,8 +163,7 @@
             };
         };
         if found.origin.includes(self.order.change) {
-            let latest = found.origin.id == self.order.change;
-            return self.done(Verdict::Accepted { revision: found.contract.revision(), latest });
+            return self.accepted(&found);
         }
         if found.contract.revision() == self.base {
             return self.write();
@@ -172,6 +177,11 @@
         self.done(Verdict::Unsettled(self.order.change))
     }
 
+    fn accepted(&mut self, found: &Stored) -> Vec<Action> {
+        let latest = found.origin.id == self.order.change;
+        self.done(Verdict::Accepted { revision: found.contract.revision(), latest })
+    }
+
     fn failed(&mut self, now: Moment) -> Vec<Action> {
         if now >= self.order.until {
             let verdict = if self.sent {
--- a/yuccacroft-core/src/member/roster.rs
+++ b/yuccacroft-core/src/member/roster.rs
@@ -67,13 +67,13 @@
 /// What follows for the shell.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// The members of a service that take new flows have changed.
+    /// The members of a service have changed.
     Rebuild {
         /// The customer of the service.
         customer: Customer,
         /// The service.
         service: Service,
-        /// All members that take new flows.
+        /// All members; those that take no new flows have the weight zero.
         candidates: Vec<Candidate>,
     },
     /// An entry that other balancers need.
@@ -159,23 +159,20 @@
             .map(|member| &member.record.entry)
     }
 
-    /// Returns the members of a service that take new flows. When every one of them seems lost,
-    /// this balancer is the one that is cut off, and it goes on with what it knew.
+    /// Returns the members of a service. One that drains has the weight zero: it takes no new
+    /// flows but still knows where flows live. When every member that serves seems lost, this
+    /// balancer is the one that is cut off, and it goes on with what it knew.
     pub fn candidates(&self, customer: &Customer, service: &Service) -> Vec<Candidate> {
         let instances = self.services.get(&(customer.clone(), service.clone()));
         let members = instances.into_iter().flatten().filter_map(|i| self.members.get(i));
-        let serving: Vec<&Member> =
-            members.filter(|member| member.record.entry.phase == Phase::Serving).collect();
-        let candidate = |member: &&Member, weight| {
-            (weight > 0)
-                .then(|| Candidate { hop: member.record.entry.hop(), weight: Weight::new(weight) })
-        };
-        let known = serving.iter().filter_map(|m| candidate(m, self.weight(m)));
-        let known: Vec<_> = known.collect();
-        if !known.is_empty() {
+        let present: Vec<&Member> =
+            members.filter(|member| member.record.entry.phase != Phase::Left).collect();
+        let known = present.iter().filter(|member| self.judged(member) != Standing::Lost);
+        let known: Vec<Candidate> = known.map(|m| candidate(m, self.weight(m))).collect();
+        if known.iter().any(|candidate| candidate.weight.get() > 0) {
             return known;
         }
-        serving.iter().filter_map(|m| candidate(m, m.record.entry.weight.get())).collect()
+        present.iter().map(|member| candidate(member, member.record.entry.share().get())).collect()
     }
 
     /// Returns the balancers to which an agent announces itself, the best first.
@@ -191,7 +188,7 @@
     }
 
     fn weight(&self, member: &Member) -> u32 {
-        let weight = member.record.entry.weight.get();
+        let weight = member.record.entry.share().get();
         match self.judged(member) {
             Standing::Trusted => weight,
             Standing::Suspected => (weight / SUSPECTED_DIVISOR).max(weight.min(1)),
@@ -383,6 +380,10 @@
     }
 }
 
+fn candidate(member: &Member, weight: u32) -> Candidate {
+    Candidate { hop: member.record.entry.hop(), weight: Weight::new(weight) }
+}
+
 impl Controller for Roster {
     type Action = Action;
     type Event = Event;
--- a/yuccacroft-core/tests/readers.rs
+++ b/yuccacroft-core/tests/readers.rs
@@ -1,10 +1,10 @@
 //! The reading of the store: who reads, how often, and what happens behind an outage.
 
-mod support;
+mod contracts;
 
 use {
+    contracts::accepted,
     std::collections::BTreeMap,
-    support::accepted,
     yuccacroft_core::{
         contract::follower::{Action, Event, Follower},
         controller::Controller,
@@ -72,7 +72,7 @@
     assert!(burst <= 8, "{burst} calls within 100 ms");
     fleet.store(accepted(9));
     fleet.run(Span::from_secs(5));
-    let customer = support::customer();
+    let customer = contracts::customer();
     assert!((0..300).all(|node| fleet.revision(node, &customer) == Some(Revision::new(9))));
 }
 
--- a/yuccacroft-core/tests/recovery.rs
+++ b/yuccacroft-core/tests/recovery.rs
@@ -1,11 +1,11 @@
 //! Contracts under faults, alone and in pairs: the accepted version comes into force everywhere
 //! and never goes back.
 
-mod support;
+mod contracts;
 
 use {
+    contracts::{accepted, customer},
     std::{collections::BTreeMap, sync::Arc},
-    support::{accepted, customer},
     yuccacroft_core::{
         contract::register::{Event, Register},
         controller::Controller,
--- a/yuccacroft-core/tests/writer.rs
+++ b/yuccacroft-core/tests/writer.rs
@@ -1,10 +1,10 @@
 //! The write of an operator: conflicts and lost answers.
 
-mod support;
+mod contracts;
 
 use {
+    contracts::{checked, stored},
     proptest::prelude::*,
-    support::{checked, stored},
     yuccacroft_core::{
         contract::{
             change::Stored,
