--- a/yuccacroft-fakes/src/lib.rs
+++ b/yuccacroft-fakes/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod fleet;
 pub mod store;
 pub mod upstream;
+pub mod viewer;
