--- a/yuccacroft-balancer/src/process.rs
+++ b/yuccacroft-balancer/src/process.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         admin::Admin,
-        control::Control,
+        control::{Control, Mesh, Setup},
         errors::{Error, Result},
         relay::{Port, Relay},
         seats::Seats,
@@ -44,6 +44,8 @@
     pub control: SocketAddr,
     /// The address of the store's gateway.
     pub store: SocketAddr,
+    /// The other balancers; without them every contract comes from the store.
+    pub mesh: Option<Mesh>,
     /// Threads of each direction of the packet path.
     pub threads: usize,
 }
@@ -57,10 +59,10 @@
 }
 
 /// The process forwards packets.
-#[derive(Debug)]
 pub struct Serving {
     tasks: JoinSet<()>,
     server: JoinHandle<()>,
+    control: Arc<Control>,
     log: Logger,
 }
 
@@ -94,7 +96,12 @@
         let Starting { settings, log, admin } = self.state;
         let routes = Arc::new(Routes::new());
         let clock = Clock::new();
-        let control = Arc::new(Control::new(routes.clone(), clock, log.clone()));
+        let setup = Setup {
+            control: settings.control,
+            domain: settings.domain.clone(),
+            mesh: settings.mesh.clone(),
+        };
+        let control = Arc::new(Control::new(setup, routes.clone(), clock, log.clone()));
         let packets = Port::bind("packets", settings.packets)?;
         let capsules = Port::bind("capsules", settings.capsules.into())?;
         let relay = Arc::new(Relay::new(packets, capsules, settings.capsules, routes));
@@ -111,6 +118,8 @@
         tasks.spawn(async move { follower.follow(&*store).await });
         let ticker = control.clone();
         tasks.spawn(async move { ticker.tick().await });
+        let applier = control.clone();
+        tasks.spawn(async move { applier.apply().await });
         let router = control.router().merge(seats.router());
         let server = tokio::spawn(async move {
             // The server ends with the process; its only error is a broken listener.
@@ -119,19 +128,31 @@
         if let Some(access) = admin {
             let (name, domain) = (settings.name.clone(), settings.domain.clone());
             let store = Gateway::new(settings.store, STORE_TIMEOUT);
-            let admin = Admin::new(name, domain, clock, control, store);
+            let admin = Admin::new(name, domain, clock, control.clone(), store);
             spawn_admin(&mut tasks, admin, access).await?;
         }
         info!(log, "serving"; "name" => %settings.name, "domain" => %settings.domain);
-        Ok(Process { state: Serving { tasks, server, log } })
+        Ok(Process { state: Serving { tasks, server, control, log } })
+    }
+}
+
+impl std::fmt::Debug for Serving {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Serving(..)")
     }
 }
 
 impl Process<Serving> {
+    /// Returns the controllers.
+    pub fn control(&self) -> &Arc<Control> {
+        &self.state.control
+    }
+
     /// Stops taking announcements, so that agents and the fabric turn to the other balancers, and
     /// goes on forwarding.
     pub fn drain(self) -> Process<Draining> {
-        let Serving { tasks, server, log } = self.state;
+        let Serving { mut tasks, server, control, log } = self.state;
+        tasks.spawn(async move { control.leave().await });
         server.abort();
         info!(log, "draining");
         Process { state: Draining { tasks, log } }
