--- a/yuccacroft-agent/src/follower.rs
+++ b/yuccacroft-agent/src/follower.rs
@@ -90,12 +90,23 @@
             let asked = self.clock.now();
             let news = self.herald.announce(&entry, revision).await;
             self.take(&news, asked);
+            if let Some(version) = news.refute {
+                self.refute(version).await;
+            }
             self.admit();
             self.records.expire(self.clock.now());
             self.socket.expire();
         }
     }
 
+    /// Answers a suspicion at once with a newer version of the entry.
+    async fn refute(&self, version: u32) {
+        self.entry.send_modify(|entry| entry.version = entry.version.max(version) + 1);
+        let entry = self.entry.borrow().clone();
+        let revision = self.known.borrow().revision;
+        self.herald.announce(&entry, revision).await;
+    }
+
     /// Claims capacity until the whole portion is granted, then only when the contract changes.
     async fn claim(&self) {
         let mut terms = self.terms.subscribe();
@@ -128,7 +139,7 @@
             let hops: Vec<_> = news.siblings.iter().map(hop).collect();
             self.socket.set_siblings(&hops);
             self.siblings.replace(&hops);
-            self.claimant.contact(asked);
+            self.claimant.contact(self.clock.now().since(asked));
         }
     }
 
--- a/yuccacroft-fakes/src/upstream.rs
+++ b/yuccacroft-fakes/src/upstream.rs
@@ -14,7 +14,10 @@
         collections::BTreeMap,
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicU32, Ordering},
+        },
         time::Duration,
     },
     tokio::{net::TcpListener, sync::watch, task::JoinHandle},
@@ -40,6 +43,7 @@
     work: Duration,
     runs: Mutex<BTreeMap<Box<str>, u32>>,
     board: watch::Sender<u64>,
+    boards: AtomicU32,
 }
 
 impl Upstream {
@@ -49,7 +53,8 @@
         let address = listener.local_addr()?;
         let (board, _) = watch::channel(0);
         let runs = Mutex::new(BTreeMap::new());
-        let shared = Arc::new(Shared { name: name.into(), work, runs, board });
+        let shared =
+            Arc::new(Shared { name: name.into(), work, runs, board, boards: AtomicU32::new(0) });
         let router = Router::new()
             .route("/reserve", post(reserve))
             .route("/board", get(board_feed))
@@ -73,9 +78,9 @@
         self.shared.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// Returns the number of open boards.
-    pub fn boards(&self) -> usize {
-        self.shared.board.receiver_count()
+    /// Returns how many boards were opened so far.
+    pub fn boards(&self) -> u32 {
+        self.shared.boards.load(Ordering::SeqCst)
     }
 
     /// Sends a line to all open boards.
@@ -106,6 +111,7 @@
 
 /// Sends each board line as it changes and never ends by itself.
 async fn board_feed(State(shared): State<Arc<Shared>>) -> Response {
+    shared.boards.fetch_add(1, Ordering::SeqCst);
     let receiver = shared.board.subscribe();
     let lines = stream::unfold((receiver, true), |(mut receiver, first)| async move {
         if !first && receiver.changed().await.is_err() {
--- a/yuccacroft/src/demo/system.rs
+++ b/yuccacroft/src/demo/system.rs
@@ -12,7 +12,10 @@
     },
     tokio::{sync::oneshot, task::JoinHandle},
     yuccacroft_agent::{endpoint, process as agent},
-    yuccacroft_balancer::{control::CONTRACTS, process as balancer},
+    yuccacroft_balancer::{
+        control::{CONTRACTS, Mesh},
+        process as balancer,
+    },
     yuccacroft_core::{
         ids::{Instance, Revision},
         key::Secret,
@@ -35,6 +38,7 @@
 const PACK_UPSTREAMS: usize = 2;
 const WORK: Duration = Duration::from_millis(20);
 const KEY: [u8; 32] = [7; 32];
+const MESH_KEY: [u8; 32] = [9; 32];
 const TOKEN: &str = "token-of-the-demo";
 const READY_WITHIN: Duration = Duration::from_secs(10);
 const POLL: Duration = Duration::from_millis(20);
@@ -104,8 +108,9 @@
         let value = contract(&services);
         gateway.put(&format!("{CONTRACTS}{CUSTOMER}"), &value, Revision::default()).await?;
         let mut balancers = Vec::new();
+        let peers = (0..BALANCERS).map(|_| free_tcp()).collect::<std::io::Result<Vec<_>>>()?;
         for index in 0..BALANCERS {
-            balancers.push(Balancer::start(index, store.address(), log).await?);
+            balancers.push(Balancer::start(index, &peers, store.address(), log).await?);
         }
         let packets = balancers.iter().map(|balancer| balancer.settings.packets).collect();
         let addresses = services.each_ref().map(|service| service.address);
@@ -208,14 +213,20 @@
 }
 
 impl Balancer {
-    async fn start(index: usize, store: SocketAddr, log: &Logger) -> Outcome<Self> {
+    async fn start(
+        index: usize,
+        peers: &[SocketAddr],
+        store: SocketAddr,
+        log: &Logger,
+    ) -> Outcome<Self> {
         let settings = balancer::Settings {
             name: format!("balancer-{index}").parse()?,
             domain: format!("vlaanderen-{index}").parse()?,
             packets: free_udp()?,
             capsules: free_v4()?,
-            control: free_tcp()?,
+            control: peers[index],
             store,
+            mesh: Some(Mesh { key: Secret::new(MESH_KEY), peers: peers.into() }),
             threads: 1,
         };
         let access = Access { listen: free_tcp()?, token: TOKEN.parse()? };
--- a/yuccacroft/tests/faults/losses.rs
+++ b/yuccacroft/tests/faults/losses.rs
@@ -99,9 +99,12 @@
     let mut fleet = Fleet::start(Plan::default()).await;
     let mut boards = fleet.boards(BOARDS).await;
     fleet.agents[0].node.signal("STOP");
+    // A sibling that hands a reservation to the frozen agent cannot learn whether it ran.
+    fleet.unknown_allowed = true;
     fleet.reserve("frozen", 4).await;
     fleet.agents[0].node.signal("CONT");
     fleet.show(&mut boards, 1).await;
+    fleet.unknown_allowed = false;
     fleet.reserve("awake", 4).await;
     assert_not_moved(&boards);
     assert!(fleet.all_running());
