Give each test fleet addresses of its own and bound the freeze of an agent

Cause: fleets took free ports of 127.0.0.1 that other processes could take before they were bound; one run in four had a fleet whose agents announced to another fleet. The freeze of an agent lasted as long as reservations took, beyond the callers' idle timeout of 10 s in one run, after which a reset is right.

Ruled out: gossip that reaches strangers; the logs showed 6 members in one fleet and 2 in another.

Change: each fleet has a loopback address of its own and counts its ports. The freeze lasts 4 s.

--- a/yuccacroft/tests/faults/fleet/files.rs
+++ b/yuccacroft/tests/faults/fleet/files.rs
@@ -3,10 +3,10 @@
 use {
     std::{
         fs::{self, OpenOptions},
-        net::{SocketAddr, TcpListener, UdpSocket},
+        net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
         process::{Child, Command, Stdio},
-        sync::atomic::{AtomicU32, Ordering},
+        sync::atomic::{AtomicU16, AtomicU32, Ordering},
     },
     yuccacroft_core::key::Secret,
 };
@@ -14,6 +14,10 @@
 const KEY: [u8; 32] = [7; 32];
 const MESH_KEY: [u8; 32] = [8; 32];
 
+/// Below the range from which the system takes ports of outgoing connections.
+const FIRST_PORT: u16 = 20_000;
+
+static FLEETS: AtomicU32 = AtomicU32::new(0);
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
 
 /// A folder for settings and logs, removed when dropped.
@@ -109,17 +113,24 @@
     addresses.join(", ")
 }
 
-pub fn free_udp() -> SocketAddr {
-    // An agent uses the same number for TCP, so the port has to be free for both.
-    loop {
-        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-        let address = socket.local_addr().unwrap();
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+/// Addresses of one fleet: an IP address of its own on the loopback interface with ports in turn.
+/// A free port of a shared address could be taken by another process before it is bound.
+pub struct Addresses {
+    ip: Ipv4Addr,
+    next: AtomicU16,
 }
 
-pub fn free_tcp() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+impl Addresses {
+    pub fn new() -> Self {
+        let process = std::process::id();
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let [.., high, low] = process.to_be_bytes();
+        // The first 64 networks are left to other programs.
+        let ip = Ipv4Addr::new(127, 64 | high, low, number as u8 + 1);
+        Self { ip, next: AtomicU16::new(FIRST_PORT) }
+    }
+
+    pub fn next(&self) -> SocketAddr {
+        (self.ip, self.next.fetch_add(1, Ordering::Relaxed)).into()
+    }
 }
--- a/yuccacroft/tests/faults/fleet/mod.rs
+++ b/yuccacroft/tests/faults/fleet/mod.rs
@@ -6,7 +6,7 @@
 pub use board::Board;
 use {
     bytes::Bytes,
-    files::{Folder, free_tcp, free_udp},
+    files::{Addresses, Folder},
     http::StatusCode,
     std::{
         future::Future,
@@ -108,7 +108,8 @@
     /// Starts everything and waits until each balancer knows its members.
     pub async fn start(plan: Plan) -> Self {
         let folder = Folder::new();
-        let (booking, packs) = (free_udp(), free_udp());
+        let addresses = Addresses::new();
+        let (booking, packs) = (addresses.next(), addresses.next());
         let store = Store::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let gateway = Gateway::new(store.address(), Duration::from_secs(1));
         let contract = files::contract(booking, packs, plan.drain);
@@ -117,10 +118,11 @@
         let certificate = Certificate::new(SERVICE);
         folder.write("service.pem", &certificate.certificate_pem);
         folder.write("service.key", &certificate.key_pem);
-        let controls: Vec<_> = (0..BALANCERS).map(|_| free_tcp()).collect();
+        let controls: Vec<_> = (0..BALANCERS).map(|_| addresses.next()).collect();
         let start = |index| {
             let peers = (!plan.deaf.contains(&index)).then_some(&controls[..]);
-            Balancer::start(&folder, index, controls[index], store.address(), peers)
+            let own = [addresses.next(), addresses.next(), controls[index]];
+            Balancer::start(&folder, index, own, store.address(), peers)
         };
         let balancers: Vec<_> = (0..BALANCERS).map(start).collect();
         let packets = balancers.iter().map(|balancer| balancer.packets).collect();
@@ -140,7 +142,7 @@
         let heard = (0..BALANCERS).filter(|index| !plan.deaf.contains(index));
         let controls: Vec<_> = heard.map(|index| fleet.balancers[index].control).collect();
         for index in 0..AGENTS {
-            let agent = fleet.agent(index, "booking", free_udp(), &controls).await;
+            let agent = fleet.agent(index, "booking", addresses.next(), &controls).await;
             fleet.agents.push(agent);
         }
         for index in (0..BALANCERS).filter(|index| !plan.deaf.contains(index)) {
@@ -323,11 +325,10 @@
     fn start(
         folder: &Folder,
         index: usize,
-        control: SocketAddr,
+        [packets, capsules, control]: [SocketAddr; 3],
         store: SocketAddr,
         peers: Option<&[SocketAddr]>,
     ) -> Self {
-        let (packets, capsules) = (free_udp(), free_udp());
         let settings = files::balancer(index, packets, capsules, control, store, peers);
         let node = Node::start(folder, "balancer", format!("balancer-{index}"), settings);
         Self { node, packets, capsules, control }
--- a/yuccacroft/tests/faults/losses.rs
+++ b/yuccacroft/tests/faults/losses.rs
@@ -5,13 +5,15 @@
     crate::fleet::{BALANCERS, Board, DEADLINE, Fleet, Plan, until, within},
     futures::future::join_all,
     http::StatusCode,
-    std::time::Instant,
+    std::time::{Duration, Instant},
     yuccacroft_fakes::{fabric::Cut, upstream::PACK_CHUNK},
 };
 
 const BOARDS: usize = 12;
 /// A download of 3 s, which spans the fault.
 const CHUNKS: usize = 100;
+/// The length of a freeze, below the callers' idle timeout of 10 s.
+const FREEZE: Duration = Duration::from_secs(4);
 const LONG_PACK: &str = "/pack/100/30";
 
 /// Makes a long download, again when it is refused, and returns its status and length.
@@ -101,8 +103,11 @@
     fleet.agents[0].node.signal("STOP");
     // A sibling that hands a reservation to the frozen agent cannot learn whether it ran.
     fleet.unknown_allowed = true;
-    fleet.reserve("frozen", 4).await;
-    fleet.agents[0].node.signal("CONT");
+    let thaw = async {
+        tokio::time::sleep(FREEZE).await;
+        fleet.agents[0].node.signal("CONT");
+    };
+    tokio::join!(fleet.reserve("frozen", 4), thaw);
     fleet.show(&mut boards, 1).await;
     fleet.unknown_allowed = false;
     fleet.reserve("awake", 4).await;
@@ -181,7 +186,7 @@
     fleet.update(1);
     packs.upstream.update_board(99);
     let lines = boards.iter_mut().map(|board| board.shows(99));
-    let lines = tokio::time::timeout(std::time::Duration::from_secs(2), join_all(lines));
+    let lines = tokio::time::timeout(Duration::from_secs(2), join_all(lines));
     if let Ok(lines) = lines.await {
         assert!(lines.iter().all(Result::is_err), "a board of another service");
     }
