Let sessions and the demo wait until agents may run requests

Cause: an agent announces itself before its share of the capacity is granted, and its limit stayed at one request after the grant, since the gate begins with no slot. In the demo 107 of 162 requests were refused as not run.

Change: a limit that nothing has lowered follows the slots; an agent's report tells how many requests may run; sessions and the demo wait for it and use no warm-up.

--- a/yuccacroft-agent/src/operate.rs
+++ b/yuccacroft-agent/src/operate.rs
@@ -15,7 +15,7 @@
         key::Secret,
         member::{Entry, Phase},
         ownership::Book,
-        units::{Count, Slots},
+        units::Count,
     },
     yuccacroft_rpc::clock,
     yuccacroft_wire::{
@@ -67,12 +67,14 @@
 
     /// Tells what the agent holds.
     pub fn report(&self) -> Report {
+        let load = self.desk.load();
         Report {
             incarnation: self.book.own().incarnation,
             phase: self.entry.borrow().phase,
             connections: self.book.open(),
             requests: Count::new(self.acceptor.active() as u64),
-            running: Slots::new(self.desk.running()),
+            running: load.running,
+            allowed: load.limit,
         }
     }
 
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -167,7 +167,8 @@
         parts.herald.announce(&entry, revision).await;
         // Nothing may run on a grant that others can take.
         parts.desk.close();
-        parts.claimant.release(&parts.terms.borrow().clone()).await;
+        let terms = parts.terms.borrow().clone();
+        parts.claimant.release(&terms).await;
         parts.endpoint.close(quinn::VarInt::from_u32(0), b"stop");
         parts.endpoint.wait_idle().await;
         parts.tasks.shutdown().await;
--- a/yuccacroft-core/src/admission/limit.rs
+++ b/yuccacroft-core/src/admission/limit.rs
@@ -73,10 +73,13 @@
         }
     }
 
-    /// Changes the number of slots of the contract.
+    /// Changes the number of slots. A limit that nothing has lowered follows it, since an agent has
+    /// no slot until its share of the capacity is granted.
     pub fn set_slots(&mut self, slots: Slots) {
+        let lowered = self.learned < f64::from(self.slots.get().max(1));
+        let most = f64::from(slots.get().max(1));
+        self.learned = if lowered { self.learned.min(most) } else { most };
         self.slots = slots;
-        self.learned = self.learned.min(f64::from(slots.get().max(1)));
     }
 
     /// Returns how many requests may run now; zero during a pause.
--- a/yuccacroft-wire/src/admin.rs
+++ b/yuccacroft-wire/src/admin.rs
@@ -118,6 +118,8 @@
     pub requests: Count,
     /// Requests that occupy a slot of the upstream.
     pub running: Slots,
+    /// Requests that may occupy a slot now, after warm-up and grant of capacity.
+    pub allowed: Slots,
 }
 
 /// The flows of one member.
--- a/yuccacroft/src/demo.rs
+++ b/yuccacroft/src/demo.rs
@@ -17,6 +17,7 @@
     yuccacroft_core::{
         ids::{Instance, Revision},
         member::Phase,
+        units::Slots,
     },
     yuccacroft_fakes::caller,
     yuccacroft_wire::admin::{Flows, InForce, Kind, Member, Put, Report, Stored},
@@ -24,7 +25,8 @@
 
 /// Boards that parents leave open from the beginning to the end.
 const BOARDS: usize = 3;
-const RESERVATIONS: u32 = 40;
+/// Twice as many as there are slots, so that half of them wait.
+const RESERVATIONS: u32 = 24;
 const PACK_CHUNKS: u32 = 512;
 /// A contract change has to be in force everywhere within this time at today's sizes.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
@@ -191,8 +193,15 @@
     Ok(())
 }
 
-/// Returns the number of members that take new flows, as a balancer sees them.
+/// Returns the number of members that take new flows and may run requests.
 async fn serving(operator: &Client) -> usize {
     let members = operator.get::<Vec<Member>>("/v1/members").await.unwrap_or_default();
-    members.iter().filter(|member| member.phase == Phase::Serving).count()
+    let flows = operator.get::<Vec<Flows>>("/v1/flows").await.unwrap_or_default();
+    let may_run = |instance| {
+        let flows = flows.iter().find(|flows| flows.instance == instance);
+        let allowed = flows.and_then(|flows| flows.report).map(|report| report.allowed);
+        allowed.unwrap_or_default() > Slots::default()
+    };
+    let serving = members.iter().filter(|member| member.phase == Phase::Serving);
+    serving.filter(|member| may_run(member.instance)).count()
 }
--- a/yuccacroft/src/demo/system.rs
+++ b/yuccacroft/src/demo/system.rs
@@ -162,7 +162,7 @@
         let wanted = serving(&self.operator(0)).await;
         let old = self.balancers.remove(0);
         self.spray();
-        old.process.stop().await;
+        old.process.drain().stop().await;
         let process = balancer::Process::new(old.settings.clone(), self.log.clone());
         let process = process.with_admin(Some(old.access.clone())).serve().await?;
         self.balancers.push(Balancer { process, ..old });
@@ -180,7 +180,7 @@
         });
         futures::future::join_all(running).await;
         for balancer in self.balancers {
-            balancer.process.stop().await;
+            balancer.process.drain().stop().await;
         }
     }
 
@@ -268,9 +268,9 @@
     format!(
         "[customer]\nname = {CUSTOMER}\nkey = {key}\ncapacity = 40\n\n\
          [service booking]\naddresses = {booking}\nslots = 4\nconnections = 2000\n\
-         upstreams_max = 7\nshare = 28\nwait = 500 ms\n\n\
+         upstreams_max = 7\nshare = 28\nwait = 500 ms\nwarmup = 0 s\n\n\
          [service pack]\naddresses = {pack}\nslots = 4\nconnections = 2000\n\
-         upstreams_max = 3\nshare = 12\nwait = 2 s\ndeadline = 30 s\n"
+         upstreams_max = 3\nshare = 12\nwait = 2 s\ndeadline = 30 s\nwarmup = 0 s\n"
     )
 }
 
