Measure broken flows and imbalance in virtual time

Cause: the decisions for flows were tested one by one, but not under late news, replacements, kills and balancer loss at the sizes of both customers.

Change: the bench case `flows` runs 300,000 flows through the pure decisions for modulo hash, Maglev without directory, and the design. It found three faults, which are repaired here: - the two choices of a key could be one member, so its death left keys without a live choice; - a first choice went on asking a dead second one (found while writing the case); - a member of a very small weight had no entry in the table.

--- a/yuccacroft-agent/src/claims.rs
+++ b/yuccacroft-agent/src/claims.rs
@@ -17,13 +17,13 @@
         flow::{Hop, Key},
         ids::Instance,
         ownership::{Book, Load},
-        placement::{Candidate, Homes},
+        placement::{Candidate, Homes, Step},
         shards::Shards,
         time::{Moment, Span},
         units::Weight,
     },
     yuccacroft_wire::{
-        capsule::Header,
+        capsule::{Header, Kind},
         claim::{Body, Entry, MAX_ENTRIES},
     },
 };
@@ -92,13 +92,13 @@
 
     /// Holds a packet and, when `begin` is set, asks the homes of its key.
     pub fn hold(&self, key: Key, packet: Held, begin: bool, now: Moment) -> Vec<Output> {
-        let chain = match packet.header.kind {
-            yuccacroft_wire::capsule::Kind::Untagged { chain, .. } => chain,
-            _ => return Vec::new(),
-        };
+        let Kind::Untagged { chain, step, .. } = packet.header.kind else { return Vec::new() };
         self.keep(key, packet);
         if begin {
-            let outputs = self.step(key, Event::Begin { key, chain }, now);
+            let mut outputs = self.step(key, Event::Begin { key, chain }, now);
+            if let (Step::Second, Some(first)) = (step, chain.first()) {
+                outputs.push(Output::Send(first.instance, Body::Load));
+            }
             self.started.notify_one();
             return outputs;
         }
@@ -120,6 +120,7 @@
             Body::Answer(key, outcome) => {
                 self.step(key, Event::Answered { key, home: from.instance, outcome }, now)
             }
+            Body::Load => Vec::new(),
             Body::Publish(entries) => {
                 for Entry { key, owner } in entries {
                     self.book.publish(key, owner, from, now);
--- a/yuccacroft-balancer/src/packet.rs
+++ b/yuccacroft-balancer/src/packet.rs
@@ -4,7 +4,10 @@
     crate::service::{Routes, Service},
     std::{
         net::{SocketAddr, SocketAddrV4},
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
     },
     yuccacroft_core::{
         filter::{Chain, Filter, Verdict},
@@ -101,7 +104,7 @@
 
 /// Creates the chain.
 pub fn chain(routes: Arc<Routes>) -> Chain<Item, Decision> {
-    Chain::new(vec![Box::new(Address { routes }), Box::new(Tag), Box::new(Placement)])
+    Chain::new(vec![Box::new(Address { routes }), Box::new(Tag), Box::<Placement>::default()])
 }
 
 /// Finds the service, and with it the keys, from the destination alone.
@@ -113,7 +116,10 @@
 struct Tag;
 
 /// Names the candidates of a packet without a tag.
-struct Placement;
+#[derive(Default)]
+struct Placement {
+    turn: AtomicU32,
+}
 
 impl Filter<Item> for Address {
     type Decision = Decision;
@@ -163,13 +169,15 @@
         let Some(service) = &item.found else { return Verdict::Continue };
         let packet =
             Packet::Untagged { key: service.key(item.invariant.id()), phase: item.invariant.phase };
-        Verdict::Done(place(service, packet))
+        let swap = self.turn.fetch_add(1, Ordering::Relaxed) % 2 == 1;
+        Verdict::Done(place(service, packet, swap))
     }
 }
 
-fn place(service: &Arc<Service>, packet: Packet) -> Decision {
+fn place(service: &Arc<Service>, packet: Packet, swap: bool) -> Decision {
     let Packet::Untagged { key, phase } = packet else { return Decision::Drop(Cause::Address) };
     let chain = service.history.chain(key);
+    let chain = if swap { chain.swapped() } else { chain };
     let Some(target) = chain.first() else { return Decision::Drop(Cause::Members) };
     let kind = Kind::Untagged { key, phase, chain, step: Step::First, hops: 0, load: None };
     Decision::Forward { target, kind, service: service.clone() }
--- a/yuccacroft-bench/src/main.rs
+++ b/yuccacroft-bench/src/main.rs
@@ -4,6 +4,7 @@
 #![warn(rust_2018_idioms)]
 
 mod figure;
+mod flows;
 
 use {argh::FromArgs, figure::Report, std::process::ExitCode};
 
@@ -11,7 +12,7 @@
 const DEFAULT_SEED: u64 = 1;
 
 /// The cases by name, in the order of `docs/design.md`, section 12.
-const CASES: &[(&str, Case)] = &[];
+const CASES: &[(&str, Case)] = &[("flows", flows::run)];
 
 /// A case takes the seed of all its random choices and measures.
 type Case = fn(u64) -> Report;
--- a/yuccacroft-core/src/ownership.rs
+++ b/yuccacroft-core/src/ownership.rs
@@ -21,6 +21,11 @@
 const MEMORY: Span = Span::from_secs(60);
 /// Time for which the load of another agent is taken to be true.
 const LOAD_MEMORY: Span = Span::from_millis(50);
+/// Time without an answer after which a second choice is taken to be dead: several times the round
+/// trip between failure domains.
+const PASS_TIMEOUT: Span = Span::from_millis(20);
+/// Time after which a second choice that did not answer is tried again.
+const PASS_RETRY: Span = Span::from_millis(500);
 /// Agents that one packet may visit: all of the longest chain, the way back to the first choice
 /// and two owners.
 pub const MAX_HOPS: u8 = 12;
@@ -83,6 +88,7 @@
     flows: Shards<Key, Flow>,
     entries: Entries,
     loads: Shards<Instance, (Load, Moment)>,
+    asked: Shards<Instance, Moment>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -145,6 +151,7 @@
             flows: Shards::new(),
             entries: Entries::default(),
             loads: Shards::new(),
+            asked: Shards::new(),
         }
     }
 
@@ -170,7 +177,7 @@
         }
         match packet.phase {
             Phase::First => self.place(packet, now),
-            Phase::Middle => self.search(packet),
+            Phase::Middle => self.search(packet, now),
         }
     }
 
@@ -221,6 +228,7 @@
 
     /// Notes the load of another agent.
     pub fn learn(&self, instance: Instance, load: Load, now: Moment) {
+        self.asked.remove(&instance);
         self.loads.insert(instance, (load, now));
     }
 
@@ -283,6 +291,11 @@
         self.own
     }
 
+    /// Returns the agent that is registered here as the owner of a key.
+    pub fn registered(&self, key: Key, now: Moment) -> Option<Hop> {
+        self.entries.find(key, now)
+    }
+
     /// Returns the number of entries that are kept as a home.
     pub fn entries(&self) -> usize {
         self.entries.len()
@@ -336,10 +349,21 @@
         let fresh = known.filter(|(_, seen)| now.since(*seen) < LOAD_MEMORY);
         match fresh {
             Some((load, _)) if !own.is_full() && own <= load => None,
-            _ => Some(next),
+            _ => self.may_ask(next.instance, now).then_some(next),
         }
     }
 
+    /// Returns false for an agent that owes an answer, and notes that it is asked otherwise.
+    fn may_ask(&self, instance: Instance, now: Moment) -> bool {
+        self.asked.update(instance, |asked| {
+            let waited = now.since(*asked.get_or_insert(now));
+            if waited >= PASS_RETRY {
+                *asked = Some(now);
+            }
+            !(PASS_TIMEOUT..PASS_RETRY).contains(&waited)
+        })
+    }
+
     /// Begins the flow, or passes its packet to a home from `position` on.
     fn accept(&self, packet: &Packet<'_>, own: Load, position: usize) -> Decision {
         if own.is_full() {
@@ -359,14 +383,22 @@
         if alone { Decision::Accept } else { Decision::Claim }
     }
 
-    /// Looks for the owner of a flow that must exist already.
-    fn search(&self, packet: &Packet<'_>) -> Decision {
-        let position = match packet.step {
-            Step::Owner => return Decision::Reset,
+    /// Looks for the owner of a flow that must exist already: at all homes, from any one of them
+    /// on, so that a dead home does not hold up every packet.
+    fn search(&self, packet: &Packet<'_>, now: Moment) -> Decision {
+        let count = packet.chain.homes().count();
+        if packet.step == Step::Owner || count == 0 || usize::from(packet.hops) >= count {
+            return Decision::Reset;
+        }
+        let start = match packet.step {
             Step::Home(position) => usize::from(position) + 1,
-            Step::First | Step::Second | Step::Settled => 0,
+            _ => now.get() as usize,
         };
-        self.next_home(packet.chain, position).unwrap_or(Decision::Reset)
+        let mut positions = (start..start + count).map(|position| position % count);
+        let foreign = |home: Hop| home.instance != self.own.instance;
+        let next = positions.find(|&at| packet.chain.home(at).is_some_and(foreign));
+        let home = next.and_then(|at| packet.chain.home(at).map(|home| (at, home)));
+        home.map_or(Decision::Reset, |(at, home)| Decision::Pass(home, Step::Home(at as u8), None))
     }
 
     fn next_home(&self, chain: &Chain, from: usize) -> Option<Decision> {
--- a/yuccacroft-core/src/placement.rs
+++ b/yuccacroft-core/src/placement.rs
@@ -65,11 +65,20 @@
         self.choices[0]
     }
 
-    /// Returns the second choice, which may equal the first.
+    /// Returns the second choice, which equals the first when there is only one.
     pub fn second(&self) -> Option<Hop> {
         self.choices[1]
     }
 
+    /// Exchanges the two choices. Balancers do so for every other packet, so that a caller's next
+    /// try does not end at the same dead agent.
+    pub fn swapped(mut self) -> Self {
+        if self.choices[1].is_some() {
+            self.choices.swap(0, 1);
+        }
+        self
+    }
+
     /// Returns the home at a position.
     pub fn home(&self, position: usize) -> Option<Hop> {
         self.homes.get(position).copied().flatten()
--- a/yuccacroft-core/src/placement/table.rs
+++ b/yuccacroft-core/src/placement/table.rs
@@ -35,12 +35,16 @@
 
     /// Returns the first choice for a key.
     pub fn first(&self, key: Key) -> Option<Hop> {
-        self.choose(key.get())
+        self.entries.get(self.position(key.get())).map(|entry| self.hop(*entry))
     }
 
-    /// Returns an independent second choice for a key, which may equal the first.
+    /// Returns a second choice for a key, which differs from the first when there are two members.
+    /// Otherwise the death of one member would leave some keys without any live choice.
     pub fn second(&self, key: Key) -> Option<Hop> {
-        self.choose(mix(key.get() ^ SECOND_CHOICE))
+        let first = *self.entries.get(self.position(key.get()))?;
+        let (before, after) = self.entries.split_at(self.position(mix(key.get() ^ SECOND_CHOICE)));
+        let other = after.iter().chain(before).find(|entry| **entry != first);
+        Some(self.hop(*other.unwrap_or(&first)))
     }
 
     /// Returns the members that take new flows.
@@ -48,12 +52,13 @@
         &self.candidates
     }
 
-    fn choose(&self, hash: u64) -> Option<Hop> {
-        if self.candidates.is_empty() {
-            return None;
-        }
-        let entry = self.entries[(hash % self.entries.len() as u64) as usize];
-        Some(self.candidates[usize::from(entry)].hop)
+    /// Returns zero for an empty table.
+    fn position(&self, hash: u64) -> usize {
+        hash.checked_rem(self.entries.len() as u64).unwrap_or_default() as usize
+    }
+
+    fn hop(&self, entry: u16) -> Hop {
+        self.candidates[usize::from(entry)].hop
     }
 }
 
@@ -61,7 +66,7 @@
     let Some(max) = candidates.iter().map(|c| c.weight.get()).max() else { return Vec::new() };
     let wanted = candidates.len() * ENTRIES_PER_MEMBER;
     let size = SIZES.iter().copied().find(|&size| size >= wanted).unwrap_or(SIZES[5]);
-    let mut turns: Vec<Turn> = candidates.iter().map(|c| Turn::new(c, size)).collect();
+    let mut turns: Vec<Turn> = candidates.iter().map(|c| Turn::new(c, size, max)).collect();
     let mut entries = vec![VACANT; size];
     let mut left = size;
     while left > 0 {
@@ -90,11 +95,14 @@
 }
 
 impl Turn {
-    fn new(candidate: &Candidate, size: usize) -> Self {
+    /// Everyone begins with enough credit for one entry in the first round, so that a member of a
+    /// very small weight is not left out.
+    fn new(candidate: &Candidate, size: usize, max: u32) -> Self {
         let hash = mix_instance(candidate.hop.instance);
         let position = (hash % size as u64) as usize;
         let skip = (mix(hash) % (size as u64 - 1)) as usize + 1;
-        Self { position, skip, credit: 0 }
+        let credit = u64::from(max - candidate.weight.get());
+        Self { position, skip, credit }
     }
 
     fn take(&mut self, entries: &mut [u16], index: u16) {
--- a/yuccacroft-core/tests/ownership.rs
+++ b/yuccacroft-core/tests/ownership.rs
@@ -205,3 +205,36 @@
     assert_eq!(home.claim(key, later, now), Outcome::Granted);
     assert_eq!(home.claim(key, hop(1), now), Outcome::Held(later));
 }
+
+/// Guards against first packets that are lost again and again at a dead second choice.
+#[test]
+fn first_choice_stops_asking_a_dead_second_one() {
+    let own = Book::new(hop(1), Connections::new(10), Weight::new(1));
+    let chain = Chain::new(Some(hop(1)), Some(hop(2)));
+    let at = |millis| Moment::default() + Span::from_millis(millis);
+    let decide = |key, now| own.decide(&packet(&chain, Key::new(key), Phase::First), now);
+    let pass = Decision::Pass(hop(2), Step::Second, Some(own.load()));
+    assert_eq!(decide(1, at(0)), pass);
+    assert_eq!(decide(1, at(19)), pass);
+    assert_eq!(decide(1, at(20)), Decision::Accept);
+    assert!(matches!(decide(2, at(500)), Decision::Pass(..)));
+    assert_eq!(decide(2, at(520)), Decision::Accept);
+    own.learn(hop(2).instance, Load::FULL, at(521));
+    assert!(matches!(decide(3, at(600)), Decision::Pass(..)));
+}
+
+/// Guards against packets of the middle that all wait for one dead home.
+#[test]
+fn search_begins_at_any_home() {
+    let own = Book::new(hop(9), Connections::new(10), Weight::new(1));
+    let view = history(&members(0..5));
+    let chain = view.chain(Key::new(7));
+    let starts = (0..4).map(|micros| {
+        match own.decide(&packet(&chain, Key::new(7), Phase::Middle), Moment::new(micros)) {
+            Decision::Pass(home, ..) => home,
+            decision => panic!("{decision:?}"),
+        }
+    });
+    let starts: std::collections::BTreeSet<_> = starts.collect();
+    assert_eq!(starts, chain.homes().collect());
+}
--- a/yuccacroft-core/tests/placement.rs
+++ b/yuccacroft-core/tests/placement.rs
@@ -43,6 +43,19 @@
     }
 }
 
+/// Guards against keys whose two choices are one member, which may be dead.
+#[test]
+fn choices_differ() {
+    let differ = |weights: &[u32]| {
+        let table = Table::new(&weighted(weights));
+        (0..5_000).map(Key::new).filter(|key| table.first(*key) != table.second(*key)).count()
+    };
+    assert_eq!(differ(&[1_000, 1]), 5_000);
+    assert_eq!(differ(&[60, 100, 140]), 5_000);
+    assert_eq!(differ(&[100]), 0);
+    assert_eq!(Table::new(&[]).second(Key::new(1)), None);
+}
+
 /// Guards against a table that moves many keys when one member leaves.
 #[test]
 fn few_keys_move_with_one_member() {
--- a/yuccacroft-core/tests/support/mod.rs
+++ b/yuccacroft-core/tests/support/mod.rs
@@ -178,7 +178,15 @@
             }
             Decision::Wait => agent.held.entry(key).or_default().push(sent),
             Decision::Accept => self.begin(sent, false),
-            Decision::Claim => self.begin(sent, self.claims),
+            Decision::Claim => {
+                let load = agent.book.load();
+                if let (Step::Second, Some(first)) = (step, chain.first())
+                    && let Some(first) = self.agents.get(&first.instance)
+                {
+                    first.book.learn(to.instance, load, self.now);
+                }
+                self.begin(sent, self.claims);
+            }
         }
     }
 
--- a/yuccacroft-wire/src/claim.rs
+++ b/yuccacroft-wire/src/claim.rs
@@ -50,6 +50,8 @@
     Claim(Key),
     /// The answer to a claim.
     Answer(Key, Outcome),
+    /// The sender took a flow that the receiver passed on; the load answers the receiver's.
+    Load,
     /// The owners of keys, as far as the sender knows.
     Publish(Vec<Entry>),
 }
