--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -3,41 +3,26 @@
 use {
     crate::{
         announce::Herald,
-        chain::Limits,
-        desk::Desk,
-        endpoint::{self, Certificate, Service},
+        assembly::{self, Parts, Plan, Sockets},
+        endpoint::Certificate,
         errors::{Error, Result},
-        packet::Scope,
-        socket::{Seals, Socket},
-        upstream::Client,
     },
-    slog::{Logger, error, info},
+    slog::{Logger, info},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::UdpSocket, sync::watch, task::JoinSet},
     yuccacroft_core::{
-        admission::Gate,
-        contract::{Accepted, Contract, Terms},
+        contract::{Accepted, Contract},
         flow::Hop,
         ids::{Customer, Domain, Instance, Process as Name, Revision, Service as ServiceName},
-        key::{Digest, Secret},
+        key::Secret,
         member::{Entry, Phase},
-        ownership::Book,
-        placement::ramp::Ramp,
-        tag::Owner,
-        time::{Moment, Span},
         units::Weight,
     },
-    yuccacroft_rpc::clock::{self, Clock},
-    yuccacroft_wire::{capsule::Seal, message::Sibling},
+    yuccacroft_rpc::{admin::Access, clock},
 };
 
-const ANNOUNCE_EVERY: Duration = Duration::from_secs(2);
 const FIRST_ANNOUNCE_EVERY: Duration = Duration::from_millis(200);
 const FIRST_ANNOUNCE_TRIES: u32 = 150;
-/// Pause before a newer contract is asked for, so that a stream of packets causes few calls.
-const PULL_PAUSE: Duration = Duration::from_millis(100);
 const DRAIN_POLL: Duration = Duration::from_millis(20);
-const RECEIVERS: usize = 2;
 
 /// The checked settings of an agent.
 #[derive(Debug)]
@@ -69,6 +54,7 @@
 pub struct Starting {
     settings: Settings,
     log: Logger,
+    admin: Option<Access>,
 }
 
 /// The process takes flows and requests.
@@ -87,38 +73,28 @@
     state: S,
 }
 
-struct Parts {
-    tasks: JoinSet<()>,
-    endpoint: quinn::Endpoint,
-    service: Arc<Service>,
-    book: Arc<Book>,
-    herald: Arc<Herald>,
-    entry: watch::Sender<Entry>,
-    leave: watch::Sender<bool>,
-    revision: watch::Receiver<Revision>,
-    drain: Span,
-    log: Logger,
-}
-
 impl Process<Starting> {
     /// Prepares a process.
     pub fn new(settings: Settings, log: Logger) -> Self {
-        Self { state: Starting { settings, log } }
+        Self { state: Starting { settings, log, admin: None } }
+    }
+
+    /// Opens the administration interface too.
+    pub fn with_admin(mut self, admin: Option<Access>) -> Self {
+        self.state.admin = admin;
+        self
     }
 
     /// Learns the contract from a balancer, opens the sockets and begins to serve.
     pub async fn serve(self) -> Result<Process<Serving>> {
-        let Starting { settings, log } = self.state;
+        let Starting { settings, log, admin } = self.state;
         let own = Hop { instance: settings.capsules, incarnation: clock::incarnation() };
-        let udp = UdpSocket::bind(own.instance.address())
-            .await
-            .map_err(|cause| Error::Socket { name: "capsules", cause })?;
+        let sockets = Sockets::open(own.instance.address(), admin.as_ref()).await?;
         let balancers = settings.balancers.clone();
         let herald = Arc::new(Herald::new(balancers, settings.key.clone(), log.clone()));
         let entry = first_entry(&settings, own);
         let contract = first_contract(&herald, &entry).await?;
-        let terms = contract.service(&settings.service).ok_or(Error::Contract)?.clone();
-        let parts = assemble(settings, log, own, udp, herald, entry, &contract, &terms)?;
+        let parts = assembly::assemble(Plan { settings, log, sockets, herald, entry, contract })?;
         info!(parts.log, "serving";
             "instance" => %own.instance, "incarnation" => %own.incarnation);
         Ok(Process { state: Serving { parts } })
@@ -131,6 +107,27 @@
         self.state.parts.book.open().get()
     }
 
+    /// Serves until `stop` or an operator's order to drain. After such an order the process keeps
+    /// its flows and stays up until `stop`.
+    pub async fn run(mut self, stop: impl Future<Output = ()>) {
+        let mut stop = std::pin::pin!(stop);
+        let ordered = tokio::select! {
+            () = &mut stop => false,
+            () = self.drain_ordered() => true,
+        };
+        let draining = self.drain().await;
+        if ordered {
+            stop.await;
+        }
+        draining.stop().await;
+    }
+
+    async fn drain_ordered(&mut self) {
+        if self.state.parts.ordered.wait_for(|ordered| *ordered).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Stops taking new flows, tells balancers, and asks callers to move.
     pub async fn drain(self) -> Process<Draining> {
         let parts = self.state.parts;
@@ -140,7 +137,7 @@
             entry.version += 1;
         });
         let entry = parts.entry.borrow().clone();
-        let revision = *parts.revision.borrow();
+        let revision = parts.contract.borrow().revision;
         parts.herald.announce(&entry, revision).await;
         // A receiver exists as long as a connection does.
         let _ = parts.leave.send(true);
@@ -154,19 +151,23 @@
     /// the contract is over; then the process ends.
     pub async fn stop(self) {
         let mut parts = self.state.parts;
+        let drain = parts.terms.borrow().drain;
         let idle = async {
-            while parts.service.active() > 0 || parts.book.open().get() > 0 {
+            while parts.acceptor.active() > 0 || parts.book.open().get() > 0 {
                 tokio::time::sleep(DRAIN_POLL).await;
             }
         };
-        let whole = tokio::time::timeout(parts.drain.into(), idle).await.is_ok();
+        let whole = tokio::time::timeout(drain.into(), idle).await.is_ok();
         parts.entry.send_modify(|entry| {
             entry.phase = Phase::Left;
             entry.version += 1;
         });
         let entry = parts.entry.borrow().clone();
-        let revision = *parts.revision.borrow();
+        let revision = parts.contract.borrow().revision;
         parts.herald.announce(&entry, revision).await;
+        // Nothing may run on a grant that others can take.
+        parts.desk.close();
+        parts.claimant.release(&parts.terms.borrow().clone()).await;
         parts.endpoint.close(quinn::VarInt::from_u32(0), b"stop");
         parts.endpoint.wait_idle().await;
         parts.tasks.shutdown().await;
@@ -174,12 +175,6 @@
     }
 }
 
-impl std::fmt::Debug for Parts {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Parts(..)")
-    }
-}
-
 fn first_entry(settings: &Settings, own: Hop) -> Entry {
     Entry {
         customer: settings.customer.clone(),
@@ -204,138 +199,3 @@
     }
     Err(Error::Contract)
 }
-
-#[expect(clippy::too_many_arguments)]
-fn assemble(
-    settings: Settings,
-    log: Logger,
-    own: Hop,
-    udp: UdpSocket,
-    herald: Arc<Herald>,
-    mut entry: Entry,
-    contract: &Contract<Accepted>,
-    terms: &Terms,
-) -> Result<Parts> {
-    let clock = Clock::new();
-    let (customer, name) = (&settings.customer, &settings.service);
-    let derive = |purpose| settings.key.derive(purpose, customer, name);
-    let digest = Digest::new(customer, name);
-    let ramp = Ramp::new(settings.weight, terms.warmup, clock.now());
-    entry.weight = ramp.weight(clock.now());
-    let book = Arc::new(Book::new(own, terms.connections, entry.weight));
-    let seals =
-        Seals { capsule: Seal::new(&derive("capsule")), claim: Seal::new(&derive("claim")) };
-    let scope = Arc::new(Scope::new(digest, own));
-    scope.apply(contract, terms);
-    let socket = Arc::new(Socket::new(udp, seals, scope.clone(), book.clone(), clock));
-    let owner = Owner { instance: own.instance, incarnation: own.incarnation };
-    let endpoint = quinn::Endpoint::new_with_abstract_socket(
-        endpoint::endpoint_config(owner, &derive("tag"), &derive("reset")),
-        Some(endpoint::server_config(settings.certificate)?),
-        socket.clone(),
-        Arc::new(quinn::TokioRuntime),
-    )
-    .map_err(|cause| Error::Socket { name: "quic", cause })?;
-    let (limits, limits_in_force) = watch::channel((Limits::from(terms), terms.wait));
-    let desk = Arc::new(Desk::new(Gate::new(terms.slots), clock));
-    let upstream = Client::new(settings.upstream);
-    let service = Service::new(desk, upstream, book.clone(), clock, limits_in_force, log.clone());
-    let service = Arc::new(service);
-    let (leave, leaving) = watch::channel(false);
-    let mut tasks = JoinSet::new();
-    for _ in 0..RECEIVERS {
-        let (socket, log) = (socket.clone(), log.clone());
-        tasks.spawn(async move {
-            if let Err(cause) = socket.run().await {
-                error!(log, "socket_failed"; "error" => %cause);
-            }
-        });
-    }
-    let claims = socket.clone();
-    tasks.spawn(async move { claims.run_claims().await });
-    tasks.spawn(service.clone().accept(endpoint.clone(), leaving));
-    entry.phase = Phase::Serving;
-    entry.version += 1;
-    let (entry, _) = watch::channel(entry);
-    let (known, revision) = watch::channel(contract.revision());
-    let (name, book_followed) = (name.clone(), book.clone());
-    let follower = Follower {
-        herald: herald.clone(),
-        name,
-        known,
-        limits,
-        socket,
-        scope,
-        ramp,
-        book: book_followed,
-        entry: entry.clone(),
-    };
-    tasks.spawn(async move { follower.run(clock).await });
-    let drain = terms.drain;
-    Ok(Parts { tasks, endpoint, service, book, herald, entry, leave, revision, drain, log })
-}
-
-/// Announces the agent and puts newer contracts in force.
-struct Follower {
-    herald: Arc<Herald>,
-    name: ServiceName,
-    known: watch::Sender<Revision>,
-    limits: watch::Sender<(Limits, Span)>,
-    socket: Arc<Socket>,
-    scope: Arc<Scope>,
-    ramp: Ramp,
-    book: Arc<Book>,
-    entry: watch::Sender<Entry>,
-}
-
-impl Follower {
-    async fn run(&self, clock: Clock) {
-        let mut timer = tokio::time::interval(ANNOUNCE_EVERY);
-        loop {
-            tokio::select! {
-                _ = timer.tick() => {}
-                () = self.socket.newer_contract() => tokio::time::sleep(PULL_PAUSE).await,
-            }
-            self.grow(clock.now());
-            let entry = self.entry.borrow().clone();
-            let revision = *self.known.borrow();
-            let news = self.herald.announce(&entry, revision).await;
-            if let Some(contract) = news.contract {
-                self.apply(&contract);
-            }
-            if news.reached > 0 {
-                let siblings = news.siblings.iter();
-                let hop = |s: &Sibling| Hop { instance: s.instance, incarnation: s.incarnation };
-                self.socket.set_siblings(&siblings.map(hop).collect::<Vec<_>>());
-            }
-            self.socket.expire();
-        }
-    }
-
-    /// Lets the weight follow the warm-up.
-    fn grow(&self, now: Moment) {
-        let weight = self.ramp.weight(now);
-        self.book.set_weight(weight);
-        self.entry.send_if_modified(|entry| {
-            let changed = entry.weight != weight;
-            if changed {
-                entry.weight = weight;
-                entry.version += 1;
-            }
-            changed
-        });
-    }
-
-    fn apply(&self, contract: &Contract<Accepted>) {
-        if contract.revision() <= *self.known.borrow() {
-            return;
-        }
-        if let Some(terms) = contract.service(&self.name) {
-            let _ = self.limits.send((Limits::from(terms), terms.wait));
-            self.scope.apply(contract, terms);
-        } else {
-            self.scope.withdraw(contract);
-        }
-        let _ = self.known.send(contract.revision());
-    }
-}
--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -6,10 +6,13 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod admin;
 pub mod capsule;
 pub mod claim;
 pub mod errors;
+pub mod handoff;
 pub mod invariant;
 pub mod message;
 pub mod proxy;
 pub mod seal;
+pub mod seat;
