Test the isolation of services at an agent and the shell of claims

Cause: the checks of service, incarnation, revision and authenticator, and the queue of packets that wait for a claim, had no test of their own.

--- /dev/null
+++ b/yuccacroft-agent/tests/claims.rs
@@ -0,0 +1,182 @@
+//! The shell of the directory: packets that wait, and messages between agents.
+
+use {
+    std::{net::SocketAddr, sync::Arc},
+    yuccacroft_agent::claims::{Claims, Held, Output},
+    yuccacroft_core::{
+        directory::Outcome,
+        flow::{Hop, Key, Phase},
+        ids::{Customer, Incarnation, Instance, Revision, Service},
+        key::{Digest, Secret},
+        ownership::{Book, Decision, Load, Packet},
+        placement::{Chain, Step},
+        time::{Moment, Span},
+        units::{Connections, Weight},
+    },
+    yuccacroft_wire::{
+        capsule::{Header, Kind, Seal},
+        claim::{self, Body, Entry, Message},
+        errors::Error,
+    },
+};
+
+const KEY: Key = Key::new(7);
+
+fn hop(number: u64) -> Hop {
+    Hop { instance: Instance::from_bits(number << 16 | 9_000), incarnation: Incarnation::new(1) }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::default() + Span::from_millis(millis)
+}
+
+fn chain() -> Chain {
+    let mut chain = Chain::new(Some(hop(1)), Some(hop(1)));
+    chain.add_home(KEY, hop(2));
+    chain
+}
+
+fn digest() -> Digest {
+    let (customer, service): (Customer, Service) =
+        ("kampvuur".parse().unwrap(), "booking".parse().unwrap());
+    Digest::new(&customer, &service)
+}
+
+fn held(key: Key) -> Held {
+    let (phase, step, chain) = (Phase::First, Step::First, chain());
+    let address = |text: &str| text.parse::<SocketAddr>().unwrap();
+    let header = Header {
+        kind: Kind::Untagged { key, phase, chain, step, hops: 0, load: None },
+        digest: digest(),
+        incarnation: hop(1).incarnation,
+        revision: Revision::new(1),
+        caller: address("127.0.0.9:5000"),
+        service: address("127.0.40.1:4433"),
+        via: address("127.0.0.8:5000"),
+        balancer: "127.0.0.7:5000".parse().unwrap(),
+    };
+    Held { header, payload: Box::new([1, 2, 3]) }
+}
+
+fn agent(number: u64) -> (Arc<Book>, Claims) {
+    let book = Arc::new(Book::new(hop(number), Connections::new(10_000), Weight::new(1)));
+    (book.clone(), Claims::new(book))
+}
+
+fn decide(book: &Book, key: Key) -> Decision {
+    let (phase, step, meant) = (Phase::First, Step::First, hop(1).incarnation);
+    let packet = Packet { key, phase, chain: &chain(), step, meant, hops: 0, load: None };
+    book.decide(&packet, at(0))
+}
+
+fn load() -> Load {
+    Load::new(Connections::new(0), Weight::new(1))
+}
+
+/// Begins a claim at agent 1.
+fn begin(book: &Book, claims: &Claims) -> Vec<Output> {
+    assert_eq!(decide(book, KEY), Decision::Claim);
+    claims.hold(KEY, held(KEY), true, at(0))
+}
+
+/// Guards against packets that are delivered before their claim is won, or never.
+#[test]
+fn packets_wait_until_the_claim_is_won() {
+    let ((book, claims), (_, home)) = (agent(1), agent(2));
+    let asked = begin(&book, &claims);
+    let [Output::Send(to, ask)] = &asked[..] else { panic!("{asked:?}") };
+    assert_eq!(*to, hop(2).instance);
+    assert_eq!(decide(&book, KEY), Decision::Wait);
+    assert!(claims.hold(KEY, held(KEY), false, at(1)).is_empty());
+    let answer = home.receive(hop(1), load(), ask.clone(), at(1));
+    let [Output::Send(_, answer)] = &answer[..] else { panic!("{answer:?}") };
+    let won = claims.receive(hop(2), load(), answer.clone(), at(2));
+    assert!(matches!(&won[..], [Output::Deliver(packets)] if packets.len() == 2), "{won:?}");
+    assert_eq!(decide(&book, KEY), Decision::Deliver);
+    assert!(!claims.is_open());
+}
+
+/// Guards against a loser that keeps its packets.
+#[test]
+fn packets_of_a_lost_claim_go_to_the_owner() {
+    let (book, claims) = agent(1);
+    begin(&book, &claims);
+    let answer = Body::Answer(KEY, Outcome::Held(hop(3)));
+    let lost = claims.receive(hop(2), load(), answer, at(1));
+    assert!(
+        matches!(&lost[..], [Output::Forward(to, packets)] if *to == hop(3) && packets.len() == 1)
+    );
+    assert_eq!(decide(&book, KEY), Decision::Pass(hop(3), Step::Owner, None));
+}
+
+/// Guards against a packet that is held after its claim has ended and then never leaves.
+#[test]
+fn late_packet_is_decided_again() {
+    let (book, claims) = agent(1);
+    begin(&book, &claims);
+    claims.receive(hop(2), load(), Body::Answer(KEY, Outcome::Granted), at(1));
+    let late = claims.hold(KEY, held(KEY), false, at(2));
+    assert!(matches!(&late[..], [Output::Decide(packets)] if packets.len() == 1), "{late:?}");
+}
+
+/// Guards against a dead home that holds up a flow for ever.
+#[test]
+fn dead_home_is_given_up() {
+    let (book, claims) = agent(1);
+    begin(&book, &claims);
+    let outputs: Vec<_> = (1..=20).flat_map(|tick| claims.tick(at(tick * 5))).collect();
+    let asks = outputs.iter().filter(|output| matches!(output, Output::Send(..))).count();
+    assert_eq!(asks, 3, "three more calls after the first");
+    assert!(matches!(outputs.last(), Some(Output::Deliver(packets)) if packets.len() == 1));
+}
+
+/// Guards against memory that grows with the packets that wait.
+#[test]
+fn held_packets_are_bounded() {
+    let (book, claims) = agent(1);
+    for key in (100..2_000).map(Key::new) {
+        assert_eq!(decide(&book, key), Decision::Claim);
+        claims.hold(key, held(key), true, at(0));
+        claims.hold(key, held(key), false, at(0));
+    }
+    let outputs: Vec<_> = (1..=20).flat_map(|tick| claims.tick(at(tick * 5))).collect();
+    let kept = outputs.iter().map(|output| match output {
+        Output::Deliver(packets) => packets.len(),
+        _ => 0,
+    });
+    assert_eq!(kept.sum::<usize>(), 512);
+}
+
+/// Guards against a member change after which new homes know nothing of the flows that live here.
+#[test]
+fn flows_are_published_to_new_homes() {
+    let (book, claims) = agent(1);
+    begin(&book, &claims);
+    claims.receive(hop(2), load(), Body::Answer(KEY, Outcome::Granted), at(1));
+    claims.set_members(&[hop(2)], at(10));
+    let restarted = Hop { incarnation: Incarnation::new(2), ..hop(2) };
+    for members in [[hop(2), hop(3)], [restarted, hop(3)]] {
+        let outputs = claims.set_members(&members, at(20));
+        let entry = Entry { key: KEY, owner: hop(1) };
+        let published = |output: &Output| matches!(output, Output::Send(_, Body::Publish(entries)) if entries == &[entry]);
+        assert!(outputs.len() == 1 && outputs.iter().all(published), "{outputs:?}");
+        assert!(claims.set_members(&members, at(30)).is_empty());
+    }
+}
+
+/// Guards against claim messages of another service and against changed ones.
+#[test]
+fn claim_messages_are_authenticated() {
+    let (own, foreign) = (Seal::new(&Secret::new([1; 32])), Seal::new(&Secret::new([2; 32])));
+    let to = hop(2).instance;
+    let body = Body::Publish(vec![Entry { key: KEY, owner: hop(1) }; claim::MAX_ENTRIES]);
+    let message = Message { digest: digest(), from: hop(1), to, load: load(), body };
+    let datagram = claim::encode(&message, &own).unwrap();
+    assert_eq!(claim::decode(&datagram, &own).unwrap(), message);
+    assert_eq!(claim::decode(&datagram, &foreign), Err(Error::Unauthenticated));
+    for at in 0..datagram.len() {
+        let mut changed = datagram.clone();
+        changed[at] ^= 1;
+        assert!(claim::decode(&changed, &own).is_err());
+    }
+}
