Hand claims from home to home

Cause: a claim asked four homes one after the other, eight delays in all.

Change: each home that grants hands the claim to the next one in the same order; the last one, or one that refuses, answers the claimant. Without an answer within 25 ms the claimant asks the homes itself as before.

--- a/yuccacroft-agent/src/claims.rs
+++ b/yuccacroft-agent/src/claims.rs
@@ -13,7 +13,7 @@
     tokio::sync::Notify,
     yuccacroft_core::{
         controller::Controller,
-        directory::{Action, Directory, Event},
+        directory::{Action, Directory, Event, Outcome},
         flow::{Hop, Key},
         ids::Instance,
         ownership::{Book, Load},
@@ -24,7 +24,7 @@
     },
     yuccacroft_wire::{
         capsule::{Header, Kind},
-        claim::{Body, Entry, MAX_ENTRIES},
+        claim::{Body, Entry, MAX_ENTRIES, Relay},
     },
 };
 
@@ -121,6 +121,7 @@
                 self.step(key, Event::Answered { key, home: from.instance, outcome }, now)
             }
             Body::Load => Vec::new(),
+            Body::Relay(relay) => self.relay(relay, now),
             Body::Publish(entries) => {
                 for Entry { key, owner } in entries {
                     self.book.publish(key, owner, from, now);
@@ -130,6 +131,30 @@
         }
     }
 
+    /// Takes a claim as a home: hands it to the next home or answers the claimant.
+    fn relay(&self, relay: Relay, now: Moment) -> Vec<Output> {
+        let Relay { key, claimant, chain, position } = relay;
+        let outcome = self.book.claim(key, claimant, now);
+        let position = position.saturating_add(1);
+        if outcome == Outcome::Granted && chain.home(usize::from(position)).is_some() {
+            return self.hand_on(Relay { position, ..relay }, now);
+        }
+        let own = self.book.own().instance;
+        if claimant.instance == own {
+            return self.step(key, Event::Answered { key, home: own, outcome }, now);
+        }
+        vec![Output::Send(claimant.instance, Body::Answer(key, outcome))]
+    }
+
+    /// Sends a claim to the home at its position.
+    fn hand_on(&self, relay: Relay, now: Moment) -> Vec<Output> {
+        match relay.chain.home(usize::from(relay.position)) {
+            Some(home) if home.instance == self.book.own().instance => self.relay(relay, now),
+            Some(home) => vec![Output::Send(home.instance, Body::Relay(relay))],
+            None => Vec::new(),
+        }
+    }
+
     /// Repeats calls whose answer is late.
     pub fn tick(&self, now: Moment) -> Vec<Output> {
         let mut outputs = Vec::new();
@@ -199,6 +224,10 @@
         let own = self.book.own();
         while let Some(action) = actions.pop_front() {
             match action {
+                Action::Relay { key, chain } => {
+                    let relay = Relay { key, claimant: own, chain, position: 0 };
+                    outputs.extend(self.hand_on(relay, now));
+                }
                 Action::Ask { home, key } if home.instance == own.instance => {
                     let outcome = self.book.claim(key, own, now);
                     let event = Event::Answered { key, home: home.instance, outcome };
--- a/yuccacroft-bench/src/flows/owner.rs
+++ b/yuccacroft-bench/src/flows/owner.rs
@@ -10,11 +10,11 @@
     rand::RngExt,
     yuccacroft_core::{
         controller::Controller,
-        directory::{Action, Event as Claim},
+        directory::{Action, Event as Claim, Outcome},
         flow::{Hop, Key, Phase},
         ids::Instance,
         ownership::{Decision, Packet},
-        placement::Step,
+        placement::{Chain, Step},
         tag::Owner,
         time::Span,
     },
@@ -131,7 +131,7 @@
     }
 
     pub fn ask(&mut self, from: Hop, home: Hop, key: Key) {
-        self.counts.claims += 2;
+        self.counts.claims += 1;
         let Some(agent) = self.agents.get(&home.instance) else { return };
         if self.agents.get(&from.instance).is_none_or(|asker| asker.service != agent.service) {
             self.counts.refused += 1;
@@ -142,6 +142,41 @@
         self.mail(Mail::Answer { to: from, event });
     }
 
+    pub fn answer(&mut self, to: Hop, event: Claim) {
+        self.counts.claims += 1;
+        self.step(to, event);
+    }
+
+    pub fn relay(&mut self, from: Hop, key: Key, chain: &Chain, position: usize) {
+        self.counts.claims += 1;
+        let Some(home) = chain.home(position) else { return };
+        let Some(agent) = self.agents.get(&home.instance) else { return };
+        if self.agents.get(&from.instance).is_none_or(|asker| asker.service != agent.service) {
+            self.counts.refused += 1;
+            return;
+        }
+        let outcome = agent.book.claim(key, from, self.now);
+        let (chain, position) = (*chain, position + 1);
+        if outcome == Outcome::Granted && chain.home(position).is_some() {
+            return self.hand_on(home, Mail::Relay { from, key, chain, position });
+        }
+        let event = Claim::Answered { key, home: home.instance, outcome };
+        self.hand_on(home, Mail::Answer { to: from, event });
+    }
+
+    /// Sends a message, or takes it at once when it stays at this agent.
+    fn hand_on(&mut self, own: Hop, mail: Mail) {
+        match mail {
+            Mail::Relay { from, key, chain, position }
+                if chain.home(position).is_some_and(|home| home.instance == own.instance) =>
+            {
+                self.relay(from, key, &chain, position);
+            }
+            Mail::Answer { to, event } if to.instance == own.instance => self.step(to, event),
+            mail => self.mail(mail),
+        }
+    }
+
     pub fn step(&mut self, own: Hop, event: Claim) {
         let Some(agent) = self.agents.get_mut(&own.instance) else { return };
         if agent.book.own() != own {
@@ -161,6 +196,9 @@
                 let outcome = agent.book.claim(key, own, self.now);
                 self.step(own, Claim::Answered { key, home: home.instance, outcome });
             }
+            Action::Relay { key, chain } => {
+                self.hand_on(own, Mail::Relay { from: own, key, chain, position: 0 });
+            }
             Action::Ask { home, key } => self.mail(Mail::Ask { from: own, home, key }),
             Action::Publish { home, key, owner } => {
                 self.mail(Mail::Publish { home, key, owner, from: own });
--- a/yuccacroft-bench/src/flows/world.rs
+++ b/yuccacroft-bench/src/flows/world.rs
@@ -53,6 +53,7 @@
     End { flow: usize },
     Packet(Sent),
     Ask { from: Hop, home: Hop, key: Key },
+    Relay { from: Hop, key: Key, chain: Chain, position: usize },
     Answer { to: Hop, event: Claim },
     Publish { home: Hop, key: Key, owner: Hop, from: Hop },
     LoadOf { to: Hop, from: Hop, load: Load },
@@ -180,7 +181,8 @@
             Mail::End { flow } => self.end(flow),
             Mail::Packet(sent) => self.packet(sent),
             Mail::Ask { from, home, key } => self.ask(from, home, key),
-            Mail::Answer { to, event } => self.step(to, event),
+            Mail::Relay { from, key, chain, position } => self.relay(from, key, &chain, position),
+            Mail::Answer { to, event } => self.answer(to, event),
             Mail::Publish { home, key, owner, from } => {
                 self.counts.claims += 1;
                 if let Some(agent) = self.agents.get(&home.instance) {
--- a/yuccacroft-core/src/directory.rs
+++ b/yuccacroft-core/src/directory.rs
@@ -1,8 +1,9 @@
 //! The directory: which agent owns a key.
 //!
 //! [`Entries`] is what one agent remembers as a home. [`Directory`] is the controller of the claims
-//! that one agent makes: it asks the homes of a key one after the other, in the order that all
-//! balancers share. Of two claimants with a home in common, the one that reaches the first common
+//! that one agent makes: the homes of a key are asked one after the other, in the order that all
+//! balancers share. Each home that grants hands the claim to the next one; when no answer comes, the
+//! claimant asks the homes itself and leaves out dead ones. Of two claimants with a home in common, the one that reaches the first common
 //! home later loses there and claims nothing behind it, so exactly one of them owns the key.
 
 use {
@@ -23,6 +24,8 @@
 const ENTRY_MEMORY: Span = Span::from_secs(60);
 /// Time for one answer of a home: several times the round trip between failure domains.
 const ANSWER_TIMEOUT: Span = Span::from_millis(10);
+/// Time for a claim that all homes hand on, by when the claimant asks them itself.
+const RELAY_TIMEOUT: Span = Span::from_millis(25);
 /// Calls before a home counts as dead. Fewer would make loss of packets look like a dead home.
 const TRIES: u8 = 4;
 /// Time for which a home that did not answer is asked only once per claim.
@@ -136,6 +139,14 @@
 /// What the shell is asked to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
+    /// Ask the first home for the key and have each home hand the claim to the next. Any of them
+    /// may be this agent itself.
+    Relay {
+        /// The key.
+        key: Key,
+        /// The chain with the homes of the key.
+        chain: Chain,
+    },
     /// Ask a home, which may be this agent itself, for the key.
     Ask {
         /// The home.
@@ -177,6 +188,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
     chain: Chain,
+    relayed: bool,
     position: usize,
     tries: u8,
     asked: Moment,
@@ -197,7 +209,12 @@
         if self.attempts.contains_key(&key) {
             return Vec::new();
         }
-        self.ask(key, Attempt { chain, position: 0, tries: 0, asked: now }, now)
+        let attempt = Attempt { chain, relayed: true, position: 0, tries: 1, asked: now };
+        if chain.homes().any(|home| self.silent.contains_key(&home.instance)) {
+            return self.ask(key, Attempt { relayed: false, tries: 0, ..attempt }, now);
+        }
+        self.attempts.insert(key, attempt);
+        vec![Action::Relay { key, chain }]
     }
 
     /// Asks the home at the position of the attempt, or ends the claim behind the last one.
@@ -215,6 +232,9 @@
     fn answered(&mut self, key: Key, home: Instance, outcome: Outcome, now: Moment) -> Vec<Action> {
         self.silent.remove(&home);
         let Some(attempt) = self.attempts.get(&key).copied() else { return Vec::new() };
+        if attempt.relayed {
+            return self.relayed(key, attempt, home, outcome);
+        }
         // An answer of a home that was given up comes too late.
         if attempt.chain.home(attempt.position).is_none_or(|asked| asked.instance != home) {
             return Vec::new();
@@ -227,6 +247,31 @@
         }
     }
 
+    /// Takes the answer of the last home, or of one where another agent is registered.
+    fn relayed(
+        &mut self,
+        key: Key,
+        mut attempt: Attempt,
+        home: Instance,
+        outcome: Outcome,
+    ) -> Vec<Action> {
+        let homes = attempt.chain.homes();
+        let Some(position) = homes.map(|home| home.instance).position(|at| at == home) else {
+            return Vec::new();
+        };
+        match outcome {
+            Outcome::Held(winner) if winner.instance != self.own.instance => {
+                attempt.position = position;
+                self.lose(key, &attempt, winner)
+            }
+            _ if position + 1 == attempt.chain.homes().count() => {
+                self.attempts.remove(&key);
+                vec![Action::Won { key }]
+            }
+            _ => Vec::new(),
+        }
+    }
+
     fn advance(&mut self, key: Key, attempt: Attempt, now: Moment) -> Vec<Action> {
         self.ask(key, Attempt { position: attempt.position + 1, tries: 0, ..attempt }, now)
     }
@@ -240,7 +285,8 @@
 
     fn tick(&mut self, now: Moment) -> Vec<Action> {
         self.silent.retain(|_, since| now.since(*since) < SILENCE_MEMORY);
-        let late = |attempt: &Attempt| now.since(attempt.asked) >= ANSWER_TIMEOUT;
+        let timeout = |relayed| if relayed { RELAY_TIMEOUT } else { ANSWER_TIMEOUT };
+        let late = |attempt: &Attempt| now.since(attempt.asked) >= timeout(attempt.relayed);
         let late: Vec<_> = self
             .attempts
             .iter()
@@ -252,6 +298,7 @@
 
     fn repeat(&mut self, key: Key, attempt: Attempt, now: Moment) -> Vec<Action> {
         let Some(home) = attempt.chain.home(attempt.position) else { return Vec::new() };
+        let attempt = Attempt { relayed: false, ..attempt };
         let tries = if self.silent.contains_key(&home.instance) { 1 } else { TRIES };
         if attempt.tries < tries {
             return self.ask(key, attempt, now);
--- a/yuccacroft-core/tests/support/mod.rs
+++ b/yuccacroft-core/tests/support/mod.rs
@@ -4,7 +4,7 @@
     std::collections::{BTreeMap, VecDeque},
     yuccacroft_core::{
         controller::Controller,
-        directory::{Action, Directory, Event},
+        directory::{Action, Directory, Event, Outcome},
         flow::{Hop, Key, Phase},
         ids::{Incarnation, Instance},
         ownership::{Book, Decision, Load, Packet},
@@ -50,6 +50,7 @@
 enum Mail {
     Packet(Sent),
     Ask { from: Hop, home: Hop, key: Key },
+    Relay { from: Hop, key: Key, chain: Chain, position: usize },
     Answer { to: Hop, event: Event },
     Publish { home: Hop, key: Key, owner: Hop, from: Hop },
 }
@@ -147,6 +148,19 @@
                 let event = Event::Answered { key, home: home.instance, outcome };
                 self.mail.push_back(Mail::Answer { to: from, event });
             }
+            Mail::Relay { from, key, chain, position } => {
+                let home = chain.home(position).unwrap();
+                let Some(agent) = self.agents.get(&home.instance) else { return };
+                let outcome = agent.book.claim(key, from, self.now);
+                let position = position + 1;
+                let next = outcome == Outcome::Granted && chain.home(position).is_some();
+                let event = Event::Answered { key, home: home.instance, outcome };
+                self.mail.push_back(if next {
+                    Mail::Relay { from, key, chain, position }
+                } else {
+                    Mail::Answer { to: from, event }
+                });
+            }
             Mail::Answer { to, event } => {
                 let Some(agent) = self.agents.get_mut(&to.instance) else { return };
                 let actions = agent.directory.step(event, self.now);
@@ -205,6 +219,9 @@
     fn execute(&mut self, own: Hop, action: Action) {
         let agent = self.agents.get_mut(&own.instance).unwrap();
         match action {
+            Action::Relay { key, chain } => {
+                self.mail.push_back(Mail::Relay { from: own, key, chain, position: 0 });
+            }
             Action::Ask { home, key } => {
                 self.mail.push_back(Mail::Ask { from: own, home, key });
             }
--- a/yuccacroft-wire/src/claim.rs
+++ b/yuccacroft-wire/src/claim.rs
@@ -16,6 +16,7 @@
         ids::Instance,
         key::Digest,
         ownership::Load,
+        placement::Chain,
     },
 };
 
@@ -48,6 +49,8 @@
 pub enum Body {
     /// The sender wants to own the key.
     Claim(Key),
+    /// An agent wants to own a key; each home that grants hands this to the next.
+    Relay(Relay),
     /// The answer to a claim.
     Answer(Key, Outcome),
     /// The sender took a flow that the receiver passed on; the load answers the receiver's.
@@ -56,6 +59,19 @@
     Publish(Vec<Entry>),
 }
 
+/// A claim that homes hand on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relay {
+    /// The key.
+    pub key: Key,
+    /// The agent that wants to own it.
+    pub claimant: Hop,
+    /// The chain with the homes of the key.
+    pub chain: Chain,
+    /// The position of the receiver among the homes.
+    pub position: u8,
+}
+
 /// The owner of one key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
