--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod capsule;
 pub mod claim;
 pub mod errors;
+pub mod exchange;
 pub mod handoff;
 pub mod invariant;
 pub mod message;
--- a/yuccacroft/tests/support/mod.rs
+++ b/yuccacroft/tests/support/mod.rs
@@ -22,6 +22,7 @@
 const WORK: Duration = Duration::from_millis(5);
 const CONNECT_DEADLINE: Duration = Duration::from_secs(30);
 const KEY: [u8; 32] = [7; 32];
+const MESH_KEY: [u8; 32] = [9; 32];
 
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
 static PORTS: AtomicU16 = AtomicU16::new(20_000);
@@ -76,9 +77,10 @@
         fs::write(folder.join("service.key"), certificate.key_pem.as_bytes()).unwrap();
         let (mut processes, mut packets, mut controls) = (Vec::new(), Vec::new(), Vec::new());
         let (mut admins, mut agents) = (Vec::new(), Vec::new());
-        for index in 0..3 {
-            let (packet, control, admin) = (free_address(), free_address(), free_address());
-            let text = balancer(index, packet, control, store.address());
+        let peers: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
+        for (index, &control) in peers.iter().enumerate() {
+            let (packet, admin) = (free_address(), free_address());
+            let text = balancer(index, packet, &peers, store.address());
             let text = format!("{text}\n[admin]\nlisten = {admin}\ntoken = {TOKEN}\n");
             admins.push(admin);
             processes.push(run(&folder, "balancer", index, &text));
@@ -145,11 +147,16 @@
     )
 }
 
-fn balancer(index: usize, packets: SocketAddr, control: SocketAddr, store: SocketAddr) -> String {
+fn balancer(index: usize, packets: SocketAddr, peers: &[SocketAddr], store: SocketAddr) -> String {
+    let control = peers[index];
+    let key = Secret::new(MESH_KEY);
+    let peers: Vec<_> = peers.iter().map(ToString::to_string).collect();
     format!(
         "[process]\nname = balancer-{index}\ndomain = vlaanderen-{index}\n\n[listen]\n\
-         packets = {packets}\ncapsules = {}\ncontrol = {control}\n\n[store]\naddress = {store}\n",
-        free_address()
+         packets = {packets}\ncapsules = {}\ncontrol = {control}\n\n[store]\naddress = {store}\n\n\
+         [mesh]\nkey = {key}\npeers = {}\n",
+        free_address(),
+        peers.join(", ")
     )
 }
 
