--- a/yuccacroft-balancer/src/packet.rs
+++ b/yuccacroft-balancer/src/packet.rs
@@ -4,7 +4,10 @@
     crate::service::{Service, Slot, View},
     std::{
         net::{SocketAddr, SocketAddrV4},
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
     },
     yuccacroft_core::{
         filter::{Chain, Filter, Verdict},
@@ -104,7 +107,7 @@
     Chain::new(vec![
         Box::new(Address { view: view.clone() }),
         Box::new(Tag { view: view.clone() }),
-        Box::new(Placement { view }),
+        Box::new(Placement { view, turn: AtomicU32::new(0) }),
     ])
 }
 
@@ -121,6 +124,7 @@
 /// Names the candidates of a packet without a tag.
 struct Placement {
     view: Arc<View>,
+    turn: AtomicU32,
 }
 
 impl Filter<Item> for Address {
@@ -170,13 +174,15 @@
         let service = self.view.service(slot);
         let packet =
             Packet::Untagged { key: service.key(item.invariant.id()), phase: item.invariant.phase };
-        Verdict::Done(place(service, slot, packet))
+        let swap = self.turn.fetch_add(1, Ordering::Relaxed) % 2 == 1;
+        Verdict::Done(place(service, slot, packet, swap))
     }
 }
 
-fn place(service: &Service, slot: Slot, packet: Packet) -> Decision {
+fn place(service: &Service, slot: Slot, packet: Packet, swap: bool) -> Decision {
     let Packet::Untagged { key, phase } = packet else { return Decision::Drop(Cause::Address) };
     let chain = service.history.chain(key);
+    let chain = if swap { chain.swapped() } else { chain };
     let Some(target) = chain.first() else { return Decision::Drop(Cause::Members) };
     let kind = Kind::Untagged { key, phase, chain, step: Step::First, hops: 0, load: None };
     Decision::Forward { target, kind, slot }
--- a/yuccacroft-bench/src/main.rs
+++ b/yuccacroft-bench/src/main.rs
@@ -5,6 +5,7 @@
 
 mod control;
 mod figure;
+mod flows;
 mod forwarding;
 mod requests;
 
@@ -17,8 +18,12 @@
 const PROCESS: &str = "process";
 
 /// The cases by name, in the order of `docs/design.md`, section 12.
-const CASES: &[(&str, Case)] =
-    &[("forwarding", forwarding::run), ("requests", requests::run), ("control", control::run)];
+const CASES: &[(&str, Case)] = &[
+    ("forwarding", forwarding::run),
+    ("flows", flows::run),
+    ("requests", requests::run),
+    ("control", control::run),
+];
 
 /// A case takes the seed of all its random choices and measures.
 type Case = fn(u64) -> Report;
--- a/yuccacroft/src/demo/system.rs
+++ b/yuccacroft/src/demo/system.rs
@@ -278,9 +278,9 @@
     format!(
         "[customer]\nname = {CUSTOMER}\nkey = {key}\ncapacity = 40\n\n\
          [service booking]\naddresses = {booking}\nslots = 4\nconnections = 2000\n\
-         upstreams_max = 7\nshare = 28\nwait = 500 ms\n\n\
+         upstreams_max = 7\nshare = 28\nwait = 500 ms\nwarmup = 0 s\n\n\
          [service pack]\naddresses = {pack}\nslots = 4\nconnections = 2000\n\
-         upstreams_max = 3\nshare = 12\nwait = 2 s\ndeadline = 30 s\n"
+         upstreams_max = 3\nshare = 12\nwait = 2 s\ndeadline = 30 s\nwarmup = 0 s\n"
     )
 }
 
