Probe quiet connections to the upstream and test silent ones

Cause: a feed may be quiet for hours, so no deadline tells a quiet connection from one whose state something on the way lost; its caller waited without end. No test made connections go silent.

Ruled out: a progress deadline on feeds, which would close quiet boards.

Change: TCP keep-alive on all connections to the upstream gives a lost one up after about 25 s. `fakes::valve` makes open connections silent while new ones work.

Measured: reservations run once over new connections; an idempotent request that meets a silent pooled connection ends as unknown at its deadline (5 s) and the next one is answered.

--- a/yuccacroft-agent/src/upstream.rs
+++ b/yuccacroft-agent/src/upstream.rs
@@ -13,6 +13,7 @@
         client::legacy::{Client as Pool, connect::HttpConnector},
         rt::{TokioExecutor, TokioIo},
     },
+    socket2::{SockRef, TcpKeepalive},
     std::{
         fmt::{Display, Formatter},
         net::SocketAddr,
@@ -36,6 +37,12 @@
 /// request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Probes on a quiet connection. A feed may be quiet for hours, so only probes tell one whose
+/// state was lost from one without news; it is given up after about 25 s.
+const PROBE_AFTER: Duration = Duration::from_secs(10);
+const PROBE_EVERY: Duration = Duration::from_secs(5);
+const PROBES: u32 = 3;
+
 /// Connections to one upstream.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -64,6 +71,9 @@
     pub fn new(address: SocketAddr) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_keepalive(Some(PROBE_AFTER));
+        connector.set_keepalive_interval(Some(PROBE_EVERY));
+        connector.set_keepalive_retries(Some(PROBES));
         // The library must never send a request twice on its own.
         let pool = Pool::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
@@ -77,6 +87,9 @@
     pub async fn connect(&self) -> Result<Line, Error> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
         let stream = stream.await.ok().and_then(Result::ok).ok_or(Error::Unreachable)?;
+        let probes = TcpKeepalive::new().with_time(PROBE_AFTER);
+        let probes = probes.with_interval(PROBE_EVERY).with_retries(PROBES);
+        SockRef::from(&stream).set_tcp_keepalive(&probes).map_err(|_| Error::Unreachable)?;
         let shake = http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) = shake.map_err(|_| Error::Unreachable)?;
         tokio::spawn(async move {
--- a/yuccacroft-fakes/src/lib.rs
+++ b/yuccacroft-fakes/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod fleet;
 pub mod store;
 pub mod upstream;
+pub mod valve;
 pub mod viewer;
--- a/yuccacroft/tests/faults/fleet/mod.rs
+++ b/yuccacroft/tests/faults/fleet/mod.rs
@@ -22,6 +22,7 @@
         fabric::Fabric,
         store::Store,
         upstream::Upstream,
+        valve::Valve,
         viewer::Viewer,
     },
     yuccacroft_platform::{etcd::Gateway, store::Store as _},
@@ -67,6 +68,7 @@
     pub instance: SocketAddr,
     /// The upstream beside it.
     pub upstream: Upstream,
+    valve: Option<Valve>,
 }
 
 /// Everything that runs in one test.
@@ -86,6 +88,7 @@
     /// Whether the outcome of a reservation may be unknown, as when an agent that took it over is
     /// frozen.
     pub unknown_allowed: bool,
+    valves: bool,
     certificate: Certificate,
     folder: Folder,
 }
@@ -96,11 +99,13 @@
     pub drain: &'static str,
     /// Balancers that hear nothing from agents or other balancers.
     pub deaf: &'static [usize],
+    /// Whether the connections to upstreams can be made silent.
+    pub valves: bool,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Self { drain: "30 s", deaf: &[] }
+        Self { drain: "30 s", deaf: &[], valves: false }
     }
 }
 
@@ -136,6 +141,7 @@
             booking,
             packs,
             unknown_allowed: false,
+            valves: plan.valves,
             certificate,
             folder,
         };
@@ -161,9 +167,14 @@
     ) -> Agent {
         let name = format!("{service}-{index}");
         let upstream = Upstream::start(&name, "127.0.0.1:0".parse().unwrap(), WORK).await.unwrap();
-        let settings = files::agent(&name, service, instance, controls, upstream.address());
+        let valve = match self.valves {
+            true => Some(Valve::start(upstream.address()).await.unwrap()),
+            false => None,
+        };
+        let address = valve.as_ref().map_or(upstream.address(), Valve::address);
+        let settings = files::agent(&name, service, instance, controls, address);
         let node = Node::start(&self.folder, "agent", name, settings);
-        Agent { node, instance, upstream }
+        Agent { node, instance, upstream, valve }
     }
 
     /// Returns the control addresses of all balancers.
@@ -321,6 +332,13 @@
     }
 }
 
+impl Agent {
+    /// Makes the open connections to the upstream silent for good.
+    pub fn silence(&self) {
+        self.valve.as_ref().expect("the plan has valves").silence();
+    }
+}
+
 impl Balancer {
     fn start(
         folder: &Folder,
--- a/yuccacroft/tests/faults/main.rs
+++ b/yuccacroft/tests/faults/main.rs
@@ -3,4 +3,5 @@
 
 mod fleet;
 mod losses;
+mod silence;
 mod stops;
