--- a/yuccacroft/src/demo/system.rs
+++ b/yuccacroft/src/demo/system.rs
@@ -164,7 +164,11 @@
 
     /// Takes one balancer out of the fabric, stops it, and puts a new process in its place.
     pub async fn replace_balancer(&mut self) -> Outcome<()> {
-        let wanted = serving(&self.operator(0)).await;
+        // A balancer may still count an upstream whose drain it has not heard of.
+        let mut wanted = usize::MAX;
+        for index in 0..self.balancers.len() {
+            wanted = wanted.min(serving(&self.operator(index)).await);
+        }
         let old = self.balancers.remove(0);
         self.spray();
         old.process.drain().stop().await;
