--- a/yuccacroft-bench/src/main.rs
+++ b/yuccacroft-bench/src/main.rs
@@ -7,6 +7,7 @@
 mod figure;
 mod forwarding;
 mod requests;
+mod slopes;
 
 use {argh::FromArgs, figure::Report, std::process::ExitCode};
 
@@ -17,8 +18,12 @@
 const PROCESS: &str = "process";
 
 /// The cases by name, in the order of `docs/design.md`, section 12.
-const CASES: &[(&str, Case)] =
-    &[("forwarding", forwarding::run), ("requests", requests::run), ("control", control::run)];
+const CASES: &[(&str, Case)] = &[
+    ("forwarding", forwarding::run),
+    ("requests", requests::run),
+    ("control", control::run),
+    ("slopes", slopes::run),
+];
 
 /// A case takes the seed of all its random choices and measures.
 type Case = fn(u64) -> Report;
