--- a/yuccacroft-bench/src/main.rs
+++ b/yuccacroft-bench/src/main.rs
@@ -5,6 +5,7 @@
 
 mod control;
 mod figure;
+mod flows;
 mod forwarding;
 mod requests;
 mod slopes;
@@ -20,6 +21,7 @@
 /// The cases by name, in the order of `docs/design.md`, section 12.
 const CASES: &[(&str, Case)] = &[
     ("forwarding", forwarding::run),
+    ("flows", flows::run),
     ("requests", requests::run),
     ("control", control::run),
     ("slopes", slopes::run),
--- a/yuccacroft-bench/src/slopes.rs
+++ b/yuccacroft-bench/src/slopes.rs
@@ -63,6 +63,8 @@
 /// Runs the case.
 pub fn run(_seed: u64) -> Report {
     let mut report = Report::new("slopes");
+    // First, so that no memory of the others is used again.
+    whole(&mut report);
     for count in PEERS {
         peers(&mut report, count);
     }
@@ -75,7 +77,6 @@
     for count in FLOWS {
         flows(&mut report, count);
     }
-    whole(&mut report);
     report
 }
 
--- a/yuccacroft-core/src/gossip/exchange.rs
+++ b/yuccacroft-core/src/gossip/exchange.rs
@@ -143,7 +143,7 @@
             urgent: 18,
             other: 6,
             round: Span::from_millis(200),
-            repair: Span::from_secs(3),
+            repair: Span::from_secs(4),
             loss: Span::from_secs(6),
             budget: Budget::default(),
         }
--- a/yuccacroft-core/src/gossip/exchange/rumour.rs
+++ b/yuccacroft-core/src/gossip/exchange/rumour.rs
@@ -16,7 +16,7 @@
 const PUSH_BYTES: usize = 2_400;
 /// Time between two pushes of entries that are not urgent. An HTTP message costs three times what
 /// one such entry does.
-const OTHER_ROUND: Span = Span::from_secs(1);
+const OTHER_ROUND: Span = Span::from_secs(2);
 
 /// Pushes that an answer "known already" saves, besides the one that was answered.
 const KNOWN_SAVES: u8 = 2;
--- a/yuccacroft-fakes/src/fleet.rs
+++ b/yuccacroft-fakes/src/fleet.rs
@@ -44,8 +44,8 @@
 /// A call without an answer fails after this time.
 const TIMEOUT: Span = Span::from_secs(1);
 /// The request line and headers of a call between processes, the authenticator included: 28 + 22
-/// + 21 + 97 bytes and the line ends.
-const REQUEST_BYTES: u64 = 175;
+/// + 21 + 65 bytes and the line ends.
+const REQUEST_BYTES: u64 = 145;
 /// The status line and headers of an answer.
 const ANSWER_BYTES: u64 = 120;
 /// An answer to an announcement that brings nothing new.
