--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -198,7 +198,8 @@
     fn rebuild(&self, customer: &Customer, service: &Service) {
         let Some(contract) = self.contract(customer) else { return };
         let candidates = locked(&self.roster).candidates(customer, service);
-        info!(self.log, "members_changed";
+        let serving = candidates.iter().filter(|c| c.weight.get() > 0).count();
+        info!(self.log, "members_changed"; "serving" => serving,
             "members" => candidates.len(), "service" => %service, "customer" => %customer);
         self.routes.rebuild(&contract, service, &candidates, self.clock.now());
     }
