--- a/yuccacroft-agent/src/handoff.rs
+++ b/yuccacroft-agent/src/handoff.rs
@@ -16,9 +16,8 @@
         routing::post,
     },
     serde::de::DeserializeOwned,
-    slog::{Logger, error},
     std::{sync::Arc, time::Duration},
-    tokio::{net::TcpListener, sync::watch},
+    tokio::sync::watch,
     yuccacroft_core::{
         admission::Ask,
         fence::{Arrival, Ledger, State as Known},
@@ -56,7 +55,6 @@
     ledgers: Shards<u8, Ledger>,
     runs: Shards<Call, Run>,
     leave: watch::Receiver<bool>,
-    log: Logger,
 }
 
 #[derive(Debug)]
@@ -73,23 +71,19 @@
         service: Arc<Service>,
         siblings: Arc<Siblings>,
         leave: watch::Receiver<bool>,
-        log: Logger,
     ) -> Self {
         let (ledgers, runs) = (Shards::new(), Shards::new());
-        Self { own, key, service, siblings, ledgers, runs, leave, log }
+        Self { own, key, service, siblings, ledgers, runs, leave }
     }
 
-    /// Serves until the listener fails.
-    pub async fn run(self: Arc<Self>, listener: TcpListener) {
-        let router = Router::new()
+    /// Returns the routes of messages from siblings.
+    pub fn router(self: &Arc<Self>) -> Router {
+        Router::new()
             .route(OFFER_PATH, post(offer))
             .route(FENCE_PATH, post(fence))
             .route(RELAY_PATH, post(relay))
             .layer(DefaultBodyLimit::max(MAX_BYTES))
-            .with_state(self.clone());
-        if let Err(cause) = axum::serve(listener, router).await {
-            error!(self.log, "handoff_failed"; "error" => %cause);
-        }
+            .with_state(self.clone())
     }
 
     fn open<T: DeserializeOwned>(
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -2,20 +2,23 @@
 
 use {
     crate::{
+        admin::Admin,
         announce::Herald,
         chain::Limits,
         desk::Desk,
         endpoint::{self, Acceptor, Certificate},
         errors::{Error, Result},
         handoff::Host,
+        operate::Operator,
         owner::Owners,
-        packet,
+        packet::Scope,
         records::{PART_BOUNDS, Records},
         service::Service,
         siblings::Siblings,
-        socket::{Identity, Socket},
+        socket::{Seals, Socket},
         upstream::Client,
     },
+    axum::Router,
     rand::{SeedableRng, rngs::StdRng},
     slog::{Logger, error, info},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -32,17 +35,23 @@
         key::{Digest, Secret},
         member::{Entry, Phase},
         ownership::Book,
+        placement::ramp::Ramp,
         tag::Owner,
-        time::Span,
+        time::{Moment, Span},
         units::Weight,
     },
-    yuccacroft_rpc::clock::{self, Clock},
-    yuccacroft_wire::{capsule::Seal, handoff::PURPOSE, message::Sibling},
+    yuccacroft_rpc::{
+        admin::Access,
+        clock::{self, Clock},
+    },
+    yuccacroft_wire::{admin::InForce, capsule::Seal, handoff::PURPOSE, message::Sibling},
 };
 
 const ANNOUNCE_EVERY: Duration = Duration::from_secs(2);
 const FIRST_ANNOUNCE_EVERY: Duration = Duration::from_millis(200);
 const FIRST_ANNOUNCE_TRIES: u32 = 150;
+/// Pause before a newer contract is asked for, so that a stream of packets causes few calls.
+const PULL_PAUSE: Duration = Duration::from_millis(100);
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 const RECEIVERS: usize = 2;
 
@@ -76,6 +85,7 @@
 pub struct Starting {
     settings: Settings,
     log: Logger,
+    admin: Option<Access>,
 }
 
 /// The process takes flows and requests.
@@ -102,7 +112,11 @@
     herald: Arc<Herald>,
     entry: watch::Sender<Entry>,
     leave: watch::Sender<bool>,
-    revision: watch::Receiver<Revision>,
+    contract: watch::Receiver<InForce>,
+    operator: Arc<Operator>,
+    host: Arc<Host>,
+    ordered: watch::Receiver<bool>,
+    clock: Clock,
     drain: Span,
     log: Logger,
 }
@@ -110,25 +124,41 @@
 impl Process<Starting> {
     /// Prepares a process.
     pub fn new(settings: Settings, log: Logger) -> Self {
-        Self { state: Starting { settings, log } }
+        Self { state: Starting { settings, log, admin: None } }
+    }
+
+    /// Opens the administration interface too.
+    pub fn with_admin(mut self, admin: Option<Access>) -> Self {
+        self.state.admin = admin;
+        self
     }
 
     /// Learns the contract from a balancer, opens the sockets and begins to serve.
     pub async fn serve(self) -> Result<Process<Serving>> {
-        let Starting { settings, log } = self.state;
+        let Starting { settings, log, admin } = self.state;
         let own = Hop { instance: settings.capsules, incarnation: clock::incarnation() };
         let udp = UdpSocket::bind(own.instance.address())
             .await
             .map_err(|cause| Error::Socket { name: "capsules", cause })?;
-        let tcp = TcpListener::bind(own.instance.address())
-            .await
-            .map_err(|cause| Error::Socket { name: "handoff", cause })?;
+        let control = listen("control", own.instance.address().into()).await?;
+        let admin = match admin {
+            Some(access) => Some((listen("admin", access.listen).await?, access)),
+            None => None,
+        };
+        let (name, domain) = (settings.name.clone(), settings.domain.clone());
         let balancers = settings.balancers.clone();
         let herald = Arc::new(Herald::new(balancers, settings.key.clone(), log.clone()));
         let entry = first_entry(&settings, own);
         let contract = first_contract(&herald, &entry).await?;
         let terms = contract.service(&settings.service).ok_or(Error::Contract)?.clone();
-        let parts = assemble(settings, log, own, (udp, tcp), herald, entry, &contract, &terms)?;
+        let mut parts = assemble(settings, log, own, udp, herald, entry, &contract, &terms)?;
+        let peers = parts.operator.router().merge(parts.host.router());
+        spawn_server(&mut parts.tasks, control, peers);
+        if let Some((listener, access)) = admin {
+            let (clock, operator) = (parts.clock, parts.operator.clone());
+            let admin = Admin::new(name, domain, clock, operator, parts.contract.clone());
+            spawn_server(&mut parts.tasks, listener, admin.router(&access));
+        }
         info!(parts.log, "serving";
             "instance" => %own.instance, "incarnation" => %own.incarnation);
         Ok(Process { state: Serving { parts } })
@@ -141,6 +171,27 @@
         self.state.parts.book.open().get()
     }
 
+    /// Serves until `stop` or an operator's order to drain. After such an order the process keeps
+    /// its flows and stays up until `stop`.
+    pub async fn run(mut self, stop: impl Future<Output = ()>) {
+        let mut stop = std::pin::pin!(stop);
+        let ordered = tokio::select! {
+            () = &mut stop => false,
+            () = self.drain_ordered() => true,
+        };
+        let draining = self.drain().await;
+        if ordered {
+            stop.await;
+        }
+        draining.stop().await;
+    }
+
+    async fn drain_ordered(&mut self) {
+        if self.state.parts.ordered.wait_for(|ordered| *ordered).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Stops taking new flows, tells balancers, and asks callers to move.
     pub async fn drain(self) -> Process<Draining> {
         let parts = self.state.parts;
@@ -150,7 +201,7 @@
             entry.version += 1;
         });
         let entry = parts.entry.borrow().clone();
-        let revision = *parts.revision.borrow();
+        let revision = parts.contract.borrow().revision;
         parts.herald.announce(&entry, revision).await;
         // A receiver exists as long as a connection does.
         let _ = parts.leave.send(true);
@@ -175,7 +226,7 @@
             entry.version += 1;
         });
         let entry = parts.entry.borrow().clone();
-        let revision = *parts.revision.borrow();
+        let revision = parts.contract.borrow().revision;
         parts.herald.announce(&entry, revision).await;
         parts.endpoint.close(quinn::VarInt::from_u32(0), b"stop");
         parts.endpoint.wait_idle().await;
@@ -220,7 +271,7 @@
     settings: Settings,
     log: Logger,
     own: Hop,
-    (udp, tcp): (UdpSocket, TcpListener),
+    udp: UdpSocket,
     herald: Arc<Herald>,
     mut entry: Entry,
     contract: &Contract<Accepted>,
@@ -230,11 +281,14 @@
     let (customer, name) = (&settings.customer, &settings.service);
     let derive = |purpose| settings.key.derive(purpose, customer, name);
     let digest = Digest::new(customer, name);
-    let book = Arc::new(Book::new(own, terms.connections));
-    let identity = Identity { own, digest, seal: Seal::new(&derive("capsule")) };
-    let chain = packet::chain(digest, book.clone());
-    let socket = Arc::new(Socket::new(udp, identity, chain, clock));
-    socket.set_revision(contract.revision());
+    let ramp = Ramp::new(settings.weight, terms.warmup, clock.now());
+    entry.weight = ramp.weight(clock.now());
+    let book = Arc::new(Book::new(own, terms.connections, entry.weight));
+    let seals =
+        Seals { capsule: Seal::new(&derive("capsule")), claim: Seal::new(&derive("claim")) };
+    let scope = Arc::new(Scope::new(digest, own));
+    scope.apply(contract, terms);
+    let socket = Arc::new(Socket::new(udp, seals, scope.clone(), book.clone(), clock));
     let owner = Owner { instance: own.instance, incarnation: own.incarnation };
     let endpoint = quinn::Endpoint::new_with_abstract_socket(
         endpoint::endpoint_config(owner, &derive("tag"), &derive("reset")),
@@ -274,85 +328,139 @@
             }
         });
     }
-    let host = Host::new(
-        own.incarnation,
-        handoff,
-        service,
-        siblings.clone(),
-        leaving.clone(),
-        log.clone(),
-    );
-    tasks.spawn(Arc::new(host).run(tcp));
+    let claims = socket.clone();
+    tasks.spawn(async move { claims.run_claims().await });
+    let host = Host::new(own.incarnation, handoff, service, siblings.clone(), leaving.clone());
     let timed = desk.clone();
     tasks.spawn(async move { timed.run().await });
     tasks.spawn(acceptor.clone().accept(endpoint.clone(), leaving));
     entry.phase = Phase::Serving;
     entry.version += 1;
     let (entry, _) = watch::channel(entry);
-    let (known, revision) = watch::channel(contract.revision());
+    let (known, in_force) = watch::channel(InForce::from(contract));
+    let (order, ordered) = watch::channel(false);
+    let operator = Operator::new(
+        settings.key,
+        book.clone(),
+        desk.clone(),
+        acceptor.clone(),
+        entry.subscribe(),
+        order,
+    );
+    let (name, book_followed) = (name.clone(), book.clone());
     let follower = Follower {
         herald: herald.clone(),
-        name: name.clone(),
+        name,
         known,
         limits,
         socket,
+        scope,
+        ramp,
+        book: book_followed,
+        entry: entry.clone(),
         desk,
         records,
         siblings,
     };
-    let entries = entry.subscribe();
-    let follow_book = book.clone();
-    tasks.spawn(async move { follower.run(entries, &follow_book, clock).await });
+    tasks.spawn(async move { follower.run(clock).await });
     let drain = terms.drain;
-    Ok(Parts { tasks, endpoint, acceptor, book, herald, entry, leave, revision, drain, log })
+    Ok(Parts {
+        tasks,
+        endpoint,
+        acceptor,
+        book,
+        herald,
+        entry,
+        leave,
+        contract: in_force,
+        operator: Arc::new(operator),
+        host: Arc::new(host),
+        ordered,
+        clock,
+        drain,
+        log,
+    })
+}
+
+async fn listen(name: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|cause| Error::Socket { name, cause })
+}
+
+fn spawn_server(tasks: &mut JoinSet<()>, listener: TcpListener, router: Router) {
+    tasks.spawn(async move {
+        // The server ends with the process; its only error is a broken listener.
+        let _ = axum::serve(listener, router).await;
+    });
 }
 
 /// Announces the agent and puts newer contracts in force.
 struct Follower {
     herald: Arc<Herald>,
     name: ServiceName,
-    known: watch::Sender<Revision>,
+    known: watch::Sender<InForce>,
     limits: watch::Sender<Limits>,
     socket: Arc<Socket>,
+    scope: Arc<Scope>,
+    ramp: Ramp,
+    book: Arc<Book>,
+    entry: watch::Sender<Entry>,
     desk: Arc<Desk>,
     records: Arc<Records>,
     siblings: Arc<Siblings>,
 }
 
 impl Follower {
-    async fn run(&self, entries: watch::Receiver<Entry>, book: &Book, clock: Clock) {
+    async fn run(&self, clock: Clock) {
         let mut timer = tokio::time::interval(ANNOUNCE_EVERY);
         loop {
-            timer.tick().await;
-            let entry = entries.borrow().clone();
-            let revision = *self.known.borrow();
+            tokio::select! {
+                _ = timer.tick() => {}
+                () = self.socket.newer_contract() => tokio::time::sleep(PULL_PAUSE).await,
+            }
+            self.grow(clock.now());
+            let entry = self.entry.borrow().clone();
+            let revision = self.known.borrow().revision;
             let news = self.herald.announce(&entry, revision).await;
             if let Some(contract) = news.contract {
                 self.apply(&contract);
             }
-            // Without a balancer the siblings of the last answer are kept.
             if news.reached > 0 {
-                let hop = |sibling: &Sibling| {
-                    let Sibling { instance, incarnation } = *sibling;
-                    Hop { instance, incarnation }
-                };
-                self.siblings.replace(&news.siblings.iter().map(hop).collect::<Vec<_>>());
+                let siblings = news.siblings.iter();
+                let hop = |s: &Sibling| Hop { instance: s.instance, incarnation: s.incarnation };
+                let hops: Vec<_> = siblings.map(hop).collect();
+                self.siblings.replace(&hops);
+                self.socket.set_siblings(&hops);
             }
             self.records.expire(clock.now());
-            book.expire(clock.now());
             self.socket.expire();
         }
     }
 
+    /// Lets the weight follow the warm-up.
+    fn grow(&self, now: Moment) {
+        let weight = self.ramp.weight(now);
+        self.book.set_weight(weight);
+        self.entry.send_if_modified(|entry| {
+            let changed = entry.weight != weight;
+            if changed {
+                entry.weight = weight;
+                entry.version += 1;
+            }
+            changed
+        });
+    }
+
     fn apply(&self, contract: &Contract<Accepted>) {
-        if contract.revision() <= *self.known.borrow() {
+        if contract.revision() <= self.known.borrow().revision {
             return;
         }
         if let Some(terms) = contract.service(&self.name) {
             let _ = self.limits.send(Limits::from(terms));
             self.desk.change(terms.slots, terms.wait);
+            self.scope.apply(contract, terms);
+        } else {
+            self.scope.withdraw(contract);
         }
-        self.socket.set_revision(contract.revision());
-        let _ = self.known.send(contract.revision());
+        let _ = self.known.send(InForce::from(contract));
     }
 }
--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -16,12 +16,16 @@
     },
     yuccacroft_core::{
         contract::{
-            Contract,
+            Accepted, Contract,
             register::{self, Register},
+            stored,
         },
         controller::Controller,
-        ids::Change,
-        member::roster::{self, Roster},
+        ids::Customer,
+        member::{
+            Entry, Phase,
+            roster::{self, Roster},
+        },
         time::Span,
     },
     yuccacroft_platform::{
@@ -65,6 +69,21 @@
         Router::new().route(ANNOUNCE_PATH, post(announce)).with_state(self.clone())
     }
 
+    /// Returns the contract of a customer that is in force.
+    pub fn contract(&self, customer: &Customer) -> Option<Arc<Contract<Accepted>>> {
+        locked(&self.register).get(customer).cloned()
+    }
+
+    /// Returns all contracts in force.
+    pub fn contracts(&self) -> Vec<Arc<Contract<Accepted>>> {
+        locked(&self.register).iter().cloned().collect()
+    }
+
+    /// Returns all member entries.
+    pub fn members(&self) -> Vec<Entry> {
+        locked(&self.roster).iter().cloned().collect()
+    }
+
     /// Keeps the contracts up to date from the store.
     pub async fn follow<S: Store>(&self, store: &S) {
         let mut timer = tokio::time::interval(STORE_POLL);
@@ -82,6 +101,8 @@
         loop {
             timer.tick().await;
             self.step_roster(roster::Event::Tick);
+            let contracts: Vec<_> = locked(&self.register).iter().cloned().collect();
+            contracts.iter().for_each(|contract| self.routes.expire(contract, self.clock.now()));
         }
     }
 
@@ -95,7 +116,8 @@
         Ok(())
     }
 
-    fn learn(&self, contract: Arc<Contract<yuccacroft_core::contract::Accepted>>) {
+    /// Puts a contract in force unless a newer one is.
+    pub fn learn(&self, contract: Arc<Contract<Accepted>>) {
         let event = register::Event::Learned(contract);
         let actions = locked(&self.register).step(event, self.clock.now());
         for register::Action::Apply { contract, replaced } in actions {
@@ -104,7 +126,8 @@
             info!(self.log, "contract_in_force"; "customer" => %customer, "revision" => %revision);
             for terms in contract.terms() {
                 let candidates = locked(&self.roster).candidates(customer, &terms.service);
-                self.routes.rebuild(&contract, &terms.service, &candidates);
+                let now = self.clock.now();
+                self.routes.rebuild(&contract, &terms.service, &candidates, now);
             }
         }
     }
@@ -116,7 +139,7 @@
             let members = candidates.len();
             info!(self.log, "members_changed";
                 "members" => members, "service" => %service, "customer" => %customer);
-            self.routes.rebuild(&contract, &service, &candidates);
+            self.routes.rebuild(&contract, &service, &candidates, self.clock.now());
         }
     }
 
@@ -135,7 +158,7 @@
         self.step_roster(roster::Event::Announced(entry));
         let siblings = locked(&self.roster)
             .of(&customer, &service)
-            .filter(|other| other.instance != own)
+            .filter(|other| other.instance != own && other.phase != Phase::Left)
             .map(|other| Sibling { instance: other.instance, incarnation: other.incarnation })
             .collect();
         let newer = contract.revision() > announce.revision;
@@ -153,11 +176,8 @@
     control.welcome(&headers, &body)
 }
 
-fn parse(
-    item: &Item,
-) -> yuccacroft_core::errors::Result<Contract<yuccacroft_core::contract::Accepted>> {
-    let checked = Contract::parse(&item.key, &item.value)?.check(&item.key)?;
-    Ok(checked.accept(item.revision, Change::default()))
+fn parse(item: &Item) -> yuccacroft_core::errors::Result<Contract<Accepted>> {
+    stored::decode(&item.key, &item.value, item.revision)
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
