Judge outcomes under random faults by what the upstreams ran

Cause: the promises on outcomes were checked by types and reading only.

Change: yuccacroft-fakes gains an exchange of callers, agents and upstreams around the pure decisions, with lost, late and doubled messages, cuts, kills and freezes.

Faults found while writing it: an answer relayed by another agent carried that agent's owner, and an answer was signed with the present moment, so that a later retry would have looked like a first attempt. A retry now keeps the owner that it named, and a key without one is signed with the moment at which it was bound.

--- a/yuccacroft-agent/src/chain.rs
+++ b/yuccacroft-agent/src/chain.rs
@@ -82,6 +82,18 @@
     }
 }
 
+/// Returns true when a repetition changes nothing because the request itself changes nothing
+/// (RFC 9110, 9.2.1).
+fn is_safe(method: &Method) -> bool {
+    [Method::GET, Method::HEAD, Method::OPTIONS].contains(method)
+}
+
+/// Returns the key of a request that may change something.
+pub fn key(parts: &Parts) -> Option<Key> {
+    let text = parts.headers.get(KEY).filter(|_| !is_safe(&parts.method))?;
+    Some(Key::new(text.as_bytes()))
+}
+
 impl From<&Terms> for Limits {
     fn from(terms: &Terms) -> Self {
         Self { deadline: terms.deadline }
@@ -148,10 +160,10 @@
 }
 
 impl Identity {
-    fn look_up(&self, item: &mut Item, key: &[u8], claim: Claim) -> Verdict<Decision> {
+    fn look_up(&self, item: &mut Item, key: Key, claim: Claim) -> Verdict<Decision> {
         let path = item.parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let print = Print::new(item.parts.method.as_str(), path, &item.body);
-        match self.records.begin(Key::new(key), print, item.call, claim) {
+        match self.records.begin(key, print, item.call, claim) {
             Ok(bound) => {
                 item.bound = Some(bound);
                 Verdict::Continue
@@ -170,14 +182,11 @@
 
     fn apply(&self, item: &mut Item) -> Verdict<Decision> {
         let method = &item.parts.method;
-        // RFC 9110, sections 9.2.1 and 9.2.2.
-        let safe = [Method::GET, Method::HEAD, Method::OPTIONS].contains(method);
-        if safe || [Method::PUT, Method::DELETE].contains(method) {
+        // RFC 9110, section 9.2.2.
+        if is_safe(method) || [Method::PUT, Method::DELETE].contains(method) {
             item.effect = Effect::Idempotent;
         }
-        let Some(key) = item.parts.headers.get(KEY).filter(|_| !safe).cloned() else {
-            return Verdict::Continue;
-        };
+        let Some(key) = key(&item.parts) else { return Verdict::Continue };
         let claim = match self.owners.read(&item.parts.headers) {
             Named::Nobody => Claim::None,
             Named::Own(learned) => Claim::Own(learned),
@@ -185,7 +194,7 @@
             Named::Earlier => return Verdict::Done(Decision::Known(Seen::Unknown)),
             Named::Invalid => return Verdict::Done(Decision::Refuse(Reason::Malformed)),
         };
-        self.look_up(item, key.as_bytes(), claim)
+        self.look_up(item, key, claim)
     }
 }
 
--- a/yuccacroft-agent/src/endpoint.rs
+++ b/yuccacroft-agent/src/endpoint.rs
@@ -187,7 +187,8 @@
     ) {
         let (parts, ()) = request.into_parts();
         let call = Call::new(rand::random());
-        let is_keyed = parts.headers.contains_key(chain::KEY);
+        let (head, arrived) = (parts.clone(), self.service.clock().now());
+        let is_keyed = chain::key(&parts).is_some();
         let served = match read_body(&mut stream).await {
             Body::Whole(body) => {
                 let serve = self.service.serve(call, parts, body);
@@ -202,10 +203,11 @@
             }
             Body::Cancelled => return,
         };
+        let owner = self.service.owner(&head, arrived);
         // An error here means that the caller is gone.
         let _ = match served {
-            Served::Live(live) => self.stream(*live, &mut stream, connection).await,
-            Served::Ended(outcome) => self.explain(&outcome, &mut stream).await,
+            Served::Live(live) => self.stream(*live, owner, &mut stream, connection).await,
+            Served::Ended(outcome) => self.explain(&outcome, owner, &mut stream).await,
         };
     }
 
@@ -231,11 +233,12 @@
     async fn stream<S: BidiStream<Bytes>>(
         &self,
         mut live: Live,
+        owner: HeaderValue,
         stream: &mut Stream<S>,
         connection: &quinn::Connection,
     ) -> std::result::Result<(), StreamError> {
         let mut head = live.head();
-        self.sign(&mut head);
+        head.headers_mut().insert(owner::HEADER, owner);
         let mut sent = stream.send_response(head).await;
         while sent.is_ok() {
             let part = tokio::select! {
@@ -262,6 +265,7 @@
     async fn explain<S: BidiStream<Bytes>>(
         &self,
         outcome: &Outcome,
+        owner: HeaderValue,
         stream: &mut Stream<S>,
     ) -> std::result::Result<(), StreamError> {
         let (mut head, body) = match outcome {
@@ -271,7 +275,7 @@
             Outcome::NotRun(refusal) => (self.refused(refusal.reason()), Bytes::new()),
             Outcome::Unknown(_) => (unexplained(StatusCode::BAD_GATEWAY, "unknown"), Bytes::new()),
         };
-        self.sign(&mut head);
+        head.headers_mut().insert(owner::HEADER, owner);
         stream.send_response(head).await?;
         if !body.is_empty() {
             stream.send_data(body).await?;
@@ -296,12 +300,6 @@
         }
         head
     }
-
-    /// Names this process, so that a retry finds the record of its key.
-    fn sign(&self, head: &mut Response<()>) {
-        let value = self.service.owners().value(self.service.clock().now());
-        head.headers_mut().insert(owner::HEADER, value);
-    }
 }
 
 /// Waits until callers are asked to move; never returns when that cannot happen any more.
--- a/yuccacroft-agent/src/records.rs
+++ b/yuccacroft-agent/src/records.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Returns when a key was bound.
+    pub fn bound(&self, key: Key) -> Option<Moment> {
+        self.part(key, |record| record.bound(key))
+    }
+
     /// Waits until a running request has ended. It returns at once when that has happened.
     pub async fn ended(&self, call: Call) {
         let receiver = self.ends.read(&call, |sender| sender.map(watch::Sender::subscribe));
--- a/yuccacroft-agent/src/service.rs
+++ b/yuccacroft-agent/src/service.rs
@@ -5,13 +5,13 @@
         chain::{self, Decision, Item, Limits},
         desk::{Desk, Entry, Slot},
         live::Live,
-        owner::Owners,
+        owner::{self, Owners},
         records::{Bound, MAX_KEPT, Records},
         siblings::{Settled, Siblings},
         upstream::Client,
     },
     bytes::Bytes,
-    http::{Response, StatusCode, request::Parts},
+    http::{HeaderValue, Response, StatusCode, request::Parts},
     hyper::body::Incoming,
     metrics::counter,
     rand::{SeedableRng, rngs::StdRng},
@@ -26,7 +26,7 @@
         record::{Answer, End, Seen},
         request::{Dispatched, Effect, Queued, Reason, Received, Refusal, Request, Unknown},
         retry::{self, Budget},
-        time::Span,
+        time::{Moment, Span},
     },
     yuccacroft_rpc::clock::Clock,
     yuccacroft_wire::handoff::Relayed,
@@ -128,9 +128,16 @@
         &self.records
     }
 
-    /// Returns the codec of the owner header.
-    pub fn owners(&self) -> &Owners {
-        &self.owners
+    /// Returns the owner header of the answer to a request that arrived at `arrived`.
+    ///
+    /// A retry keeps the owner that it named, even when another agent answers: with a younger or
+    /// other owner, the next retry would look like a first attempt there and run.
+    pub fn owner(&self, parts: &Parts, arrived: Moment) -> HeaderValue {
+        let Some(key) = chain::key(parts) else { return self.owners.value(arrived) };
+        match parts.headers.get(owner::HEADER) {
+            Some(named) => named.clone(),
+            None => self.owners.value(self.records.bound(key).unwrap_or(arrived)),
+        }
     }
 
     /// Returns the clock of all its decisions.
--- a/yuccacroft-agent/src/siblings.rs
+++ b/yuccacroft-agent/src/siblings.rs
@@ -106,7 +106,7 @@
     ) -> Settled {
         let now = self.desk.now();
         let remaining = request.remaining(now);
-        let request = request.offer(now);
+        let request = request.offer(hop, now);
         let offer = Offer {
             call: request.call(),
             expected: hop.incarnation,
@@ -131,7 +131,7 @@
         let state = self.settle(hop, &request, state).await;
         guard.open = false;
         self.peers().ended(hop);
-        self.conclude(request, state)
+        self.conclude(hop, request, state)
     }
 
     /// Sends a retry to the agent that its key belongs to.
@@ -184,14 +184,14 @@
         }
     }
 
-    fn conclude(&self, request: Request<Offered>, state: State) -> Settled {
+    fn conclude(&self, hop: Hop, request: Request<Offered>, state: State) -> Settled {
         let (outcome, settled) = match state {
             State::Done(answer) => {
                 let _answered = request.answer(self.desk.now());
                 ("answered", Settled::Answered(answer))
             }
             State::Fenced => {
-                let proof = Fenced::new(request.call());
+                let proof = Fenced::new(request.call(), hop);
                 let back = request.take_back(proof);
                 ("fenced", back.map_or_else(Settled::Unknown, Settled::Back))
             }
--- a/yuccacroft-bench/src/requests.rs
+++ b/yuccacroft-bench/src/requests.rs
@@ -2,6 +2,7 @@
 //! faults. It drives the pure decisions; see `docs/requests.md`.
 
 mod baseline;
+mod faults;
 mod load;
 mod outcome;
 mod policy;
@@ -52,6 +53,7 @@
         swing(&fleet, seed, uncontended, &mut report);
         beside_long(&fleet, seed, &mut report);
     }
+    faults::run(seed, &mut report);
     report
 }
 
--- a/yuccacroft-core/src/fence.rs
+++ b/yuccacroft-core/src/fence.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        flow::Hop,
         ids::{Call, Incarnation},
         record::{Answer, End},
         time::{Moment, Span},
@@ -24,6 +25,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fenced {
     call: Call,
+    by: Hop,
 }
 
 /// What the ledger says to an offer.
@@ -63,9 +65,14 @@
 }
 
 impl Fenced {
-    /// Takes a sibling's word. Only the shell that received the verdict calls this.
-    pub fn new(call: Call) -> Self {
-        Self { call }
+    /// Takes the word of one life of a sibling. Only the shell that received it calls this.
+    pub fn new(call: Call, by: Hop) -> Self {
+        Self { call, by }
+    }
+
+    /// Returns the sibling.
+    pub fn by(&self) -> Hop {
+        self.by
     }
 
     /// Returns the id of the request.
--- a/yuccacroft-core/src/record.rs
+++ b/yuccacroft-core/src/record.rs
@@ -103,6 +103,7 @@
 #[derive(Debug)]
 struct Entry {
     print: Print,
+    bound: Moment,
     state: State,
 }
 
@@ -169,10 +170,17 @@
         if self.entries.len() as u64 >= self.bounds.entries.get() {
             return Seen::Full;
         }
-        self.entries.insert(key, Entry { print, state: State::Running(call) });
+        let state = State::Running(call);
+        self.entries.insert(key, Entry { print, bound: now, state });
         Seen::Fresh
     }
 
+    /// Returns when a key was bound. A claim on the key must not be younger, since the entry may
+    /// expire one age after this moment.
+    pub fn bound(&self, key: Key) -> Option<Moment> {
+        self.entries.get(&key).map(|entry| entry.bound)
+    }
+
     /// Notes how the run of a key ended. This comes before the caller is told. Nothing happens
     /// when the key is bound to another request.
     pub fn finish(&mut self, key: Key, call: Call, end: End, now: Moment) {
--- a/yuccacroft-core/src/request.rs
+++ b/yuccacroft-core/src/request.rs
@@ -6,6 +6,7 @@
 use {
     crate::{
         fence::Fenced,
+        flow::Hop,
         ids::Call,
         time::{Moment, Span},
     },
@@ -26,6 +27,7 @@
 /// The request was offered to a sibling. Only the sibling's word that it never ran brings it back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Offered {
+    to: Hop,
     queued: Moment,
     since: Moment,
 }
@@ -123,9 +125,9 @@
     }
 
     /// Offers the request to a sibling. This comes before the first byte of the offer is sent.
-    pub fn offer(self, now: Moment) -> Request<Offered> {
+    pub fn offer(self, to: Hop, now: Moment) -> Request<Offered> {
         let queued = self.state.since;
-        self.with_state(Offered { queued, since: now })
+        self.with_state(Offered { to, queued, since: now })
     }
 
     /// Returns how long the request has waited.
@@ -150,10 +152,10 @@
         now.since(self.state.since)
     }
 
-    /// Lets the request wait again after the sibling fenced it. The proof of another request
-    /// proves nothing, so the outcome is then unknown.
+    /// Lets the request wait again after the sibling fenced it. The word on another request or of
+    /// an earlier life of the sibling proves nothing, so the outcome is then unknown.
     pub fn take_back(self, proof: Fenced) -> Result<Request<Queued>, Unknown> {
-        if proof.call() != self.call {
+        if proof.call() != self.call || proof.by() != self.state.to {
             return Err(self.abandon());
         }
         let since = self.state.queued;
--- a/yuccacroft-fakes/src/lib.rs
+++ b/yuccacroft-fakes/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod certificate;
+pub mod exchange;
 pub mod fabric;
 pub mod store;
 pub mod upstream;
