--- a/yuccacroft-core/src/admission/class.rs
+++ b/yuccacroft-core/src/admission/class.rs
@@ -68,7 +68,8 @@
     pub fn learn(&mut self, class: Class, took: Span) {
         let sample = took.as_micros() as f64;
         let Some(stat) = self.stats.get_mut(class.get() as usize) else { return };
-        let mean = stat.mean.unwrap_or(sample);
+        // A mean without answers is only the age of a running request.
+        let mean = stat.mean.filter(|_| stat.samples > 0).unwrap_or(sample);
         stat.mean = Some(mean + (sample - mean) * SAMPLE_WEIGHT);
         stat.samples += 1;
     }
--- a/yuccacroft-core/src/admission/limit.rs
+++ b/yuccacroft-core/src/admission/limit.rs
@@ -73,10 +73,12 @@
         }
     }
 
-    /// Changes the number of slots of the contract.
+    /// Changes the number of slots of the contract. A limit that no outcome has lowered follows
+    /// it at once.
     pub fn set_slots(&mut self, slots: Slots) {
+        let (old, new) = (f64::from(self.slots.get().max(1)), f64::from(slots.get().max(1)));
+        self.learned = if self.learned >= old { new } else { self.learned.min(new) };
         self.slots = slots;
-        self.learned = self.learned.min(f64::from(slots.get().max(1)));
     }
 
     /// Returns how many requests may run now; zero during a pause.
