--- a/yuccacroft-agent/src/desk.rs
+++ b/yuccacroft-agent/src/desk.rs
@@ -117,6 +117,11 @@
         self.step(Event::Change(slots, wait));
     }
 
+    /// Lets no further request begin.
+    pub fn close(&self) {
+        self.change(Slots::default(), Span::ZERO);
+    }
+
     /// Takes in what the endpoints of the upstream say.
     pub fn hint(&self, hint: Hint) {
         self.step(Event::Hint(hint));
--- a/yuccacroft-agent/src/lib.rs
+++ b/yuccacroft-agent/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod admin;
 pub mod announce;
 pub mod answer;
+pub mod assembly;
 pub mod chain;
 pub mod claims;
 pub mod desk;
 pub mod endpoint;
 pub mod errors;
+pub mod follower;
 pub mod handoff;
 pub mod live;
 pub mod operate;
--- a/yuccacroft-balancer/src/lib.rs
+++ b/yuccacroft-balancer/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admin;
 pub mod control;
 pub mod errors;
+pub mod outbox;
 pub mod packet;
 pub mod process;
 pub mod relay;
--- a/yuccacroft-fakes/src/lib.rs
+++ b/yuccacroft-fakes/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod fabric;
 pub mod store;
 pub mod upstream;
+pub mod viewer;
