Let feeds give their slot back with their head once their class is known

Cause: every seat board held a slot for 250 ms, so an agent with 4 slots could open 16 boards a second, and a class of very short requests was refused for a pause of the scheduler.

Change: the first pause of 250 ms marks the class of an open answer as a feed; later ones count as connections from their head on, until one of them ends. Feeds are not handed to siblings. The shortest bound of a wait is 20 ms instead of 2 ms.

Test: with one slot, a reservation runs beside a second open feed at once.

--- a/yuccacroft-agent/src/desk.rs
+++ b/yuccacroft-agent/src/desk.rs
@@ -144,9 +144,21 @@
         self.gate().retry_after(now)
     }
 
-    /// Returns true when the service time of the class is known.
-    pub fn is_known(&self, class: Class) -> bool {
-        self.gate().is_known(class)
+    /// Returns true when requests of the class are known to be answered as a whole.
+    pub fn is_whole(&self, class: Class) -> bool {
+        self.gate().is_whole(class)
+    }
+
+    /// Returns true when the answers of the class are feeds.
+    pub fn is_feed(&self, class: Class) -> bool {
+        self.gate().is_feed(class)
+    }
+
+    /// Notes that an answer of the class turned out to be a feed, or to end.
+    pub fn set_feed(&self, class: Class, is_feed: bool) {
+        if self.is_feed(class) != is_feed {
+            self.step(Event::Feed(class, is_feed));
+        }
     }
 
     /// Returns the present moment of the clock that the gate is fed with.
@@ -193,6 +205,11 @@
         Self { desk, call, observed: Observed::Cancelled }
     }
 
+    /// Returns the shell of the gate that gave the slot.
+    pub fn desk(&self) -> &Arc<Desk> {
+        &self.desk
+    }
+
     /// Gives the slot back and tells what became of its request.
     pub fn finish(mut self, observed: Observed) {
         self.observed = observed;
--- a/yuccacroft-agent/src/live.rs
+++ b/yuccacroft-agent/src/live.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         answer,
-        desk::Slot,
+        desk::{Desk, Slot},
         records::{Bound, MAX_KEPT},
         upstream,
     },
@@ -14,7 +14,7 @@
     metrics::counter,
     std::{sync::Arc, time::Duration},
     yuccacroft_core::{
-        admission::limit::Observed,
+        admission::{class::Class, limit::Observed},
         record::{Answer, End},
         request::{Dispatched, Request, Unknown},
         time::Span,
@@ -22,7 +22,8 @@
 };
 
 /// Pause in an answer of open length after which it counts as a feed. A feed stays open for hours
-/// without work, so it counts as a connection and gives its slot back.
+/// without work, so it counts as a connection and gives its slot back. Later answers of its class
+/// do so with their head, until one of them ends.
 const FEED_GAP: Duration = Duration::from_millis(250);
 
 /// An answer with the request, slot and key that it belongs to.
@@ -38,6 +39,8 @@
     kept: Option<Vec<u8>>,
     is_open: bool,
     progress: Duration,
+    desk: Arc<Desk>,
+    class: Class,
 }
 
 /// The answer broke off before its end.
@@ -53,12 +56,18 @@
         slot: Slot,
         bound: Option<Bound>,
         progress: Span,
+        class: Class,
     ) -> Self {
         let (head, body) = response.into_parts();
         let is_open = *method == Method::GET && !head.headers.contains_key(header::CONTENT_LENGTH);
-        let (kept, slot) = (bound.as_ref().map(|_| Vec::new()), Some(slot));
-        let progress = progress.into();
-        Self { head, body, request, slot, bound, kept, is_open, progress }
+        let (kept, desk) = (bound.as_ref().map(|_| Vec::new()), slot.desk().clone());
+        let (slot, progress) = (Some(slot), progress.into());
+        let mut live =
+            Self { head, body, request, slot, bound, kept, is_open, progress, desk, class };
+        if is_open && live.desk.is_feed(class) {
+            live.give_back(Observed::Answered);
+        }
+        live
     }
 
     /// Returns the head for the caller.
@@ -79,6 +88,7 @@
                     Ok(frame) => frame,
                     Err(_) if self.is_open => {
                         self.give_back(Observed::Cancelled);
+                        self.desk.set_feed(self.class, true);
                         continue;
                     }
                     Err(_) => return Some(Err(self.broken())),
@@ -138,6 +148,7 @@
     }
 
     fn end(&mut self) {
+        self.desk.set_feed(self.class, false);
         let shed = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
         let is_shed = shed.contains(&self.head.status);
         self.give_back(if is_shed { Observed::Shed } else { Observed::Answered });
--- a/yuccacroft-agent/src/service.rs
+++ b/yuccacroft-agent/src/service.rs
@@ -300,7 +300,7 @@
     /// Returns a sibling for the request. An idempotent route goes to siblings once it has been
     /// answered, since the answer of a feed never ends and cannot be passed on as a whole.
     fn sibling(&self, item: &Item, tried: &mut Vec<Hop>) -> Option<Hop> {
-        let is_whole = item.effect == Effect::Once || self.desk.is_known(item.class);
+        let is_whole = item.effect == Effect::Once || self.desk.is_whole(item.class);
         if tried.len() >= OFFERS || !is_whole || self.clock.now() >= item.deadline {
             return None;
         }
@@ -403,7 +403,7 @@
         bound: Option<Bound>,
     ) -> Live {
         let (method, progress) = (&item.parts.method, item.limits.deadline);
-        Live::new(response, method, request, slot, bound, progress)
+        Live::new(response, method, request, slot, bound, progress, item.class)
     }
 
     /// Notes the outcome under the key before anybody is told.
--- a/yuccacroft-agent/tests/requests.rs
+++ b/yuccacroft-agent/tests/requests.rs
@@ -4,7 +4,8 @@
 
 use {
     axum::{extract::Request, http::StatusCode, middleware, middleware::Next, response::Response},
-    support::{Rig, keyed, owned, plain},
+    std::time::Duration,
+    support::{FEED, Rig, keyed, open, owned, plain},
     yuccacroft_agent::{
         owner::{Named, Owners},
         service::Outcome,
@@ -248,3 +249,18 @@
     rig.upstream.release(1);
     assert_eq!(body(&next.await.unwrap()), "ran /b");
 }
+
+/// Guards against seat boards that take all slots for hours, and later ones that take a slot at
+/// all.
+#[tokio::test]
+async fn counts_a_feed_as_a_connection_and_not_as_work() {
+    let rig = Rig::start().await;
+    rig.upstream.release(2);
+    let mut first = open(&rig, FEED).await;
+    assert_eq!(first.next().await.unwrap().unwrap(), "line");
+    let silent = tokio::time::timeout(Duration::from_millis(600), first.next()).await;
+    assert!(silent.is_err());
+    assert_eq!(body(&rig.serve(plain("/a"), b"").await), "ran /a");
+    let _second = open(&rig, FEED).await;
+    assert_eq!(body(&rig.serve(plain("/b"), b"").await), "ran /b");
+}
--- a/yuccacroft-agent/tests/support/mod.rs
+++ b/yuccacroft-agent/tests/support/mod.rs
@@ -6,6 +6,7 @@
         body::Bytes as Body,
         extract::State,
         http::{HeaderMap, Uri},
+        response::IntoResponse,
         routing::any,
     },
     bytes::Bytes,
@@ -26,6 +27,7 @@
         chain::Limits,
         desk::Desk,
         handoff::Host,
+        live::Live,
         owner::{self, Owners},
         records::{PART_BOUNDS, Records},
         service::{Outcome, Served, Service},
@@ -43,6 +45,8 @@
     yuccacroft_rpc::clock::Clock,
 };
 
+/// The path of a feed: one line, and then nothing for ever.
+pub const FEED: &str = "/feed";
 const SLOTS: u32 = 1;
 const WAIT: Span = Span::from_millis(50);
 /// Long enough for a busy machine; no test waits for it.
@@ -215,6 +219,15 @@
     parts
 }
 
+/// Opens an answer that keeps coming.
+pub async fn open(rig: &Rig, path: &str) -> Live {
+    let parts = Request::get(path).body(()).unwrap().into_parts().0;
+    match rig.service.serve(Call::new(rand::random()), parts, Bytes::new()).await {
+        Served::Live(live) => *live,
+        Served::Ended(outcome) => panic!("no answer: {outcome:?}"),
+    }
+}
+
 async fn serve(service: Arc<Service>, parts: Parts, body: &'static [u8]) -> Outcome {
     let call = Call::new(rand::random());
     match service.serve(call, parts, Bytes::from_static(body)).await {
@@ -226,14 +239,24 @@
     }
 }
 
-async fn run(State(shared): State<Arc<Shared>>, uri: Uri, headers: HeaderMap, _: Body) -> String {
+async fn run(
+    State(shared): State<Arc<Shared>>,
+    uri: Uri,
+    headers: HeaderMap,
+    _: Body,
+) -> axum::response::Response {
     let name: Box<str> = uri.path().into();
+    if &*name == FEED {
+        let first = futures::stream::iter([Ok::<_, std::io::Error>(Body::from_static(b"line"))]);
+        let feed = futures::StreamExt::chain(first, futures::stream::pending());
+        return axum::response::Response::new(axum::body::Body::from_stream(feed));
+    }
     *shared.runs.lock().unwrap().entry(name.clone()).or_default() += 1;
     let mut running = Running { name: name.clone(), shared: shared.clone(), ended: false };
     let _ = shared.arrived.send(Seen { headers });
     shared.release.acquire().await.unwrap().forget();
     running.ended = true;
-    format!("ran {name}")
+    format!("ran {name}").into_response()
 }
 
 impl Drop for Running {
--- a/yuccacroft-core/src/admission.rs
+++ b/yuccacroft-core/src/admission.rs
@@ -30,8 +30,9 @@
 /// Longest wait of a class in its own mean service times. A longer queue adds to every answer and
 /// keeps no slot busier.
 const WAIT_FACTOR: u64 = 2;
-/// Shortest bound of a wait, so that classes of a few microseconds may wait at all.
-const SHORTEST_WAIT: Span = Span::from_millis(2);
+/// Shortest bound of a wait. A pause of the scheduler is as long, and a class of a few microseconds
+/// need not be refused for it.
+const SHORTEST_WAIT: Span = Span::from_millis(20);
 /// Long work that has waited this part of its bound may start in front of short work while no
 /// other long work runs.
 const LONG_PATIENCE: u64 = 2;
@@ -75,6 +76,8 @@
     Finish(Call, Observed),
     /// A waiting request is taken back. Nothing happens when it has started.
     Withdraw(Call),
+    /// An answer of a class turned out to be a feed, which stays open without work, or to end.
+    Feed(Class, bool),
     /// The upstream's endpoints were read.
     Hint(Hint),
     /// A contract changed the number of slots and the longest wait.
@@ -144,9 +147,14 @@
         Slots::new(self.limit.get(now))
     }
 
-    /// Returns true when the service time of the class is known.
-    pub fn is_known(&self, class: Class) -> bool {
-        self.classes.is_answered(class)
+    /// Returns true when requests of the class are known to be answered as a whole.
+    pub fn is_whole(&self, class: Class) -> bool {
+        self.classes.is_answered(class) && !self.classes.is_feed(class)
+    }
+
+    /// Returns true when the answers of the class are feeds.
+    pub fn is_feed(&self, class: Class) -> bool {
+        self.classes.is_feed(class)
     }
 
     /// Returns the load that siblings are told.
@@ -293,6 +301,7 @@
             Event::Withdraw(call) => {
                 actions.extend(self.queue.remove(call).map(|gone| Action::Withdrawn(gone.call)));
             }
+            Event::Feed(class, is_feed) => self.classes.set_feed(class, is_feed),
             Event::Hint(hint) => self.limit.hint(hint, self.running.len() as u32, now),
             Event::Change(slots, wait) => {
                 self.settings.slots = slots;
--- a/yuccacroft-core/src/admission/class.rs
+++ b/yuccacroft-core/src/admission/class.rs
@@ -34,6 +34,7 @@
 struct Stat {
     mean: Option<f64>,
     samples: u64,
+    is_feed: bool,
 }
 
 impl Classes {
@@ -90,6 +91,18 @@
         Some(Span::from_micros(mean as u64))
     }
 
+    /// Notes whether the answers of a class are feeds, which stay open without work.
+    pub fn set_feed(&mut self, class: Class, is_feed: bool) {
+        if let Some(stat) = self.stats.get_mut(class.get() as usize) {
+            stat.is_feed = is_feed;
+        }
+    }
+
+    /// Returns true when the answers of a class are feeds.
+    pub fn is_feed(&self, class: Class) -> bool {
+        self.stats.get(class.get() as usize).is_some_and(|stat| stat.is_feed)
+    }
+
     /// Returns true when a request of the class was answered.
     pub fn is_answered(&self, class: Class) -> bool {
         self.stats.get(class.get() as usize).is_some_and(|stat| stat.samples > 0)
