--- a/yuccacroft-fakes/src/lib.rs
+++ b/yuccacroft-fakes/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod certificate;
 pub mod exchange;
 pub mod fabric;
+pub mod fleet;
 pub mod store;
 pub mod upstream;
 pub mod viewer;
--- a/yuccacroft/src/settings.rs
+++ b/yuccacroft/src/settings.rs
@@ -10,7 +10,7 @@
         path::Path,
     },
     yuccacroft_agent::{endpoint::Certificate, process as agent},
-    yuccacroft_balancer::process as balancer,
+    yuccacroft_balancer::{control::Mesh, process as balancer},
     yuccacroft_core::{ids::Instance, ini::Reader, units::Weight},
     yuccacroft_rpc::admin::Access,
 };
@@ -33,6 +33,7 @@
     let control = address(&mut reader, "listen", "control");
     let store = address(&mut reader, "store", "address");
     let threads = bounded(&mut reader, "process", "threads", DEFAULT_THREADS, THREADS);
+    let mesh = mesh(&mut reader);
     let access = access(&mut reader);
     let settings = (|| {
         let settings = balancer::Settings {
@@ -42,6 +43,7 @@
             capsules: capsules?,
             control: control?,
             store: store?,
+            mesh: mesh?,
             threads: threads? as usize,
         };
         Some((settings, access?))
@@ -49,6 +51,16 @@
     finish(reader, settings)
 }
 
+/// Reads how to reach other balancers; a balancer without the section knows no other.
+fn mesh(reader: &mut Reader) -> Option<Option<Mesh>> {
+    if !reader.has("mesh") {
+        return Some(None);
+    }
+    let key = reader.required("mesh", "key", "64 hexadecimal digits");
+    let peers = reader.list("mesh", "peers", "control addresses of balancers");
+    Some(Some(Mesh { key: key?, peers: peers.into() }))
+}
+
 /// Reads the settings of an agent, the certificate files that they name, and where its
 /// administration interface listens.
 pub fn agent(file: &Path) -> Result<(agent::Settings, Option<Access>)> {
