--- a/yuccacroft-core/src/admission/limit.rs
+++ b/yuccacroft-core/src/admission/limit.rs
@@ -73,12 +73,11 @@
         }
     }
 
-    /// Changes the number of slots. A limit that nothing has lowered follows it, since an agent has
-    /// no slot until its share of the capacity is granted.
+    /// Changes the number of slots. A limit that no outcome has lowered follows it at once, since an
+    /// agent has no slot until its share of the capacity is granted.
     pub fn set_slots(&mut self, slots: Slots) {
-        let lowered = self.learned < f64::from(self.slots.get().max(1));
-        let most = f64::from(slots.get().max(1));
-        self.learned = if lowered { self.learned.min(most) } else { most };
+        let (old, new) = (f64::from(self.slots.get().max(1)), f64::from(slots.get().max(1)));
+        self.learned = if self.learned >= old { new } else { self.learned.min(new) };
         self.slots = slots;
     }
 
