Take agents that left off the chains of new flows

Cause: homes of earlier generations stay on chains for 15 s. Agents that had left were among them, every claim waited for them in vain, and they took the places of live earlier homes.

Change: an agent that announced its end is taken out of earlier generations. One that is only suspected stays, since it may be alive.

--- a/yuccacroft-bench/src/flows/balancer.rs
+++ b/yuccacroft-bench/src/flows/balancer.rs
@@ -21,8 +21,10 @@
 pub struct Entry {
     pub hop: Hop,
     pub version: u32,
-    /// `None` means that it left.
+    /// `None` means that it left or is taken to be dead.
     pub weight: Option<Weight>,
+    /// It said itself that it leaves.
+    pub left: bool,
 }
 
 /// The members of one service that one process knows.
@@ -88,6 +90,9 @@
         route.history.expire(now);
         if route.view.learn(entry) {
             route.history.update(&route.view.members(), now);
+            if entry.left {
+                route.history.leave(entry.hop);
+            }
         }
     }
 
--- a/yuccacroft-bench/src/flows/member.rs
+++ b/yuccacroft-bench/src/flows/member.rs
@@ -36,7 +36,7 @@
         // It learns the members from the balancer that it announces itself to.
         let balancer = service / 2 * script::BALANCERS_PER_CUSTOMER;
         agent.view = self.balancers[balancer].routes[service].view.clone();
-        let entry = Entry { hop: own, version: 1, weight: Some(agent.weight) };
+        let entry = Entry { hop: own, version: 1, weight: Some(agent.weight), left: false };
         agent.view.learn(entry);
         agent.republish();
         self.agents.insert(instance, agent);
@@ -74,7 +74,11 @@
             agent.weight = weight;
             agent.version += 1;
             let (service, version) = (agent.service, agent.version);
-            self.spread(service, Entry { hop: own, version, weight: Some(weight) }, false);
+            self.spread(
+                service,
+                Entry { hop: own, version, weight: Some(weight), left: false },
+                false,
+            );
         }
         self.at(ANNOUNCE, Mail::Announce { agent: own });
     }
@@ -100,7 +104,7 @@
         let Some(agent) = serving.min_by_key(|agent| agent.book.own().incarnation) else { return };
         let (own, version) = (agent.book.own(), agent.version + 1);
         let full = agent.ramp.weight(self.now + script::WARMUP);
-        let entry = |weight| Entry { hop: own, version, weight };
+        let entry = |weight| Entry { hop: own, version, weight, left: false };
         if kill {
             self.killed.insert(own);
             self.agents.remove(&own.instance);
@@ -141,7 +145,7 @@
         let (service, version) = (agent.service, agent.version + 2);
         self.agents.remove(&own.instance);
         self.released.push_back(own.instance);
-        self.spread(service, Entry { hop: own, version, weight: None }, false);
+        self.spread(service, Entry { hop: own, version, weight: None, left: true }, false);
     }
 
     /// A new balancer takes the state of a peer.
--- a/yuccacroft-core/src/placement/history.rs
+++ b/yuccacroft-core/src/placement/history.rs
@@ -3,7 +3,7 @@
 use {
     super::{Candidate, Chain, Homes, Table, homes::HOMES_PER_KEY},
     crate::{
-        flow::Key,
+        flow::{Hop, Key},
         time::{Moment, Span},
     },
     std::{collections::VecDeque, sync::Arc},
@@ -54,6 +54,14 @@
         true
     }
 
+    /// Takes an agent that said itself that it leaves out of earlier generations. One that is only
+    /// suspected stays, since it may be alive and know where flows live.
+    pub fn leave(&mut self, left: Hop) {
+        for generation in self.generations.iter_mut().skip(1) {
+            generation.homes = Arc::new(generation.homes.without(left));
+        }
+    }
+
     /// Forgets generations that were replaced long ago.
     pub fn expire(&mut self, now: Moment) {
         let keep = |at: Moment| now.since(at) < GENERATION_MEMORY;
--- a/yuccacroft-core/src/placement/homes.rs
+++ b/yuccacroft-core/src/placement/homes.rs
@@ -35,6 +35,12 @@
         Self { groups: (0..GROUPS as u64).map(|group| best(group, &hashed)).collect() }
     }
 
+    /// Returns the same homes without an agent that left.
+    pub fn without(&self, left: Hop) -> Self {
+        let keep = |home: Option<Hop>| home.filter(|home| *home != left);
+        Self { groups: self.groups.iter().map(|homes| homes.map(keep)).collect() }
+    }
+
     /// Returns the homes of a key, the highest rank first.
     pub fn of(&self, key: Key) -> impl Iterator<Item = Hop> + '_ {
         let homes = self.groups.get(group(key) as usize);
