--- a/yuccacroft-balancer/src/packet.rs
+++ b/yuccacroft-balancer/src/packet.rs
@@ -1,7 +1,7 @@
 //! The filter chain of packets from callers: address, tag, placement.
 
 use {
-    crate::service::{Routes, Service},
+    crate::service::{Service, Slot, View},
     std::{
         net::{SocketAddr, SocketAddrV4},
         sync::{
@@ -21,7 +21,7 @@
 };
 
 /// A packet from a caller, without its bytes.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Item {
     /// The caller.
     pub caller: SocketAddr,
@@ -31,7 +31,7 @@
     pub via: SocketAddr,
     /// What the packet shows without decryption.
     pub invariant: Invariant,
-    found: Option<Arc<Service>>,
+    found: Option<Slot>,
 }
 
 /// Why a packet goes nowhere.
@@ -53,8 +53,8 @@
         target: Hop,
         /// How the target was found.
         kind: Kind,
-        /// The service.
-        service: Arc<Service>,
+        /// The service in the view of the chain.
+        slot: Slot,
     },
     /// It is dropped and counted.
     Drop(Cause),
@@ -102,22 +102,28 @@
     }
 }
 
-/// Creates the chain.
-pub fn chain(routes: Arc<Routes>) -> Chain<Item, Decision> {
-    Chain::new(vec![Box::new(Address { routes }), Box::new(Tag), Box::<Placement>::default()])
+/// Creates the chain over the services of one moment.
+pub fn chain(view: Arc<View>) -> Chain<Item, Decision> {
+    Chain::new(vec![
+        Box::new(Address { view: view.clone() }),
+        Box::new(Tag { view: view.clone() }),
+        Box::new(Placement { view, turn: AtomicU32::new(0) }),
+    ])
 }
 
 /// Finds the service, and with it the keys, from the destination alone.
 struct Address {
-    routes: Arc<Routes>,
+    view: Arc<View>,
 }
 
 /// Sends a packet with a valid tag to its owner.
-struct Tag;
+struct Tag {
+    view: Arc<View>,
+}
 
 /// Names the candidates of a packet without a tag.
-#[derive(Default)]
 struct Placement {
+    view: Arc<View>,
     turn: AtomicU32,
 }
 
@@ -129,7 +135,7 @@
     }
 
     fn apply(&self, item: &mut Item) -> Verdict<Decision> {
-        item.found = self.routes.by_address(item.service);
+        item.found = self.view.by_address(item.service);
         if item.found.is_some() {
             Verdict::Continue
         } else {
@@ -146,13 +152,11 @@
     }
 
     fn apply(&self, item: &mut Item) -> Verdict<Decision> {
-        let Some(service) = &item.found else { return Verdict::Continue };
-        match service.cipher.decode(item.invariant.id()) {
-            Some(owner) => Verdict::Done(Decision::Forward {
-                target: owner.into(),
-                kind: Kind::Tagged,
-                service: service.clone(),
-            }),
+        let Some(slot) = item.found else { return Verdict::Continue };
+        match self.view.service(slot).cipher.decode(item.invariant.id()) {
+            Some(owner) => {
+                Verdict::Done(Decision::Forward { target: owner.into(), kind: Kind::Tagged, slot })
+            }
             None => Verdict::Continue,
         }
     }
@@ -166,19 +170,20 @@
     }
 
     fn apply(&self, item: &mut Item) -> Verdict<Decision> {
-        let Some(service) = &item.found else { return Verdict::Continue };
+        let Some(slot) = item.found else { return Verdict::Continue };
+        let service = self.view.service(slot);
         let packet =
             Packet::Untagged { key: service.key(item.invariant.id()), phase: item.invariant.phase };
         let swap = self.turn.fetch_add(1, Ordering::Relaxed) % 2 == 1;
-        Verdict::Done(place(service, packet, swap))
+        Verdict::Done(place(service, slot, packet, swap))
     }
 }
 
-fn place(service: &Arc<Service>, packet: Packet, swap: bool) -> Decision {
+fn place(service: &Service, slot: Slot, packet: Packet, swap: bool) -> Decision {
     let Packet::Untagged { key, phase } = packet else { return Decision::Drop(Cause::Address) };
     let chain = service.history.chain(key);
     let chain = if swap { chain.swapped() } else { chain };
     let Some(target) = chain.first() else { return Decision::Drop(Cause::Members) };
     let kind = Kind::Untagged { key, phase, chain, step: Step::First, hops: 0, load: None };
-    Decision::Forward { target, kind, service: service.clone() }
+    Decision::Forward { target, kind, slot }
 }
