Let packets begin at any agent of the chain

With every member draining, packets of open flows without tags were dropped.

Change: every eighth untagged packet of a balancer begins at one of the homes, which compares its load with the first choice as usual. Without a member that takes new flows a home is in front. The balancer takes agents that left out of earlier generations.

--- a/yuccacroft-balancer/src/control.rs
+++ b/yuccacroft-balancer/src/control.rs
@@ -198,9 +198,10 @@
     fn rebuild(&self, customer: &Customer, service: &Service) {
         let Some(contract) = self.contract(customer) else { return };
         let candidates = locked(&self.roster).candidates(customer, service);
+        let left = locked(&self.roster).left(customer, service);
         info!(self.log, "members_changed";
             "members" => candidates.len(), "service" => %service, "customer" => %customer);
-        self.routes.rebuild(&contract, service, &candidates, self.clock.now());
+        self.routes.rebuild(&contract, service, &candidates, &left, self.clock.now());
     }
 
     /// Feeds the exchange and carries out what follows, except for the answer of a request.
--- a/yuccacroft-balancer/src/packet.rs
+++ b/yuccacroft-balancer/src/packet.rs
@@ -174,15 +174,14 @@
         let service = self.view.service(slot);
         let packet =
             Packet::Untagged { key: service.key(item.invariant.id()), phase: item.invariant.phase };
-        let swap = self.turn.fetch_add(1, Ordering::Relaxed) % 2 == 1;
-        Verdict::Done(place(service, slot, packet, swap))
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed) as usize;
+        Verdict::Done(place(service, slot, packet, turn))
     }
 }
 
-fn place(service: &Service, slot: Slot, packet: Packet, swap: bool) -> Decision {
+fn place(service: &Service, slot: Slot, packet: Packet, turn: usize) -> Decision {
     let Packet::Untagged { key, phase } = packet else { return Decision::Drop(Cause::Address) };
-    let chain = service.history.chain(key);
-    let chain = if swap { chain.swapped() } else { chain };
+    let chain = service.history.chain(key).rotated(turn);
     let Some(target) = chain.first() else { return Decision::Drop(Cause::Members) };
     let kind = Kind::Untagged { key, phase, chain, step: Step::First, hops: 0, load: None };
     Decision::Forward { target, kind, slot }
--- a/yuccacroft-balancer/src/service.rs
+++ b/yuccacroft-balancer/src/service.rs
@@ -14,7 +14,7 @@
     },
     yuccacroft_core::{
         contract::{Accepted, Contract, Terms},
-        flow::Key,
+        flow::{Hop, Key},
         ids::{Customer, Revision, Service as Name},
         key::Digest,
         placement::{Candidate, History},
@@ -146,17 +146,21 @@
         self.changed();
     }
 
-    /// Makes a set of members the current generation of a service.
+    /// Makes a set of members the current generation of a service, and takes agents that left out
+    /// of earlier ones.
     pub fn rebuild(
         &self,
         contract: &Contract<Accepted>,
         name: &Name,
         candidates: &[Candidate],
+        left: &[Hop],
         now: Moment,
     ) {
         self.change(Digest::new(contract.customer(), name), |known| {
             let mut service = Service::clone(known?);
-            service.history.update(candidates, now).then_some(service)
+            let rebuilt = service.history.update(candidates, now);
+            left.iter().for_each(|hop| service.history.leave(*hop));
+            rebuilt.then_some(service)
         });
     }
 
--- a/yuccacroft-bench/src/flows/balancer.rs
+++ b/yuccacroft-bench/src/flows/balancer.rs
@@ -47,7 +47,7 @@
     /// The fabric sends packets to it.
     pub listed: bool,
     pub routes: Vec<Route>,
-    turn: u64,
+    turn: usize,
 }
 
 impl View {
@@ -106,8 +106,7 @@
         }
         let chain = route.history.chain(key);
         self.turn += 1;
-        let swap = variant == Variant::Directory && self.turn.is_multiple_of(2);
-        if swap { chain.swapped() } else { chain }
+        if variant == Variant::Directory { chain.rotated(self.turn) } else { chain }
     }
 }
 
--- a/yuccacroft-bench/src/forwarding.rs
+++ b/yuccacroft-bench/src/forwarding.rs
@@ -192,7 +192,7 @@
     let candidates: Vec<_> =
         hops.into_iter().map(|hop| Candidate { hop, weight: Weight::new(100) }).collect();
     let service = &contract.terms()[0].service;
-    routes.rebuild(&contract, service, &candidates, Moment::default());
+    routes.rebuild(&contract, service, &candidates, &[], Moment::default());
     routes
 }
 
--- a/yuccacroft-core/src/member/roster.rs
+++ b/yuccacroft-core/src/member/roster.rs
@@ -11,6 +11,7 @@
     super::{Entry, Outage, Phase, Record, Standing},
     crate::{
         controller::Controller,
+        flow::Hop,
         gossip::{entry::Item, peer::Node},
         ids::{Customer, Domain, Instance, Service},
         placement::Candidate,
@@ -175,6 +176,14 @@
         present.iter().map(|member| candidate(member, member.record.entry.share().get())).collect()
     }
 
+    /// Returns the agents of a service that said themselves that they leave.
+    pub fn left(&self, customer: &Customer, service: &Service) -> Vec<Hop> {
+        let instances = self.services.get(&(customer.clone(), service.clone()));
+        let members = instances.into_iter().flatten().filter_map(|i| self.members.get(i));
+        let entries = members.map(|member| &member.record.entry);
+        entries.filter(|entry| entry.phase == Phase::Left).map(|entry| entry.hop()).collect()
+    }
+
     /// Returns the balancers to which an agent announces itself, the best first.
     pub fn registrars(&self, instance: Instance) -> Vec<Node> {
         self.duties.registrars(instance)
--- a/yuccacroft-core/src/placement.rs
+++ b/yuccacroft-core/src/placement.rs
@@ -20,6 +20,8 @@
 
 /// Homes on a chain: those of the current members and two that earlier members had.
 pub const MAX_HOMES: usize = homes::HOMES_PER_KEY + 2;
+/// One packet in this many begins at a home.
+const HOME_TURN: usize = 8;
 const SECOND_CHOICE: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// A member of a service. One of weight zero takes no new flows but still serves as a home.
@@ -70,15 +72,25 @@
         self.choices[1]
     }
 
-    /// Exchanges the two choices. Balancers do so for every other packet, so that a caller's next
-    /// try does not end at the same dead agent.
-    pub fn swapped(mut self) -> Self {
-        if self.choices[1].is_some() {
+    /// Returns the chain with another agent in front, depending on `turn`, which a balancer counts
+    /// per packet. A caller's next try then does not end at the same dead agent: every other packet
+    /// begins at the second choice, and every eighth at one of the homes.
+    pub fn rotated(mut self, turn: usize) -> Self {
+        let count = self.homes().count();
+        if turn % HOME_TURN == HOME_TURN - 1 && count > 0 {
+            self.choices = [self.homes[turn / HOME_TURN % count], self.choices[0]];
+        } else if turn % 2 == 1 && self.choices[1].is_some() {
             self.choices.swap(0, 1);
         }
         self
     }
 
+    /// Puts a home in front when no member takes new flows: flows that exist still have to be found.
+    fn with_front(mut self) -> Self {
+        self.choices[0] = self.choices[0].or(self.homes[0]);
+        self
+    }
+
     /// Returns the home at a position.
     pub fn home(&self, position: usize) -> Option<Hop> {
         self.homes.get(position).copied().flatten()
--- a/yuccacroft-core/src/placement/history.rs
+++ b/yuccacroft-core/src/placement/history.rs
@@ -85,7 +85,7 @@
         for generation in &self.generations {
             generation.homes.of(key).take(HOMES_PER_KEY).for_each(|hop| chain.add_home(key, hop));
         }
-        chain
+        chain.with_front()
     }
 
     fn push(&mut self, homes: Homes, now: Moment) {
--- a/yuccacroft-core/tests/ownership.rs
+++ b/yuccacroft-core/tests/ownership.rs
@@ -238,3 +238,15 @@
     let starts: std::collections::BTreeSet<_> = starts.collect();
     assert_eq!(starts, chain.homes().collect());
 }
+
+/// Guards against flows that are lost when every member drains.
+#[test]
+fn flows_are_found_when_all_members_drain() {
+    let (mut fleet, view) = (Fleet::new(0..5), history(&members(0..5)));
+    let flows = open(&mut fleet, &view, keys(100));
+    let drained = members(0..5).into_iter().map(|m| Candidate { weight: Weight::new(0), ..m });
+    let view = history(&drained.collect::<Vec<_>>());
+    for (key, owner) in flows {
+        assert_eq!(middle(&mut fleet, &view, key), End::Delivered(owner));
+    }
+}
--- a/yuccacroft-core/tests/placement.rs
+++ b/yuccacroft-core/tests/placement.rs
@@ -136,3 +136,17 @@
         3
     );
 }
+
+/// Guards against a caller whose tries all end at two dead choices.
+#[test]
+fn turns_reach_every_agent_of_the_chain() {
+    let mut history = History::new();
+    history.update(&members(0..7), Moment::default());
+    let chain = history.chain(Key::new(7));
+    let fronts = |turns| -> std::collections::BTreeSet<_> {
+        (0..turns).filter_map(|turn| chain.rotated(turn).first()).collect()
+    };
+    assert_eq!(fronts(2), [chain.first(), chain.second()].into_iter().flatten().collect());
+    let all = chain.homes().chain(chain.first()).chain(chain.second()).collect();
+    assert_eq!(fronts(8 * 4), all);
+}
