--- a/yuccacroft-bench/src/flows/balancer.rs
+++ b/yuccacroft-bench/src/flows/balancer.rs
@@ -21,8 +21,10 @@
 pub struct Entry {
     pub hop: Hop,
     pub version: u32,
-    /// `None` means that it left.
+    /// `None` means that it left or is taken to be dead.
     pub weight: Option<Weight>,
+    /// It said itself that it leaves.
+    pub left: bool,
 }
 
 /// The members of one service that one process knows.
@@ -45,7 +47,7 @@
     /// The fabric sends packets to it.
     pub listed: bool,
     pub routes: Vec<Route>,
-    turn: u64,
+    turn: usize,
 }
 
 impl View {
@@ -88,6 +90,9 @@
         route.history.expire(now);
         if route.view.learn(entry) {
             route.history.update(&route.view.members(), now);
+            if entry.left {
+                route.history.leave(entry.hop);
+            }
         }
     }
 
@@ -101,8 +106,7 @@
         }
         let chain = route.history.chain(key);
         self.turn += 1;
-        let swap = variant == Variant::Directory && self.turn.is_multiple_of(2);
-        if swap { chain.swapped() } else { chain }
+        if variant == Variant::Directory { chain.rotated(self.turn) } else { chain }
     }
 }
 
