Let an answer save pushes only of the version that the peer has

A peer that knew an earlier version of an entry ended the pushes of the present one, since the answer named the key alone. It names the version now.

--- a/yuccacroft-core/src/gossip/exchange.rs
+++ b/yuccacroft-core/src/gossip/exchange.rs
@@ -290,10 +290,10 @@
         let mut known = Vec::new();
         for item in items {
             let key = item.key().digest();
-            if self.table.get(key).is_some_and(|held| held.version() >= item.version()) {
-                known.push(key);
-            } else {
-                self.learn(item, now, actions);
+            let held = self.table.get(key).map(Item::version);
+            match held.filter(|held| *held >= item.version()) {
+                Some(version) => known.push(Line { key, version }),
+                None => self.learn(item, now, actions),
             }
         }
         Message::Known(known)
@@ -330,7 +330,7 @@
     fn continue_with(&mut self, from: Node, message: Message, now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
         match message {
-            Message::Known(keys) => keys.into_iter().for_each(|key| self.rumours.known(key)),
+            Message::Known(lines) => lines.into_iter().for_each(|line| self.rumours.known(line)),
             Message::Groups(groups) => {
                 self.view.answered(from);
                 let buckets = self.table.differing_buckets(&groups);
--- a/yuccacroft-core/src/gossip/exchange/rumour.rs
+++ b/yuccacroft-core/src/gossip/exchange/rumour.rs
@@ -4,6 +4,7 @@
     super::{
         super::{
             entry::{Item, Version},
+            message::Line,
             table::Table,
         },
         view::Budget,
@@ -67,10 +68,12 @@
         self.urgent.is_empty() && self.other.is_empty()
     }
 
-    /// Notes that a peer knew an entry already. The more peers know it, the fewer need it.
-    pub fn known(&mut self, key: u64) {
+    /// Notes that a peer knew an entry already. The more peers know it, the fewer need it. An
+    /// answer about an earlier version says nothing of the present one.
+    pub fn known(&mut self, line: Line) {
+        let same = |rumour: &Rumour| rumour.key == line.key && rumour.version <= line.version;
         for queue in [&mut self.urgent, &mut self.other] {
-            for rumour in queue.iter_mut().filter(|rumour| rumour.key == key) {
+            for rumour in queue.iter_mut().filter(|rumour| same(rumour)) {
                 rumour.left = rumour.left.saturating_sub(KNOWN_SAVES);
             }
             queue.retain(|rumour| rumour.left > 0);
--- a/yuccacroft-core/src/gossip/message.rs
+++ b/yuccacroft-core/src/gossip/message.rs
@@ -33,8 +33,8 @@
 pub enum Message {
     /// New entries; answered with [`Message::Known`].
     Push(Vec<Item>),
-    /// The keys of a push that were known already, so that the sender stops earlier.
-    Known(Vec<u64>),
+    /// What was known already of a push, so that the sender stops earlier.
+    Known(Vec<Line>),
     /// The digests of all groups; answered with [`Message::Groups`].
     Digest(Vec<u64>),
     /// The groups that differ, with the digests of their buckets at the answering side.
--- a/yuccacroft-wire/tests/exchange.rs
+++ b/yuccacroft-wire/tests/exchange.rs
@@ -67,7 +67,7 @@
         ("delta", Message::Delta { items: items(), wanted: vec![7] }),
         ("snapshot", Message::Snapshot { after: Some(u64::MAX) }),
         ("page", Message::Page { items: items(), next: None }),
-        ("known", Message::Known(vec![7, u64::MAX])),
+        ("known", Message::Known(vec![line])),
         ("done", Message::Done),
     ]
 }
