Judge a large failure domain by a sample of its members

With 1,150 members in a domain, two registrars each and two judges, a loss brought 4,600 reports within seconds to two balancers, and again every 5 s while it lasted. A domain with more than 128 members is judged by 64 to 128 of them, and while it is lost only members that are heard are reported.

Found by the test: a registrar that got a duty because of the loss reported its member as heard without having heard it; balancers inside of a lost domain went on to suspect members, since the record of the loss was no longer pushed to them. They get it like all others now, and a balancer of a lost domain suspects nobody.

--- a/yuccacroft-core/src/gossip/exchange/view.rs
+++ b/yuccacroft-core/src/gossip/exchange/view.rs
@@ -208,8 +208,10 @@
 
     fn sort(&mut self) {
         let others = || self.peers.values().filter(|peer| peer.node != self.own);
-        let live: Vec<Node> = others().filter(|p| self.is_live(p)).map(|p| p.node).collect();
-        let lost = others().filter(|peer| !self.is_live(peer)).map(|peer| peer.node);
+        // Balancers of a lost domain may be alive, and then they need the record of its loss first.
+        let lost = |peer: &&Arc<Peer>| peer.standing == Standing::Lost;
+        let live: Vec<Node> = others().filter(|p| !lost(p)).map(|peer| peer.node).collect();
+        let lost = others().filter(lost).map(|peer| peer.node);
         let strays: BTreeSet<Node> = lost.chain(self.seeds.iter().copied()).collect();
         self.targets = if live.is_empty() { self.seeds.clone() } else { live };
         self.strays = strays.into_iter().filter(|node| !self.targets.contains(node)).collect();
--- a/yuccacroft-core/src/member/roster.rs
+++ b/yuccacroft-core/src/member/roster.rs
@@ -14,6 +14,7 @@
         gossip::{entry::Item, peer::Node},
         ids::{Customer, Domain, Instance, Service},
         placement::Candidate,
+        rendezvous,
         time::{Moment, Span},
         units::Weight,
     },
@@ -33,6 +34,8 @@
 /// Members of a failure domain from which its loss is told from the loss of single members.
 /// Below it, single suspicions cost less than the wait for the others.
 const DOMAIN_MEMBERS: usize = 8;
+/// Members of a failure domain that stand for all of it, up to twice as many.
+const SAMPLES: usize = 64;
 /// Time between two reports of the same member to the judges of its failure domain.
 const REPORT_EVERY: Span = Span::from_secs(5);
 
@@ -286,7 +289,7 @@
     fn judge(&mut self, reports: &[Report], now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
         for domain in self.judge.note(reports, now) {
-            let members = self.live_members(&domain);
+            let members = self.sampled_members(&domain);
             let epoch = self.outages.get(&domain).map_or(0, |(outage, _)| outage.epoch);
             if let Some(outage) = self.judge.decide(&domain, members, epoch) {
                 self.outage(outage.clone(), now);
@@ -296,9 +299,19 @@
         actions
     }
 
-    /// Counts the members of a failure domain that did not leave by themselves.
-    fn live_members(&self, domain: &Domain) -> usize {
+    /// Tells whether a member stands for its failure domain. A sample bounds what the judges of a
+    /// large domain receive within seconds; the step is a power of two, so that balancers whose
+    /// counts differ a little agree on it.
+    fn is_sample(&self, instance: Instance, domain: &Domain) -> bool {
+        let members = self.domains.get(domain).map_or(0, BTreeSet::len);
+        let step = (members / SAMPLES).max(1).ilog2();
+        rendezvous::digest(&instance).trailing_zeros() >= step
+    }
+
+    /// Counts the sampled members of a failure domain that did not leave by themselves.
+    fn sampled_members(&self, domain: &Domain) -> usize {
         let members = self.domains.get(domain).into_iter().flatten();
+        let members = members.filter(|instance| self.is_sample(**instance, domain));
         let records = members.filter_map(|i| self.members.get(i)).map(|member| &member.record);
         records.filter(|r| r.entry.phase != Phase::Left && r.standing != Standing::Lost).count()
     }
@@ -318,22 +331,27 @@
     fn watch(&mut self, now: Moment) -> Vec<Action> {
         let mut worse: Vec<Arc<Record>> = Vec::new();
         let mut reports: BTreeMap<Node, Vec<Report>> = BTreeMap::new();
+        // Others do not count on balancers of a lost domain, so that no agent announces to them.
+        let cut_off = self.duties.domain().is_some_and(|own| self.lost_since(own).is_some());
         let duties: Vec<(Instance, Duty)> = self.duties.iter().collect();
         for (instance, duty) in duties {
             let Some(member) = self.members.get(&instance) else { continue };
             let entry = &member.record.entry;
             let silent = duty.is_silent(self.timing.silence, now);
-            let lost = self.lost_since(&entry.domain).is_some();
+            let lost = self.lost_since(&entry.domain).is_some_and(|since| member.fresh <= since);
             let large = self.domains.get(&entry.domain).map_or(0, BTreeSet::len) >= DOMAIN_MEMBERS;
             let due = duty.reported.is_none_or(|at| now.since(at) >= REPORT_EVERY);
-            if large && (lost || silent) && due {
+            // In a lost domain only those that are heard are news. The beginning of a duty, which
+            // the loss of registrars brings, says nothing.
+            let news = if lost { duty.spoke && !silent } else { silent && !cut_off };
+            if large && news && due && self.is_sample(instance, &entry.domain) {
                 let report = Report { instance, domain: entry.domain.clone(), alive: !silent };
                 for judge in self.duties.judges(&entry.domain) {
                     reports.entry(judge).or_default().push(report.clone());
                 }
                 self.duties.note_report(instance, now);
             }
-            if silent && !lost {
+            if silent && !lost && !cut_off {
                 worse.extend(self.worsened(member, duty, large, now));
             }
         }
--- a/yuccacroft-core/src/member/roster/duty.rs
+++ b/yuccacroft-core/src/member/roster/duty.rs
@@ -24,6 +24,8 @@
 pub struct Duty {
     /// When it was last heard from, or when the duty began.
     pub heard: Moment,
+    /// Whether it was heard at all since the duty began.
+    pub spoke: bool,
     /// When it was last reported to the judges.
     pub reported: Option<Moment>,
     patience: u64,
@@ -56,6 +58,11 @@
         self.duties.iter().map(|(instance, duty)| (*instance, *duty))
     }
 
+    /// Returns the failure domain of this balancer, once it is known.
+    pub fn domain(&self) -> Option<&Domain> {
+        self.peers.iter().find(|(node, _, _)| *node == self.own).map(|(_, _, domain)| domain)
+    }
+
     /// Returns the registrars of a member.
     pub fn registrars(&self, instance: Instance) -> Vec<Node> {
         match self.ranks.get(&instance) {
@@ -83,6 +90,7 @@
     pub fn heard(&mut self, instance: Instance, now: Moment) {
         if let Some(duty) = self.duties.get_mut(&instance) {
             duty.heard = now;
+            duty.spoke = true;
         }
     }
 
@@ -94,6 +102,7 @@
             return;
         }
         duty.heard = now;
+        duty.spoke = true;
         if old.entry.incarnation < new.entry.incarnation {
             duty.patience = 1;
         } else if old.standing != Standing::Trusted {
@@ -175,7 +184,7 @@
         let ranks = self.ranks.get(&instance);
         let own = ranks.is_some_and(|ranks| ranks.iter().any(|(_, node)| *node == self.own));
         if own {
-            let duty = Duty { heard: now, reported: None, patience: 1 };
+            let duty = Duty { heard: now, spoke: false, reported: None, patience: 1 };
             self.duties.entry(instance).or_insert(duty);
         } else {
             self.duties.remove(&instance);
--- a/yuccacroft-core/tests/members.rs
+++ b/yuccacroft-core/tests/members.rs
@@ -256,3 +256,21 @@
     assert!(outages(&fleet, 0).is_empty());
     assert_eq!(suspicions(&fleet, 0), 4);
 }
+
+/// Guards against judges of a large domain that receive a report a member, and against members
+/// suspected one by one because a sample of them decides: 600 members are lost at once. Reports
+/// of all of them by two registrars to two judges would be 2,400.
+#[test]
+fn loss_of_a_large_domain_is_told_by_a_sample() {
+    // At most 128 members, two registrars, two judges, told again once before the decision.
+    const MOST_REPORTS: usize = 128 * 2 * 2 * 2;
+    let mut fleet = fleet(6, 3, 0, 1);
+    fleet.add_known_agents((0..1_800).map(|index| entry(index, index % 3)).collect());
+    fleet.run(Span::from_secs(15));
+    (0..1_800).filter(|index| index % 3 == 1).for_each(|i| fleet.set_agent(instance(i), false));
+    fleet.run(Span::from_secs(30));
+    assert_eq!(outages(&fleet, 0), [true]);
+    assert_eq!(suspicions(&fleet, 0), 0);
+    assert_eq!(candidates(fleet.roster(0)).len(), 1_200);
+    assert!(fleet.reports() < MOST_REPORTS, "{} reports", fleet.reports());
+}
--- a/yuccacroft-fakes/src/fleet.rs
+++ b/yuccacroft-fakes/src/fleet.rs
@@ -87,6 +87,7 @@
     ledger: Ledger,
     cut: Box<dyn Fn(usize, usize) -> bool>,
     applied: Vec<(Revision, usize, Moment)>,
+    reports: usize,
     rng: StdRng,
 }
 
@@ -180,6 +181,7 @@
             ledger: Ledger::default(),
             cut: Box::new(|_, _| false),
             applied: Vec::new(),
+            reports: 0,
             plan,
         };
         for index in 0..fleet.plan.balancers {
@@ -235,6 +237,11 @@
         self.balancers.iter().map(|balancer| balancer.bytes)
     }
 
+    /// Returns the members that registrars reported to judges so far, repetitions included.
+    pub fn reports(&self) -> usize {
+        self.reports
+    }
+
     /// Returns the balancers that read the store.
     pub fn readers(&self) -> usize {
         self.balancers.iter().filter(|b| b.alive && b.follower.is_reader()).count()
@@ -393,6 +400,7 @@
                 self.step_exchange(from, event);
             }
             Pending::Reports { to, reports } => {
+                self.reports += reports.len();
                 self.step_roster(to, roster::Event::Reported(reports));
             }
             Pending::Announce(instance) => self.announce(instance),
