Let a returning failure domain change no entry of its members

Agents heard in a lost domain were asked for a new version of their entry at once. When a domain with 1,150 members returns, each balancer would have received all of these versions. They wait 15 s for the judges now, and only a member whose domain does not return speaks for itself.

Found by the test: balancers of the returned domain, to which nobody had announced, took the silence for the loss of all other domains. Their duties start over with the return of their own domain.

--- a/yuccacroft-balancer/src/control/announcements.rs
+++ b/yuccacroft-balancer/src/control/announcements.rs
@@ -62,7 +62,7 @@
         authenticate(headers, contract.key(), ANNOUNCE_PATH, body)?;
         contract.service(&announce.entry.service).ok_or(StatusCode::NOT_FOUND)?;
         // The refutation is read before the announcement, which may end the suspicion at once.
-        let refute = locked(&self.roster).refutation(announce.entry.instance);
+        let refute = locked(&self.roster).refutation(announce.entry.instance, self.clock.now());
         let refute = refute.filter(|&version| version >= announce.entry.version);
         self.step_roster(roster::Event::Announced(announce.entry.clone()));
         let welcome = self.answer(&announce, &contract, refute);
--- a/yuccacroft-bench/src/slopes.rs
+++ b/yuccacroft-bench/src/slopes.rs
@@ -255,6 +255,8 @@
         + announce * ANNOUNCEMENTS_PER_S
         + table * REBUILDS_PER_S;
     report.add("whole", "core_percent", busy / 1e4, Target::AtMost(CORE_PERCENT));
+    // The memory stays in use, so that later figures do not reuse it.
+    std::mem::forget(balancer);
 }
 
 fn announced(balancer: &mut Balancer) {
--- a/yuccacroft-core/src/member/roster.rs
+++ b/yuccacroft-core/src/member/roster.rs
@@ -37,6 +37,8 @@
 const DOMAIN_MEMBERS: usize = 8;
 /// Members of a failure domain that stand for all of it, up to twice as many.
 const SAMPLES: usize = 64;
+/// Time for which a member that is heard in a lost failure domain waits for the judges.
+const RETURN_WAIT: Span = Span::from_secs(15);
 /// Time between two reports of the same member to the judges of its failure domain.
 const REPORT_EVERY: Span = Span::from_secs(5);
 
@@ -108,7 +110,10 @@
 #[derive(Clone, Debug)]
 struct Member {
     record: Arc<Record>,
+    /// When the present version of the entry was learned.
     fresh: Moment,
+    /// When it was first heard here while its failure domain is lost.
+    back: Option<Moment>,
 }
 
 impl Default for Timing {
@@ -192,10 +197,14 @@
         self.duties.registrars(instance)
     }
 
-    /// Returns the version that an agent has to exceed to be trusted again, when it is not.
-    pub fn refutation(&self, instance: Instance) -> Option<u32> {
+    /// Returns the version that an agent has to exceed to be trusted again, when it is not. In a
+    /// lost failure domain agents wait for the judges: when all of them returned with new
+    /// versions, each balancer would receive thousands of entries.
+    pub fn refutation(&self, instance: Instance, now: Moment) -> Option<u32> {
         let member = self.members.get(&instance)?;
-        let doubted = self.judged(member) != Standing::Trusted;
+        let suspected = member.record.standing != Standing::Trusted;
+        let waited = member.back.is_some_and(|back| now.since(back) >= RETURN_WAIT);
+        let doubted = suspected || (waited && self.judged(member) == Standing::Lost);
         doubted.then_some(member.record.entry.version)
     }
 
@@ -233,6 +242,11 @@
         let record = Arc::new(Record { entry, standing: Standing::Trusted });
         let taken = self.take(&record, now);
         self.duties.heard(instance, now);
+        if let Some(member) = self.members.get_mut(&instance)
+            && self.outages.get(&member.record.entry.domain).is_some_and(|(o, _)| o.is_lost())
+        {
+            member.back.get_or_insert(now);
+        }
         if taken { vec![Action::Publish(Item::Member(record))] } else { Vec::new() }
     }
 
@@ -256,7 +270,7 @@
         } else {
             self.duties.add(entry.instance, now);
         }
-        self.members.insert(entry.instance, Member { record: record.clone(), fresh });
+        self.members.insert(entry.instance, Member { record: record.clone(), fresh, back: None });
         true
     }
 
@@ -286,11 +300,21 @@
         let members = self.domains.get(&outage.domain).into_iter().flatten();
         let entries = members.filter_map(|i| self.members.get(i)).map(|m| &m.record.entry);
         self.changed.extend(entries.map(|entry| (entry.customer.clone(), entry.service.clone())));
+        for instance in self.domains.get(&outage.domain).into_iter().flatten() {
+            if let Some(member) = self.members.get_mut(instance) {
+                member.back = None;
+            }
+        }
         // Registrars start over, so that members that did not come back are doubted one by one.
         if !outage.is_lost() {
             let members = self.domains.get(&outage.domain).into_iter().flatten();
             members.for_each(|&instance| self.duties.restart(instance, now));
         }
+        // Nobody announced to a balancer of a lost domain, so that its silences say nothing.
+        if self.duties.domain() == Some(&outage.domain) {
+            let members: Vec<Instance> = self.duties.iter().map(|(instance, _)| instance).collect();
+            members.into_iter().for_each(|instance| self.duties.restart(instance, now));
+        }
         self.judge.forget(&outage.domain);
         self.outages.insert(outage.domain.clone(), (outage, now));
     }
--- a/yuccacroft-core/src/member/roster/duty.rs
+++ b/yuccacroft-core/src/member/roster/duty.rs
@@ -114,6 +114,7 @@
     pub fn restart(&mut self, instance: Instance, now: Moment) {
         if let Some(duty) = self.duties.get_mut(&instance) {
             duty.heard = now;
+            duty.spoke = false;
             duty.reported = None;
         }
     }
--- a/yuccacroft-core/tests/members.rs
+++ b/yuccacroft-core/tests/members.rs
@@ -69,7 +69,7 @@
     let mut roster = alone();
     roster.step(Event::Announced(entry(1, 1)), at(0));
     roster.step(Event::Tick, at(6));
-    assert_eq!(roster.refutation(instance(1)), Some(1));
+    assert_eq!(roster.refutation(instance(1), at(6)), Some(1));
     roster.step(Event::Announced(entry(1, 1)), at(7));
     assert_eq!(roster.standing(instance(1)), Some(Standing::Suspected));
     roster.step(Event::Announced(Entry { version: 2, ..entry(1, 1) }), at(7));
@@ -274,3 +274,28 @@
     assert_eq!(candidates(fleet.roster(0)).len(), 1_200);
     assert!(fleet.reports() < MOST_REPORTS, "{} reports", fleet.reports());
 }
+
+/// Guards against a return of a lost domain that brings a new version of each member's entry to
+/// all balancers, and against a member that stays out although the rest of its domain does not
+/// return.
+#[test]
+fn return_of_a_domain_changes_no_entry() {
+    let mut fleet = fleet(6, 3, 60, 1);
+    let lost: Vec<usize> = (0..60).filter(|index| index % 3 == 1).collect();
+    lost.iter().for_each(|&index| fleet.set_agent(instance(index), false));
+    fleet.run(Span::from_secs(30));
+    let versions = |fleet: &Fleet| -> Vec<u32> {
+        let entries = fleet.roster(0).iter();
+        entries.map(|entry| entry.version).collect()
+    };
+    assert_eq!(outages(&fleet, 0), [true]);
+    fleet.set_agent(instance(1), true);
+    fleet.run(Span::from_secs(30));
+    assert_eq!(weight(fleet.roster(0), instance(1)), Some(100));
+    let before = versions(&fleet);
+    lost.iter().for_each(|&index| fleet.set_agent(instance(index), true));
+    fleet.run(Span::from_secs(30));
+    assert_eq!(outages(&fleet, 0), [false]);
+    assert_eq!(candidates(fleet.roster(0)).len(), 60);
+    assert_eq!(versions(&fleet), before);
+}
--- a/yuccacroft-fakes/src/fleet.rs
+++ b/yuccacroft-fakes/src/fleet.rs
@@ -493,7 +493,7 @@
         };
         let size = message::encode(&announce).map_or(0, |bytes| bytes.len() as u64);
         self.balancers[to].bytes += size + REQUEST_BYTES + WELCOME_BYTES + ANSWER_BYTES;
-        let refutation = self.balancers[to].roster.refutation(instance);
+        let refutation = self.balancers[to].roster.refutation(instance, self.now);
         let refutation = refutation.filter(|&version| version >= entry.version);
         self.step_roster(to, roster::Event::Announced(entry));
         if let Some(version) = refutation {
