Offer a request that waited in vain to a sibling

Change: the agent and the bench offer it to a sibling that has not refused it, within the same three offers.

--- a/yuccacroft-agent/src/service.rs
+++ b/yuccacroft-agent/src/service.rs
@@ -276,6 +276,7 @@
     ) -> Placed {
         let granted = match entry {
             Entry::Started(slot) => Ok(slot),
+            Entry::Refused(reason) => Err(reason),
             Entry::Waiting(ticket) => match self.sibling(item, tried) {
                 None => ticket.wait().await,
                 Some(hop) => match ticket.withdraw() {
@@ -286,14 +287,13 @@
                     }
                 },
             },
-            Entry::Refused(reason) => match self.sibling(item, tried) {
-                None => Err(reason),
-                Some(hop) => return self.offer(hop, request, item).await,
-            },
         };
         match granted {
             Ok(slot) => Placed::Slot(request, slot),
-            Err(reason) => Placed::Ended(Outcome::NotRun(request.refuse(reason))),
+            Err(reason) => match self.sibling(item, tried) {
+                None => Placed::Ended(Outcome::NotRun(request.refuse(reason))),
+                Some(hop) => self.offer(hop, request, item).await,
+            },
         }
     }
 
--- a/yuccacroft-bench/src/requests/policy.rs
+++ b/yuccacroft-bench/src/requests/policy.rs
@@ -64,7 +64,6 @@
 struct Trial {
     tried: Vec<Hop>,
     origin: usize,
-    taken: bool,
 }
 
 /// One run of the policy.
@@ -122,7 +121,7 @@
         match step {
             Step::Arrive(index) => {
                 let origin = self.arrivals[index].agent;
-                self.trials.insert(index, Trial { tried: Vec::new(), origin, taken: false });
+                self.trials.insert(index, Trial { tried: Vec::new(), origin });
                 self.ask(origin, index, now);
             }
             Step::Done { agent, index } => self.done(agent, index, now),
@@ -163,7 +162,6 @@
                 }
                 if let Some(trial) = self.trials.get_mut(&index) {
                     trial.tried.push(hop);
-                    trial.taken = true;
                 }
                 let at = now + self.delay();
                 self.push(at, Step::Offer { from: agent, to: number(hop), index });
@@ -171,6 +169,20 @@
         }
     }
 
+    /// Offers a request that waited in vain to a sibling that has not refused it yet.
+    fn late(&mut self, agent: usize, index: usize, now: Moment) {
+        let Some(trial) = self.trials.get_mut(&index) else { return };
+        let hop = if trial.tried.len() >= OFFERS {
+            None
+        } else {
+            self.agents[agent].peers.pick(&trial.tried, now)
+        };
+        let Some(hop) = hop else { return self.end(index, Fate::Refused) };
+        trial.tried.push(hop);
+        let at = now + self.delay();
+        self.push(at, Step::Offer { from: agent, to: number(hop), index });
+    }
+
     fn offered(&mut self, from: usize, to: usize, index: usize, now: Moment) {
         let load = self.agents[from].gate.load(now);
         self.agents[to].peers.heard(hop(from), load, true, now);
@@ -196,9 +208,6 @@
         match ran {
             Some(service) => self.end(index, Fate::Answered(now, service)),
             None => {
-                if let Some(trial) = self.trials.get_mut(&index) {
-                    trial.taken = false;
-                }
                 self.ask(to, index, now);
             }
         }
@@ -235,7 +244,7 @@
                     self.push(at, Step::Done { agent, index });
                 }
                 Action::Refuse(call, _) if Some(call) != asked => {
-                    self.end(call.get() as usize, Fate::Refused);
+                    self.late(agent, call.get() as usize, now);
                 }
                 Action::Refuse(..) | Action::Wait(_) | Action::Withdrawn(_) => {}
             }
