--- a/yuccacroft-bench/src/main.rs
+++ b/yuccacroft-bench/src/main.rs
@@ -8,6 +8,7 @@
 mod flows;
 mod forwarding;
 mod requests;
+mod slopes;
 
 use {argh::FromArgs, figure::Report, std::process::ExitCode};
 
@@ -23,6 +24,7 @@
     ("flows", flows::run),
     ("requests", requests::run),
     ("control", control::run),
+    ("slopes", slopes::run),
 ];
 
 /// A case takes the seed of all its random choices and measures.
