Test dump and metrics of agents

Cause: the administration interface of agents had no test.

Change: agents of test systems have one; a test reads dump and metrics with the token and is refused without it, on both roles.

--- a/yuccacroft/tests/commands.rs
+++ b/yuccacroft/tests/commands.rs
@@ -6,6 +6,7 @@
 mod transcript;
 
 use {
+    http::{Method, StatusCode},
     serde_json::Value,
     std::{
         fs,
@@ -132,3 +133,33 @@
     assert_eq!(status, 0);
     assert!(text.contains("role: balancer") && text.contains(&agent), "{text}");
 }
+
+/// Guards against an agent that shows its state or metrics without the token, or not at all.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_shows_its_state_and_metrics_only_with_the_token() {
+    let (system, mut shell) = start("agent").await;
+    let mut caller = system.caller().await;
+    caller.reserve("seat-1", "two seats".into()).await.unwrap();
+    shell.admin = system.agent_admins[0];
+    let (status, json, _) = shell.run(&["dump"], &["--json"]).await;
+    assert_eq!(status, 0);
+    let dump: Value = serde_json::from_str(&json).unwrap();
+    assert_eq!(dump["process"]["role"], "agent");
+    assert_eq!(dump["members"][0]["instance"], system.agents[0].to_string());
+    assert_eq!(dump["holds"]["phase"], "Serving");
+    let note = transcript::Transcript::default();
+    for admin in [system.agent_admins[0], system.admins[0]] {
+        let stranger = Operator::new("stranger", admin, None);
+        let (status, _) = stranger.call(&note, Method::GET, "/metrics", Value::Null).await;
+        assert_eq!(status, StatusCode::UNAUTHORIZED);
+    }
+    let mut answered = 0;
+    for &admin in &system.agent_admins {
+        let operator = Operator::new("operator", admin, Some(TOKEN));
+        let text = operator.text("/metrics").await;
+        answered += text.matches("yuccacroft_requests_total{outcome=\"answered\"} 1").count();
+    }
+    assert_eq!(answered, 1);
+    let text = Operator::new("operator", system.admins[0], Some(TOKEN)).text("/metrics").await;
+    assert!(text.contains("yuccacroft_packets_forwarded_total"), "{text}");
+}
--- a/yuccacroft/tests/sessions.rs
+++ b/yuccacroft/tests/sessions.rs
@@ -5,6 +5,7 @@
 
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod support;
+#[allow(dead_code, reason = "each test program uses a part of it")]
 mod transcript;
 
 use {
--- a/yuccacroft/tests/support/mod.rs
+++ b/yuccacroft/tests/support/mod.rs
@@ -36,6 +36,8 @@
     pub upstreams: Vec<Upstream>,
     /// The administration interfaces of the balancers.
     pub admins: Vec<SocketAddr>,
+    /// The administration interfaces of the agents.
+    pub agent_admins: Vec<SocketAddr>,
     /// The capsule addresses of the agents.
     pub agents: Vec<SocketAddr>,
     certificate: Certificate,
@@ -76,7 +78,7 @@
         fs::write(folder.join("service.pem"), certificate.certificate_pem.as_bytes()).unwrap();
         fs::write(folder.join("service.key"), certificate.key_pem.as_bytes()).unwrap();
         let (mut processes, mut packets, mut controls) = (Vec::new(), Vec::new(), Vec::new());
-        let (mut admins, mut agents) = (Vec::new(), Vec::new());
+        let (mut admins, mut agents, mut agent_admins) = (Vec::new(), Vec::new(), Vec::new());
         let peers: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
         for (index, &control) in peers.iter().enumerate() {
             let (packet, admin) = (free_address(), free_address());
@@ -90,6 +92,9 @@
         for (index, upstream) in addresses.iter().enumerate() {
             let capsules = free_address();
             let text = agent(index, capsules, &controls, *upstream);
+            let admin = free_address();
+            let text = format!("{text}\n[admin]\nlisten = {admin}\ntoken = {TOKEN}\n");
+            agent_admins.push(admin);
             processes.push(run(&folder, "agent", index, &text));
             agents.push(capsules);
         }
@@ -97,6 +102,7 @@
         Self {
             upstreams: Vec::new(),
             admins,
+            agent_admins,
             agents,
             certificate,
             service,
--- a/yuccacroft/tests/transcript/operator.rs
+++ b/yuccacroft/tests/transcript/operator.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Reads a path as plain text. Nothing is noted.
+    pub async fn text(&self, path: &str) -> String {
+        let request = self.request(&Method::GET, path, &Value::Null);
+        let response = self.client.request(request).await.unwrap();
+        let bytes = response.into_body().collect().await.unwrap().to_bytes();
+        String::from_utf8(bytes.to_vec()).unwrap()
+    }
+
     fn request(&self, method: &Method, path: &str, body: &Value) -> Request<Full<Bytes>> {
         let mut request = Request::builder().method(method);
         request = request.uri(format!("http://{}{path}", self.admin));
