Open a new connection to the upstream for each request

An idempotent request that met a pooled connection which had gone silent waited its whole deadline and ended as unknown. A retry on a new connection was ruled out, since no timer tells a silent connection from a slow render.

--- a/yuccacroft-agent/src/service.rs
+++ b/yuccacroft-agent/src/service.rs
@@ -332,24 +332,15 @@
         retry: bool,
     ) -> Attempt {
         let remaining = request.remaining(self.clock.now());
-        let sent = match request.effect() {
-            Effect::Idempotent => {
-                let request = request.dispatch(self.clock.now());
-                let send = self.upstream.send(&item.parts, item.body.clone(), remaining);
-                (request, tokio::time::timeout(remaining.into(), send).await)
-            }
-            Effect::Once => {
-                let Ok(line) = self.upstream.connect().await else {
-                    slot.finish(Observed::Lost);
-                    return Attempt::Unreachable(request);
-                };
-                let remaining = request.remaining(self.clock.now());
-                let request = request.dispatch(self.clock.now());
-                let send = line.send(&item.parts, item.body.clone(), remaining);
-                (request, tokio::time::timeout(remaining.into(), send).await)
-            }
+        let connect = tokio::time::timeout(remaining.into(), self.upstream.connect());
+        let Ok(Ok(line)) = connect.await else {
+            slot.finish(Observed::Lost);
+            return Attempt::Unreachable(request);
         };
-        let (request, answer) = sent;
+        let remaining = request.remaining(self.clock.now());
+        let request = request.dispatch(self.clock.now());
+        let send = line.send(&item.parts, item.body.clone(), remaining);
+        let answer = tokio::time::timeout(remaining.into(), send).await;
         match answer {
             Ok(Ok(response)) if !is_shed(&response) || !self.may_retry(&request, retry) => {
                 Attempt::Head(response, request, slot)
--- a/yuccacroft-agent/src/upstream.rs
+++ b/yuccacroft-agent/src/upstream.rs
@@ -9,10 +9,7 @@
         body::Incoming,
         client::conn::http1::{self, SendRequest},
     },
-    hyper_util::{
-        client::legacy::{Client as Pool, connect::HttpConnector},
-        rt::{TokioExecutor, TokioIo},
-    },
+    hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
     std::{
         fmt::{Display, Formatter},
@@ -33,9 +30,6 @@
     header::UPGRADE,
 ];
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Shorter than the keep-alive of common servers, so that a connection is seldom closed under a
-/// request.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Probes on a quiet connection. A feed may be quiet for hours, so only probes tell one whose
 /// state was lost from one without news; it is given up after about 25 s.
@@ -47,7 +41,6 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     address: SocketAddr,
-    pool: Pool<HttpConnector, Full<Bytes>>,
 }
 
 /// A connection that was opened for one request and has carried none.
@@ -69,21 +62,11 @@
 impl Client {
     /// Creates the client of the upstream at an address.
     pub fn new(address: SocketAddr) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_keepalive(Some(PROBE_AFTER));
-        connector.set_keepalive_interval(Some(PROBE_EVERY));
-        connector.set_keepalive_retries(Some(PROBES));
-        // The library must never send a request twice on its own.
-        let pool = Pool::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .build(connector);
-        Self { address, pool }
+        Self { address }
     }
 
-    /// Opens a connection for a request that may run only once. The upstream has just answered
-    /// the handshake, so the connection is not a silent one; a failure here is before dispatch.
+    /// Opens a connection for one request. The upstream has just answered the handshake, so the
+    /// connection is not a silent one; a failure here is before dispatch.
     pub async fn connect(&self) -> Result<Line, Error> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
         let stream = stream.await.ok().and_then(Result::ok).ok_or(Error::Unreachable)?;
@@ -99,21 +82,6 @@
         sender.ready().await.map_err(|_| Error::Unreachable)?;
         Ok(Line { address: self.address, sender })
     }
-
-    /// Sends an idempotent request on a connection of the pool. Dropping the response body
-    /// cancels it at the upstream.
-    pub async fn send(
-        &self,
-        parts: &Parts,
-        body: Bytes,
-        remaining: Span,
-    ) -> Result<Response<Incoming>, Error> {
-        let mut request = request(parts, body, remaining);
-        *request.uri_mut() = absolute(self.address, &parts.uri);
-        self.pool.request(request).await.map_err(|error| {
-            if error.is_connect() { Error::Unreachable } else { Error::lost(&error) }
-        })
-    }
 }
 
 impl Line {
@@ -178,8 +146,3 @@
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     path.parse().unwrap_or_default()
 }
-
-fn absolute(address: SocketAddr, uri: &Uri) -> Uri {
-    // Both parts were parsed before, so their sum is a valid URI.
-    format!("http://{address}{}", path(uri)).parse().unwrap_or_default()
-}
