Let an agent exceed the life that balancers know at its address

An agent whose wall clock had stepped back since its previous life announced a lower incarnation and was ignored for good without a word. The answer to an announcement now names the later life, and a starting agent chooses a higher incarnation before it serves; a step of more than an hour is refused and logged.

--- a/yuccacroft-agent/src/announce.rs
+++ b/yuccacroft-agent/src/announce.rs
@@ -10,7 +10,7 @@
     },
     yuccacroft_core::{
         contract::{Accepted, Contract},
-        ids::Revision,
+        ids::{Incarnation, Revision},
         key::Secret,
         member::Entry,
     },
@@ -54,6 +54,8 @@
     pub reached: usize,
     /// The version that the entry has to exceed, when balancers suspect this agent.
     pub refute: Option<u32>,
+    /// The life that this agent has to exceed, when balancers know a later one at its address.
+    pub later: Option<Incarnation>,
 }
 
 impl Herald {
@@ -145,6 +147,7 @@
     fn add(&mut self, welcome: Welcome) {
         self.reached += 1;
         self.refute = self.refute.max(welcome.refute);
+        self.later = self.later.max(welcome.later);
         if let Some(contract) = welcome.contract {
             let newest = self.contract.as_ref().map(Contract::revision);
             if newest.is_none_or(|newest| newest < contract.revision()) {
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -8,14 +8,17 @@
         errors::{Error, Result},
         seats::Claimant,
     },
-    slog::{Logger, info},
+    slog::{Logger, error, info, warn},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     yuccacroft_core::{
         contract::{Accepted, Contract, Terms},
         flow::Hop,
-        ids::{Customer, Domain, Instance, Process as Name, Revision, Service as ServiceName},
+        ids::{
+            Customer, Domain, Incarnation, Instance, Process as Name, Revision,
+            Service as ServiceName,
+        },
         key::Secret,
-        member::{Entry, Phase},
+        member::{self, Entry, Phase},
         units::Weight,
     },
     yuccacroft_rpc::{admin::Access, clock},
@@ -94,8 +97,9 @@
         let sockets = Sockets::open(own.instance.address(), admin.as_ref()).await?;
         let balancers = settings.balancers.clone();
         let herald = Arc::new(Herald::new(balancers, settings.key.clone(), log.clone()));
-        let entry = first_entry(&settings, own);
-        let contract = first_contract(&herald, &entry).await?;
+        let mut entry = first_entry(&settings, own);
+        let contract = first_contract(&herald, &mut entry, &log).await?;
+        let own = entry.hop();
         let claimant = Arc::new(Claimant::new(&settings, own, log.clone()));
         let terms = contract.service(&settings.service).ok_or(Error::Contract)?;
         first_claim(&claimant, terms).await;
@@ -206,12 +210,29 @@
     }
 }
 
+/// Begins a life that is later than the one which balancers know.
+fn exceed(entry: &mut Entry, known: Incarnation, log: &Logger) {
+    match member::succeed(entry.incarnation, known) {
+        Some(next) => {
+            warn!(log, "clock_stepped_back"; "known" => %known, "chosen" => %next);
+            entry.incarnation = next;
+        }
+        None => error!(log, "clock_far_behind"; "known" => %known, "own" => %entry.incarnation),
+    }
+}
+
 /// Asks for the contract while the entry still says that no flow is taken.
-async fn first_contract(herald: &Herald, entry: &Entry) -> Result<Contract<Accepted>> {
+async fn first_contract(
+    herald: &Herald,
+    entry: &mut Entry,
+    log: &Logger,
+) -> Result<Contract<Accepted>> {
     for _ in 0..FIRST_ANNOUNCE_TRIES {
         let news = herald.announce(entry, Revision::default()).await;
-        if let Some(contract) = news.contract {
-            return Ok(contract);
+        match (news.later, news.contract) {
+            (Some(known), _) => exceed(entry, known, log),
+            (None, Some(contract)) => return Ok(contract),
+            (None, None) => {}
         }
         tokio::time::sleep(FIRST_ANNOUNCE_EVERY).await;
     }
--- a/yuccacroft-balancer/src/control/announcements.rs
+++ b/yuccacroft-balancer/src/control/announcements.rs
@@ -81,11 +81,13 @@
         let balancers = self.balancers(instance);
         let same = balancers.digest() == announce.balancers;
         let newer = contract.revision() > announce.revision;
+        let later = locked(&self.roster).incarnation(instance);
         Welcome {
             contract: newer.then(|| contract.clone()),
             siblings: (!known).then_some(siblings),
             balancers: (!same).then_some(balancers),
             refute,
+            later: later.filter(|&later| later > announce.entry.incarnation),
         }
     }
 
--- a/yuccacroft-balancer/tests/control.rs
+++ b/yuccacroft-balancer/tests/control.rs
@@ -9,17 +9,20 @@
     },
     tokio::{net::TcpListener, task::JoinSet},
     yuccacroft_balancer::{
-        control::{Control, Mesh, Setup, Submission},
+        control::{ANNOUNCE_PATH, Control, Mesh, Setup, Submission},
         service::Routes,
     },
     yuccacroft_core::{
         contract::{Checked, Contract, writer::Verdict},
-        ids::{Change, Customer, Revision},
+        ids::{Change, Customer, Incarnation, Revision},
         key::Secret,
+        member::{Entry, Phase},
+        units::Weight,
     },
     yuccacroft_fakes::store::{Kind, Store},
     yuccacroft_platform::etcd::Gateway,
-    yuccacroft_rpc::clock::Clock,
+    yuccacroft_rpc::{client::Client, clock::Clock},
+    yuccacroft_wire::message::{Announce, Welcome},
 };
 
 /// Bound of `docs/design.md`, section 1.2, at today's sizes.
@@ -189,3 +192,33 @@
     assert_eq!(stranger.revision(), None);
     assert!(balancers.iter().all(|b| b.control.peers().len() <= 4));
 }
+
+/// Guards against an agent that announces an earlier life and is ignored without a word.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_earlier_life_learns_of_the_later_one() {
+    let (store, balancers) = start().await;
+    accept(&balancers[0], &store, 1).await;
+    let known = || balancers[0].revision().is_some();
+    wait("the contract is in force", IN_FORCE_WITHIN, known).await;
+    assert_eq!(announce(&balancers[0], 2_000).await.later, None);
+    let answer = announce(&balancers[0], 1_000).await;
+    assert_eq!(answer.later, Some(Incarnation::new(2_000)));
+    assert_eq!(announce(&balancers[0], 2_001).await.later, None);
+}
+
+async fn announce(balancer: &Balancer, incarnation: u64) -> Welcome {
+    let entry = Entry {
+        customer: customer(),
+        service: "booking".parse().unwrap(),
+        instance: "127.0.0.1:9000".parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        version: 0,
+        domain: "gent".parse().unwrap(),
+        weight: Weight::new(100),
+        phase: Phase::Draining,
+    };
+    let message = Announce { entry, revision: Revision::default(), siblings: 0, balancers: 0 };
+    let client = Client::new(IN_FORCE_WITHIN);
+    let key = Secret::new([7; 32]);
+    client.call(balancer.address, ANNOUNCE_PATH, &key, &message).await.unwrap()
+}
--- a/yuccacroft-core/src/member.rs
+++ b/yuccacroft-core/src/member.rs
@@ -61,6 +61,21 @@
     }
 }
 
+/// Longest step back of the wall clock between two lives of an agent that the later one makes up
+/// for. Control messages already need clocks that differ by less than a minute.
+const MAX_STEP_BACK_MILLIS: u64 = 3_600_000;
+
+/// Chooses the incarnation of a starting agent at whose address balancers know the life `known`.
+/// The wall clock may have stepped back since then; a lower incarnation would be taken for news
+/// of the earlier life. `None` means that the step is too long to be one of a clock.
+pub fn succeed(own: Incarnation, known: Incarnation) -> Option<Incarnation> {
+    if known < own {
+        return Some(own);
+    }
+    let step = known.get() - own.get();
+    (step <= MAX_STEP_BACK_MILLIS).then(|| Incarnation::new(known.get() + 1))
+}
+
 /// What balancers think of a process. The order is the one in which a standing may get worse
 /// without a word of the process itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/yuccacroft-core/src/member/roster.rs
+++ b/yuccacroft-core/src/member/roster.rs
@@ -13,7 +13,7 @@
         controller::Controller,
         flow::Hop,
         gossip::{entry::Item, peer::Node},
-        ids::{Customer, Domain, Instance, Service},
+        ids::{Customer, Domain, Incarnation, Instance, Service},
         placement::Candidate,
         rendezvous,
         time::{Moment, Span},
@@ -124,7 +124,7 @@
 }
 
 impl Record {
-    fn order(&self) -> (crate::ids::Incarnation, u32, Standing) {
+    fn order(&self) -> (Incarnation, u32, Standing) {
         (self.entry.incarnation, self.entry.version, self.standing)
     }
 }
@@ -197,6 +197,11 @@
         self.duties.registrars(instance)
     }
 
+    /// Returns the latest life of an agent that is known, also when it has left.
+    pub fn incarnation(&self, instance: Instance) -> Option<Incarnation> {
+        self.members.get(&instance).map(|member| member.record.entry.incarnation)
+    }
+
     /// Returns the version that an agent has to exceed to be trusted again, when it is not. In a
     /// lost failure domain agents wait for the judges: when all of them returned with new
     /// versions, each balancer would receive thousands of entries.
--- a/yuccacroft-core/tests/members.rs
+++ b/yuccacroft-core/tests/members.rs
@@ -10,7 +10,7 @@
         gossip::entry::Item,
         ids::{Incarnation, Instance},
         member::{
-            Entry, Phase, Record, Standing,
+            self, Entry, Phase, Record, Standing,
             roster::{Event, Roster, Timing},
         },
         placement::Candidate,
@@ -299,3 +299,16 @@
     assert_eq!(candidates(fleet.roster(0)).len(), 60);
     assert_eq!(versions(&fleet), before);
 }
+
+/// Guards against an agent that is ignored for good after its wall clock stepped back, and against
+/// one that follows a number no clock can have shown.
+#[test]
+fn later_life_exceeds_the_known_one_behind_a_clock_step() {
+    let succeed = |own, known| {
+        member::succeed(Incarnation::new(own), Incarnation::new(known)).map(Incarnation::get)
+    };
+    assert_eq!(succeed(1_000, 999), Some(1_000));
+    assert_eq!(succeed(1_000, 1_000), Some(1_001));
+    assert_eq!(succeed(1_000, 31_000), Some(31_001));
+    assert_eq!(succeed(1_000, u64::MAX), None);
+}
--- a/yuccacroft-wire/src/message.rs
+++ b/yuccacroft-wire/src/message.rs
@@ -40,6 +40,8 @@
     pub balancers: Option<Balancers>,
     /// The version that the agent has to exceed, when it was suspected.
     pub refute: Option<u32>,
+    /// The life that the agent has to exceed, when it announced an earlier one.
+    pub later: Option<Incarnation>,
 }
 
 /// The balancers that an agent turns to.
