Share the check of authenticators; pass the parts of a service as one struct

Four places checked the authenticator of a message on their own, and two functions took eight arguments under a lint exception. The check now stands in the rpc crate.

--- a/yuccacroft-agent/src/assembly.rs
+++ b/yuccacroft-agent/src/assembly.rs
@@ -16,7 +16,7 @@
         process::Settings,
         records::{PART_BOUNDS, Records},
         seats::Claimant,
-        service::Service,
+        service::{Service, Setup},
         siblings::Siblings,
         socket::{Seals, Socket},
         upstream::Client,
@@ -247,16 +247,16 @@
     let random = StdRng::from_rng(&mut rand::rng());
     let siblings = Siblings::new(own, derive(PURPOSE), random, desk.clone(), log.clone());
     let siblings = Arc::new(siblings);
-    let service = Arc::new(Service::new(
-        desk.clone(),
-        records.clone(),
+    let service = Arc::new(Service::new(Setup {
+        desk: desk.clone(),
+        records: records.clone(),
         owners,
-        siblings.clone(),
-        Client::new(settings.upstream),
+        siblings: siblings.clone(),
+        upstream: Client::new(settings.upstream),
         clock,
-        limits_in_force,
-        log.clone(),
-    ));
+        limits: limits_in_force,
+        log: log.clone(),
+    }));
     let acceptor = Arc::new(Acceptor::new(service.clone(), book.clone(), log.clone()));
     Front { desk, records, siblings, service, acceptor, limits }
 }
--- a/yuccacroft-agent/src/handoff.rs
+++ b/yuccacroft-agent/src/handoff.rs
@@ -15,7 +15,6 @@
         http::{HeaderMap, StatusCode},
         routing::post,
     },
-    serde::de::DeserializeOwned,
     std::{sync::Arc, time::Duration},
     tokio::sync::watch,
     yuccacroft_core::{
@@ -29,13 +28,13 @@
         time::Span,
         units::{Count, Size},
     },
-    yuccacroft_rpc::clock,
+    yuccacroft_rpc::server,
     yuccacroft_wire::{
         handoff::{
             FENCE_PATH, Fence, MAX_BYTES, OFFER_PATH, Offer, RELAY_PATH, Relay, Relayed, Reply,
             State,
         },
-        message, seal,
+        message,
     },
 };
 
@@ -86,19 +85,6 @@
             .with_state(self.clone())
     }
 
-    fn open<T: DeserializeOwned>(
-        &self,
-        path: &str,
-        headers: &HeaderMap,
-        body: &[u8],
-    ) -> Result<T, StatusCode> {
-        let text = headers.get(seal::HEADER).and_then(|value| value.to_str().ok());
-        let text = text.ok_or(StatusCode::UNAUTHORIZED)?;
-        seal::verify(&self.key, path, clock::wall(), body, text)
-            .map_err(|_| StatusCode::UNAUTHORIZED)?;
-        message::decode(body).map_err(|_| StatusCode::BAD_REQUEST)
-    }
-
     async fn offer(self: &Arc<Self>, offer: Offer) -> Result<Reply, StatusCode> {
         self.siblings.heard(&offer);
         let Offer { call, expected, effect, remaining, hold, work, .. } = offer;
@@ -239,16 +225,16 @@
 type Answered = Result<Vec<u8>, StatusCode>;
 
 async fn offer(Shared(host): Shared<Arc<Host>>, headers: HeaderMap, body: Bytes) -> Answered {
-    let reply = host.offer(host.open(OFFER_PATH, &headers, &body)?).await?;
+    let reply = host.offer(server::open(&headers, &host.key, OFFER_PATH, &body)?).await?;
     message::encode(&reply).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
 
 async fn fence(Shared(host): Shared<Arc<Host>>, headers: HeaderMap, body: Bytes) -> Answered {
-    let reply = host.fence(host.open(FENCE_PATH, &headers, &body)?).await;
+    let reply = host.fence(server::open(&headers, &host.key, FENCE_PATH, &body)?).await;
     message::encode(&reply).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
 
 async fn relay(Shared(host): Shared<Arc<Host>>, headers: HeaderMap, body: Bytes) -> Answered {
-    let relayed = host.relay(host.open(RELAY_PATH, &headers, &body)?).await?;
+    let relayed = host.relay(server::open(&headers, &host.key, RELAY_PATH, &body)?).await?;
     message::encode(&relayed).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
--- a/yuccacroft-agent/src/operate.rs
+++ b/yuccacroft-agent/src/operate.rs
@@ -17,11 +17,10 @@
         ownership::Book,
         units::Count,
     },
-    yuccacroft_rpc::clock,
+    yuccacroft_rpc::server,
     yuccacroft_wire::{
         admin::Report,
         message::{self, Operate, Order},
-        seal,
     },
 };
 
@@ -79,11 +78,7 @@
     }
 
     async fn obey(&self, headers: &HeaderMap, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
-        let text = headers.get(seal::HEADER).and_then(|value| value.to_str().ok());
-        let text = text.ok_or(StatusCode::UNAUTHORIZED)?;
-        seal::verify(&self.key, OPERATE_PATH, clock::wall(), body, text)
-            .map_err(|_| StatusCode::UNAUTHORIZED)?;
-        let operate: Operate = message::decode(body).map_err(|_| StatusCode::BAD_REQUEST)?;
+        let operate: Operate = server::open(headers, &self.key, OPERATE_PATH, body)?;
         if operate.incarnation != self.book.own().incarnation {
             return Err(StatusCode::CONFLICT);
         }
--- a/yuccacroft-agent/src/service.rs
+++ b/yuccacroft-agent/src/service.rs
@@ -37,19 +37,32 @@
 /// Siblings that are offered one request.
 const OFFERS: usize = 3;
 
+/// What a service is made of.
+pub struct Setup {
+    /// The shell of the gate.
+    pub desk: Arc<Desk>,
+    /// The record of keys.
+    pub records: Arc<Records>,
+    /// The codec of the owner header.
+    pub owners: Arc<Owners>,
+    /// The other agents of the service.
+    pub siblings: Arc<Siblings>,
+    /// The client of the upstream.
+    pub upstream: Client,
+    /// The clock of all decisions.
+    pub clock: Clock,
+    /// What the contract in force says of requests.
+    pub limits: watch::Receiver<Limits>,
+    /// The logger of the process.
+    pub log: Logger,
+}
+
 /// Serves requests whatever their front end.
 pub struct Service {
+    setup: Setup,
     chain: Chain<Item, Decision>,
-    desk: Arc<Desk>,
-    records: Arc<Records>,
-    owners: Arc<Owners>,
-    siblings: Arc<Siblings>,
-    upstream: Client,
-    clock: Clock,
-    limits: watch::Receiver<Limits>,
     budget: Mutex<Budget>,
     random: Mutex<StdRng>,
-    log: Logger,
 }
 
 /// What becomes of a request.
@@ -88,44 +101,22 @@
 }
 
 impl Service {
-    /// Creates the service in front of one upstream. `limits` holds what the contract in force
-    /// says of requests.
-    #[expect(clippy::too_many_arguments)]
-    pub fn new(
-        desk: Arc<Desk>,
-        records: Arc<Records>,
-        owners: Arc<Owners>,
-        siblings: Arc<Siblings>,
-        upstream: Client,
-        clock: Clock,
-        limits: watch::Receiver<Limits>,
-        log: Logger,
-    ) -> Self {
+    /// Creates the service in front of one upstream.
+    pub fn new(setup: Setup) -> Self {
+        let Setup { desk, records, owners, .. } = &setup;
         let chain = chain::chain(desk.clone(), records.clone(), owners.clone());
-        let (budget, random) = (Mutex::default(), Mutex::new(StdRng::from_rng(&mut rand::rng())));
-        Self {
-            chain,
-            desk,
-            records,
-            owners,
-            siblings,
-            upstream,
-            clock,
-            limits,
-            budget,
-            random,
-            log,
-        }
+        let random = Mutex::new(StdRng::from_rng(&mut rand::rng()));
+        Self { chain, setup, budget: Mutex::default(), random }
     }
 
     /// Returns the shell of the gate.
     pub fn desk(&self) -> &Arc<Desk> {
-        &self.desk
+        &self.setup.desk
     }
 
     /// Returns the record of keys.
     pub fn records(&self) -> &Arc<Records> {
-        &self.records
+        &self.setup.records
     }
 
     /// Returns the owner header of the answer to a request that arrived at `arrived`.
@@ -133,26 +124,26 @@
     /// A retry keeps the owner that it named, even when another agent answers: with a younger or
     /// other owner, the next retry would look like a first attempt there and run.
     pub fn owner(&self, parts: &Parts, arrived: Moment) -> HeaderValue {
-        let Some(key) = chain::key(parts) else { return self.owners.value(arrived) };
+        let Some(key) = chain::key(parts) else { return self.setup.owners.value(arrived) };
         match parts.headers.get(owner::HEADER) {
             Some(named) => named.clone(),
-            None => self.owners.value(self.records.bound(key).unwrap_or(arrived)),
+            None => self.setup.owners.value(self.setup.records.bound(key).unwrap_or(arrived)),
         }
     }
 
     /// Returns the clock of all its decisions.
     pub fn clock(&self) -> Clock {
-        self.clock
+        self.setup.clock
     }
 
     /// Returns the limits of the contract in force.
     pub fn limits(&self) -> Limits {
-        *self.limits.borrow()
+        *self.setup.limits.borrow()
     }
 
     /// Serves a request under an id that its front end has drawn.
     pub async fn serve(&self, call: Call, parts: Parts, body: Bytes) -> Served {
-        let item = Item::new(call, parts, body, self.clock.now(), self.limits());
+        let item = Item::new(call, parts, body, self.setup.clock.now(), self.limits());
         let served = self.decide(item).await;
         if let Served::Ended(outcome) = &served {
             self.note(outcome);
@@ -165,7 +156,7 @@
         let call = Call::new(rand::random());
         let mut limits = self.limits();
         limits.deadline = limits.deadline.min(remaining);
-        let item = Item::new(call, parts, body, self.clock.now(), limits);
+        let item = Item::new(call, parts, body, self.setup.clock.now(), limits);
         match self.decide(item).await {
             Served::Ended(outcome) => outcome,
             Served::Live(live) => {
@@ -196,8 +187,9 @@
             let received = Request::new(item.call, item.effect, item.deadline);
             match decision {
                 Some(Decision::Known(Seen::Running(call))) => {
-                    let remaining = received.remaining(self.clock.now());
-                    let ended = tokio::time::timeout(remaining.into(), self.records.ended(call));
+                    let remaining = received.remaining(self.setup.clock.now());
+                    let ended =
+                        tokio::time::timeout(remaining.into(), self.setup.records.ended(call));
                     if ended.await.is_err() {
                         return Served::Ended(Outcome::Unknown(received.disown()));
                     }
@@ -218,8 +210,8 @@
     }
 
     async fn relay(&self, received: Request<Received>, hop: Hop, item: &Item) -> Outcome {
-        let remaining = received.remaining(self.clock.now());
-        match self.siblings.relay(hop, remaining, &item.parts, &item.body).await {
+        let remaining = received.remaining(self.setup.clock.now());
+        match self.setup.siblings.relay(hop, remaining, &item.parts, &item.body).await {
             Relayed::Answered(answer) => Outcome::Answered(Arc::new(answer)),
             Relayed::NotRun(reason) => Outcome::NotRun(received.refuse(reason)),
             Relayed::Unknown => Outcome::Unknown(received.disown()),
@@ -282,7 +274,7 @@
                 Some(hop) => match ticket.withdraw() {
                     None => return self.offer(hop, request, item).await,
                     Some(granted) => {
-                        self.siblings.spare(hop);
+                        self.setup.siblings.spare(hop);
                         granted
                     }
                 },
@@ -300,17 +292,17 @@
     /// Returns a sibling for the request. An idempotent route goes to siblings once it has been
     /// answered, since the answer of a feed never ends and cannot be passed on as a whole.
     fn sibling(&self, item: &Item, tried: &mut Vec<Hop>) -> Option<Hop> {
-        let is_whole = item.effect == Effect::Once || self.desk.is_whole(item.class);
-        if tried.len() >= OFFERS || !is_whole || self.clock.now() >= item.deadline {
+        let is_whole = item.effect == Effect::Once || self.setup.desk.is_whole(item.class);
+        if tried.len() >= OFFERS || !is_whole || self.setup.clock.now() >= item.deadline {
             return None;
         }
-        let hop = self.siblings.pick(tried)?;
+        let hop = self.setup.siblings.pick(tried)?;
         tried.push(hop);
         Some(hop)
     }
 
     async fn offer(&self, hop: Hop, request: Request<Queued>, item: &Item) -> Placed {
-        match self.siblings.offer(hop, request, &item.parts, &item.body).await {
+        match self.setup.siblings.offer(hop, request, &item.parts, &item.body).await {
             Settled::Answered(answer) => Placed::Ended(Outcome::Answered(Arc::new(answer))),
             Settled::Back(back) => Placed::Back(back),
             Settled::Unknown(unknown) => Placed::Ended(Outcome::Unknown(unknown)),
@@ -319,7 +311,7 @@
 
     fn ask(&self, request: &Request<Queued>, item: &Item) -> Entry {
         let (call, class, deadline) = (item.call, item.class, item.deadline);
-        self.desk.ask(Ask { call, class, since: request.since(), deadline, may_wait: true })
+        self.setup.desk.ask(Ask { call, class, since: request.since(), deadline, may_wait: true })
     }
 
     /// Sends a request to the upstream once. `retry` says whether an idempotent one may be sent
@@ -331,14 +323,14 @@
         item: &Item,
         retry: bool,
     ) -> Attempt {
-        let remaining = request.remaining(self.clock.now());
-        let connect = tokio::time::timeout(remaining.into(), self.upstream.connect());
+        let remaining = request.remaining(self.setup.clock.now());
+        let connect = tokio::time::timeout(remaining.into(), self.setup.upstream.connect());
         let Ok(Ok(line)) = connect.await else {
             slot.finish(Observed::Lost);
             return Attempt::Unreachable(request);
         };
-        let remaining = request.remaining(self.clock.now());
-        let request = request.dispatch(self.clock.now());
+        let remaining = request.remaining(self.setup.clock.now());
+        let request = request.dispatch(self.setup.clock.now());
         let send = line.send(&item.parts, item.body.clone(), remaining);
         let answer = tokio::time::timeout(remaining.into(), send).await;
         match answer {
@@ -350,7 +342,7 @@
                 self.again(request)
             }
             Ok(Err(error)) => {
-                debug!(self.log, "attempt_failed"; "error" => %error, "call" => %item.call);
+                debug!(self.setup.log, "attempt_failed"; "error" => %error, "call" => %item.call);
                 slot.finish(Observed::Lost);
                 if self.may_retry(&request, retry) {
                     self.again(request)
@@ -366,7 +358,7 @@
     }
 
     fn again(&self, request: Request<Dispatched>) -> Attempt {
-        request.again(self.clock.now()).map_or_else(Attempt::Unknown, Attempt::Again)
+        request.again(self.setup.clock.now()).map_or_else(Attempt::Unknown, Attempt::Again)
     }
 
     fn may_retry(&self, request: &Request<Dispatched>, retry: bool) -> bool {
@@ -423,10 +415,10 @@
             Outcome::Answered(_) => {}
             Outcome::NotRun(refusal) => {
                 let (call, reason) = (refusal.call(), refusal.reason());
-                debug!(self.log, "request_not_run"; "call" => %call, "reason" => %reason);
+                debug!(self.setup.log, "request_not_run"; "call" => %call, "reason" => %reason);
             }
             Outcome::Unknown(unknown) => {
-                debug!(self.log, "request_unknown"; "call" => %unknown.call());
+                debug!(self.setup.log, "request_unknown"; "call" => %unknown.call());
             }
         }
     }
--- a/yuccacroft-agent/tests/support/mod.rs
+++ b/yuccacroft-agent/tests/support/mod.rs
@@ -30,7 +30,7 @@
         live::Live,
         owner::{self, Owners},
         records::{PART_BOUNDS, Records},
-        service::{Outcome, Served, Service},
+        service::{Outcome, Served, Service, Setup},
         siblings::Siblings,
         upstream::Client,
     },
@@ -169,16 +169,16 @@
         let siblings = Siblings::new(hop, handoff.clone(), random, desk.clone(), log.clone());
         let siblings = Arc::new(siblings);
         let limits = Limits { deadline: Span::from_secs(10) };
-        let service = Arc::new(Service::new(
+        let service = Arc::new(Service::new(Setup {
             desk,
-            Arc::new(Records::new(PART_BOUNDS, clock)),
-            Arc::new(Owners::new(&owner, hop)),
-            siblings.clone(),
-            Client::new(address),
+            records: Arc::new(Records::new(PART_BOUNDS, clock)),
+            owners: Arc::new(Owners::new(&owner, hop)),
+            siblings: siblings.clone(),
+            upstream: Client::new(address),
             clock,
-            watch::channel(limits).1,
+            limits: watch::channel(limits).1,
             log,
-        ));
+        }));
         let leave = watch::channel(false).1;
         let host = Host::new(hop.incarnation, handoff, service.clone(), siblings.clone(), leave);
         let router = change(Arc::new(host).router());
--- a/yuccacroft-balancer/src/control/announcements.rs
+++ b/yuccacroft-balancer/src/control/announcements.rs
@@ -14,15 +14,11 @@
         contract::{Accepted, Contract},
         gossip::peer::Node,
         ids::Instance,
-        key::Secret,
         member::{Entry, roster},
         rendezvous,
     },
-    yuccacroft_rpc::clock,
-    yuccacroft_wire::{
-        message::{self, Announce, Balancers, Sibling, Welcome},
-        seal,
-    },
+    yuccacroft_rpc::server,
+    yuccacroft_wire::message::{self, Announce, Balancers, Sibling, Welcome},
 };
 
 /// The path of [`Announce`] messages.
@@ -43,23 +39,11 @@
     control.welcome(&headers, &body)
 }
 
-/// Checks the authenticator of a message.
-pub fn authenticate(
-    headers: &HeaderMap,
-    key: &Secret,
-    path: &str,
-    body: &[u8],
-) -> Result<(), StatusCode> {
-    let text = headers.get(seal::HEADER).and_then(|value| value.to_str().ok());
-    let text = text.ok_or(StatusCode::UNAUTHORIZED)?;
-    seal::verify(key, path, clock::wall(), body, text).map_err(|_| StatusCode::UNAUTHORIZED)
-}
-
 impl Control {
     fn welcome(self: &Arc<Self>, headers: &HeaderMap, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
         let announce: Announce = message::decode(body).map_err(|_| StatusCode::BAD_REQUEST)?;
         let contract = self.contract(&announce.entry.customer).ok_or(StatusCode::NOT_FOUND)?;
-        authenticate(headers, contract.key(), ANNOUNCE_PATH, body)?;
+        server::authenticate(headers, contract.key(), ANNOUNCE_PATH, body)?;
         contract.service(&announce.entry.service).ok_or(StatusCode::NOT_FOUND)?;
         // The refutation is read before the announcement, which may end the suspicion at once.
         let refute = locked(&self.roster).refutation(announce.entry.instance, self.clock.now());
--- a/yuccacroft-balancer/src/control/mesh.rs
+++ b/yuccacroft-balancer/src/control/mesh.rs
@@ -1,7 +1,7 @@
 //! Messages between balancers.
 
 use {
-    super::{Control, announcements::authenticate, locked},
+    super::{Control, locked},
     axum::{
         Router,
         body::Bytes,
@@ -17,7 +17,7 @@
         key::Secret,
         member::roster::{self, Report},
     },
-    yuccacroft_rpc::errors::Error,
+    yuccacroft_rpc::{errors::Error, server::authenticate},
     yuccacroft_wire::{
         errors::Result as WireResult,
         exchange::{
--- a/yuccacroft-balancer/src/seats.rs
+++ b/yuccacroft-balancer/src/seats.rs
@@ -16,7 +16,6 @@
     slog::{Logger, warn},
     std::{collections::BTreeSet, sync::Arc, time::Duration},
     yuccacroft_core::{
-        contract::{Accepted, Contract},
         ids::{Customer, Instance, Revision, Service},
         member::Phase,
         seat::{Record, Step, absence::Absence},
@@ -26,9 +25,9 @@
         errors::{Error, Result},
         store::{Outcome, Store},
     },
-    yuccacroft_rpc::clock::{self, Clock},
+    yuccacroft_rpc::{clock::Clock, server},
     yuccacroft_wire::{
-        message, seal,
+        message,
         seat::{PATH, Query, Reply},
     },
 };
@@ -68,7 +67,7 @@
     ) -> std::result::Result<Vec<u8>, StatusCode> {
         let query: Query = message::decode(body).map_err(|_| StatusCode::BAD_REQUEST)?;
         let contract = self.control.contract(&query.customer).ok_or(StatusCode::NOT_FOUND)?;
-        authenticate(&contract, headers, body)?;
+        server::authenticate(headers, contract.key(), PATH, body)?;
         let terms = contract.service(&query.service).ok_or(StatusCode::NOT_FOUND)?;
         let reply = self.carry_out(&query, terms.share).await.map_err(|error| {
             warn!(self.log, "claim_failed"; "error" => %error, "agent" => %query.hop.instance);
@@ -131,17 +130,6 @@
     seats.answer(&headers, &body).await
 }
 
-fn authenticate(
-    contract: &Contract<Accepted>,
-    headers: &HeaderMap,
-    body: &[u8],
-) -> std::result::Result<(), StatusCode> {
-    let text = headers.get(seal::HEADER).and_then(|value| value.to_str().ok());
-    let text = text.ok_or(StatusCode::UNAUTHORIZED)?;
-    seal::verify(contract.key(), PATH, clock::wall(), body, text)
-        .map_err(|_| StatusCode::UNAUTHORIZED)
-}
-
 fn key(customer: &Customer, service: &Service) -> String {
     format!("{PREFIX}{customer}/{service}")
 }
--- a/yuccacroft-bench/src/flows/caller.rs
+++ b/yuccacroft-bench/src/flows/caller.rs
@@ -22,6 +22,18 @@
 /// One packet in fifty is followed by one with a forged, foreign or replayed tag.
 const ATTACK_PART: f64 = 0.02;
 
+/// A packet that a caller hands to a balancer.
+pub struct Packet {
+    pub flow: usize,
+    pub service: usize,
+    pub phase: Phase,
+    pub key: Key,
+    pub tag: Option<[u8; TAG_BYTES]>,
+    /// How often its caller has sent it before.
+    pub tries: u32,
+    pub attack: bool,
+}
+
 impl World {
     pub fn arrive(&mut self, service: usize) {
         let rate = SERVICES[service].open / 6.0;
@@ -104,24 +116,14 @@
             return self.lost(flow, phase, tries);
         }
         let Flow { key, tag, .. } = self.flows[flow];
-        self.forward(balancer, flow, service, phase, key, tag, tries, false);
+        self.forward(balancer, Packet { flow, service, phase, key, tag, tries, attack: false });
         if self.rng.random_bool(ATTACK_PART) {
             self.attack(balancer, flow, service);
         }
     }
 
-    #[expect(clippy::too_many_arguments)]
-    pub fn forward(
-        &mut self,
-        balancer: usize,
-        flow: usize,
-        service: usize,
-        phase: Phase,
-        key: Key,
-        tag: Option<[u8; TAG_BYTES]>,
-        tries: u32,
-        attack: bool,
-    ) {
+    pub fn forward(&mut self, balancer: usize, shot: Packet) {
+        let Packet { flow, service, phase, key, tag, tries, attack } = shot;
         let owner = tag.and_then(|tag| self.ciphers[service].decode(&tag)).map(Hop::from);
         let chain = self.balancers[balancer].chain(self.variant, service, key);
         let tagged = owner.is_some() && self.variant == Variant::Directory;
@@ -148,7 +150,8 @@
             _ => self.flows[other].tag,
         };
         let key = Key::new(self.rng.random());
-        self.forward(balancer, flow, service, Phase::Middle, key, tag, 0, true);
+        let phase = Phase::Middle;
+        self.forward(balancer, Packet { flow, service, phase, key, tag, tries: 0, attack: true });
     }
 
     /// Repeats a packet of an open flow; first packets are repeated until there is an owner.
--- a/yuccacroft-rpc/src/lib.rs
+++ b/yuccacroft-rpc/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod client;
 pub mod clock;
 pub mod errors;
+pub mod server;
