--- a/yuccacroft-agent/src/endpoint.rs
+++ b/yuccacroft-agent/src/endpoint.rs
@@ -132,6 +132,11 @@
         Self { service, book, log, active: AtomicUsize::new(0) }
     }
 
+    /// Returns the names of the filters that a request passes, in their order.
+    pub fn filters(&self) -> impl Iterator<Item = &'static str> {
+        self.service.filters()
+    }
+
     /// Returns the number of requests that were begun and not ended.
     pub fn active(&self) -> usize {
         self.active.load(Ordering::Relaxed)
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -105,7 +105,8 @@
         first_claim(&claimant, terms).await;
         let plan = Plan { settings, log, sockets, herald, claimant, entry, contract };
         let parts = assembly::assemble(plan)?;
-        info!(parts.log, "serving";
+        let filters: Vec<_> = parts.acceptor.filters().collect();
+        info!(parts.log, "serving"; "filters" => filters.join(","),
             "instance" => %own.instance, "incarnation" => %own.incarnation);
         Ok(Process { state: Serving { parts } })
     }
--- a/yuccacroft-agent/src/service.rs
+++ b/yuccacroft-agent/src/service.rs
@@ -109,6 +109,11 @@
         Self { chain, setup, budget: Mutex::default(), random }
     }
 
+    /// Returns the names of the filters that a request passes, in their order.
+    pub fn filters(&self) -> impl Iterator<Item = &'static str> {
+        self.chain.names()
+    }
+
     /// Returns the shell of the gate.
     pub fn desk(&self) -> &Arc<Desk> {
         &self.setup.desk
--- a/yuccacroft-core/src/gossip/exchange/view.rs
+++ b/yuccacroft-core/src/gossip/exchange/view.rs
@@ -6,6 +6,7 @@
         ids::Domain,
         member::Standing,
         time::{Moment, Span},
+        units::{Rate, Size},
     },
     rand::{RngExt, rngs::StdRng},
     std::{
@@ -14,30 +15,27 @@
     },
 };
 
-const MICROS_PER_SECOND: u64 = 1_000_000;
-
 /// A bound of bytes over time that lets short bursts pass.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Budget {
-    rate: u64,
-    burst: u64,
+    rate: Rate,
+    burst: Size,
     left: u64,
     filled: Moment,
 }
 
 impl Budget {
     /// Creates a budget of bytes a second with a burst of bytes.
-    pub const fn new(rate: u64, burst: u64) -> Self {
-        Self { rate, burst, left: burst, filled: Moment::new(0) }
+    pub const fn new(rate: Rate, burst: Size) -> Self {
+        Self { rate, burst, left: burst.get(), filled: Moment::new(0) }
     }
 
     /// Returns the bytes that may be sent now.
     pub fn allowed(&mut self, now: Moment) -> usize {
-        let passed = now.since(self.filled).as_micros();
-        let gained = passed.saturating_mul(self.rate) / MICROS_PER_SECOND;
+        let gained = self.rate.within(now.since(self.filled));
         // A time too short for one byte stays uncounted until it is long enough.
         if gained > 0 {
-            self.left = (self.left + gained).min(self.burst);
+            self.left = (self.left + gained).min(self.burst.get());
             self.filled = now;
         }
         self.left as usize
@@ -53,7 +51,7 @@
     /// Half of the 4 KB/s of `docs/design.md`, section 1.7: the other half carries announcements
     /// and repair. The burst holds ten contracts at 18 copies of 500 bytes.
     fn default() -> Self {
-        Self::new(2_000, 90_000)
+        Self::new(Rate::new(2_000), Size::new(90_000))
     }
 }
 
--- a/yuccacroft-core/src/ids.rs
+++ b/yuccacroft-core/src/ids.rs
@@ -43,11 +43,6 @@
     Revision(u64), "a revision number"
 }
 
-newtype! {
-    /// A share of a customer's capacity that at most one agent holds, see `docs/design.md`.
-    Seat(u32), "a seat number"
-}
-
 token! {
     /// The id of one contract change. It settles whether a write with a lost answer took effect.
     Change
--- a/yuccacroft-core/src/units.rs
+++ b/yuccacroft-core/src/units.rs
@@ -1,13 +1,18 @@
 //! Sizes, counts and rates.
 
 use {
-    crate::errors::{Error, Result},
+    crate::{
+        errors::{Error, Result},
+        time::Span,
+    },
     std::{
         fmt::{Display, Formatter},
         str::FromStr,
     },
 };
 
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
 newtype! {
     /// A number of requests that may run at the same time.
     Slots(u32), "a number of slots"
@@ -33,24 +38,37 @@
     Size(u64), "a number of bytes"
 }
 
-/// Events per second, never negative and always finite.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, serde::Serialize)]
-#[serde(transparent)]
-pub struct Rate(f64);
+/// Events or bytes per second. As text it carries its unit, for example `20/s`.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde_with::SerializeDisplay,
+    serde_with::DeserializeFromStr,
+)]
+pub struct Rate(u64);
 
 impl Rate {
-    /// Checks and wraps a rate; a negative or infinite one is an error.
-    pub fn new(per_second: f64) -> Result<Self> {
-        if !per_second.is_finite() || per_second < 0.0 {
-            return Err(Error::expected("a rate per second", &per_second.to_string()));
-        }
-        Ok(Self(per_second))
+    /// Wraps a number per second.
+    pub const fn new(per_second: u64) -> Self {
+        Self(per_second)
     }
 
-    /// Returns the events per second.
-    pub const fn get(self) -> f64 {
+    /// Returns the number per second.
+    pub const fn get(self) -> u64 {
         self.0
     }
+
+    /// Returns the whole number of events in a time.
+    pub const fn within(self, span: Span) -> u64 {
+        span.as_micros().saturating_mul(self.0) / MICROS_PER_SECOND
+    }
 }
 
 impl Display for Rate {
@@ -63,7 +81,7 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self> {
-        let number = text.strip_suffix("/s").map(str::trim).and_then(|t| t.parse().ok());
-        number.map_or_else(|| Err(Error::expected("a rate such as 20/s", text)), Self::new)
+        let number = text.strip_suffix("/s").and_then(|number| number.trim().parse().ok());
+        number.map(Self).ok_or_else(|| Error::expected("a rate such as 20/s", text))
     }
 }
