Name modules and types by the usual terms

A newcomer would not find the admission shell under desk, the announcements under herald or the capacity grants under seat, a word that the customers use for something else. They are now limiter, Announcer and capacity.

--- a/yuccacroft-agent/src/announce.rs
+++ b/yuccacroft-agent/src/announce.rs
@@ -26,7 +26,7 @@
 
 /// Announces one agent to its two registrars, or to other balancers while it knows none.
 #[derive(Debug)]
-pub struct Herald {
+pub struct Announcer {
     client: Client,
     balancers: Box<[SocketAddr]>,
     key: Secret,
@@ -45,7 +45,7 @@
 
 /// What balancers told.
 #[derive(Debug, Default)]
-pub struct News {
+pub struct Answers {
     /// The newest contract that is newer than the one in force.
     pub contract: Option<Contract<Accepted>>,
     /// Other agents of the service.
@@ -58,8 +58,8 @@
     pub later: Option<Incarnation>,
 }
 
-impl Herald {
-    /// Creates the herald of an agent whose customer has this key.
+impl Announcer {
+    /// Creates the announcer of an agent whose customer has this key.
     pub fn new(balancers: Box<[SocketAddr]>, key: Secret, log: Logger) -> Self {
         let known = Mutex::new(Known::default());
         Self { client: Client::new(TIMEOUT), balancers, key, known, log }
@@ -67,9 +67,9 @@
 
     /// Announces the entry to the registrars. When none of them answers, it goes to other
     /// balancers, which tell of new registrars once they have noticed the loss themselves.
-    pub async fn announce(&self, entry: &Entry, revision: Revision) -> News {
+    pub async fn announce(&self, entry: &Entry, revision: Revision) -> Answers {
         let mut asked: BTreeSet<SocketAddr> = BTreeSet::new();
-        let mut news = News::default();
+        let mut news = Answers::default();
         let registrars = self.known().balancers.registrars.clone();
         self.ask(&registrars, &mut asked, entry, revision, &mut news).await;
         let mut turns = self.balancers.len().div_ceil(TARGETS) + 1;
@@ -91,7 +91,7 @@
         asked: &mut BTreeSet<SocketAddr>,
         entry: &Entry,
         revision: Revision,
-        news: &mut News,
+        news: &mut Answers,
     ) {
         let message = self.message(entry, revision);
         let new = balancers.iter().copied().filter(|&balancer| asked.insert(balancer));
@@ -143,7 +143,7 @@
     }
 }
 
-impl News {
+impl Answers {
     fn add(&mut self, welcome: Welcome) {
         self.reached += 1;
         self.refute = self.refute.max(welcome.refute);
--- a/yuccacroft-agent/src/assembly.rs
+++ b/yuccacroft-agent/src/assembly.rs
@@ -3,19 +3,19 @@
 use {
     crate::{
         admin::Admin,
-        announce::Herald,
+        announce::Announcer,
+        capacity::Claimant,
         chain::Limits,
-        desk::Desk,
         endpoint::{self, Acceptor},
         errors::{Error, Result},
         follower::Follower,
         handoff::Host,
+        limiter::Limiter,
         operate::Operator,
         owner::Owners,
         packet::Scope,
         process::Settings,
         records::{PART_BOUNDS, Records},
-        seats::Claimant,
         service::{Service, Setup},
         siblings::Siblings,
         socket::{Seals, Socket},
@@ -69,7 +69,7 @@
     /// The open sockets.
     pub sockets: Sockets,
     /// Announces the agent.
-    pub herald: Arc<Herald>,
+    pub announcer: Arc<Announcer>,
     /// Holds the agent's part of the customer's capacity.
     pub claimant: Arc<Claimant>,
     /// The member entry, which says that no flow is taken yet.
@@ -89,9 +89,9 @@
     /// The flows.
     pub book: Arc<Book>,
     /// The admission gate.
-    pub desk: Arc<Desk>,
+    pub limiter: Arc<Limiter>,
     /// Announces the agent.
-    pub herald: Arc<Herald>,
+    pub announcer: Arc<Announcer>,
     /// Holds the agent's part of the customer's capacity.
     pub claimant: Arc<Claimant>,
     /// The member entry.
@@ -110,7 +110,7 @@
 
 /// The decisions about requests with their shells.
 struct Front {
-    desk: Arc<Desk>,
+    limiter: Arc<Limiter>,
     records: Arc<Records>,
     siblings: Arc<Siblings>,
     service: Arc<Service>,
@@ -141,7 +141,7 @@
 
 /// Creates all parts and starts their tasks.
 pub fn assemble(plan: Plan) -> Result<Parts> {
-    let Plan { settings, log, sockets, herald, claimant, mut entry, contract } = plan;
+    let Plan { settings, log, sockets, announcer, claimant, mut entry, contract } = plan;
     let terms = contract.service(&settings.service).ok_or(Error::Contract)?;
     let (clock, own) = (Clock::new(), entry.hop());
     let derive = |purpose: &str| derive(&settings, purpose);
@@ -169,7 +169,7 @@
     let operator = Arc::new(Operator::new(
         settings.key.clone(),
         book.clone(),
-        front.desk.clone(),
+        front.limiter.clone(),
         front.acceptor.clone(),
         entries,
         order,
@@ -191,11 +191,11 @@
         let admin = Admin::new(name, domain, clock, operator, in_force.clone());
         spawn_server(&mut tasks, listener, admin.router(&access));
     }
-    let timed = front.desk.clone();
+    let timed = front.limiter.clone();
     tasks.spawn(async move { timed.run().await });
     tasks.spawn(front.acceptor.clone().accept(endpoint.clone(), leaving));
     let follower = Follower {
-        herald: herald.clone(),
+        announcer: announcer.clone(),
         name: settings.service,
         clock,
         known,
@@ -206,7 +206,7 @@
         ramp,
         book: book.clone(),
         entry: entry.clone(),
-        desk: front.desk.clone(),
+        limiter: front.limiter.clone(),
         records: front.records,
         siblings: front.siblings,
         claimant: claimant.clone(),
@@ -217,8 +217,8 @@
         endpoint,
         acceptor: front.acceptor,
         book,
-        desk: front.desk,
-        herald,
+        limiter: front.limiter,
+        announcer,
         claimant,
         entry,
         leave,
@@ -241,14 +241,14 @@
     let derive = |purpose: &str| derive(settings, purpose);
     let (limits, limits_in_force) = watch::channel(Limits::from(terms));
     let gate = admission::Settings { slots, wait: terms.wait, warmup: terms.warmup };
-    let desk = Arc::new(Desk::new(Gate::new(gate, clock.now()), clock));
+    let limiter = Arc::new(Limiter::new(Gate::new(gate, clock.now()), clock));
     let records = Arc::new(Records::new(PART_BOUNDS, clock));
     let owners = Arc::new(Owners::new(&derive("owner"), own));
     let random = StdRng::from_rng(&mut rand::rng());
-    let siblings = Siblings::new(own, derive(PURPOSE), random, desk.clone(), log.clone());
+    let siblings = Siblings::new(own, derive(PURPOSE), random, limiter.clone(), log.clone());
     let siblings = Arc::new(siblings);
     let service = Arc::new(Service::new(Setup {
-        desk: desk.clone(),
+        limiter: limiter.clone(),
         records: records.clone(),
         owners,
         siblings: siblings.clone(),
@@ -258,7 +258,7 @@
         log: log.clone(),
     }));
     let acceptor = Arc::new(Acceptor::new(service.clone(), book.clone(), log.clone()));
-    Front { desk, records, siblings, service, acceptor, limits }
+    Front { limiter, records, siblings, service, acceptor, limits }
 }
 
 /// Derives the key of one purpose for the agent's service.
--- a/yuccacroft-agent/src/seats.rs
+++ b/yuccacroft-agent/src/capacity.rs
@@ -12,20 +12,20 @@
         time::Duration,
     },
     yuccacroft_core::{
-        contract::Terms,
-        flow::Hop,
-        ids::Customer,
-        key::Secret,
-        seat::{
+        capacity::{
             Claim, Number,
             holder::{Granted, Holder},
             portion,
         },
+        contract::Terms,
+        flow::Hop,
+        ids::Customer,
+        key::Secret,
         time::{Moment, Span},
         units::Slots,
     },
     yuccacroft_rpc::{client::Client, clock::Clock},
-    yuccacroft_wire::seat::{PATH, Query, Reply},
+    yuccacroft_wire::capacity::{PATH, Query, Reply},
 };
 
 /// Longer than a balancer needs for its tries when many agents claim at once.
--- a/yuccacroft-agent/src/chain.rs
+++ b/yuccacroft-agent/src/chain.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        desk::{Desk, Entry},
+        limiter::{Entry, Limiter},
         owner::{Named, Owners},
         records::{Bound, Records},
     },
@@ -101,13 +101,17 @@
 }
 
 /// Creates the chain over the state that its filters ask.
-pub fn chain(desk: Arc<Desk>, records: Arc<Records>, owners: Arc<Owners>) -> Chain<Item, Decision> {
+pub fn chain(
+    limiter: Arc<Limiter>,
+    records: Arc<Records>,
+    owners: Arc<Owners>,
+) -> Chain<Item, Decision> {
     Chain::new(vec![
         Box::new(Contract),
         Box::new(Identity { records, owners }),
-        Box::new(Classification { desk: desk.clone() }),
-        Box::new(Admission { desk: desk.clone() }),
-        Box::new(Deadline { desk }),
+        Box::new(Classification { limiter: limiter.clone() }),
+        Box::new(Admission { limiter: limiter.clone() }),
+        Box::new(Deadline { limiter }),
         Box::new(Dispatch),
     ])
 }
@@ -123,17 +127,17 @@
 
 /// Finds the route class.
 struct Classification {
-    desk: Arc<Desk>,
+    limiter: Arc<Limiter>,
 }
 
 /// Asks the gate for a slot.
 struct Admission {
-    desk: Arc<Desk>,
+    limiter: Arc<Limiter>,
 }
 
 /// Refuses a request whose time has passed.
 struct Deadline {
-    desk: Arc<Desk>,
+    limiter: Arc<Limiter>,
 }
 
 /// Lets the request run.
@@ -206,7 +210,7 @@
     }
 
     fn apply(&self, item: &mut Item) -> Verdict<Decision> {
-        item.class = self.desk.classify(item.parts.method.as_str(), item.parts.uri.path());
+        item.class = self.limiter.classify(item.parts.method.as_str(), item.parts.uri.path());
         Verdict::Continue
     }
 }
@@ -220,7 +224,8 @@
 
     fn apply(&self, item: &mut Item) -> Verdict<Decision> {
         let Item { call, class, now, deadline, .. } = *item;
-        item.entry = Some(self.desk.ask(Ask { call, class, since: now, deadline, may_wait: true }));
+        item.entry =
+            Some(self.limiter.ask(Ask { call, class, since: now, deadline, may_wait: true }));
         Verdict::Continue
     }
 }
@@ -233,7 +238,7 @@
     }
 
     fn apply(&self, item: &mut Item) -> Verdict<Decision> {
-        if self.desk.now() < item.deadline {
+        if self.limiter.now() < item.deadline {
             return Verdict::Continue;
         }
         Verdict::Done(Decision::Refuse(Reason::Deadline))
--- a/yuccacroft-agent/src/endpoint.rs
+++ b/yuccacroft-agent/src/endpoint.rs
@@ -316,7 +316,7 @@
         };
         let mut head = unexplained(status, &format!("not-run: {reason}"));
         if status == StatusCode::SERVICE_UNAVAILABLE {
-            let wait = self.service.desk().retry_after().as_millis().div_ceil(1_000);
+            let wait = self.service.limiter().retry_after().as_millis().div_ceil(1_000);
             head.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(wait));
         }
         head
--- a/yuccacroft-agent/src/follower.rs
+++ b/yuccacroft-agent/src/follower.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{
-        announce::{Herald, News},
+        announce::{Announcer, Answers},
+        capacity::Claimant,
         chain::Limits,
-        desk::Desk,
+        limiter::Limiter,
         packet::Scope,
         records::Records,
-        seats::Claimant,
         siblings::Siblings,
         socket::Socket,
     },
@@ -37,7 +37,7 @@
 /// Everything that a newer contract changes.
 pub struct Follower {
     /// Announces the agent.
-    pub herald: Arc<Herald>,
+    pub announcer: Arc<Announcer>,
     /// The service that the upstream runs.
     pub name: ServiceName,
     /// The clock of the process.
@@ -59,7 +59,7 @@
     /// The member entry.
     pub entry: watch::Sender<Entry>,
     /// The admission gate.
-    pub desk: Arc<Desk>,
+    pub limiter: Arc<Limiter>,
     /// The record of keys.
     pub records: Arc<Records>,
     /// The other agents of the service.
@@ -88,7 +88,7 @@
             let entry = self.entry.borrow().clone();
             let revision = self.known.borrow().revision;
             let asked = self.clock.now();
-            let news = self.herald.announce(&entry, revision).await;
+            let news = self.announcer.announce(&entry, revision).await;
             self.take(&news, asked);
             if let Some(version) = news.refute {
                 self.refute(version).await;
@@ -104,7 +104,7 @@
         self.entry.send_modify(|entry| entry.version = entry.version.max(version) + 1);
         let entry = self.entry.borrow().clone();
         let revision = self.known.borrow().revision;
-        self.herald.announce(&entry, revision).await;
+        self.announcer.announce(&entry, revision).await;
     }
 
     /// Claims capacity until the whole portion is granted, then only when the contract changes.
@@ -129,7 +129,7 @@
         }
     }
 
-    fn take(&self, news: &News, asked: Moment) {
+    fn take(&self, news: &Answers, asked: Moment) {
         if let Some(contract) = &news.contract {
             self.apply(contract);
         }
@@ -146,7 +146,7 @@
     /// Puts the lower of the contract's slots and the granted ones in force.
     fn admit(&self) {
         let terms = self.terms.borrow();
-        self.desk.change(terms.slots.min(self.claimant.allowed()), terms.wait);
+        self.limiter.change(terms.slots.min(self.claimant.allowed()), terms.wait);
     }
 
     /// Lets the weight follow the warm-up.
--- a/yuccacroft-agent/src/handoff.rs
+++ b/yuccacroft-agent/src/handoff.rs
@@ -4,7 +4,7 @@
     crate::{
         answer,
         chain::Item,
-        desk::{Entry, Slot},
+        limiter::{Entry, Slot},
         service::{Outcome, Service},
         siblings::Siblings,
     },
@@ -130,10 +130,10 @@
         if *self.leave.borrow() {
             return Err(Reason::Leaving);
         }
-        let desk = self.service.desk();
-        item.class = desk.classify(item.parts.method.as_str(), item.parts.uri.path());
+        let limiter = self.service.limiter();
+        item.class = limiter.classify(item.parts.method.as_str(), item.parts.uri.path());
         let Item { call, class, now, deadline, .. } = *item;
-        match desk.ask(Ask { call, class, since: now, deadline, may_wait: false }) {
+        match limiter.ask(Ask { call, class, since: now, deadline, may_wait: false }) {
             Entry::Started(slot) => Ok(slot),
             Entry::Refused(reason) => Err(reason),
             // The gate lets no request of a sibling wait.
@@ -206,7 +206,7 @@
             Known::Done(answer) => State::Done((*answer).clone()),
             Known::Gone => State::Gone,
         };
-        Reply { load: self.service.desk().load(), state }
+        Reply { load: self.service.limiter().load(), state }
     }
 
     fn ledger<R>(&self, call: Call, act: impl FnOnce(&mut Ledger) -> R) -> R {
--- a/yuccacroft-agent/src/desk.rs
+++ b/yuccacroft-agent/src/limiter.rs
@@ -27,7 +27,7 @@
 
 /// The gate and the requests that wait for it.
 #[derive(Debug)]
-pub struct Desk {
+pub struct Limiter {
     gate: Mutex<Gate>,
     waiting: Shards<Call, oneshot::Sender<Grant>>,
     changed: Notify,
@@ -48,7 +48,7 @@
 /// A slot of the upstream, given back when dropped.
 #[derive(Debug)]
 pub struct Slot {
-    desk: Arc<Desk>,
+    limiter: Arc<Limiter>,
     call: Call,
     observed: Observed,
 }
@@ -56,7 +56,7 @@
 /// A place in the queue, given up when dropped.
 #[derive(Debug)]
 pub struct Ticket {
-    desk: Arc<Desk>,
+    limiter: Arc<Limiter>,
     call: Call,
     receiver: oneshot::Receiver<Grant>,
     open: bool,
@@ -68,7 +68,7 @@
     Refuse(Reason),
 }
 
-impl Desk {
+impl Limiter {
     /// Creates the shell of a gate.
     pub fn new(gate: Gate, clock: Clock) -> Self {
         let (waiting, changed) = (Shards::new(), Notify::new());
@@ -95,7 +95,7 @@
         });
         match refused {
             Some(reason) => Entry::Refused(reason),
-            None => Entry::Waiting(Ticket { desk: self.clone(), call, receiver, open: true }),
+            None => Entry::Waiting(Ticket { limiter: self.clone(), call, receiver, open: true }),
         }
     }
 
@@ -201,13 +201,13 @@
 }
 
 impl Slot {
-    fn new(desk: Arc<Desk>, call: Call) -> Self {
-        Self { desk, call, observed: Observed::Cancelled }
+    fn new(limiter: Arc<Limiter>, call: Call) -> Self {
+        Self { limiter, call, observed: Observed::Cancelled }
     }
 
     /// Returns the shell of the gate that gave the slot.
-    pub fn desk(&self) -> &Arc<Desk> {
-        &self.desk
+    pub fn limiter(&self) -> &Arc<Limiter> {
+        &self.limiter
     }
 
     /// Gives the slot back and tells what became of its request.
@@ -218,7 +218,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.desk.step(Event::Finish(self.call, self.observed));
+        self.limiter.step(Event::Finish(self.call, self.observed));
     }
 }
 
@@ -228,7 +228,7 @@
         let grant = (&mut self.receiver).await;
         self.open = false;
         match grant {
-            Ok(Grant::Start) => Ok(Slot::new(self.desk.clone(), self.call)),
+            Ok(Grant::Start) => Ok(Slot::new(self.limiter.clone(), self.call)),
             Ok(Grant::Refuse(reason)) => Err(reason),
             Err(_) => Err(Reason::Overload),
         }
@@ -237,13 +237,13 @@
     /// Gives up the place. `Some` means that the gate decided just before.
     pub fn withdraw(mut self) -> Option<Result<Slot, Reason>> {
         self.open = false;
-        if self.desk.step(Event::Withdraw(self.call)).contains(&Action::Withdrawn(self.call)) {
+        if self.limiter.step(Event::Withdraw(self.call)).contains(&Action::Withdrawn(self.call)) {
             return None;
         }
         match self.receiver.try_recv() {
             Ok(Grant::Refuse(reason)) => Some(Err(reason)),
             // The gate has started the request although the message may still be on its way.
-            Ok(Grant::Start) | Err(_) => Some(Ok(Slot::new(self.desk.clone(), self.call))),
+            Ok(Grant::Start) | Err(_) => Some(Ok(Slot::new(self.limiter.clone(), self.call))),
         }
     }
 }
@@ -253,9 +253,9 @@
         if !self.open {
             return;
         }
-        let actions = self.desk.step(Event::Withdraw(self.call));
+        let actions = self.limiter.step(Event::Withdraw(self.call));
         if !actions.contains(&Action::Withdrawn(self.call)) {
-            self.desk.step(Event::Finish(self.call, Observed::Cancelled));
+            self.limiter.step(Event::Finish(self.call, Observed::Cancelled));
         }
     }
 }
--- a/yuccacroft-agent/src/live.rs
+++ b/yuccacroft-agent/src/live.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         answer,
-        desk::{Desk, Slot},
+        limiter::{Limiter, Slot},
         records::{Bound, MAX_KEPT},
         upstream,
     },
@@ -39,7 +39,7 @@
     kept: Option<Vec<u8>>,
     is_open: bool,
     progress: Duration,
-    desk: Arc<Desk>,
+    limiter: Arc<Limiter>,
     class: Class,
 }
 
@@ -60,11 +60,11 @@
     ) -> Self {
         let (head, body) = response.into_parts();
         let is_open = *method == Method::GET && !head.headers.contains_key(header::CONTENT_LENGTH);
-        let (kept, desk) = (bound.as_ref().map(|_| Vec::new()), slot.desk().clone());
+        let (kept, limiter) = (bound.as_ref().map(|_| Vec::new()), slot.limiter().clone());
         let (slot, progress) = (Some(slot), progress.into());
         let mut live =
-            Self { head, body, request, slot, bound, kept, is_open, progress, desk, class };
-        if is_open && live.desk.is_feed(class) {
+            Self { head, body, request, slot, bound, kept, is_open, progress, limiter, class };
+        if is_open && live.limiter.is_feed(class) {
             live.give_back(Observed::Answered);
         }
         live
@@ -88,7 +88,7 @@
                     Ok(frame) => frame,
                     Err(_) if self.is_open => {
                         self.give_back(Observed::Cancelled);
-                        self.desk.set_feed(self.class, true);
+                        self.limiter.set_feed(self.class, true);
                         continue;
                     }
                     Err(_) => return Some(Err(self.broken())),
@@ -148,7 +148,7 @@
     }
 
     fn end(&mut self) {
-        self.desk.set_feed(self.class, false);
+        self.limiter.set_feed(self.class, false);
         let shed = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
         let is_shed = shed.contains(&self.head.status);
         self.give_back(if is_shed { Observed::Shed } else { Observed::Answered });
--- a/yuccacroft-agent/src/operate.rs
+++ b/yuccacroft-agent/src/operate.rs
@@ -1,7 +1,7 @@
 //! Orders of operators, which reach the agent through a balancer, and what the agent holds.
 
 use {
-    crate::{desk::Desk, endpoint::Acceptor},
+    crate::{endpoint::Acceptor, limiter::Limiter},
     axum::{
         Router,
         body::Bytes,
@@ -34,7 +34,7 @@
 pub struct Operator {
     key: Secret,
     book: Arc<Book>,
-    desk: Arc<Desk>,
+    limiter: Arc<Limiter>,
     acceptor: Arc<Acceptor>,
     entry: watch::Receiver<Entry>,
     drain: watch::Sender<bool>,
@@ -46,12 +46,12 @@
     pub fn new(
         key: Secret,
         book: Arc<Book>,
-        desk: Arc<Desk>,
+        limiter: Arc<Limiter>,
         acceptor: Arc<Acceptor>,
         entry: watch::Receiver<Entry>,
         drain: watch::Sender<bool>,
     ) -> Self {
-        Self { key, book, desk, acceptor, entry, drain }
+        Self { key, book, limiter, acceptor, entry, drain }
     }
 
     /// Returns the routes of orders.
@@ -66,7 +66,7 @@
 
     /// Tells what the agent holds.
     pub fn report(&self) -> Report {
-        let load = self.desk.load();
+        let load = self.limiter.load();
         Report {
             incarnation: self.book.own().incarnation,
             phase: self.entry.borrow().phase,
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        announce::Herald,
+        announce::Announcer,
         assembly::{self, Parts, Plan, Sockets},
+        capacity::Claimant,
         endpoint::Certificate,
         errors::{Error, Result},
-        seats::Claimant,
     },
     slog::{Logger, error, info, warn},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -96,14 +96,14 @@
         let own = Hop { instance: settings.capsules, incarnation: clock::incarnation() };
         let sockets = Sockets::open(own.instance.address(), admin.as_ref()).await?;
         let balancers = settings.balancers.clone();
-        let herald = Arc::new(Herald::new(balancers, settings.key.clone(), log.clone()));
+        let announcer = Arc::new(Announcer::new(balancers, settings.key.clone(), log.clone()));
         let mut entry = first_entry(&settings, own);
-        let contract = first_contract(&herald, &mut entry, &log).await?;
+        let contract = first_contract(&announcer, &mut entry, &log).await?;
         let own = entry.hop();
         let claimant = Arc::new(Claimant::new(&settings, own, log.clone()));
         let terms = contract.service(&settings.service).ok_or(Error::Contract)?;
         first_claim(&claimant, terms).await;
-        let plan = Plan { settings, log, sockets, herald, claimant, entry, contract };
+        let plan = Plan { settings, log, sockets, announcer, claimant, entry, contract };
         let parts = assembly::assemble(plan)?;
         let filters: Vec<_> = parts.acceptor.filters().collect();
         info!(parts.log, "serving"; "filters" => filters.join(","),
@@ -149,7 +149,7 @@
         });
         let entry = parts.entry.borrow().clone();
         let revision = parts.contract.borrow().revision;
-        parts.herald.announce(&entry, revision).await;
+        parts.announcer.announce(&entry, revision).await;
         // A receiver exists as long as a connection does.
         let _ = parts.leave.send(true);
         info!(parts.log, "draining");
@@ -175,9 +175,9 @@
         });
         let entry = parts.entry.borrow().clone();
         let revision = parts.contract.borrow().revision;
-        parts.herald.announce(&entry, revision).await;
+        parts.announcer.announce(&entry, revision).await;
         // Nothing may run on a grant that others can take.
-        parts.desk.close();
+        parts.limiter.close();
         let terms = parts.terms.borrow().clone();
         parts.claimant.release(&terms).await;
         parts.endpoint.close(quinn::VarInt::from_u32(0), b"stop");
@@ -224,12 +224,12 @@
 
 /// Asks for the contract while the entry still says that no flow is taken.
 async fn first_contract(
-    herald: &Herald,
+    announcer: &Announcer,
     entry: &mut Entry,
     log: &Logger,
 ) -> Result<Contract<Accepted>> {
     for _ in 0..FIRST_ANNOUNCE_TRIES {
-        let news = herald.announce(entry, Revision::default()).await;
+        let news = announcer.announce(entry, Revision::default()).await;
         match (news.later, news.contract) {
             (Some(known), _) => exceed(entry, known, log),
             (None, Some(contract)) => return Ok(contract),
--- a/yuccacroft-agent/src/service.rs
+++ b/yuccacroft-agent/src/service.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         chain::{self, Decision, Item, Limits},
-        desk::{Desk, Entry, Slot},
+        limiter::{Entry, Limiter, Slot},
         live::Live,
         owner::{self, Owners},
         records::{Bound, MAX_KEPT, Records},
@@ -40,7 +40,7 @@
 /// What a service is made of.
 pub struct Setup {
     /// The shell of the gate.
-    pub desk: Arc<Desk>,
+    pub limiter: Arc<Limiter>,
     /// The record of keys.
     pub records: Arc<Records>,
     /// The codec of the owner header.
@@ -103,8 +103,8 @@
 impl Service {
     /// Creates the service in front of one upstream.
     pub fn new(setup: Setup) -> Self {
-        let Setup { desk, records, owners, .. } = &setup;
-        let chain = chain::chain(desk.clone(), records.clone(), owners.clone());
+        let Setup { limiter, records, owners, .. } = &setup;
+        let chain = chain::chain(limiter.clone(), records.clone(), owners.clone());
         let random = Mutex::new(StdRng::from_rng(&mut rand::rng()));
         Self { chain, setup, budget: Mutex::default(), random }
     }
@@ -115,8 +115,8 @@
     }
 
     /// Returns the shell of the gate.
-    pub fn desk(&self) -> &Arc<Desk> {
-        &self.setup.desk
+    pub fn limiter(&self) -> &Arc<Limiter> {
+        &self.setup.limiter
     }
 
     /// Returns the record of keys.
@@ -297,7 +297,7 @@
     /// Returns a sibling for the request. An idempotent route goes to siblings once it has been
     /// answered, since the answer of a feed never ends and cannot be passed on as a whole.
     fn sibling(&self, item: &Item, tried: &mut Vec<Hop>) -> Option<Hop> {
-        let is_whole = item.effect == Effect::Once || self.setup.desk.is_whole(item.class);
+        let is_whole = item.effect == Effect::Once || self.setup.limiter.is_whole(item.class);
         if tried.len() >= OFFERS || !is_whole || self.setup.clock.now() >= item.deadline {
             return None;
         }
@@ -316,7 +316,13 @@
 
     fn ask(&self, request: &Request<Queued>, item: &Item) -> Entry {
         let (call, class, deadline) = (item.call, item.class, item.deadline);
-        self.setup.desk.ask(Ask { call, class, since: request.since(), deadline, may_wait: true })
+        self.setup.limiter.ask(Ask {
+            call,
+            class,
+            since: request.since(),
+            deadline,
+            may_wait: true,
+        })
     }
 
     /// Sends a request to the upstream once. `retry` says whether an idempotent one may be sent
--- a/yuccacroft-agent/src/siblings.rs
+++ b/yuccacroft-agent/src/siblings.rs
@@ -1,7 +1,7 @@
 //! The calling side of the hand-off between agents of one service.
 
 use {
-    crate::{answer, desk::Desk},
+    crate::{answer, limiter::Limiter},
     bytes::Bytes,
     http::request::Parts,
     metrics::counter,
@@ -44,7 +44,7 @@
     key: Secret,
     client: Client,
     peers: Mutex<Peers<StdRng>>,
-    desk: Arc<Desk>,
+    limiter: Arc<Limiter>,
     log: Logger,
 }
 
@@ -70,9 +70,9 @@
 
 impl Siblings {
     /// Creates the calling side of an agent. `key` is derived for this purpose.
-    pub fn new(own: Hop, key: Secret, random: StdRng, desk: Arc<Desk>, log: Logger) -> Self {
+    pub fn new(own: Hop, key: Secret, random: StdRng, limiter: Arc<Limiter>, log: Logger) -> Self {
         let peers = Mutex::new(Peers::new(random));
-        Self { own, key, client: Client::new(TIMEOUT), peers, desk, log }
+        Self { own, key, client: Client::new(TIMEOUT), peers, limiter, log }
     }
 
     /// Takes the siblings of the latest announcement.
@@ -83,7 +83,7 @@
 
     /// Returns a sibling that may have a free slot.
     pub fn pick(&self, tried: &[Hop]) -> Option<Hop> {
-        self.peers().pick(tried, self.desk.now())
+        self.peers().pick(tried, self.limiter.now())
     }
 
     /// Notes that a sibling is not offered the request for which it was picked.
@@ -93,7 +93,7 @@
 
     /// Notes the load that an offer of a sibling carried.
     pub fn heard(&self, offer: &Offer) {
-        self.peers().heard(offer.sender, offer.load, true, self.desk.now());
+        self.peers().heard(offer.sender, offer.load, true, self.limiter.now());
     }
 
     /// Offers a request to a sibling and stays with it until it is settled.
@@ -104,14 +104,14 @@
         parts: &Parts,
         body: &Bytes,
     ) -> Settled {
-        let now = self.desk.now();
+        let now = self.limiter.now();
         let remaining = request.remaining(now);
         let request = request.offer(hop, now);
         let offer = Offer {
             call: request.call(),
             expected: hop.incarnation,
             sender: self.own,
-            load: self.desk.load(),
+            load: self.limiter.load(),
             effect: request.effect(),
             remaining,
             hold: HOLD,
@@ -121,7 +121,7 @@
         let first = self.call(&self.client, hop, OFFER_PATH, &offer).await;
         let state = match first {
             Err(Error::Unreachable(_)) => {
-                self.peers().silent(hop, self.desk.now());
+                self.peers().silent(hop, self.limiter.now());
                 Some(State::Fenced)
             }
             Err(Error::Refused(status)) if status.is_client_error() => Some(State::Fenced),
@@ -153,7 +153,7 @@
                 Some(State::Running) | None => {}
                 Some(state) => return state,
             }
-            let now = self.desk.now();
+            let now = self.limiter.now();
             if request.remaining(now) == Span::ZERO || silent >= FENCES {
                 return State::Gone;
             }
@@ -179,7 +179,7 @@
                 }
             };
             if state.is_none() {
-                self.peers().silent(hop, self.desk.now());
+                self.peers().silent(hop, self.limiter.now());
             }
         }
     }
@@ -187,7 +187,7 @@
     fn conclude(&self, hop: Hop, request: Request<Offered>, state: State) -> Settled {
         let (outcome, settled) = match state {
             State::Done(answer) => {
-                let _answered = request.answer(self.desk.now());
+                let _answered = request.answer(self.limiter.now());
                 ("answered", Settled::Answered(answer))
             }
             State::Fenced => {
@@ -206,7 +206,7 @@
 
     fn note(&self, hop: Hop, reply: Reply) -> State {
         let room = reply.state != State::Fenced;
-        self.peers().heard(hop, reply.load, room, self.desk.now());
+        self.peers().heard(hop, reply.load, room, self.limiter.now());
         reply.state
     }
 
@@ -240,7 +240,7 @@
         }
         let (siblings, hop, mut fence) = (self.siblings.clone(), self.hop, self.fence);
         siblings.peers().ended(hop);
-        fence.age = siblings.desk.now().since(self.sent);
+        fence.age = siblings.limiter.now().since(self.sent);
         tokio::spawn(async move {
             // A cancellation that is lost leaves the request to its deadline.
             let _ = siblings.call::<_, Reply>(&siblings.client, hop, FENCE_PATH, &fence).await;
--- a/yuccacroft-agent/tests/support/mod.rs
+++ b/yuccacroft-agent/tests/support/mod.rs
@@ -25,8 +25,8 @@
     },
     yuccacroft_agent::{
         chain::Limits,
-        desk::Desk,
         handoff::Host,
+        limiter::Limiter,
         live::Live,
         owner::{self, Owners},
         records::{PART_BOUNDS, Records},
@@ -161,16 +161,16 @@
         let SocketAddr::V4(own) = listener.local_addr().unwrap() else { unreachable!() };
         let hop = Hop { instance: Instance::new(own), incarnation: Incarnation::new(7) };
         let gate = Settings { slots: Slots::new(SLOTS), wait: WAIT, warmup: Span::ZERO };
-        let desk = Arc::new(Desk::new(Gate::new(gate, clock.now()), clock));
-        let timed = desk.clone();
+        let limiter = Arc::new(Limiter::new(Gate::new(gate, clock.now()), clock));
+        let timed = limiter.clone();
         tokio::spawn(async move { timed.run().await });
         let (owner, handoff) = (Secret::new([1; 32]), Secret::new([2; 32]));
         let random = StdRng::seed_from_u64(1);
-        let siblings = Siblings::new(hop, handoff.clone(), random, desk.clone(), log.clone());
+        let siblings = Siblings::new(hop, handoff.clone(), random, limiter.clone(), log.clone());
         let siblings = Arc::new(siblings);
         let limits = Limits { deadline: Span::from_secs(10) };
         let service = Arc::new(Service::new(Setup {
-            desk,
+            limiter,
             records: Arc::new(Records::new(PART_BOUNDS, clock)),
             owners: Arc::new(Owners::new(&owner, hop)),
             siblings: siblings.clone(),
--- a/yuccacroft-balancer/src/seats.rs
+++ b/yuccacroft-balancer/src/capacity.rs
@@ -1,6 +1,6 @@
 //! Claims of agents on their customer's capacity, carried out on the store's record.
 //!
-//! The decision is [`yuccacroft_core::seat::Record::step`]; this shell reads the record, writes it
+//! The decision is [`yuccacroft_core::capacity::Record::step`]; this shell reads the record, writes it
 //! by compare-and-swap and begins again when another agent was faster.
 
 use {
@@ -16,9 +16,9 @@
     slog::{Logger, warn},
     std::{collections::BTreeSet, sync::Arc, time::Duration},
     yuccacroft_core::{
+        capacity::{Record, Step, absence::Absence},
         ids::{Customer, Instance, Revision, Service},
         member::Phase,
-        seat::{Record, Step, absence::Absence},
         units::Slots,
     },
     yuccacroft_platform::{
@@ -27,13 +27,13 @@
     },
     yuccacroft_rpc::{clock::Clock, server},
     yuccacroft_wire::{
+        capacity::{PATH, Query, Reply},
         message,
-        seat::{PATH, Query, Reply},
     },
 };
 
 /// The store's keys of records begin with this; customer and service follow.
-const PREFIX: &str = "/yuccacroft/seats/";
+const PREFIX: &str = "/yuccacroft/capacity/";
 /// Writes that may fail because other agents were faster. All agents of a service starting at once
 /// need a few rounds; an agent that still fails claims again later.
 const TRIES: u32 = 8;
@@ -41,7 +41,7 @@
 const PAUSE_MILLIS: u64 = 40;
 
 /// The shell of the capacity records.
-pub struct Seats<S> {
+pub struct Capacity<S> {
     store: Arc<S>,
     control: Arc<Control>,
     absence: Absence,
@@ -49,7 +49,7 @@
     log: Logger,
 }
 
-impl<S: Store> Seats<S> {
+impl<S: Store> Capacity<S> {
     /// Creates the shell over the store; contracts come from the balancer's control.
     pub fn new(store: Arc<S>, control: Arc<Control>, clock: Clock, log: Logger) -> Self {
         Self { store, control, absence: Absence::new(), clock, log }
@@ -123,11 +123,11 @@
 }
 
 async fn claim<S: Store>(
-    State(seats): State<Arc<Seats<S>>>,
+    State(capacity): State<Arc<Capacity<S>>>,
     headers: HeaderMap,
     body: Bytes,
 ) -> std::result::Result<Vec<u8>, StatusCode> {
-    seats.answer(&headers, &body).await
+    capacity.answer(&headers, &body).await
 }
 
 fn key(customer: &Customer, service: &Service) -> String {
--- a/yuccacroft-balancer/src/lib.rs
+++ b/yuccacroft-balancer/src/lib.rs
@@ -4,11 +4,11 @@
 #![warn(rust_2018_idioms)]
 
 pub mod admin;
+pub mod capacity;
 pub mod control;
 pub mod errors;
 pub mod outbox;
 pub mod packet;
 pub mod process;
 pub mod relay;
-pub mod seats;
 pub mod service;
--- a/yuccacroft-balancer/src/process.rs
+++ b/yuccacroft-balancer/src/process.rs
@@ -3,10 +3,10 @@
 use {
     crate::{
         admin::Admin,
+        capacity::Capacity,
         control::{Control, Mesh, Setup},
         errors::{Error, Result},
         relay::{Port, Relay},
-        seats::Seats,
         service::Routes,
     },
     slog::{Logger, error, info},
@@ -113,14 +113,14 @@
             spawn_relay(&mut tasks, &relay, &log);
         }
         let store = Arc::new(Gateway::new(settings.store, STORE_TIMEOUT));
-        let seats = Arc::new(Seats::new(store.clone(), control.clone(), clock, log.clone()));
+        let capacity = Arc::new(Capacity::new(store.clone(), control.clone(), clock, log.clone()));
         let follower = control.clone();
         tasks.spawn(async move { follower.follow(&*store).await });
         let ticker = control.clone();
         tasks.spawn(async move { ticker.tick().await });
         let applier = control.clone();
         tasks.spawn(async move { applier.apply().await });
-        let router = control.router().merge(seats.router());
+        let router = control.router().merge(capacity.router());
         let server = tokio::spawn(async move {
             // The server ends with the process; its only error is a broken listener.
             let _ = axum::serve(listener, router).await;
--- a/yuccacroft-balancer/tests/seats.rs
+++ b/yuccacroft-balancer/tests/capacity.rs
@@ -5,28 +5,28 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::net::TcpListener,
     yuccacroft_balancer::{
+        capacity::Capacity,
         control::{Control, Setup},
-        seats::Seats,
         service::Routes,
     },
     yuccacroft_core::{
+        capacity::{Claim, Number, Record},
         contract::Contract,
         flow::Hop,
         ids::{Change, Incarnation, Instance, Revision},
         key::Secret,
-        seat::{Claim, Number, Record},
         units::Slots,
     },
     yuccacroft_fakes::store::Store,
     yuccacroft_platform::{etcd::Gateway, store::Store as _},
     yuccacroft_rpc::{client::Client, clock::Clock, errors::Error},
-    yuccacroft_wire::seat::{PATH, Query, Reply},
+    yuccacroft_wire::capacity::{PATH, Query, Reply},
 };
 
 const KEY: Secret = Secret::new([7; 32]);
 const OTHER_KEY: Secret = Secret::new([8; 32]);
 const SHARE: u32 = 28;
-const RECORD: &str = "/yuccacroft/seats/kampvuur/booking";
+const RECORD: &str = "/yuccacroft/capacity/kampvuur/booking";
 const BALANCERS: usize = 3;
 
 struct Fleet {
@@ -68,8 +68,8 @@
     let checked = Contract::parse("test", &contract()).unwrap().check("test").unwrap();
     control.learn(Arc::new(checked.accept(Revision::new(1), Change::new(1))));
     let gateway = Arc::new(Gateway::new(store, Duration::from_secs(1)));
-    let seats = Arc::new(Seats::new(gateway, control, Clock::new(), log));
-    tokio::spawn(async move { axum::serve(listener, seats.router()).await });
+    let capacity = Arc::new(Capacity::new(gateway, control, Clock::new(), log));
+    tokio::spawn(async move { axum::serve(listener, capacity.router()).await });
     address
 }
 
--- a/yuccacroft-core/src/contract.rs
+++ b/yuccacroft-core/src/contract.rs
@@ -38,7 +38,7 @@
     pub slots: Slots,
     /// Connections that one upstream holds at the same time.
     pub connections: Connections,
-    /// Upstreams that may serve at the same time; each takes one seat of the share.
+    /// Upstreams that may serve at the same time; each asks for an equal part of the share.
     pub upstreams_max: u32,
     /// Requests that may run at the same time over all upstreams of the service.
     pub share: Slots,
--- a/yuccacroft-core/src/lib.rs
+++ b/yuccacroft-core/src/lib.rs
@@ -10,6 +10,7 @@
 mod derive;
 
 pub mod admission;
+pub mod capacity;
 pub mod contract;
 pub mod controller;
 pub mod directory;
@@ -30,7 +31,6 @@
 pub mod reply;
 pub mod request;
 pub mod retry;
-pub mod seat;
 pub mod shards;
 pub mod tag;
 pub mod time;
--- a/yuccacroft-core/tests/seat.rs
+++ b/yuccacroft-core/tests/capacity.rs
@@ -4,14 +4,14 @@
     proptest::prelude::*,
     std::collections::BTreeSet,
     yuccacroft_core::{
-        flow::Hop,
-        ids::{Incarnation, Instance},
-        seat::{
+        capacity::{
             Claim, Number, Record, Step,
             absence::Absence,
             holder::{GRACE, Granted, Holder, ISOLATION},
             portion,
         },
+        flow::Hop,
+        ids::{Incarnation, Instance},
         time::{Moment, Span},
         units::Slots,
     },
--- a/yuccacroft-wire/src/seat.rs
+++ b/yuccacroft-wire/src/capacity.rs
@@ -3,15 +3,15 @@
 use {
     serde::{Deserialize, Serialize},
     yuccacroft_core::{
+        capacity::{Claim, Number},
         flow::Hop,
         ids::{Customer, Service},
-        seat::{Claim, Number},
         units::Slots,
     },
 };
 
 /// The path of these messages at a balancer.
-pub const PATH: &str = "/v1/seats";
+pub const PATH: &str = "/v1/capacity";
 
 /// A claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(rust_2018_idioms)]
 
 pub mod admin;
+pub mod capacity;
 pub mod capsule;
 pub mod claim;
 pub mod errors;
@@ -16,4 +17,3 @@
 pub mod message;
 pub mod proxy;
 pub mod seal;
-pub mod seat;
