Run the parts of the control bench side by side; call the table of flows a table

Shorter runs were ruled out, since they would measure fewer changes. The type that holds the untagged flows of an agent was called Book; it is ownership::Table.

--- a/yuccacroft-agent/src/assembly.rs
+++ b/yuccacroft-agent/src/assembly.rs
@@ -40,7 +40,7 @@
         flow::Hop,
         key::{Digest, Secret},
         member::{Entry, Phase},
-        ownership::Book,
+        ownership::Table,
         placement::ramp::Ramp,
         tag::Owner,
         units::Slots,
@@ -87,7 +87,7 @@
     /// Counts the requests in progress.
     pub acceptor: Arc<Acceptor>,
     /// The flows.
-    pub book: Arc<Book>,
+    pub table: Arc<Table>,
     /// The admission gate.
     pub limiter: Arc<Limiter>,
     /// Announces the agent.
@@ -147,15 +147,15 @@
     let derive = |purpose: &str| derive(&settings, purpose);
     let ramp = Ramp::new(settings.weight, terms.warmup, clock.now());
     entry.weight = ramp.weight(clock.now());
-    let book = Arc::new(Book::new(own, terms.connections, entry.weight));
+    let table = Arc::new(Table::new(own, terms.connections, entry.weight));
     let scope = Arc::new(Scope::new(Digest::new(&settings.customer, &settings.service), own));
     scope.apply(&contract, terms);
     let seals =
         Seals { capsule: Seal::new(&derive("capsule")), claim: Seal::new(&derive("claim")) };
-    let socket = Socket::new(sockets.capsules, seals, scope.clone(), book.clone(), clock);
+    let socket = Socket::new(sockets.capsules, seals, scope.clone(), table.clone(), clock);
     let socket = Arc::new(socket);
     let slots = terms.slots.min(claimant.allowed());
-    let front = front(&settings, own, terms, slots, &book, clock, &log);
+    let front = front(&settings, own, terms, slots, &table, clock, &log);
     let (tag, reset, handoff) = (derive("tag"), derive("reset"), derive(PURPOSE));
     let endpoint = quic(own, (&tag, &reset), socket.clone(), settings.certificate)?;
 
@@ -168,7 +168,7 @@
     let (terms, terms_in_force) = watch::channel(terms.clone());
     let operator = Arc::new(Operator::new(
         settings.key.clone(),
-        book.clone(),
+        table.clone(),
         front.limiter.clone(),
         front.acceptor.clone(),
         entries,
@@ -204,7 +204,7 @@
         socket,
         scope,
         ramp,
-        book: book.clone(),
+        table: table.clone(),
         entry: entry.clone(),
         limiter: front.limiter.clone(),
         records: front.records,
@@ -216,7 +216,7 @@
         tasks,
         endpoint,
         acceptor: front.acceptor,
-        book,
+        table,
         limiter: front.limiter,
         announcer,
         claimant,
@@ -234,7 +234,7 @@
     own: Hop,
     terms: &Terms,
     slots: Slots,
-    book: &Arc<Book>,
+    table: &Arc<Table>,
     clock: Clock,
     log: &Logger,
 ) -> Front {
@@ -257,7 +257,7 @@
         limits: limits_in_force,
         log: log.clone(),
     }));
-    let acceptor = Arc::new(Acceptor::new(service.clone(), book.clone(), log.clone()));
+    let acceptor = Arc::new(Acceptor::new(service.clone(), table.clone(), log.clone()));
     Front { limiter, records, siblings, service, acceptor, limits }
 }
 
--- a/yuccacroft-agent/src/claims.rs
+++ b/yuccacroft-agent/src/claims.rs
@@ -16,7 +16,7 @@
         directory::{Action, Directory, Event, Outcome},
         flow::{Hop, Key},
         ids::Instance,
-        ownership::{Book, Load},
+        ownership::{Load, Table},
         placement::{Candidate, Homes, Step},
         shards::Shards,
         time::{Moment, Span},
@@ -66,7 +66,7 @@
 /// The claims of one agent.
 #[derive(Debug)]
 pub struct Claims {
-    book: Arc<Book>,
+    table: Arc<Table>,
     parts: [Mutex<Directory>; PARTS],
     held: Shards<Key, Vec<Held>>,
     count: AtomicUsize,
@@ -83,11 +83,11 @@
 }
 
 impl Claims {
-    /// Creates the shell over the book of an agent.
-    pub fn new(book: Arc<Book>) -> Self {
-        let parts = std::array::from_fn(|_| Mutex::new(Directory::new(book.own())));
+    /// Creates the shell over the table of an agent.
+    pub fn new(table: Arc<Table>) -> Self {
+        let parts = std::array::from_fn(|_| Mutex::new(Directory::new(table.own())));
         let (held, count) = (Shards::new(), AtomicUsize::new(0));
-        Self { book, parts, held, count, members: RwLock::default(), started: Notify::new() }
+        Self { table, parts, held, count, members: RwLock::default(), started: Notify::new() }
     }
 
     /// Holds a packet and, when `begin` is set, asks the homes of its key.
@@ -103,7 +103,7 @@
             return outputs;
         }
         // The claim may have ended between the decision and the insertion.
-        if self.book.is_claiming(key) {
+        if self.table.is_claiming(key) {
             return Vec::new();
         }
         vec![Output::Decide(self.release(key))]
@@ -111,10 +111,10 @@
 
     /// Takes a message of another agent and returns what follows.
     pub fn receive(&self, from: Hop, load: Load, body: Body, now: Moment) -> Vec<Output> {
-        self.book.learn(from.instance, load, now);
+        self.table.learn(from.instance, load, now);
         match body {
             Body::Claim(key) => {
-                let outcome = self.book.claim(key, from, now);
+                let outcome = self.table.claim(key, from, now);
                 vec![Output::Send(from.instance, Body::Answer(key, outcome))]
             }
             Body::Answer(key, outcome) => {
@@ -124,7 +124,7 @@
             Body::Relay(relay) => self.relay(relay, now),
             Body::Publish(entries) => {
                 for Entry { key, owner } in entries {
-                    self.book.publish(key, owner, from, now);
+                    self.table.publish(key, owner, from, now);
                 }
                 Vec::new()
             }
@@ -134,12 +134,12 @@
     /// Takes a claim as a home: hands it to the next home or answers the claimant.
     fn relay(&self, relay: Relay, now: Moment) -> Vec<Output> {
         let Relay { key, claimant, chain, position } = relay;
-        let outcome = self.book.claim(key, claimant, now);
+        let outcome = self.table.claim(key, claimant, now);
         let position = position.saturating_add(1);
         if outcome == Outcome::Granted && chain.home(usize::from(position)).is_some() {
             return self.hand_on(Relay { position, ..relay }, now);
         }
-        let own = self.book.own().instance;
+        let own = self.table.own().instance;
         if claimant.instance == own {
             return self.step(key, Event::Answered { key, home: own, outcome }, now);
         }
@@ -149,7 +149,7 @@
     /// Sends a claim to the home at its position.
     fn hand_on(&self, relay: Relay, now: Moment) -> Vec<Output> {
         match relay.chain.home(usize::from(relay.position)) {
-            Some(home) if home.instance == self.book.own().instance => self.relay(relay, now),
+            Some(home) if home.instance == self.table.own().instance => self.relay(relay, now),
             Some(home) => vec![Output::Send(home.instance, Body::Relay(relay))],
             None => Vec::new(),
         }
@@ -179,11 +179,11 @@
     /// are published again from time to time.
     pub fn set_members(&self, siblings: &[Hop], now: Moment) -> Vec<Output> {
         let mut hops: BTreeSet<Hop> = siblings.iter().copied().collect();
-        hops.insert(self.book.own());
+        hops.insert(self.table.own());
         let (before, after, since) = self.replace(hops, now);
-        let list = self.book.publications(&before, &after, since);
-        self.book.expire(|owner| self.is_gone(owner, now), now);
-        publish(list, self.book.own())
+        let list = self.table.publications(&before, &after, since);
+        self.table.expire(|owner| self.is_gone(owner, now), now);
+        publish(list, self.table.own())
     }
 
     fn replace(&self, hops: BTreeSet<Hop>, now: Moment) -> (Arc<Homes>, Arc<Homes>, Moment) {
@@ -221,7 +221,7 @@
     fn execute(&self, actions: Vec<Action>, now: Moment) -> Vec<Output> {
         let mut outputs = Vec::new();
         let mut actions = VecDeque::from(actions);
-        let own = self.book.own();
+        let own = self.table.own();
         while let Some(action) = actions.pop_front() {
             match action {
                 Action::Relay { key, chain } => {
@@ -229,7 +229,7 @@
                     outputs.extend(self.hand_on(relay, now));
                 }
                 Action::Ask { home, key } if home.instance == own.instance => {
-                    let outcome = self.book.claim(key, own, now);
+                    let outcome = self.table.claim(key, own, now);
                     let event = Event::Answered { key, home: home.instance, outcome };
                     actions.extend(locked(self.part(key)).step(event, now));
                 }
@@ -237,7 +237,7 @@
                     outputs.push(Output::Send(home.instance, Body::Claim(key)));
                 }
                 Action::Publish { home, key, owner } if home.instance == own.instance => {
-                    self.book.publish(key, owner, own, now);
+                    self.table.publish(key, owner, own, now);
                 }
                 Action::Publish { home, key, owner } => {
                     let body = Body::Publish(vec![Entry { key, owner }]);
@@ -245,12 +245,12 @@
                 }
                 Action::Won { key } => {
                     counter!("yuccacroft_claims_total", "outcome" => "won").increment(1);
-                    self.book.won(key, now);
+                    self.table.won(key, now);
                     outputs.push(Output::Deliver(self.release(key)));
                 }
                 Action::Lost { key, winner } => {
                     counter!("yuccacroft_claims_total", "outcome" => "lost").increment(1);
-                    self.book.lost(key, winner, now);
+                    self.table.lost(key, winner, now);
                     outputs.push(Output::Forward(winner, self.release(key)));
                 }
             }
--- a/yuccacroft-agent/src/endpoint.rs
+++ b/yuccacroft-agent/src/endpoint.rs
@@ -33,7 +33,7 @@
     yuccacroft_core::{
         ids::Call,
         key::Secret,
-        ownership::Book,
+        ownership::Table,
         request::{Effect, Reason, Request},
         tag::{Cipher, Owner, TAG_BYTES},
         units::Size,
@@ -61,7 +61,7 @@
 /// Accepts connections of callers and passes their requests to the service.
 pub struct Acceptor {
     service: Arc<Service>,
-    book: Arc<Book>,
+    table: Arc<Table>,
     log: Logger,
     active: AtomicUsize,
 }
@@ -128,8 +128,8 @@
 
 impl Acceptor {
     /// Creates the front end of a service.
-    pub fn new(service: Arc<Service>, book: Arc<Book>, log: Logger) -> Self {
-        Self { service, book, log, active: AtomicUsize::new(0) }
+    pub fn new(service: Arc<Service>, table: Arc<Table>, log: Logger) -> Self {
+        Self { service, table, log, active: AtomicUsize::new(0) }
     }
 
     /// Returns the names of the filters that a request passes, in their order.
@@ -147,11 +147,11 @@
         while let Some(incoming) = endpoint.accept().await {
             let (acceptor, leave) = (self.clone(), leave.clone());
             tokio::spawn(async move {
-                acceptor.book.opened();
+                acceptor.table.opened();
                 if let Err(error) = acceptor.connection(incoming, leave).await {
                     debug!(acceptor.log, "connection_ended"; "cause" => %error);
                 }
-                acceptor.book.closed();
+                acceptor.table.closed();
             });
         }
     }
--- a/yuccacroft-agent/src/follower.rs
+++ b/yuccacroft-agent/src/follower.rs
@@ -18,7 +18,7 @@
         flow::Hop,
         ids::Service as ServiceName,
         member::{Entry, Phase},
-        ownership::Book,
+        ownership::Table,
         placement::ramp::Ramp,
         time::Moment,
     },
@@ -55,7 +55,7 @@
     /// The growth of the weight.
     pub ramp: Ramp,
     /// The flows.
-    pub book: Arc<Book>,
+    pub table: Arc<Table>,
     /// The member entry.
     pub entry: watch::Sender<Entry>,
     /// The admission gate.
@@ -152,7 +152,7 @@
     /// Lets the weight follow the warm-up.
     fn grow(&self, now: Moment) {
         let weight = self.ramp.weight(now);
-        self.book.set_weight(weight);
+        self.table.set_weight(weight);
         self.entry.send_if_modified(|entry| {
             let changed = entry.weight != weight;
             if changed {
--- a/yuccacroft-agent/src/operate.rs
+++ b/yuccacroft-agent/src/operate.rs
@@ -14,7 +14,7 @@
     yuccacroft_core::{
         key::Secret,
         member::{Entry, Phase},
-        ownership::Book,
+        ownership::Table,
         units::Count,
     },
     yuccacroft_rpc::server,
@@ -33,7 +33,7 @@
 /// What an operator can ask of one agent.
 pub struct Operator {
     key: Secret,
-    book: Arc<Book>,
+    table: Arc<Table>,
     limiter: Arc<Limiter>,
     acceptor: Arc<Acceptor>,
     entry: watch::Receiver<Entry>,
@@ -45,13 +45,13 @@
     /// and shows that in `entry`.
     pub fn new(
         key: Secret,
-        book: Arc<Book>,
+        table: Arc<Table>,
         limiter: Arc<Limiter>,
         acceptor: Arc<Acceptor>,
         entry: watch::Receiver<Entry>,
         drain: watch::Sender<bool>,
     ) -> Self {
-        Self { key, book, limiter, acceptor, entry, drain }
+        Self { key, table, limiter, acceptor, entry, drain }
     }
 
     /// Returns the routes of orders.
@@ -68,9 +68,9 @@
     pub fn report(&self) -> Report {
         let load = self.limiter.load();
         Report {
-            incarnation: self.book.own().incarnation,
+            incarnation: self.table.own().incarnation,
             phase: self.entry.borrow().phase,
-            connections: self.book.open(),
+            connections: self.table.open(),
             requests: Count::new(self.acceptor.active() as u64),
             running: load.running,
             allowed: load.limit,
@@ -79,7 +79,7 @@
 
     async fn obey(&self, headers: &HeaderMap, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
         let operate: Operate = server::open(headers, &self.key, OPERATE_PATH, body)?;
-        if operate.incarnation != self.book.own().incarnation {
+        if operate.incarnation != self.table.own().incarnation {
             return Err(StatusCode::CONFLICT);
         }
         if operate.order == Order::Drain {
--- a/yuccacroft-agent/src/packet.rs
+++ b/yuccacroft-agent/src/packet.rs
@@ -14,7 +14,7 @@
         flow::Hop,
         ids::Revision,
         key::Digest,
-        ownership::{self, Book},
+        ownership::{self, Table},
         time::Moment,
     },
     yuccacroft_wire::capsule::{Header, Kind},
@@ -94,8 +94,8 @@
 }
 
 /// Creates the chain of an agent.
-pub fn chain(scope: Arc<Scope>, book: Arc<Book>) -> Chain<Arrival, Decision> {
-    Chain::new(vec![Box::new(Identity { scope }), Box::new(Ownership { book })])
+pub fn chain(scope: Arc<Scope>, table: Arc<Table>) -> Chain<Arrival, Decision> {
+    Chain::new(vec![Box::new(Identity { scope }), Box::new(Ownership { table })])
 }
 
 /// Returns the header with which a packet goes to another agent.
@@ -120,9 +120,9 @@
     scope: Arc<Scope>,
 }
 
-/// Asks the book of flows.
+/// Asks the table of flows.
 struct Ownership {
-    book: Arc<Book>,
+    table: Arc<Table>,
 }
 
 impl Filter<Arrival> for Identity {
@@ -168,10 +168,10 @@
         };
         let meant = header.incarnation;
         let packet = ownership::Packet { key, phase, chain: &chain, step, meant, hops, load };
-        Verdict::Done(match self.book.decide(&packet, arrival.now) {
+        Verdict::Done(match self.table.decide(&packet, arrival.now) {
             ownership::Decision::Deliver => Decision::Deliver,
             ownership::Decision::Accept => {
-                self.book.won(key, arrival.now);
+                self.table.won(key, arrival.now);
                 Decision::Deliver
             }
             ownership::Decision::Claim => Decision::Claim,
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -115,7 +115,7 @@
 impl Process<Serving> {
     /// Returns the number of open connections.
     pub fn connections(&self) -> u32 {
-        self.state.parts.book.open().get()
+        self.state.parts.table.open().get()
     }
 
     /// Serves until `stop` or an operator's order to drain. After such an order the process keeps
@@ -142,7 +142,7 @@
     /// Stops taking new flows, tells balancers, and asks callers to move.
     pub async fn drain(self) -> Process<Draining> {
         let parts = self.state.parts;
-        parts.book.drain();
+        parts.table.drain();
         parts.entry.send_modify(|entry| {
             entry.phase = Phase::Draining;
             entry.version += 1;
@@ -164,7 +164,7 @@
         let mut parts = self.state.parts;
         let drain = parts.terms.borrow().drain;
         let idle = async {
-            while parts.acceptor.active() > 0 || parts.book.open().get() > 0 {
+            while parts.acceptor.active() > 0 || parts.table.open().get() > 0 {
                 tokio::time::sleep(DRAIN_POLL).await;
             }
         };
--- a/yuccacroft-agent/src/socket.rs
+++ b/yuccacroft-agent/src/socket.rs
@@ -28,7 +28,7 @@
         filter::Chain,
         flow::Hop,
         ids::Instance,
-        ownership::Book,
+        ownership::Table,
         placement::Step,
         reply::Balancers,
         shards::Shards,
@@ -70,7 +70,7 @@
     clock: Clock,
     seals: Seals,
     scope: Arc<Scope>,
-    book: Arc<Book>,
+    table: Arc<Table>,
     claims: Claims,
     chain: Chain<Arrival, Decision>,
     balancers: Balancers,
@@ -105,7 +105,7 @@
         udp: UdpSocket,
         seals: Seals,
         scope: Arc<Scope>,
-        book: Arc<Book>,
+        table: Arc<Table>,
         clock: Clock,
     ) -> Self {
         let (sender, inbox) = mpsc::channel(INBOX);
@@ -113,10 +113,10 @@
             udp,
             clock,
             seals,
-            claims: Claims::new(book.clone()),
-            chain: packet::chain(scope.clone(), book.clone()),
+            claims: Claims::new(table.clone()),
+            chain: packet::chain(scope.clone(), table.clone()),
             scope,
-            book,
+            table,
             balancers: Balancers::new(),
             newer: Notify::new(),
             routes: Shards::new(),
@@ -263,7 +263,7 @@
 
     fn send_claim(&self, to: Instance, body: Body) -> Result<(), &'static str> {
         let (digest, from) = (self.scope.digest(), self.scope.own());
-        let message = Message { digest, from, to, load: self.book.load(), body };
+        let message = Message { digest, from, to, load: self.table.load(), body };
         let datagram = claim::encode(&message, &self.seals.claim).map_err(|error| error.name())?;
         self.udp.try_send_to(&datagram, to.address().into()).map_err(|_| "send")?;
         Ok(())
--- a/yuccacroft-agent/tests/claims.rs
+++ b/yuccacroft-agent/tests/claims.rs
@@ -8,7 +8,7 @@
         flow::{Hop, Key, Phase},
         ids::{Customer, Incarnation, Instance, Revision, Service},
         key::{Digest, Secret},
-        ownership::{Book, Decision, Load, Packet},
+        ownership::{Decision, Load, Packet, Table},
         placement::{Chain, Step},
         time::{Moment, Span},
         units::{Connections, Weight},
@@ -58,15 +58,15 @@
     Held { header, payload: Box::new([1, 2, 3]) }
 }
 
-fn agent(number: u64) -> (Arc<Book>, Claims) {
-    let book = Arc::new(Book::new(hop(number), Connections::new(10_000), Weight::new(1)));
-    (book.clone(), Claims::new(book))
+fn agent(number: u64) -> (Arc<Table>, Claims) {
+    let table = Arc::new(Table::new(hop(number), Connections::new(10_000), Weight::new(1)));
+    (table.clone(), Claims::new(table))
 }
 
-fn decide(book: &Book, key: Key) -> Decision {
+fn decide(table: &Table, key: Key) -> Decision {
     let (phase, step, meant) = (Phase::First, Step::First, hop(1).incarnation);
     let packet = Packet { key, phase, chain: &chain(), step, meant, hops: 0, load: None };
-    book.decide(&packet, at(0))
+    table.decide(&packet, at(0))
 }
 
 fn load() -> Load {
@@ -74,46 +74,46 @@
 }
 
 /// Begins a claim at agent 1.
-fn begin(book: &Book, claims: &Claims) -> Vec<Output> {
-    assert_eq!(decide(book, KEY), Decision::Claim);
+fn begin(table: &Table, claims: &Claims) -> Vec<Output> {
+    assert_eq!(decide(table, KEY), Decision::Claim);
     claims.hold(KEY, held(KEY), true, at(0))
 }
 
 /// Guards against packets that are delivered before their claim is won, or never.
 #[test]
 fn packets_wait_until_the_claim_is_won() {
-    let ((book, claims), (_, home)) = (agent(1), agent(2));
-    let asked = begin(&book, &claims);
+    let ((table, claims), (_, home)) = (agent(1), agent(2));
+    let asked = begin(&table, &claims);
     let [Output::Send(to, ask)] = &asked[..] else { panic!("{asked:?}") };
     assert_eq!(*to, hop(2).instance);
-    assert_eq!(decide(&book, KEY), Decision::Wait);
+    assert_eq!(decide(&table, KEY), Decision::Wait);
     assert!(claims.hold(KEY, held(KEY), false, at(1)).is_empty());
     let answer = home.receive(hop(1), load(), ask.clone(), at(1));
     let [Output::Send(_, answer)] = &answer[..] else { panic!("{answer:?}") };
     let won = claims.receive(hop(2), load(), answer.clone(), at(2));
     assert!(matches!(&won[..], [Output::Deliver(packets)] if packets.len() == 2), "{won:?}");
-    assert_eq!(decide(&book, KEY), Decision::Deliver);
+    assert_eq!(decide(&table, KEY), Decision::Deliver);
     assert!(!claims.is_open());
 }
 
 /// Guards against a loser that keeps its packets.
 #[test]
 fn packets_of_a_lost_claim_go_to_the_owner() {
-    let (book, claims) = agent(1);
-    begin(&book, &claims);
+    let (table, claims) = agent(1);
+    begin(&table, &claims);
     let answer = Body::Answer(KEY, Outcome::Held(hop(3)));
     let lost = claims.receive(hop(2), load(), answer, at(1));
     assert!(
         matches!(&lost[..], [Output::Forward(to, packets)] if *to == hop(3) && packets.len() == 1)
     );
-    assert_eq!(decide(&book, KEY), Decision::Pass(hop(3), Step::Owner, None));
+    assert_eq!(decide(&table, KEY), Decision::Pass(hop(3), Step::Owner, None));
 }
 
 /// Guards against a packet that is held after its claim has ended and then never leaves.
 #[test]
 fn late_packet_is_decided_again() {
-    let (book, claims) = agent(1);
-    begin(&book, &claims);
+    let (table, claims) = agent(1);
+    begin(&table, &claims);
     claims.receive(hop(2), load(), Body::Answer(KEY, Outcome::Granted), at(1));
     let late = claims.hold(KEY, held(KEY), false, at(2));
     assert!(matches!(&late[..], [Output::Decide(packets)] if packets.len() == 1), "{late:?}");
@@ -122,8 +122,8 @@
 /// Guards against a dead home that holds up a flow for ever.
 #[test]
 fn dead_home_is_given_up() {
-    let (book, claims) = agent(1);
-    begin(&book, &claims);
+    let (table, claims) = agent(1);
+    begin(&table, &claims);
     let outputs: Vec<_> = (1..=20).flat_map(|tick| claims.tick(at(tick * 5))).collect();
     let asks = outputs.iter().filter(|output| matches!(output, Output::Send(..))).count();
     assert_eq!(asks, 3, "three more calls after the first");
@@ -133,9 +133,9 @@
 /// Guards against memory that grows with the packets that wait.
 #[test]
 fn held_packets_are_bounded() {
-    let (book, claims) = agent(1);
+    let (table, claims) = agent(1);
     for key in (100..2_000).map(Key::new) {
-        assert_eq!(decide(&book, key), Decision::Claim);
+        assert_eq!(decide(&table, key), Decision::Claim);
         claims.hold(key, held(key), true, at(0));
         claims.hold(key, held(key), false, at(0));
     }
@@ -150,8 +150,8 @@
 /// Guards against a member change after which new homes know nothing of the flows that live here.
 #[test]
 fn flows_are_published_to_new_homes() {
-    let (book, claims) = agent(1);
-    begin(&book, &claims);
+    let (table, claims) = agent(1);
+    begin(&table, &claims);
     claims.receive(hop(2), load(), Body::Answer(KEY, Outcome::Granted), at(1));
     claims.set_members(&[hop(2)], at(10));
     let restarted = Hop { incarnation: Incarnation::new(2), ..hop(2) };
--- a/yuccacroft-agent/tests/isolation.rs
+++ b/yuccacroft-agent/tests/isolation.rs
@@ -9,7 +9,7 @@
         flow::{Hop, Key, Phase},
         ids::{Change, Customer, Incarnation, Instance, Revision, Service},
         key::{Digest, Secret},
-        ownership::Book,
+        ownership::Table,
         placement::{Chain, Step},
         tag::{Cipher, Owner},
         time::Moment,
@@ -61,8 +61,8 @@
     /// An agent of the booking service that follows this contract.
     fn new(contract: &Contract<Accepted>) -> Self {
         let scope = Arc::new(Scope::new(digest("kampvuur", "booking"), own()));
-        let book = Arc::new(Book::new(own(), Connections::new(10), Weight::new(100)));
-        let chain = packet::chain(scope.clone(), book);
+        let table = Arc::new(Table::new(own(), Connections::new(10), Weight::new(100)));
+        let chain = packet::chain(scope.clone(), table);
         let agent = Self { scope, chain };
         agent.apply(contract);
         agent
--- a/yuccacroft-bench/src/control.rs
+++ b/yuccacroft-bench/src/control.rs
@@ -17,6 +17,7 @@
     yuccacroft_fakes::fleet::{Fleet, Plan},
 };
 
+const CASE: &str = "control";
 /// Sizes of the fleet with the failure domains of each: today, in between, and to come.
 const FLEETS: [(usize, usize); 4] = [(3, 3), (30, 13), (300, 13), (1_700, 13)];
 /// Balancers up to which the bound of today applies.
@@ -52,17 +53,26 @@
 
 /// Runs the case.
 pub fn run(seed: u64) -> Report {
-    let mut report = Report::new("control");
-    for (balancers, domains) in FLEETS {
-        for variant in &VARIANTS {
-            measure(&mut report, variant, balancers, domains, seed);
+    // The runs share nothing and follow virtual time, so that running them side by side changes no
+    // figure but their own duration.
+    std::thread::scope(|scope| {
+        let mut runs = Vec::new();
+        for (balancers, domains) in FLEETS {
+            for variant in &VARIANTS {
+                runs.push(scope.spawn(move || measure(variant, balancers, domains, seed)));
+            }
         }
-    }
-    traffic::measure(&mut report, seed);
-    report
+        runs.push(scope.spawn(move || traffic::measure(seed)));
+        let mut report = Report::new(CASE);
+        for run in runs {
+            report.append(run.join().expect("a run ends without a panic"));
+        }
+        report
+    })
 }
 
-fn measure(report: &mut Report, variant: &Variant, balancers: usize, domains: usize, seed: u64) {
+fn measure(variant: &Variant, balancers: usize, domains: usize, seed: u64) -> Report {
+    let mut report = Report::new(CASE);
     let begin = Instant::now();
     let mut fleet = Fleet::new(plan(variant, balancers, domains, seed));
     fleet.run(SETTLE);
@@ -87,6 +97,7 @@
     report.add(&name, "store_calls_start", calls as f64, judged(Target::AtMost(most)));
     report.add(&name, "store_calls_per_s", later as f64 / seconds, Target::None);
     report.add(&name, "run_s", begin.elapsed().as_secs_f64(), Target::None);
+    report
 }
 
 fn plan(variant: &Variant, balancers: usize, domains: usize, seed: u64) -> Plan {
--- a/yuccacroft-bench/src/control/traffic.rs
+++ b/yuccacroft-bench/src/control/traffic.rs
@@ -33,7 +33,8 @@
 const STEPS_PER_MINUTE: u32 = 120;
 
 /// Measures the bytes that one balancer sends and receives.
-pub fn measure(report: &mut Report, seed: u64) {
+pub fn measure(seed: u64) -> Report {
+    let mut report = Report::new(super::CASE);
     let mut fleet = Fleet::new(plan(seed));
     fleet.add_known_agents((0..AGENTS).map(entry).collect());
     fleet.run(Span::from_secs(30));
@@ -47,6 +48,7 @@
     report.add("coming_rates", "bytes_per_s_mean", mean, bound);
     let worst = rates.iter().copied().fold(0.0, f64::max);
     report.add("coming_rates", "bytes_per_s_worst", worst, bound);
+    report
 }
 
 fn plan(seed: u64) -> Plan {
--- a/yuccacroft-bench/src/figure.rs
+++ b/yuccacroft-bench/src/figure.rs
@@ -52,6 +52,11 @@
         self.figures.push(Figure { case: self.case, variant, name, value, target });
     }
 
+    /// Adds all figures of another report.
+    pub fn append(&mut self, other: Self) {
+        self.figures.extend(other.figures);
+    }
+
     /// Returns true when every target was met.
     pub fn met(&self) -> bool {
         self.figures.iter().all(|figure| figure.target.met(figure.value))
--- a/yuccacroft-bench/src/flows/agent.rs
+++ b/yuccacroft-bench/src/flows/agent.rs
@@ -1,4 +1,4 @@
-//! An agent: its book, its claims and the packets that wait for them.
+//! An agent: its table, its claims and the packets that wait for them.
 
 use {
     super::{balancer::View, world::Sent},
@@ -6,7 +6,7 @@
     yuccacroft_core::{
         directory::Directory,
         flow::{Hop, Key},
-        ownership::Book,
+        ownership::Table,
         placement::{Homes, ramp::Ramp},
         time::{Moment, Span},
         units::{Connections, Weight},
@@ -18,7 +18,7 @@
 
 pub struct Agent {
     pub service: usize,
-    pub book: Book,
+    pub table: Table,
     pub directory: Directory,
     pub held: BTreeMap<Key, Vec<Sent>>,
     pub view: View,
@@ -35,7 +35,7 @@
         let weight = ramp.weight(now);
         Self {
             service,
-            book: Book::new(own, limit, weight).with_memory(MEMORY),
+            table: Table::new(own, limit, weight).with_memory(MEMORY),
             directory: Directory::new(own),
             held: BTreeMap::new(),
             view: View::default(),
@@ -51,6 +51,6 @@
     pub fn republish(&mut self) -> Vec<(Hop, Key)> {
         let after = Arc::new(Homes::new(&self.view.members()));
         let before = std::mem::replace(&mut self.homes, after);
-        self.book.publications(&before, &self.homes, Moment::default())
+        self.table.publications(&before, &self.homes, Moment::default())
     }
 }
--- a/yuccacroft-bench/src/flows/member.rs
+++ b/yuccacroft-bench/src/flows/member.rs
@@ -54,7 +54,7 @@
             self.at(after, Mail::View { balancer, service, entry });
         }
         let agents = self.agents.values().filter(|agent| agent.service == service);
-        let agents: Vec<_> = agents.map(|agent| agent.book.own()).collect();
+        let agents: Vec<_> = agents.map(|agent| agent.table.own()).collect();
         for agent in agents {
             let after = Span::from_micros(self.rng.random_range(0..=late));
             self.at(after, Mail::AgentView { agent, entry });
@@ -65,11 +65,11 @@
     pub fn announce(&mut self, own: Hop) {
         let now = self.now;
         let Some(agent) = self.agents.get_mut(&own.instance) else { return };
-        if agent.book.own() != own || agent.book.is_draining() {
+        if agent.table.own() != own || agent.table.is_draining() {
             return;
         }
         let weight = agent.ramp.weight(now);
-        agent.book.set_weight(weight);
+        agent.table.set_weight(weight);
         if weight != agent.weight {
             agent.weight = weight;
             agent.version += 1;
@@ -100,9 +100,9 @@
     /// The oldest upstream that serves drains or dies; a new one of the same size joins.
     pub fn replace(&mut self, service: usize, kill: bool) {
         let serving =
-            self.agents.values().filter(|a| a.service == service && !a.book.is_draining());
-        let Some(agent) = serving.min_by_key(|agent| agent.book.own().incarnation) else { return };
-        let (own, version) = (agent.book.own(), agent.version + 1);
+            self.agents.values().filter(|a| a.service == service && !a.table.is_draining());
+        let Some(agent) = serving.min_by_key(|agent| agent.table.own().incarnation) else { return };
+        let (own, version) = (agent.table.own(), agent.version + 1);
         let full = agent.ramp.weight(self.now + script::WARMUP);
         let entry = |weight| Entry { hop: own, version, weight, left: false };
         if kill {
@@ -112,7 +112,7 @@
             let lateness = script::SUSPICION;
             self.suspect(service, entry(None), lateness);
         } else {
-            agent.book.drain();
+            agent.table.drain();
             self.spread(service, entry(Some(Weight::new(0))), false);
             self.at(script::MOVE_AFTER, Mail::Leave { agent: own });
         }
@@ -129,10 +129,10 @@
     /// Callers of a draining agent move to new flows; the agent leaves when the last has gone.
     pub fn leave(&mut self, own: Hop) {
         let Some(agent) = self.agents.get(&own.instance) else { return };
-        if agent.book.own() != own {
+        if agent.table.own() != own {
             return;
         }
-        if agent.book.open().get() > 0 {
+        if agent.table.open().get() > 0 {
             let here = |flow: &Flow| flow.owner == Some(own) && !flow.done;
             let moving: Vec<_> =
                 (0..self.flows.len()).filter(|at| here(&self.flows[*at])).collect();
@@ -165,9 +165,10 @@
             return;
         }
         for (service, spec) in SERVICES.iter().enumerate() {
-            let of = self.agents.values().filter(|a| a.service == service && !a.book.is_draining());
+            let of =
+                self.agents.values().filter(|a| a.service == service && !a.table.is_draining());
             let loads: Vec<_> =
-                of.map(|a| (f64::from(a.book.open().get()), f64::from(a.weight.get()))).collect();
+                of.map(|a| (f64::from(a.table.open().get()), f64::from(a.weight.get()))).collect();
             let mean =
                 loads.iter().map(|l| l.0).sum::<f64>() / loads.iter().map(|l| l.1).sum::<f64>();
             let largest = loads.iter().map(|(open, weight)| open / weight / mean);
--- a/yuccacroft-bench/src/flows/owner.rs
+++ b/yuccacroft-bench/src/flows/owner.rs
@@ -36,7 +36,7 @@
             self.counts.refused += 1;
             return self.repeat(&sent);
         }
-        let own = agent.book.own();
+        let own = agent.table.own();
         if sent.tagged {
             if own == sent.to {
                 return self.deliver(sent, own.instance);
@@ -47,7 +47,7 @@
         let Sent { phase, chain, step, hops, load, .. } = sent;
         let meant = sent.to.incarnation;
         let packet = Packet { key, phase, chain: &chain, step, meant, hops, load };
-        match agent.book.decide(&packet, self.now) {
+        match agent.table.decide(&packet, self.now) {
             Decision::Deliver => self.deliver(sent, own.instance),
             Decision::Reset => self.reset(sent),
             Decision::Drop(_) => self.repeat(&sent),
@@ -62,7 +62,7 @@
             }
             Decision::Claim => {
                 if let (Step::Second, Some(first)) = (step, chain.first()) {
-                    let load = self.agents[&own.instance].book.load();
+                    let load = self.agents[&own.instance].table.load();
                     self.mail(Mail::LoadOf { to: first, from: own, load });
                 }
                 self.hold(own, key, sent);
@@ -98,7 +98,7 @@
         if sent.attack || self.flows[sent.flow].done {
             return;
         }
-        let own = agent.book.own();
+        let own = agent.table.own();
         match self.flows[sent.flow].owner {
             Some(owner) if owner == own => {}
             Some(_) if sent.phase == Phase::First => self.broken(sent.flow, Cause::Split),
@@ -112,7 +112,7 @@
 
     pub fn open(&mut self, flow: usize, own: Hop) {
         if self.variant != Variant::Directory {
-            self.agents[&own.instance].book.opened();
+            self.agents[&own.instance].table.opened();
         }
         let nonce = self.rng.random();
         let opened = &mut self.flows[flow];
@@ -137,7 +137,7 @@
             self.counts.refused += 1;
             return;
         }
-        let outcome = agent.book.claim(key, from, self.now);
+        let outcome = agent.table.claim(key, from, self.now);
         let event = Claim::Answered { key, home: home.instance, outcome };
         self.mail(Mail::Answer { to: from, event });
     }
@@ -155,7 +155,7 @@
             self.counts.refused += 1;
             return;
         }
-        let outcome = agent.book.claim(key, from, self.now);
+        let outcome = agent.table.claim(key, from, self.now);
         let (chain, position) = (*chain, position + 1);
         if outcome == Outcome::Granted && chain.home(position).is_some() {
             return self.hand_on(home, Mail::Relay { from, key, chain, position });
@@ -179,7 +179,7 @@
 
     pub fn step(&mut self, own: Hop, event: Claim) {
         let Some(agent) = self.agents.get_mut(&own.instance) else { return };
-        if agent.book.own() != own {
+        if agent.table.own() != own {
             return;
         }
         let actions = agent.directory.step(event, self.now);
@@ -193,7 +193,7 @@
         let agent = self.agents.get_mut(&own.instance).expect("the agent acted just now");
         match action {
             Action::Ask { home, key } if home.instance == own.instance => {
-                let outcome = agent.book.claim(key, own, self.now);
+                let outcome = agent.table.claim(key, own, self.now);
                 self.step(own, Claim::Answered { key, home: home.instance, outcome });
             }
             Action::Relay { key, chain } => {
@@ -204,8 +204,8 @@
                 self.mail(Mail::Publish { home, key, owner, from: own });
             }
             Action::Won { key } => {
-                agent.book.won(key, self.now);
-                agent.book.opened();
+                agent.table.won(key, self.now);
+                agent.table.opened();
                 let held = agent.held.remove(&key).unwrap_or_default();
                 let flow = held.first().map(|sent| sent.flow);
                 held.into_iter().for_each(|sent| self.deliver(sent, own.instance));
@@ -213,12 +213,12 @@
                 if flow.is_none_or(|flow| self.flows[flow].done)
                     && let Some(agent) = self.agents.get(&own.instance)
                 {
-                    agent.book.closed();
-                    agent.book.forget(key);
+                    agent.table.closed();
+                    agent.table.forget(key);
                 }
             }
             Action::Lost { key, winner } => {
-                agent.book.lost(key, winner, self.now);
+                agent.table.lost(key, winner, self.now);
                 for sent in agent.held.remove(&key).unwrap_or_default() {
                     let hops = sent.hops + 1;
                     self.mail(Mail::Packet(Sent { to: winner, step: Step::Owner, hops, ..sent }));
@@ -229,7 +229,7 @@
 
     pub fn tick(&mut self, own: Hop) {
         if let Some(agent) = self.agents.get_mut(&own.instance)
-            && agent.book.own() == own
+            && agent.table.own() == own
         {
             agent.ticking = false;
             self.step(own, Claim::Tick);
@@ -238,10 +238,10 @@
 
     pub fn refresh(&mut self, own: Hop) {
         let Some(agent) = self.agents.get_mut(&own.instance) else { return };
-        if agent.book.own() != own {
+        if agent.table.own() != own {
             return;
         }
-        agent.book.expire(|_| false, self.now);
+        agent.table.expire(|_| false, self.now);
         agent.homes = Default::default();
         let list = agent.republish();
         list.into_iter().for_each(|(home, key)| {
@@ -252,11 +252,11 @@
 
     pub fn agent_view(&mut self, own: Hop, entry: Entry) {
         let Some(agent) = self.agents.get_mut(&own.instance) else { return };
-        if agent.book.own() != own || !agent.view.learn(entry) {
+        if agent.table.own() != own || !agent.view.learn(entry) {
             return;
         }
         let view = agent.view.clone();
-        agent.book.expire(|hop| view.has_left(hop), self.now);
+        agent.table.expire(|hop| view.has_left(hop), self.now);
         let list = agent.republish();
         list.into_iter().for_each(|(home, key)| {
             self.mail(Mail::Publish { home, key, owner: own, from: own });
--- a/yuccacroft-bench/src/slopes.rs
+++ b/yuccacroft-bench/src/slopes.rs
@@ -29,7 +29,7 @@
             Entry, Phase, Record, Standing,
             roster::{self, Roster, Timing},
         },
-        ownership::Book,
+        ownership,
         placement::table::Table,
         time::{Moment, Span},
         units::{Connections, Weight},
@@ -202,10 +202,10 @@
     let limit = Connections::new(u32::MAX);
     let before = memory::resident();
     let begin = Instant::now();
-    let book = Book::new(own, limit, Weight::new(100));
+    let table = ownership::Table::new(own, limit, Weight::new(100));
     for key in 0..count as u64 {
-        book.won(Key::new(key.wrapping_mul(0x9e37_79b9_7f4a_7c15)), Moment::default());
-        book.opened();
+        table.won(Key::new(key.wrapping_mul(0x9e37_79b9_7f4a_7c15)), Moment::default());
+        table.opened();
     }
     let name = format!("flow_{count}");
     report.add(&name, "open_us_per_flow", per(begin, count), Target::None);
@@ -214,7 +214,7 @@
     // A balancer holds nothing for a flow.
     report.add(&name, "balancer_bytes_per_flow", 0.0, Target::None);
     // The memory stays in use, so that later figures do not reuse it.
-    std::mem::forget(book);
+    std::mem::forget(table);
 }
 
 /// Builds one balancer of the coming size and adds up its processor time.
--- a/yuccacroft-core/src/admission.rs
+++ b/yuccacroft-core/src/admission.rs
@@ -1,7 +1,7 @@
 //! Admission: which request gets a slot of the upstream, which one waits, which one is refused.
 //!
 //! Slots and connections are kept apart: this controller counts running work only, and
-//! [`crate::ownership::Book`] counts connections.
+//! [`crate::ownership::Table`] counts connections.
 
 pub mod class;
 pub mod limit;
--- a/yuccacroft-core/src/ownership.rs
+++ b/yuccacroft-core/src/ownership.rs
@@ -61,7 +61,7 @@
 pub enum Decision {
     /// The flow lives here.
     Deliver,
-    /// The flow begins here, and there is no home to ask. [`Book::won`] follows.
+    /// The flow begins here, and there is no home to ask. [`Table::won`] follows.
     Accept,
     /// The flow begins here if its homes agree; the packet waits for their answers.
     Claim,
@@ -77,7 +77,7 @@
 
 /// The untagged flows of one agent.
 #[derive(Debug)]
-pub struct Book {
+pub struct Table {
     own: Hop,
     limit: Connections,
     memory: Span,
@@ -137,8 +137,8 @@
 
 impl Eq for Load {}
 
-impl Book {
-    /// Creates the book of an agent that holds at most `limit` connections.
+impl Table {
+    /// Creates the table of an agent that holds at most `limit` connections.
     pub fn new(own: Hop, limit: Connections, weight: Weight) -> Self {
         Self {
             own,
--- a/yuccacroft-core/tests/ownership.rs
+++ b/yuccacroft-core/tests/ownership.rs
@@ -9,7 +9,7 @@
         directory::Outcome,
         flow::{Hop, Key, Phase},
         ids::Incarnation,
-        ownership::{Book, Decision, Load, MAX_HOPS, Packet},
+        ownership::{Decision, Load, MAX_HOPS, Packet, Table},
         placement::{Candidate, Chain, History, Homes, Step},
         time::{Moment, Span},
         units::{Connections, Weight},
@@ -62,7 +62,7 @@
             fleet.send(key, Phase::First, if second { chain } else { one });
             fleet.settle();
         }
-        let largest = fleet.agents.values().map(|agent| agent.book.open().get()).max();
+        let largest = fleet.agents.values().map(|agent| agent.table.open().get()).max();
         f64::from(largest.unwrap()) / 1_000.0
     };
     let (one, two) = (spread(false), spread(true));
@@ -75,7 +75,7 @@
 fn draining_agent_passes_first_packets_and_keeps_its_flows() {
     let (mut fleet, history) = (Fleet::new(0..5), history(&members(0..5)));
     let flows = open(&mut fleet, &history, keys(300));
-    fleet.agent(2).book.drain();
+    fleet.agent(2).table.drain();
     let later = open(&mut fleet, &history, keys(600).skip(300));
     assert!(later.iter().all(|(_, owner)| *owner != hop(2)));
     for (key, owner) in flows {
@@ -146,7 +146,7 @@
 /// Guards against packets that circle between agents that take each other for the owner.
 #[test]
 fn hop_limit_ends_a_circle() {
-    let own = Book::new(hop(1), Connections::new(10), Weight::new(1));
+    let own = Table::new(hop(1), Connections::new(10), Weight::new(1));
     let (key, chain) = (Key::new(7), Chain::new(Some(hop(1)), Some(hop(2))));
     own.publish(key, hop(2), hop(2), Moment::default());
     let packet = Packet { step: Step::Owner, ..packet(&chain, key, Phase::Middle) };
@@ -160,7 +160,7 @@
 /// Guards against new flows that are meant for an earlier life of the agent.
 #[test]
 fn stale_incarnation_begins_no_flow() {
-    let own = Book::new(hop(1), Connections::new(10), Weight::new(1));
+    let own = Table::new(hop(1), Connections::new(10), Weight::new(1));
     let chain = Chain::new(Some(hop(1)), Some(hop(2)));
     let fresh = packet(&chain, Key::new(7), Phase::First);
     let stale = Packet { meant: Incarnation::new(9), ..fresh };
@@ -174,7 +174,7 @@
 #[test]
 fn full_agents_drop_the_first_packet() {
     let (mut fleet, view) = (Fleet::new(0..3), history(&members(0..3)));
-    (0..3).for_each(|number| fleet.agent(number).book.drain());
+    (0..3).for_each(|number| fleet.agent(number).table.drain());
     let id = fleet.send(Key::new(7), Phase::First, view.chain(Key::new(7)));
     fleet.settle();
     assert_eq!(fleet.ends[id], End::Dropped("room"));
@@ -184,7 +184,7 @@
 /// of a dead agent that block its key for ever.
 #[test]
 fn entries_keep_the_first_writer_until_it_is_gone() {
-    let home = Book::new(hop(0), Connections::new(10), Weight::new(1));
+    let home = Table::new(hop(0), Connections::new(10), Weight::new(1));
     let (key, now) = (Key::new(7), Moment::default());
     assert_eq!(home.claim(key, hop(1), now), Outcome::Granted);
     home.publish(key, hop(2), hop(2), now);
@@ -198,7 +198,7 @@
 /// Guards against an agent that restarts and finds its own former entries in its way.
 #[test]
 fn later_life_replaces_the_entry_of_an_earlier_one() {
-    let home = Book::new(hop(0), Connections::new(10), Weight::new(1));
+    let home = Table::new(hop(0), Connections::new(10), Weight::new(1));
     let (key, now) = (Key::new(7), Moment::default());
     let later = Hop { incarnation: Incarnation::new(2), ..hop(1) };
     home.claim(key, hop(1), now);
@@ -209,7 +209,7 @@
 /// Guards against first packets that are lost again and again at a dead second choice.
 #[test]
 fn first_choice_stops_asking_a_dead_second_one() {
-    let own = Book::new(hop(1), Connections::new(10), Weight::new(1));
+    let own = Table::new(hop(1), Connections::new(10), Weight::new(1));
     let chain = Chain::new(Some(hop(1)), Some(hop(2)));
     let at = |millis| Moment::default() + Span::from_millis(millis);
     let decide = |key, now| own.decide(&packet(&chain, Key::new(key), Phase::First), now);
@@ -226,7 +226,7 @@
 /// Guards against packets of the middle that all wait for one dead home.
 #[test]
 fn search_begins_at_any_home() {
-    let own = Book::new(hop(9), Connections::new(10), Weight::new(1));
+    let own = Table::new(hop(9), Connections::new(10), Weight::new(1));
     let view = history(&members(0..5));
     let chain = view.chain(Key::new(7));
     let starts = (0..4).map(|micros| {
--- a/yuccacroft-core/tests/support/mod.rs
+++ b/yuccacroft-core/tests/support/mod.rs
@@ -7,7 +7,7 @@
         directory::{Action, Directory, Event, Outcome},
         flow::{Hop, Key, Phase},
         ids::{Incarnation, Instance},
-        ownership::{Book, Decision, Load, Packet},
+        ownership::{Decision, Load, Packet, Table},
         placement::{Candidate, Chain, Homes, Step},
         time::{Moment, Span},
         units::{Connections, Weight},
@@ -56,7 +56,7 @@
 }
 
 pub struct Agent {
-    pub book: Book,
+    pub table: Table,
     directory: Directory,
     held: BTreeMap<Key, Vec<Sent>>,
 }
@@ -112,8 +112,8 @@
     /// Publishes the flows of all agents to the homes of these members.
     pub fn publish(&mut self, before: &Homes, after: &Homes) {
         for agent in self.agents.values() {
-            let own = agent.book.own();
-            for (home, key) in agent.book.publications(before, after, Moment::default()) {
+            let own = agent.table.own();
+            for (home, key) in agent.table.publications(before, after, Moment::default()) {
                 self.mail.push_back(Mail::Publish { home, key, owner: own, from: own });
             }
         }
@@ -130,7 +130,7 @@
         let now = self.now;
         let mut actions = Vec::new();
         for agent in self.agents.values_mut() {
-            let own = agent.book.own();
+            let own = agent.table.own();
             let ticked = agent.directory.step(Event::Tick, now);
             actions.extend(ticked.into_iter().map(|action| (own, action)));
         }
@@ -144,14 +144,14 @@
             Mail::Packet(sent) => self.packet(sent),
             Mail::Ask { from, home, key } => {
                 let Some(agent) = self.agents.get(&home.instance) else { return };
-                let outcome = agent.book.claim(key, from, self.now);
+                let outcome = agent.table.claim(key, from, self.now);
                 let event = Event::Answered { key, home: home.instance, outcome };
                 self.mail.push_back(Mail::Answer { to: from, event });
             }
             Mail::Relay { from, key, chain, position } => {
                 let home = chain.home(position).unwrap();
                 let Some(agent) = self.agents.get(&home.instance) else { return };
-                let outcome = agent.book.claim(key, from, self.now);
+                let outcome = agent.table.claim(key, from, self.now);
                 let position = position + 1;
                 let next = outcome == Outcome::Granted && chain.home(position).is_some();
                 let event = Event::Answered { key, home: home.instance, outcome };
@@ -168,7 +168,7 @@
             }
             Mail::Publish { home, key, owner, from } => {
                 if let Some(agent) = self.agents.get(&home.instance) {
-                    agent.book.publish(key, owner, from, self.now);
+                    agent.table.publish(key, owner, from, self.now);
                 }
             }
         }
@@ -182,8 +182,8 @@
         };
         let meant = to.incarnation;
         let packet = Packet { key, phase, chain: &chain, step, meant, hops, load };
-        match agent.book.decide(&packet, self.now) {
-            Decision::Deliver => self.ends[id] = End::Delivered(agent.book.own()),
+        match agent.table.decide(&packet, self.now) {
+            Decision::Deliver => self.ends[id] = End::Delivered(agent.table.own()),
             Decision::Reset => self.ends[id] = End::Reset,
             Decision::Drop(cause) => self.ends[id] = End::Dropped(cause),
             Decision::Pass(to, step, load) => {
@@ -193,11 +193,11 @@
             Decision::Wait => agent.held.entry(key).or_default().push(sent),
             Decision::Accept => self.begin(sent, false),
             Decision::Claim => {
-                let load = agent.book.load();
+                let load = agent.table.load();
                 if let (Step::Second, Some(first)) = (step, chain.first())
                     && let Some(first) = self.agents.get(&first.instance)
                 {
-                    first.book.learn(to.instance, load, self.now);
+                    first.table.learn(to.instance, load, self.now);
                 }
                 self.begin(sent, self.claims);
             }
@@ -207,7 +207,7 @@
     fn begin(&mut self, sent: Sent, claim: bool) {
         let agent = self.agents.get_mut(&sent.to.instance).unwrap();
         agent.held.entry(sent.key).or_default().push(sent);
-        let own = agent.book.own();
+        let own = agent.table.own();
         if !claim {
             return self.execute(own, Action::Won { key: sent.key });
         }
@@ -229,14 +229,14 @@
                 self.mail.push_back(Mail::Publish { home, key, owner, from: own });
             }
             Action::Won { key } => {
-                agent.book.won(key, self.now);
-                agent.book.opened();
+                agent.table.won(key, self.now);
+                agent.table.opened();
                 for sent in agent.held.remove(&key).unwrap_or_default() {
                     self.ends[sent.id] = End::Delivered(own);
                 }
             }
             Action::Lost { key, winner } => {
-                agent.book.lost(key, winner, self.now);
+                agent.table.lost(key, winner, self.now);
                 for sent in agent.held.remove(&key).unwrap_or_default() {
                     let hops = sent.hops + 1;
                     let sent = Sent { to: winner, step: Step::Owner, hops, ..sent };
@@ -249,7 +249,7 @@
 
 impl Agent {
     fn new(own: Hop, limit: u32) -> Self {
-        let book = Book::new(own, Connections::new(limit), Weight::new(100));
-        Self { book, directory: Directory::new(own), held: BTreeMap::new() }
+        let table = Table::new(own, Connections::new(limit), Weight::new(100));
+        Self { table, directory: Directory::new(own), held: BTreeMap::new() }
     }
 }
