Fix the bytes of the messages of agents by golden ones and damage their input

Only the messages between balancers had golden bytes and a property test of their decoder. The messages of agents to balancers and to each other now have both: ten golden messages, arbitrary bytes, damaged and cut ones, and trailing bytes.

--- /dev/null
+++ b/yuccacroft-wire/tests/messages.rs
@@ -0,0 +1,178 @@
+//! Messages of agents, to balancers and to each other: their bytes, and damaged input.
+
+use {
+    proptest::prelude::*,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{collections::BTreeMap, fmt::Debug},
+    yuccacroft_core::{
+        admission::peers::Load,
+        capacity::{Claim, Number},
+        flow::Hop,
+        ids::{Call, Incarnation, Instance, Revision},
+        member::{Entry, Phase},
+        record::{Answer, Header},
+        request::{Effect, Reason},
+        time::Span,
+        units::{Slots, Weight},
+    },
+    yuccacroft_wire::{
+        capacity::{Query, Reply as Granted},
+        handoff::{Fence, Offer, Relay, Relayed, Reply, State, Work},
+        message::{self, Announce, Balancers, Operate, Order, Sibling, Welcome},
+    },
+};
+
+/// Names and bytes, one message a line.
+const GOLDEN: &str = include_str!("golden/messages.txt");
+
+const LIFE: Incarnation = Incarnation::new(1_700_000_000_000);
+
+fn instance() -> Instance {
+    "10.0.0.1:9000".parse().unwrap()
+}
+
+fn hop() -> Hop {
+    Hop { instance: instance(), incarnation: LIFE }
+}
+
+fn entry() -> Entry {
+    Entry {
+        customer: "kampvuur".parse().unwrap(),
+        service: "booking".parse().unwrap(),
+        instance: instance(),
+        incarnation: LIFE,
+        version: 2,
+        domain: "gent".parse().unwrap(),
+        weight: Weight::new(100),
+        phase: Phase::Draining,
+    }
+}
+
+fn work() -> Work {
+    let header: Header = ("idempotency-key".into(), b"seat-1"[..].into());
+    Work {
+        method: "POST".into(),
+        path: "/reserve?day=2".into(),
+        headers: [header].into(),
+        body: b"two seats"[..].into(),
+    }
+}
+
+fn load() -> Load {
+    let (running, limit) = (Slots::new(3), Slots::new(4));
+    Load { running, waiting: 2, limit, service: Span::from_millis(40) }
+}
+
+fn answer() -> Answer {
+    Answer { status: 200, headers: [].into(), body: b"reserved"[..].into() }
+}
+
+fn announce() -> Announce {
+    Announce { entry: entry(), revision: Revision::new(9), siblings: 7, balancers: u64::MAX }
+}
+
+fn welcome() -> Welcome {
+    let addresses = |text: &str| [text.parse().unwrap()].into();
+    let (registrars, others) = (addresses("10.0.1.1:7000"), addresses("[2001:db8::1]:7000"));
+    Welcome {
+        contract: None,
+        siblings: Some([Sibling { instance: instance(), incarnation: LIFE }].into()),
+        balancers: Some(Balancers { registrars, others }),
+        refute: Some(3),
+        later: Some(LIFE),
+    }
+}
+
+fn query() -> Query {
+    let Entry { customer, service, .. } = entry();
+    let claim = Claim::Hold(Slots::new(4));
+    Query { customer, service, hop: hop(), number: Number::new(2), claim }
+}
+
+fn offer() -> Offer {
+    Offer {
+        call: Call::new(5),
+        expected: LIFE,
+        sender: hop(),
+        load: load(),
+        effect: Effect::Once,
+        remaining: Span::from_secs(4),
+        hold: Span::from_millis(250),
+        work: work(),
+    }
+}
+
+fn fence() -> Fence {
+    let (age, hold) = (Span::from_millis(300), Span::ZERO);
+    Fence { call: Call::new(5), expected: LIFE, age, hold, cancel: true }
+}
+
+fn relay() -> Relay {
+    Relay { expected: LIFE, remaining: Span::from_secs(4), work: work() }
+}
+
+/// Compares one message with its golden bytes, both ways.
+fn check<T: Serialize + DeserializeOwned + PartialEq + Debug>(name: &str, message: &T) {
+    let golden: BTreeMap<_, _> = GOLDEN.lines().filter_map(|line| line.split_once(' ')).collect();
+    let bytes = message::encode(message).unwrap();
+    assert_eq!(Some(&*hex::encode(&bytes)), golden.get(name).copied(), "{name}");
+    assert_eq!(message::decode::<T>(&bytes).unwrap(), *message);
+}
+
+/// Guards against a change of the format that goes unnoticed: releases run side by side.
+#[test]
+fn bytes_equal_the_golden_ones() {
+    check("announce", &announce());
+    check("welcome", &welcome());
+    check("operate", &Operate { incarnation: LIFE, order: Order::Drain });
+    check("capacity_query", &query());
+    check("capacity_reply", &Granted::Granted(Slots::new(4)));
+    check("offer", &offer());
+    check("fence", &fence());
+    check("reply", &Reply { load: load(), state: State::Done(answer()) });
+    check("relay", &relay());
+    check("relayed", &Relayed::NotRun(Reason::Tombstone));
+}
+
+/// Decodes bytes as every kind of message. The outcome does not matter, only that there is one.
+fn decode_all(bytes: &[u8]) {
+    let _ = message::decode::<Announce>(bytes);
+    let _ = message::decode::<Welcome>(bytes);
+    let _ = message::decode::<Operate>(bytes);
+    let _ = message::decode::<Query>(bytes);
+    let _ = message::decode::<Granted>(bytes);
+    let _ = message::decode::<Offer>(bytes);
+    let _ = message::decode::<Fence>(bytes);
+    let _ = message::decode::<Reply>(bytes);
+    let _ = message::decode::<Relay>(bytes);
+    let _ = message::decode::<Relayed>(bytes);
+}
+
+proptest! {
+    /// Guards against a panic, or memory without bound, on any bytes.
+    #[test]
+    fn survives_any_bytes(mut bytes in proptest::collection::vec(any::<u8>(), 1..400)) {
+        bytes[0] = 1;
+        decode_all(&bytes);
+    }
+
+    /// Guards against a panic on a message that was damaged on its way.
+    #[test]
+    fn survives_damage(at in any::<prop::sample::Index>(), byte: u8, cut in any::<prop::sample::Index>()) {
+        for bytes in [message::encode(&offer()), message::encode(&welcome())] {
+            let mut bytes = bytes.unwrap();
+            let position = at.index(bytes.len());
+            bytes[position] = byte;
+            decode_all(&bytes);
+            decode_all(&bytes[..cut.index(bytes.len())]);
+        }
+    }
+
+    /// Guards against bytes behind a message that nobody looks at.
+    #[test]
+    fn refuses_trailing_bytes(extra in proptest::collection::vec(any::<u8>(), 1..9)) {
+        let mut bytes = message::encode(&fence()).unwrap();
+        bytes.extend(extra);
+        prop_assert!(message::decode::<Fence>(&bytes).is_err());
+    }
+}
