--- a/yuccacroft-agent/src/assembly.rs
+++ b/yuccacroft-agent/src/assembly.rs
@@ -66,6 +66,8 @@
     pub settings: Settings,
     /// The logger of the process.
     pub log: Logger,
+    /// The clock of all decisions.
+    pub clock: Clock,
     /// The open sockets.
     pub sockets: Sockets,
     /// Announces the agent.
@@ -141,9 +143,9 @@
 
 /// Creates all parts and starts their tasks.
 pub fn assemble(plan: Plan) -> Result<Parts> {
-    let Plan { settings, log, sockets, announcer, claimant, mut entry, contract } = plan;
+    let Plan { settings, log, clock, sockets, announcer, claimant, mut entry, contract } = plan;
     let terms = contract.service(&settings.service).ok_or(Error::Contract)?;
-    let (clock, own) = (Clock::new(), entry.hop());
+    let own = entry.hop();
     let derive = |purpose: &str| derive(&settings, purpose);
     let ramp = Ramp::new(settings.weight, terms.warmup, clock.now());
     entry.weight = ramp.weight(clock.now());
--- a/yuccacroft-agent/src/capacity.rs
+++ b/yuccacroft-agent/src/capacity.rs
@@ -21,7 +21,7 @@
         flow::Hop,
         ids::Customer,
         key::Secret,
-        time::{Moment, Span},
+        time::Moment,
         units::Slots,
     },
     yuccacroft_rpc::{client::Client, clock::Clock},
@@ -47,14 +47,14 @@
 
 impl Claimant {
     /// Creates the claimant of an agent that has no grant yet.
-    pub fn new(settings: &Settings, hop: Hop, log: Logger) -> Self {
+    pub fn new(settings: &Settings, hop: Hop, clock: Clock, log: Logger) -> Self {
         Self {
             client: Client::new(TIMEOUT),
             balancers: settings.balancers.clone(),
             customer: settings.customer.clone(),
             key: settings.key.clone(),
             hop,
-            clock: Clock::new(),
+            clock,
             number: AtomicU32::new(0),
             grant: Mutex::new(None),
             log,
@@ -67,9 +67,8 @@
         self.grant().as_ref().map_or(Slots::default(), |holder| holder.allowed(now))
     }
 
-    /// Notes that a balancer answered a message sent just now.
-    pub fn contact(&self, took: Span) {
-        let asked = self.clock.now() - took;
+    /// Notes that a balancer answered a message sent at `asked`.
+    pub fn contact(&self, asked: Moment) {
         if let Some(holder) = self.grant().as_mut() {
             holder.contact(asked);
         }
--- a/yuccacroft-agent/src/follower.rs
+++ b/yuccacroft-agent/src/follower.rs
@@ -139,7 +139,7 @@
             let hops: Vec<_> = news.siblings.iter().map(hop).collect();
             self.socket.set_siblings(&hops);
             self.siblings.replace(&hops);
-            self.claimant.contact(self.clock.now().since(asked));
+            self.claimant.contact(asked);
         }
     }
 
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -21,7 +21,10 @@
         member::{self, Entry, Phase},
         units::Weight,
     },
-    yuccacroft_rpc::{admin::Access, clock},
+    yuccacroft_rpc::{
+        admin::Access,
+        clock::{self, Clock},
+    },
 };
 
 const FIRST_ANNOUNCE_EVERY: Duration = Duration::from_millis(200);
@@ -93,6 +96,7 @@
     /// Learns the contract from a balancer, opens the sockets and begins to serve.
     pub async fn serve(self) -> Result<Process<Serving>> {
         let Starting { settings, log, admin } = self.state;
+        let clock = Clock::new();
         let own = Hop { instance: settings.capsules, incarnation: clock::incarnation() };
         let sockets = Sockets::open(own.instance.address(), admin.as_ref()).await?;
         let balancers = settings.balancers.clone();
@@ -100,10 +104,10 @@
         let mut entry = first_entry(&settings, own);
         let contract = first_contract(&announcer, &mut entry, &log).await?;
         let own = entry.hop();
-        let claimant = Arc::new(Claimant::new(&settings, own, log.clone()));
+        let claimant = Arc::new(Claimant::new(&settings, own, clock, log.clone()));
         let terms = contract.service(&settings.service).ok_or(Error::Contract)?;
         first_claim(&claimant, terms).await;
-        let plan = Plan { settings, log, sockets, announcer, claimant, entry, contract };
+        let plan = Plan { settings, log, clock, sockets, announcer, claimant, entry, contract };
         let parts = assembly::assemble(plan)?;
         let filters: Vec<_> = parts.acceptor.filters().collect();
         info!(parts.log, "serving"; "filters" => filters.join(","),
--- a/yuccacroft-core/src/derive.rs
+++ b/yuccacroft-core/src/derive.rs
@@ -41,6 +41,20 @@
     };
 }
 
+/// Defines a number with a unit of its own in text. The caller writes `Display` and `FromStr`;
+/// serialisation goes through them.
+#[macro_export]
+macro_rules! quantity {
+    ($(#[$meta:meta])* $name:ident($inner:ty)) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
+            serde_with::SerializeDisplay, serde_with::DeserializeFromStr,
+        )]
+        pub struct $name($inner);
+    };
+}
+
 /// Defines a 128-bit random identifier that is shown as 32 hexadecimal digits.
 #[macro_export]
 macro_rules! token {
--- a/yuccacroft-core/src/time.rs
+++ b/yuccacroft-core/src/time.rs
@@ -20,21 +20,10 @@
     Moment(u64), "a number of microseconds"
 }
 
-/// A duration in microseconds. As text it carries its unit, for example `250 ms` or `3 s`.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde_with::SerializeDisplay,
-    serde_with::DeserializeFromStr,
-)]
-pub struct Span(u64);
+quantity! {
+    /// A duration in microseconds. As text it carries its unit, for example `250 ms` or `3 s`.
+    Span(u64)
+}
 
 impl Span {
     /// The empty duration.
--- a/yuccacroft-core/src/units.rs
+++ b/yuccacroft-core/src/units.rs
@@ -38,21 +38,10 @@
     Size(u64), "a number of bytes"
 }
 
-/// Events or bytes per second. As text it carries its unit, for example `20/s`.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde_with::SerializeDisplay,
-    serde_with::DeserializeFromStr,
-)]
-pub struct Rate(u64);
+quantity! {
+    /// Events or bytes per second. As text it carries its unit, for example `20/s`.
+    Rate(u64)
+}
 
 impl Rate {
     /// Wraps a number per second.
