--- a/yuccacroft-balancer/src/admin.rs
+++ b/yuccacroft-balancer/src/admin.rs
@@ -18,13 +18,13 @@
         time::Moment,
         units::Count,
     },
-    yuccacroft_platform::store::Store,
     yuccacroft_rpc::{
         admin::{self, Access, Failure, failure},
         client::Client,
         clock::Clock,
         errors::Error as CallError,
     },
+    yuccacroft_store::store::Store,
     yuccacroft_wire::{
         admin::{
             Dump, Flows, Health, Identity, InForce, Kind, Member, Put, Report, Role, Stored,
--- a/yuccacroft-balancer/src/admin/editor.rs
+++ b/yuccacroft-balancer/src/admin/editor.rs
@@ -8,11 +8,11 @@
         contract::{Accepted, Checked, Contract, change::Stored as Value, writer::Verdict},
         ids::{Change, Customer, Revision},
     },
-    yuccacroft_platform::{
+    yuccacroft_rpc::admin::{Failure, failure},
+    yuccacroft_store::{
         errors::Error as StoreError,
         store::{Item, Store},
     },
-    yuccacroft_rpc::admin::{Failure, failure},
     yuccacroft_wire::admin::{Kind, Problem, Put, Source, Stored},
 };
 
--- a/yuccacroft-balancer/src/capacity.rs
+++ b/yuccacroft-balancer/src/capacity.rs
@@ -21,11 +21,11 @@
         member::Phase,
         units::Slots,
     },
-    yuccacroft_platform::{
+    yuccacroft_rpc::{clock::Clock, server},
+    yuccacroft_store::{
         errors::{Error, Result},
         store::{Outcome, Store},
     },
-    yuccacroft_rpc::{clock::Clock, server},
     yuccacroft_wire::{
         capacity::{PATH, Query, Reply},
         message,
--- a/yuccacroft-balancer/src/control/store.rs
+++ b/yuccacroft-balancer/src/control/store.rs
@@ -16,9 +16,9 @@
         ids::{Change, Revision},
         time::Span,
     },
-    yuccacroft_platform::{
+    yuccacroft_store::{
         errors::{Error, Result as StoreResult},
-        store::{Item, Listing, Notice, Outcome, Store, Watch},
+        store::{Changes, Item, Listing, Notice, Outcome, Store, Watch},
     },
 };
 
@@ -109,7 +109,8 @@
     /// Takes a notice; false means that the watch has ended.
     fn noticed(self: &Arc<Self>, notice: Option<StoreResult<Notice>>) -> bool {
         match notice {
-            Some(Ok(Notice::Changed(Listing { revision, items }))) => {
+            Some(Ok(Notice::Changed(Changes { revision, items, removed: _ }))) => {
+                // A contract is never removed; its absence would not end it.
                 let contracts = self.parse_all(&items);
                 self.step_follower(Event::Changed { contracts, revision });
                 return true;
--- a/yuccacroft-balancer/src/process.rs
+++ b/yuccacroft-balancer/src/process.rs
@@ -20,8 +20,8 @@
         task::{JoinHandle, JoinSet},
     },
     yuccacroft_core::ids::{Domain, Process as Name},
-    yuccacroft_platform::etcd::Gateway,
     yuccacroft_rpc::{admin::Access, clock::Clock},
+    yuccacroft_store::etcd::Gateway,
 };
 
 /// Time for which a balancer forwards after it was told to stop. Agents choose another balancer
--- a/yuccacroft-balancer/tests/capacity.rs
+++ b/yuccacroft-balancer/tests/capacity.rs
@@ -18,8 +18,8 @@
         units::Slots,
     },
     yuccacroft_fakes::store::Store,
-    yuccacroft_platform::{etcd::Gateway, store::Store as _},
     yuccacroft_rpc::{client::Client, clock::Clock, errors::Error},
+    yuccacroft_store::{etcd::Gateway, store::Store as _},
     yuccacroft_wire::capacity::{PATH, Query, Reply},
 };
 
--- a/yuccacroft-balancer/tests/control.rs
+++ b/yuccacroft-balancer/tests/control.rs
@@ -20,8 +20,8 @@
         units::Weight,
     },
     yuccacroft_fakes::store::{Kind, Store},
-    yuccacroft_platform::etcd::Gateway,
     yuccacroft_rpc::{client::Client, clock::Clock},
+    yuccacroft_store::etcd::Gateway,
     yuccacroft_wire::message::{Announce, Welcome},
 };
 
--- a/yuccacroft-balancer/tests/editor.rs
+++ b/yuccacroft-balancer/tests/editor.rs
@@ -17,11 +17,11 @@
         key::Secret,
     },
     yuccacroft_fakes::store::Store,
-    yuccacroft_platform::{
+    yuccacroft_rpc::clock::Clock,
+    yuccacroft_store::{
         etcd::Gateway,
         store::{Outcome, Store as _},
     },
-    yuccacroft_rpc::clock::Clock,
     yuccacroft_wire::admin::{Kind, Put, Source},
 };
 
--- a/yuccacroft-bench/src/forwarding/idle.rs
+++ b/yuccacroft-bench/src/forwarding/idle.rs
@@ -12,7 +12,7 @@
     yuccacroft_balancer::control::CONTRACTS,
     yuccacroft_core::{ids::Revision, key::Secret},
     yuccacroft_fakes::{certificate::Certificate, store::Store, upstream::Upstream},
-    yuccacroft_platform::{etcd::Gateway, store::Store as _},
+    yuccacroft_store::{etcd::Gateway, store::Store as _},
 };
 
 /// `docs/design.md`, section 12, in percent of a core.
--- /dev/null
+++ b/yuccacroft-core/src/handshake.rs
@@ -0,0 +1,493 @@
+//! The flows of one agent, when the handshake between caller and upstream settles who owns a flow.
+//!
+//! An opening segment may reach several upstreams, and each of them may accept it. The caller
+//! answers one of them: its next segment acknowledges the sequence number that this upstream
+//! chose. The agent sees both, so that it knows without any message whether the flow is its own.
+//! An agent that began after its upstream knows nothing of the flows from before. It lets the
+//! upstream tell, which returns a segment of a flow that it does not hold.
+
+use {
+    crate::{
+        flow::Key,
+        ids::Instance,
+        segment::{Control, Flow, Segment, Sequence},
+        shards::Shards,
+        time::{Moment, Span},
+        units::Connections,
+    },
+    std::{
+        net::SocketAddrV4,
+        sync::{
+            Mutex, PoisonError,
+            atomic::{AtomicU32, Ordering},
+        },
+    },
+};
+
+/// Time within which a living upstream accepts or returns an opening segment.
+const ACCEPT_TIMEOUT: Span = Span::from_millis(60);
+/// Time for which an accepted flow may stay without a segment of its caller, which gives up after
+/// 1.4 s.
+const OPEN_TIMEOUT: Span = Span::from_secs(3);
+/// Time within which an upstream returns a segment of a flow that it does not hold.
+const BOUNCE_TIMEOUT: Span = Span::from_millis(30);
+/// Time for which the denial of an upstream is remembered.
+const ABSENCE_MEMORY: Span = Span::from_secs(10);
+/// Time after which a silent flow is forgotten: the longest life of a flow.
+const FLOW_MEMORY: Span = Span::from_secs(60);
+/// Part of the mean service time that one request replaces is one in this number.
+const MEAN_WEIGHT: u64 = 16;
+/// Agents that one opening segment may visit.
+pub const MAX_HOPS: u8 = 8;
+
+/// The way of an opening segment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Offer {
+    /// The balancer that chose the candidates and learns the result.
+    pub origin: SocketAddrV4,
+    /// The agents to be asked after the present one, in order.
+    pub rest: Box<[Instance]>,
+    /// The agents that were asked before.
+    pub hops: u8,
+}
+
+/// Why a balancer sends a segment of a flow that must exist already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The balancer takes this agent for the owner.
+    Owner,
+    /// The balancer searches the owner.
+    Search,
+    /// All others have denied; the upstream may be asked.
+    Probe,
+}
+
+/// What becomes of a segment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The upstream gets it.
+    Deliver,
+    /// The upstream gets it, and the balancer learns that the flow lives here.
+    Confirm,
+    /// The next agent is offered the flow.
+    Pass(Instance, Offer),
+    /// No agent is left; the balancer learns it.
+    Refuse(SocketAddrV4),
+    /// The flow is not here; the balancer learns it. `unsure` when the upstream may hold it.
+    Deny {
+        /// The balancer.
+        origin: SocketAddrV4,
+        /// Whether the upstream may hold the flow although the agent does not know of it.
+        unsure: bool,
+    },
+    /// The upstream has lost the flow; the caller is told, with this position.
+    Reset(Sequence),
+    /// It is dropped for this cause; the caller sends it again.
+    Drop(&'static str),
+}
+
+/// What follows from the passing of time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// The upstream did not accept in time: the opening segment goes to the next agent.
+    Pass {
+        /// The flow.
+        flow: Flow,
+        /// The next agent.
+        to: Instance,
+        /// The rest of its way.
+        offer: Offer,
+        /// The opening segment.
+        datagram: Box<[u8]>,
+    },
+    /// The upstream did not accept in time, and no agent is left.
+    Refuse {
+        /// The flow.
+        flow: Flow,
+        /// The balancer.
+        origin: SocketAddrV4,
+        /// The opening segment.
+        datagram: Box<[u8]>,
+    },
+    /// The upstream kept a segment of an unknown flow, so it holds the flow.
+    Confirm {
+        /// The flow.
+        flow: Flow,
+        /// The balancer.
+        origin: SocketAddrV4,
+    },
+}
+
+/// A flow that ended with its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lost {
+    /// The flow.
+    pub flow: Flow,
+    /// The position that the caller acknowledged last.
+    pub acknowledged: Sequence,
+    /// Whether a request was in progress.
+    pub busy: bool,
+}
+
+#[derive(Debug)]
+struct Entry {
+    flow: Flow,
+    state: State,
+}
+
+#[derive(Debug)]
+enum State {
+    Offered { offer: Offer, datagram: Box<[u8]>, since: Moment, accepted: Option<Sequence> },
+    Probed { origin: SocketAddrV4, since: Moment },
+    Open(Open),
+    Absent { since: Moment },
+}
+
+#[derive(Debug)]
+struct Open {
+    /// What the caller acknowledged last; unknown until it sends something.
+    acknowledged: Option<Sequence>,
+    /// The end of the data that the caller sent; unknown until it sends some.
+    received: Option<Sequence>,
+    seen: Moment,
+    request: Option<Moment>,
+    /// Whether the upstream itself showed that it holds the flow.
+    proved: bool,
+    finished: bool,
+}
+
+/// The flows of one agent.
+#[derive(Debug, Default)]
+pub struct Table {
+    entries: Shards<Key, Entry>,
+    open: AtomicU32,
+    active: AtomicU32,
+    mean: Mutex<Span>,
+}
+
+impl Decision {
+    /// Returns a short name for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Deliver => "deliver",
+            Self::Confirm => "confirm",
+            Self::Pass(..) => "pass",
+            Self::Refuse(_) => "refuse",
+            Self::Deny { .. } => "deny",
+            Self::Reset(_) => "reset",
+            Self::Drop(_) => "drop",
+        }
+    }
+}
+
+impl Table {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Decides about an opening segment. `accepting` tells whether the upstream takes new flows.
+    pub fn offer(
+        &self,
+        segment: &Segment,
+        datagram: &[u8],
+        offer: Offer,
+        accepting: bool,
+        now: Moment,
+    ) -> Decision {
+        self.entries.update(segment.flow.key(), |slot| {
+            if matches!(slot, Some(Entry { state: State::Open(_), .. })) {
+                return Decision::Deliver;
+            }
+            if !accepting {
+                return next(offer);
+            }
+            let accepted = match slot {
+                Some(Entry { state: State::Offered { accepted, .. }, .. }) => *accepted,
+                _ => None,
+            };
+            let datagram = datagram.into();
+            let state = State::Offered { offer, datagram, since: now, accepted };
+            *slot = Some(Entry { flow: segment.flow, state });
+            Decision::Confirm
+        })
+    }
+
+    /// Decides about a later segment. `unsure` tells whether the upstream may hold flows that the
+    /// agent does not know of.
+    pub fn segment(
+        &self,
+        segment: &Segment,
+        origin: SocketAddrV4,
+        reason: Reason,
+        unsure: bool,
+        now: Moment,
+    ) -> Decision {
+        let confirmed = if reason == Reason::Owner { Decision::Deliver } else { Decision::Confirm };
+        self.entries.update(segment.flow.key(), |slot| {
+            match slot.as_mut().map(|entry| &mut entry.state) {
+                Some(State::Open(open)) => {
+                    self.receive(open, segment, now);
+                    confirmed
+                }
+                Some(State::Offered { accepted: Some(accepted), .. })
+                    if segment.acknowledged == accepted.next() =>
+                {
+                    let open = self.begin(segment, true, now);
+                    *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
+                    confirmed
+                }
+                Some(State::Offered { .. }) => Decision::Deny { origin, unsure: false },
+                Some(State::Probed { since, .. }) if now.since(*since) >= BOUNCE_TIMEOUT => {
+                    let open = self.begin(segment, false, now);
+                    *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
+                    Decision::Confirm
+                }
+                Some(State::Probed { .. }) => Decision::Drop("probing"),
+                Some(State::Absent { since }) => {
+                    *since = now;
+                    Decision::Deny { origin, unsure: false }
+                }
+                None if !unsure => Decision::Deny { origin, unsure: false },
+                None if reason == Reason::Search => Decision::Deny { origin, unsure: true },
+                None => {
+                    let state = State::Probed { origin, since: now };
+                    *slot = Some(Entry { flow: segment.flow, state });
+                    Decision::Deliver
+                }
+            }
+        })
+    }
+
+    /// Notes what the upstream sends to a caller. Returns the time that a request took when this is
+    /// the first part of its answer.
+    pub fn reply(&self, segment: &Segment, now: Moment) -> Option<Span> {
+        self.entries.update(segment.flow.key(), |slot| {
+            let state = slot.as_mut().map(|entry| &mut entry.state);
+            match (segment.control, state) {
+                (Control::Accept, Some(State::Offered { accepted, .. })) => {
+                    *accepted = Some(segment.sequence);
+                    None
+                }
+                (Control::Accept, _) | (_, Some(State::Offered { .. })) => None,
+                (Control::Reset, Some(State::Open(open))) => {
+                    self.end(open);
+                    *slot = None;
+                    None
+                }
+                (Control::Reset, _) => {
+                    *slot = None;
+                    None
+                }
+                (_, Some(State::Open(open))) => self.send(open, segment, now),
+                (_, _) => {
+                    // Only an upstream that holds the flow sends on it.
+                    let mut open = self.begin_at(Some(segment.sequence), true, now);
+                    let time = self.send(&mut open, segment, now);
+                    *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
+                    time
+                }
+            }
+        })
+    }
+
+    /// Decides about a segment that the upstream returned.
+    pub fn bounce(&self, segment: &Segment, now: Moment) -> Decision {
+        self.entries.update(segment.flow.key(), |slot| {
+            let Some(entry) = slot.take() else { return Decision::Drop("unknown bounce") };
+            let absent = Entry { flow: segment.flow, state: State::Absent { since: now } };
+            match entry.state {
+                State::Offered { offer, .. } if segment.control == Control::Open => next(offer),
+                State::Probed { origin, .. } => {
+                    *slot = Some(absent);
+                    Decision::Deny { origin, unsure: false }
+                }
+                State::Open(open) if segment.control == Control::Open => {
+                    // A late copy of the opening segment says nothing of the flow.
+                    *slot = Some(Entry { flow: entry.flow, state: State::Open(open) });
+                    Decision::Drop("late copy")
+                }
+                State::Open(open) => {
+                    self.end(&open);
+                    *slot = Some(absent);
+                    if open.proved {
+                        Decision::Reset(segment.acknowledged)
+                    } else {
+                        Decision::Drop("flow of another upstream")
+                    }
+                }
+                state => {
+                    *slot = Some(Entry { flow: entry.flow, state });
+                    Decision::Drop("unknown bounce")
+                }
+            }
+        })
+    }
+
+    /// Lets time pass: opening segments that were not accepted go on, probes end, old flows are
+    /// forgotten.
+    pub fn tick(&self, now: Moment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.entries.retain(|_, entry| {
+            let flow = entry.flow;
+            match &mut entry.state {
+                State::Offered { accepted: Some(_), since, .. } => now.since(*since) < OPEN_TIMEOUT,
+                State::Offered { offer, datagram, since, .. } => {
+                    if now.since(*since) < ACCEPT_TIMEOUT {
+                        return true;
+                    }
+                    actions.push(hand_over(flow, offer, datagram));
+                    false
+                }
+                State::Probed { origin, since } => {
+                    if now.since(*since) >= BOUNCE_TIMEOUT {
+                        actions.push(Action::Confirm { flow, origin: *origin });
+                        entry.state = State::Open(self.begin_at(None, false, now));
+                    }
+                    true
+                }
+                State::Open(open) => {
+                    let keep = now.since(open.seen) < FLOW_MEMORY;
+                    if !keep {
+                        self.end(open);
+                    }
+                    keep
+                }
+                State::Absent { since } => now.since(*since) < ABSENCE_MEMORY,
+            }
+        });
+        actions
+    }
+
+    /// Hands every opening segment that is not accepted yet to the next agent, since the upstream
+    /// takes none any more.
+    pub fn release(&self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.entries.retain(|_, entry| {
+            let State::Offered { offer, datagram, accepted: None, .. } = &entry.state else {
+                return true;
+            };
+            actions.push(hand_over(entry.flow, offer, datagram));
+            false
+        });
+        actions
+    }
+
+    /// Forgets all flows of an upstream that is gone, and returns them.
+    pub fn lose(&self) -> Vec<Lost> {
+        let mut lost = Vec::new();
+        self.entries.retain(|_, entry| {
+            if let State::Open(open) = &entry.state {
+                // Without a segment of the caller any position is as good as another.
+                let acknowledged = open.acknowledged.unwrap_or_default();
+                let busy = open.request.is_some();
+                lost.push(Lost { flow: entry.flow, acknowledged, busy });
+                self.end(open);
+            }
+            matches!(entry.state, State::Offered { accepted: None, .. })
+        });
+        lost
+    }
+
+    /// Returns the number of open flows.
+    pub fn open(&self) -> Connections {
+        Connections::new(self.open.load(Ordering::Relaxed))
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn active(&self) -> u32 {
+        self.active.load(Ordering::Relaxed)
+    }
+
+    /// Returns the mean time from a request to the first byte of its answer.
+    pub fn service_time(&self) -> Span {
+        *self.mean.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn begin(&self, segment: &Segment, proved: bool, now: Moment) -> Open {
+        let mut open = self.begin_at(Some(segment.acknowledged), proved, now);
+        self.receive(&mut open, segment, now);
+        open
+    }
+
+    fn begin_at(&self, acknowledged: Option<Sequence>, proved: bool, now: Moment) -> Open {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Open { acknowledged, received: None, seen: now, request: None, proved, finished: false }
+    }
+
+    /// Notes a segment of the caller. New data is taken for a request.
+    fn receive(&self, open: &mut Open, segment: &Segment, now: Moment) {
+        open.seen = now;
+        let known = open.acknowledged.unwrap_or(segment.acknowledged);
+        open.acknowledged = Some(segment.acknowledged.latest(known));
+        let end = Sequence::new(segment.sequence.get().wrapping_add(u32::from(segment.length)));
+        let is_new = open.received.is_none_or(|received| end.is_after(received));
+        if segment.length > 0 && is_new {
+            open.received = Some(end);
+            if open.request.replace(now).is_none() {
+                self.active.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        if matches!(segment.control, Control::Finish | Control::Reset) {
+            self.finish(open);
+        }
+    }
+
+    /// Notes a segment of the upstream. Its first data ends the work on a request.
+    fn send(&self, open: &mut Open, segment: &Segment, now: Moment) -> Option<Span> {
+        open.seen = now;
+        open.proved = true;
+        let begun = if segment.length > 0 { open.request.take() } else { None };
+        let time = begun.map(|begun| now.since(begun)).inspect(|time| {
+            self.active.fetch_sub(1, Ordering::Relaxed);
+            self.learn(*time);
+        });
+        if segment.control == Control::Finish {
+            self.finish(open);
+        }
+        time
+    }
+
+    fn learn(&self, time: Span) {
+        let mut mean = self.mean.lock().unwrap_or_else(PoisonError::into_inner);
+        let total = mean.as_micros() * (MEAN_WEIGHT - 1) + time.as_micros();
+        *mean = if *mean == Span::ZERO { time } else { Span::from_micros(total / MEAN_WEIGHT) };
+    }
+
+    /// A finished flow stays known, since its last segments may still come.
+    fn finish(&self, open: &mut Open) {
+        if !std::mem::replace(&mut open.finished, true) {
+            self.open.fetch_sub(1, Ordering::Relaxed);
+        }
+        if open.request.take().is_some() {
+            self.active.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    fn end(&self, open: &Open) {
+        if !open.finished {
+            self.open.fetch_sub(1, Ordering::Relaxed);
+        }
+        if open.request.is_some() {
+            self.active.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Returns the next step on the way of an opening segment that an agent does not take.
+pub fn next(offer: Offer) -> Decision {
+    let Offer { origin, rest, hops } = offer;
+    match rest.split_first() {
+        Some((&to, rest)) if hops + 1 < MAX_HOPS => {
+            Decision::Pass(to, Offer { origin, rest: rest.into(), hops: hops + 1 })
+        }
+        _ => Decision::Refuse(origin),
+    }
+}
+
+fn hand_over(flow: Flow, offer: &Offer, datagram: &[u8]) -> Action {
+    match next(offer.clone()) {
+        Decision::Pass(to, offer) => Action::Pass { flow, to, offer, datagram: datagram.into() },
+        _ => Action::Refuse { flow, origin: offer.origin, datagram: datagram.into() },
+    }
+}
--- a/yuccacroft-core/src/placement.rs
+++ b/yuccacroft-core/src/placement.rs
@@ -125,6 +125,11 @@
     value ^ (value >> 31)
 }
 
+/// Returns a number that differs for each pair of a key and an agent.
+pub fn noise(key: Key, instance: Instance) -> u64 {
+    mix(mix_instance(instance) ^ key.get())
+}
+
 fn mix_instance(instance: Instance) -> u64 {
     mix(instance.to_bits())
 }
--- /dev/null
+++ b/yuccacroft-core/src/route.rs
@@ -0,0 +1,137 @@
+//! Routes: which service takes new flows to an address.
+
+use {
+    crate::{rendezvous::digest, time::Span},
+    std::{
+        collections::HashMap,
+        fmt::{Display, Formatter},
+        net::SocketAddrV4,
+        str::FromStr,
+    },
+};
+
+newtype! {
+    /// The version of a configuration as its operator numbers it. A process never goes back.
+    Version(u64), "a version number"
+}
+
+newtype! {
+    /// The digest of a backend service's name, by which processes tell services apart.
+    Target(u64), "the digest of a service name"
+}
+
+/// The name of a backend service as the operator writes it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Name(Box<str>);
+
+/// The importance of a route: zero is the highest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Priority(u8);
+
+/// Where new flows to an address go: each service with its share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The services that take new flows, with their relative shares. The shares sum up to more
+    /// than zero.
+    pub shares: Box<[Share]>,
+    /// The importance of the requests inside.
+    pub priority: Priority,
+}
+
+/// One service of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The service.
+    pub target: Target,
+    /// Its relative share of new flows.
+    pub weight: u32,
+}
+
+/// A configuration in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Table {
+    /// Its version.
+    pub version: Version,
+    /// Time after which a silent flow may be forgotten.
+    pub idle: Option<Span>,
+    routes: HashMap<SocketAddrV4, Route>,
+}
+
+impl Name {
+    /// Wraps a name.
+    pub fn new(text: &str) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the digest of the name.
+    pub fn target(&self) -> Target {
+        Target::new(digest(&self.0))
+    }
+}
+
+impl Display for Name {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for Name {
+    type Err = crate::errors::Error;
+
+    fn from_str(text: &str) -> crate::errors::Result<Self> {
+        if text.is_empty() {
+            return Err(crate::errors::Error::expected("the name of a service", text));
+        }
+        Ok(Self::new(text))
+    }
+}
+
+impl Priority {
+    /// Wraps a priority.
+    pub const fn new(value: u8) -> Self {
+        Self(value)
+    }
+}
+
+impl Route {
+    /// Returns the service that a flow with this digest goes to.
+    pub fn target(&self, flow: u64) -> Option<Target> {
+        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let mut rest = flow.checked_rem(total)?;
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if rest < weight {
+                return Some(share.target);
+            }
+            rest -= weight;
+        }
+        None
+    }
+}
+
+impl Table {
+    /// Creates a configuration.
+    pub fn new(version: Version, routes: HashMap<SocketAddrV4, Route>) -> Self {
+        Self { version, idle: None, routes }
+    }
+
+    /// Sets the time after which a silent flow may be forgotten.
+    pub fn with_idle(self, idle: Option<Span>) -> Self {
+        Self { idle, ..self }
+    }
+
+    /// Returns the route of an address.
+    pub fn route(&self, address: &SocketAddrV4) -> Option<&Route> {
+        self.routes.get(address)
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// Returns true when there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
+}
--- /dev/null
+++ b/yuccacroft-core/src/search.rs
@@ -0,0 +1,165 @@
+//! The search for the owner of a flow that a balancer knows nothing of.
+//!
+//! All agents are asked. An agent that owns the flow delivers the segment and says so. An agent
+//! that lived all the while its upstream did denies with certainty. An agent that began after its
+//! upstream cannot know: its upstream is asked only when everybody else has denied, because a
+//! segment that reaches a wrong upstream looks like a moved flow. A flow is lost when every agent
+//! has denied it, and a flow whose owner may just be unreachable is not.
+
+use {
+    crate::{
+        controller::Controller,
+        flow::Hop,
+        ids::Instance,
+        time::{Moment, Span},
+    },
+    std::collections::BTreeMap,
+};
+
+/// Time after which an agent that did not answer is asked again.
+const REPEAT: Span = Span::from_millis(60);
+/// Time after which a search ends without a result. The next segment of the flow begins another.
+const LIMIT: Span = Span::from_secs(3);
+
+/// What an agent says of a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It owns the flow and has delivered the segment.
+    Owns,
+    /// It does not own the flow.
+    Denies,
+    /// It cannot tell: its upstream is older than itself.
+    Unsure,
+}
+
+/// What happens to a search.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// An agent answered.
+    Answered(Hop, Answer),
+    /// Time passed; these are the agents at present.
+    Tick(Box<[Candidate]>),
+}
+
+/// An agent that may own the flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The agent.
+    pub hop: Hop,
+    /// Whether its flows are taken to be lost, since it has not answered anything for long.
+    pub lost: bool,
+}
+
+/// What the shell is asked to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Ask an agent whether it owns the flow.
+    Ask(Hop),
+    /// Let an agent that is unsure hand the segment to its upstream.
+    Probe(Hop),
+    /// The owner is found; the search has ended.
+    Found(Hop),
+    /// Nobody owns the flow; the search has ended.
+    Nobody,
+    /// The search has ended without a result.
+    GiveUp,
+}
+
+/// One search.
+#[derive(Clone, Debug)]
+pub struct Search {
+    begun: Moment,
+    certain_from: Moment,
+    asked: BTreeMap<Instance, Asked>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    hop: Hop,
+    at: Moment,
+    probed: bool,
+    answer: Option<Answer>,
+    lost: bool,
+}
+
+impl Search {
+    /// Begins a search. Until `certain_from` the list of agents may be incomplete, so that no
+    /// number of denials means that the flow is lost.
+    pub fn new(certain_from: Moment, now: Moment) -> Self {
+        Self { begun: now, certain_from, asked: BTreeMap::new() }
+    }
+
+    fn answered(&mut self, from: Hop, answer: Answer, now: Moment) -> Vec<Action> {
+        if answer == Answer::Owns {
+            return vec![Action::Found(from)];
+        }
+        if let Some(asked) = self.asked.get_mut(&from.instance) {
+            asked.hop = from;
+            asked.lost = false;
+            // The bounce of a probe is as good as a denial, and a late answer to the question
+            // before it is not.
+            if !asked.probed || answer == Answer::Denies {
+                asked.answer = Some(answer);
+            }
+        }
+        self.conclude(now)
+    }
+
+    fn tick(&mut self, candidates: &[Candidate], now: Moment) -> Vec<Action> {
+        if now.since(self.begun) >= LIMIT {
+            return vec![Action::GiveUp];
+        }
+        let mut actions = Vec::new();
+        for &Candidate { hop, lost } in candidates {
+            let asked = self.asked.entry(hop.instance).or_insert_with(|| {
+                actions.push(Action::Ask(hop));
+                Asked { hop, at: now, probed: false, answer: None, lost }
+            });
+            asked.lost = lost;
+            let denied = asked.answer == Some(Answer::Denies);
+            if !denied && now.since(asked.at) >= REPEAT && (asked.answer.is_none() || asked.probed)
+            {
+                asked.at = now;
+                actions.push(if asked.probed { Action::Probe(hop) } else { Action::Ask(hop) });
+            }
+        }
+        // An agent that is no member any more has no flows.
+        self.asked.retain(|instance, _| candidates.iter().any(|c| c.hop.instance == *instance));
+        actions.extend(self.conclude(now));
+        actions
+    }
+
+    fn conclude(&mut self, now: Moment) -> Vec<Action> {
+        let open = |asked: &&Asked| asked.answer.is_none() && !asked.lost;
+        if self.asked.is_empty() || self.asked.values().any(|asked| open(&asked)) {
+            return Vec::new();
+        }
+        let unsure: Vec<&mut Asked> =
+            self.asked.values_mut().filter(|a| a.answer == Some(Answer::Unsure)).collect();
+        if !unsure.is_empty() {
+            let fresh = unsure.into_iter().filter(|asked| !asked.probed);
+            return fresh
+                .map(|asked| {
+                    asked.probed = true;
+                    asked.at = now;
+                    Action::Probe(asked.hop)
+                })
+                .collect();
+        }
+        // With no denial at all it is this balancer that is cut off.
+        let denied = self.asked.values().any(|asked| asked.answer == Some(Answer::Denies));
+        if denied && now >= self.certain_from { vec![Action::Nobody] } else { Vec::new() }
+    }
+}
+
+impl Controller for Search {
+    type Action = Action;
+    type Event = Event;
+
+    fn step(&mut self, event: Event, now: Moment) -> Vec<Action> {
+        match event {
+            Event::Answered(from, answer) => self.answered(from, answer, now),
+            Event::Tick(candidates) => self.tick(&candidates, now),
+        }
+    }
+}
--- a/yuccacroft-core/src/shards.rs
+++ b/yuccacroft-core/src/shards.rs
@@ -92,6 +92,16 @@
         })
     }
 
+    /// Returns the number of shards.
+    pub fn count(&self) -> usize {
+        self.shards.len()
+    }
+
+    /// Returns the number of entries in the shard of a key.
+    pub fn shard_len(&self, key: &K) -> usize {
+        self.reading(key).len()
+    }
+
     /// Returns the number of entries.
     pub fn len(&self) -> usize {
         self.fold(0, |total, _, _| total + 1)
--- a/yuccacroft-core/src/time.rs
+++ b/yuccacroft-core/src/time.rs
@@ -13,6 +13,8 @@
 const MICROS_PER_MILLI: u64 = 1_000;
 const MICROS_PER_SECOND: u64 = 1_000_000;
 const MICROS_PER_MINUTE: u64 = 60 * MICROS_PER_SECOND;
+/// Digits behind the point of a duration in text.
+const MAX_DIGITS: u32 = 6;
 
 newtype! {
     /// A point on the monotonic clock of one process, in microseconds. Moments of two processes
@@ -127,16 +129,23 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self> {
-        let fail = || Error::expected("a duration such as 250 ms or 3 s", text);
-        let digits = text.trim_end_matches(|c: char| !c.is_ascii_digit());
-        let number: u64 = digits.parse().map_err(|_| fail())?;
-        let unit = match text[digits.len()..].trim() {
+        let fail = || Error::expected("a duration such as 250 ms, 3 s or 2.5 s", text);
+        let number = text.trim_end_matches(|c: char| !c.is_ascii_digit());
+        let unit = match text[number.len()..].trim() {
             "us" => 1,
             "ms" => MICROS_PER_MILLI,
             "s" => MICROS_PER_SECOND,
             "min" => MICROS_PER_MINUTE,
             _ => return Err(fail()),
         };
-        number.checked_mul(unit).map(Self).ok_or_else(fail)
+        let (whole, part) = number.split_once('.').unwrap_or((number, "0"));
+        let whole: u64 = whole.parse().map_err(|_| fail())?;
+        // More digits than the smallest unit holds would be lost silently.
+        let digits = u32::try_from(part.len()).ok().filter(|digits| *digits <= MAX_DIGITS);
+        let scale = 10u64.pow(digits.ok_or_else(fail)?);
+        let part: u64 = part.parse().map_err(|_| fail())?;
+        let micros = part * unit / scale;
+        let whole = whole.checked_mul(unit).and_then(|whole| whole.checked_add(micros));
+        whole.map(Self).ok_or_else(fail)
     }
 }
--- a/yuccacroft-rpc/src/admin.rs
+++ b/yuccacroft-rpc/src/admin.rs
@@ -61,6 +61,11 @@
         .layer(middleware::from_fn_with_state(token, check_token))
 }
 
+/// Returns routes that show the metrics to everybody who reaches their address.
+pub fn open_metrics() -> Router {
+    Router::new().route(METRICS_PATH, get(async || metrics()))
+}
+
 /// Builds a failed answer.
 pub fn failure(kind: Kind, detail: &str) -> Failure {
     Failure(Problem::new(kind, detail))
--- /dev/null
+++ b/yuccacroft-segment/src/agent/announcer.rs
@@ -0,0 +1,191 @@
+//! Keeps the entry of an agent in the store.
+
+use {
+    super::{control::Control, relay::Relay},
+    crate::{balancer::control::MEMBERS, follower},
+    slog::{Logger, info, warn},
+    std::{sync::Arc, time::Duration},
+    yuccacroft_core::{
+        ids::Domain,
+        lease::Id,
+        pool::{Entry, Phase},
+        segment::Format,
+        time::Span,
+        upstream,
+    },
+    yuccacroft_store::{
+        errors::{Error, Result},
+        store::Store,
+    },
+};
+
+/// Term of the lease under which the entry stands: long enough for a restart of the agent beside a
+/// living upstream, whose flows others must be able to find.
+const TERM: Span = Span::from_secs(8);
+/// Pause between renewals, so that two of them can fail within the term.
+const RENEWAL: Duration = Duration::from_millis(2_500);
+/// Time after the start of an agent within which its upstream has reported, if it lives.
+const FIRST_REPORT: Duration = Duration::from_millis(1_500);
+/// Time for the last call of a process that ends.
+const LAST_CALL: Duration = Duration::from_millis(300);
+
+/// The next call to the store.
+#[derive(Clone, Copy, Debug)]
+enum Next {
+    /// The entry is written.
+    Write,
+    /// Its lease is renewed.
+    Renew,
+    /// The entry is read, since a balancer does not see it.
+    Check,
+}
+
+/// Writes the entry of one agent.
+pub struct Announcer<F, S> {
+    relay: Arc<Relay<F>>,
+    control: Arc<Control<F>>,
+    store: S,
+    domain: Domain,
+    log: Logger,
+    lease: Option<Id>,
+    edition: u32,
+    failures: u32,
+}
+
+impl<F: Format, S: Store> Announcer<F, S> {
+    /// Creates an announcer that has written nothing.
+    pub fn new(relay: Arc<Relay<F>>, control: Arc<Control<F>>, store: S, domain: Domain) -> Self {
+        let log = relay.journal.log().clone();
+        Self { relay, control, store, domain, log, lease: None, edition: 0, failures: 0 }
+    }
+
+    /// Keeps the entry up to date for ever.
+    pub async fn run(&mut self) {
+        // Without a report there is nothing to tell but that the agent is there.
+        let first = tokio::time::timeout(FIRST_REPORT, self.control.changed.notified());
+        if first.await.is_err() {
+            info!(self.log, "no report yet");
+        }
+        let mut next = Next::Write;
+        loop {
+            let result = match next {
+                Next::Write => self.write().await,
+                Next::Renew => self.renew().await,
+                Next::Check => self.check().await,
+            };
+            match result {
+                Ok(done) => {
+                    if std::mem::take(&mut self.failures) > 0 {
+                        info!(self.log, "store regained"; "edition" => self.edition);
+                    }
+                    next = if done { Next::Renew } else { Next::Write };
+                    if !done {
+                        continue;
+                    }
+                }
+                Err(error) => {
+                    if self.failures == 0 {
+                        warn!(self.log, "store lost"; "cause" => %error);
+                    }
+                    self.failures += 1;
+                }
+            }
+            let pause = if self.failures > 0 { follower::pause(self.failures) } else { RENEWAL };
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.control.changed.notified() => next = Next::Write,
+                () = self.relay.unlisted.notified() => {
+                    if matches!(next, Next::Renew) {
+                        next = Next::Check;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Writes the entry for the last time, or removes it when nothing is left to be found here.
+    pub async fn end(&mut self, remove: bool) {
+        let call = async {
+            match self.lease {
+                Some(lease) if remove => self.store.revoke(lease).await.map(|()| true),
+                _ => self.write().await,
+            }
+        };
+        match tokio::time::timeout(LAST_CALL, call).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => warn!(self.log, "last call failed"; "cause" => %error),
+            Err(_) => warn!(self.log, "last call failed"; "cause" => "timeout"),
+        }
+    }
+
+    /// Writes the entry; false means that the lease has ended.
+    async fn write(&mut self) -> Result<bool> {
+        let lease = match self.lease {
+            Some(lease) => lease,
+            None => *self.lease.insert(self.store.grant(TERM).await?),
+        };
+        self.edition += 1;
+        let entry = self.entry();
+        let value = serde_json::to_string(&entry)
+            .map_err(|error| Error::Protocol(error.to_string().into()))?;
+        let key = format!("{MEMBERS}{}", entry.hop.instance);
+        if !self.store.publish(&key, &value, lease).await? {
+            self.lease = None;
+            return Ok(false);
+        }
+        self.relay.set_written(self.edition);
+        info!(self.log, "entry written"; "edition" => self.edition, "phase" => ?entry.phase,
+            "lease" => %lease);
+        Ok(true)
+    }
+
+    /// Looks whether the entry is there; false means that it is not. Keys can vanish while their
+    /// lease goes on, and a late write of an earlier life can replace them.
+    async fn check(&mut self) -> Result<bool> {
+        let key = format!("{MEMBERS}{}", self.relay.own().instance);
+        let found = self.store.get(&key).await?;
+        let entry = found.and_then(|item| serde_json::from_str::<Entry>(&item.value).ok());
+        let own = (self.relay.own(), self.edition);
+        let present = entry.is_some_and(|entry| (entry.hop, entry.edition) == own);
+        if present {
+            // The balancer that does not see it has lost the store.
+            self.relay.set_written(self.edition);
+        } else {
+            info!(self.log, "entry missing"; "edition" => self.edition);
+            self.lease = None;
+        }
+        Ok(present)
+    }
+
+    /// Renews the lease; false means that it has ended.
+    async fn renew(&mut self) -> Result<bool> {
+        let Some(lease) = self.lease else { return Ok(false) };
+        let held = self.store.renew(lease).await?;
+        if !held {
+            info!(self.log, "lease ended"; "lease" => %lease);
+            self.lease = None;
+        }
+        Ok(held)
+    }
+
+    fn entry(&self) -> Entry {
+        let monitor = self.relay.beliefs.monitor();
+        let report = monitor.last();
+        let ready = report.is_some_and(|report| report.phase == upstream::Phase::Ready);
+        let phase = if self.relay.is_stopping() {
+            Phase::Stopping
+        } else if ready && !monitor.is_gone() {
+            Phase::Ready
+        } else {
+            Phase::Draining
+        };
+        Entry {
+            hop: self.relay.own(),
+            edition: self.edition,
+            target: self.relay.beliefs.target,
+            domain: self.domain.clone(),
+            slots: report.map(|report| report.slots).unwrap_or_default(),
+            phase,
+        }
+    }
+}
--- /dev/null
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -0,0 +1,122 @@
+//! The filter chain of segments from balancers and other agents: service, ownership.
+
+use {
+    std::{
+        net::SocketAddrV4,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+    yuccacroft_core::{
+        filter::{Chain, Filter, Verdict},
+        handshake::{self, Decision, Offer, Reason, Table},
+        ids::Incarnation,
+        route::Target,
+        segment::Segment,
+        time::{Moment, Span},
+        upstream::Monitor,
+    },
+};
+
+/// Time after the start of an agent for which its upstream may hold flows from before: the longest
+/// life of a flow.
+const INHERITANCE: Span = Span::from_secs(60);
+
+/// How a segment came.
+#[derive(Clone, Debug)]
+pub enum Way {
+    /// It opens a flow of this service. The bytes are kept until the upstream has accepted it.
+    Open(Target, Offer, Box<[u8]>),
+    /// It belongs to a flow that must exist already.
+    Flow(SocketAddrV4, Reason),
+}
+
+/// A segment from a balancer or another agent.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// The head.
+    pub segment: Segment,
+    /// How it came.
+    pub way: Way,
+    /// The present moment.
+    pub now: Moment,
+}
+
+/// What the agent knows of its flows and its upstream.
+#[derive(Debug)]
+pub struct Beliefs {
+    /// The service of the upstream.
+    pub target: Target,
+    /// The life of the agent.
+    pub incarnation: Incarnation,
+    /// The flows.
+    pub table: Table,
+    monitor: Mutex<Monitor>,
+}
+
+/// Lets no new flow of another service pass: an address can serve another one by now.
+struct Service(Arc<Beliefs>);
+
+/// Decides from the flows that live here.
+struct Ownership(Arc<Beliefs>);
+
+/// Builds the chain.
+pub fn new(beliefs: &Arc<Beliefs>) -> Chain<Item, Decision> {
+    Chain::new(vec![Box::new(Service(beliefs.clone())), Box::new(Ownership(beliefs.clone()))])
+}
+
+impl Beliefs {
+    /// Creates the beliefs of an agent that knows nothing yet.
+    pub fn new(target: Target, incarnation: Incarnation, monitor: Monitor) -> Self {
+        Self { target, incarnation, table: Table::new(), monitor: Mutex::new(monitor) }
+    }
+
+    /// Returns the monitor of the upstream.
+    pub fn monitor(&self) -> MutexGuard<'_, Monitor> {
+        self.monitor.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns true when the upstream may hold flows that the agent does not know of, because they
+    /// began before the agent did.
+    pub fn is_unsure(&self, now: Moment) -> bool {
+        let monitor = self.monitor();
+        let older = monitor.last().is_none_or(|report| report.born < self.incarnation);
+        older && !monitor.is_gone() && now.since(Moment::default()) < INHERITANCE
+    }
+}
+
+impl Filter<Item> for Service {
+    type Decision = Decision;
+
+    fn name(&self) -> &'static str {
+        "service"
+    }
+
+    fn apply(&self, item: &mut Item) -> Verdict<Decision> {
+        match &item.way {
+            Way::Open(target, offer, _) if *target != self.0.target => {
+                Verdict::Done(handshake::next(offer.clone()))
+            }
+            _ => Verdict::Continue,
+        }
+    }
+}
+
+impl Filter<Item> for Ownership {
+    type Decision = Decision;
+
+    fn name(&self) -> &'static str {
+        "ownership"
+    }
+
+    fn apply(&self, item: &mut Item) -> Verdict<Decision> {
+        let (table, segment, now) = (&self.0.table, &item.segment, item.now);
+        Verdict::Done(match &item.way {
+            Way::Open(_, offer, datagram) => {
+                let accepting = self.0.monitor().is_accepting();
+                table.offer(segment, datagram, offer.clone(), accepting, now)
+            }
+            Way::Flow(origin, reason) => {
+                table.segment(segment, *origin, *reason, self.0.is_unsure(now), now)
+            }
+        })
+    }
+}
--- /dev/null
+++ b/yuccacroft-segment/src/agent/control.rs
@@ -0,0 +1,156 @@
+//! The controllers of an agent: reports of the upstream and the watch over its silence.
+
+use {
+    super::relay::Relay,
+    crate::platform::{Probe, Registrar},
+    slog::{info, warn},
+    std::{net::SocketAddrV4, sync::Arc, time::Duration},
+    tokio::{net::TcpStream, sync::Notify, time::MissedTickBehavior},
+    yuccacroft_core::{
+        ids::Incarnation,
+        segment::Format,
+        time::Span,
+        upstream::{Check, Id, Outcome, Report, Silence},
+    },
+};
+
+/// Pause between two steps.
+const TICK: Duration = Duration::from_millis(20);
+/// Steps between two messages about the load.
+const LOAD_TICKS: u64 = 10;
+/// Time between two steps after which this process itself stood still.
+const STALL: Span = Span::from_millis(400);
+/// Time for a connection to the upstream on the same machine.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The controllers.
+pub struct Control<F> {
+    relay: Arc<Relay<F>>,
+    upstream: SocketAddrV4,
+    /// Asks for the entry to be written, since the upstream has changed.
+    pub changed: Notify,
+}
+
+impl<F: Format> Control<F> {
+    /// Creates the controllers of a packet path.
+    pub fn new(relay: Arc<Relay<F>>, upstream: SocketAddrV4) -> Self {
+        Self { relay, upstream, changed: Notify::new() }
+    }
+
+    /// Lets time pass for ever.
+    pub async fn tick(&self) {
+        let mut interval = tokio::time::interval(TICK);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut last = self.relay.clock.now();
+        let mut told = None;
+        let mut count: u64 = 0;
+        loop {
+            interval.tick().await;
+            let now = self.relay.clock.now();
+            if now.since(last) >= STALL {
+                warn!(self.relay.journal.log(), "process stood still"; "for" => %now.since(last));
+                self.relay.beliefs.monitor().excuse(now);
+            }
+            last = now;
+            count += 1;
+            self.relay.tick(now);
+            self.judge();
+            let load = self.relay.load(now);
+            if count.is_multiple_of(LOAD_TICKS) && told != Some(load) {
+                told = Some(load);
+                self.relay.tell_load(now);
+            }
+        }
+    }
+
+    fn judge(&self) {
+        let now = self.relay.clock.now();
+        let (before, after, check) = {
+            let mut monitor = self.relay.beliefs.monitor();
+            let before = monitor.silence();
+            let check = monitor.judge(now);
+            (before, monitor.silence(), check)
+        };
+        if after != before {
+            info!(self.relay.journal.log(), "upstream judged"; "silence" => ?after,
+                "before" => ?before);
+            if after == Silence::Doubtful {
+                self.relay.release(now);
+                self.relay.tell_load(now);
+            }
+        }
+        if check {
+            let (relay, upstream) = (self.relay.clone(), self.upstream);
+            tokio::spawn(async move {
+                let result = check_port(upstream).await;
+                relay.checked(result, relay.clock.now());
+            });
+        }
+    }
+}
+
+async fn check_port(upstream: SocketAddrV4) -> Check {
+    match tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(upstream)).await {
+        Ok(Ok(_)) => Check::Connected,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Check::Refused,
+        // The caller logs the verdict that follows from this.
+        Ok(Err(_)) | Err(_) => Check::Silent,
+    }
+}
+
+impl<F: Format> Registrar for Control<F> {
+    fn report(&self, report: Report) {
+        let now = self.relay.clock.now();
+        let (id, born, number) = (report.id.clone(), report.born, report.number);
+        let phase = report.phase;
+        let (outcome, before) = {
+            let mut monitor = self.relay.beliefs.monitor();
+            let before = monitor.silence();
+            (monitor.report(report, now), before)
+        };
+        if outcome == Outcome::Unchanged && before == Silence::None {
+            return;
+        }
+        info!(self.relay.journal.log(), "upstream reported"; "outcome" => ?outcome, "id" => %id,
+            "born" => %born, "number" => %number, "phase" => ?phase);
+        match outcome {
+            Outcome::Unchanged => self.relay.tell_load(now),
+            Outcome::Late | Outcome::Foreign => {}
+            Outcome::Changed => {
+                self.relay.tell_load(now);
+                self.changed.notify_one();
+            }
+            Outcome::Reborn => {
+                self.relay.lose("upstream restarted", now);
+                self.relay.tell_load(now);
+                self.changed.notify_one();
+            }
+        }
+    }
+
+    fn depart(&self, id: &Id, born: Option<Incarnation>) {
+        let now = self.relay.clock.now();
+        let left = {
+            let mut monitor = self.relay.beliefs.monitor();
+            let known = monitor.last().map(|report| report.born);
+            (born.is_none() || born == known) && monitor.leave(id)
+        };
+        info!(self.relay.journal.log(), "upstream leaves"; "id" => %id, "known" => left);
+        if left {
+            self.relay.tell_load(now);
+            self.changed.notify_one();
+        }
+    }
+
+    fn unreadable(&self, cause: &str) {
+        if let Some(log) = self.relay.journal.line(self.relay.clock.now()) {
+            warn!(log, "report unreadable"; "cause" => cause);
+        }
+    }
+}
+
+impl<F: Format> Probe for Control<F> {
+    fn is_ready(&self) -> bool {
+        !self.relay.is_stopping()
+    }
+}
--- /dev/null
+++ b/yuccacroft-segment/src/balancer.rs
@@ -0,0 +1,9 @@
+//! The balancer: takes segments from callers and finds the agent for each.
+
+pub mod chain;
+pub mod control;
+pub mod process;
+pub mod relay;
+pub mod searches;
+
+pub use self::process::{Process, Settings};
--- /dev/null
+++ b/yuccacroft-segment/src/balancer/control.rs
@@ -0,0 +1,255 @@
+//! The controllers of a balancer: configuration, members and their reach.
+
+use {
+    super::relay::Relay,
+    crate::{
+        follower::{Follower, Sink},
+        platform::{Document, Platform, Probe},
+    },
+    slog::{info, warn},
+    std::{
+        collections::HashSet,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{sync::Notify, time::MissedTickBehavior},
+    yuccacroft_core::{
+        ids::Instance,
+        pool::{Change, Entry, Reach},
+        segment::Format,
+        time::{Moment, Span},
+    },
+    yuccacroft_store::store::{Changes, Item, Listing},
+};
+
+/// The store's keys of agents begin with this; the address of the agent follows.
+pub const MEMBERS: &str = "yuccacroft/agents/";
+/// Pause between changes of members: agents that start together cost one call.
+const MEMBERS_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two steps of the searches.
+const TICK: Duration = Duration::from_millis(25);
+/// Steps between two checks of the members that owe an answer.
+const CHECK_TICKS: u64 = 4;
+/// Steps between two questions to every member.
+const PING_TICKS: u64 = 40;
+/// Time between two steps after which this process itself stood still.
+const STALL: Span = Span::from_millis(400);
+/// Time from the first listing on after which the list of agents counts as complete: entries that
+/// lapsed are back within about two seconds.
+const CERTAINTY: Span = Span::from_millis(2_000);
+
+/// What a balancer believes and how it keeps up.
+pub struct Control<P: Platform> {
+    platform: P,
+    relay: Arc<Relay<P::Format>>,
+    stopping: AtomicBool,
+    isolated: AtomicBool,
+    listed: AtomicBool,
+    reach: Mutex<std::collections::HashMap<Instance, Reach>>,
+}
+
+struct Configuration<'a, P: Platform>(&'a Control<P>);
+
+struct Members<'a, P: Platform>(&'a Control<P>);
+
+impl<P: Platform> Control<P> {
+    /// Creates the controllers of a packet path.
+    pub fn new(platform: P, relay: Arc<Relay<P::Format>>) -> Self {
+        Self {
+            platform,
+            relay,
+            stopping: AtomicBool::new(false),
+            isolated: AtomicBool::new(false),
+            listed: AtomicBool::new(false),
+            reach: Mutex::default(),
+        }
+    }
+
+    /// Keeps up with the configuration for ever.
+    pub async fn follow_configuration(&self, store: &P::Store) {
+        let follower = Follower {
+            prefix: self.platform.config_key(),
+            pause: Duration::ZERO,
+            refresh: &self.relay.outdated,
+            log: self.relay.journal.log(),
+        };
+        follower.run(store, &Configuration(self)).await;
+    }
+
+    /// Keeps up with the members for ever.
+    pub async fn follow_members(&self, store: &P::Store) {
+        let refresh = Notify::new();
+        let follower = Follower {
+            prefix: MEMBERS,
+            pause: MEMBERS_PAUSE,
+            refresh: &refresh,
+            log: self.relay.journal.log(),
+        };
+        follower.run(store, &Members(self)).await;
+    }
+
+    /// Moves searches on and watches the reach of members for ever.
+    pub async fn tick(&self) {
+        let mut interval = tokio::time::interval(TICK);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut last = self.relay.clock.now();
+        let mut count: u64 = 0;
+        loop {
+            interval.tick().await;
+            let now = self.relay.clock.now();
+            if now.since(last) >= STALL {
+                warn!(self.relay.journal.log(), "process stood still"; "for" => %now.since(last));
+                self.relay.pool.excuse(now);
+            }
+            last = now;
+            count += 1;
+            self.relay.tick_searches(now);
+            if count.is_multiple_of(CHECK_TICKS) {
+                self.check(count.is_multiple_of(PING_TICKS), now);
+            }
+        }
+    }
+
+    /// Begins the shutdown: routers are told to send packets elsewhere.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    fn check(&self, ping_all: bool, now: Moment) {
+        let mut due = Vec::new();
+        let mut changes = Vec::new();
+        {
+            let mut known = self.reach.lock().unwrap_or_else(PoisonError::into_inner);
+            self.relay.pool.each(|member| {
+                let (instance, reach) = (member.entry.hop.instance, member.reach(now));
+                let quiet = Span::from(TICK).times(CHECK_TICKS);
+                if ping_all || member.owes(quiet, now) {
+                    due.push(instance);
+                }
+                if known.insert(instance, reach).unwrap_or(Reach::Good) != reach {
+                    changes.push((instance, reach));
+                }
+            });
+        }
+        for (instance, reach) in changes {
+            info!(self.relay.journal.log(), "reach changed"; "agent" => %instance,
+                "reach" => ?reach);
+        }
+        due.into_iter().for_each(|instance| self.relay.ping(instance, now));
+        for hop in self.relay.pool.expire(now) {
+            self.reach.lock().unwrap_or_else(PoisonError::into_inner).remove(&hop.instance);
+            info!(self.relay.journal.log(), "agent gone"; "agent" => %hop.instance,
+                "incarnation" => %hop.incarnation);
+        }
+        if ping_all {
+            self.relay.table.expire(now);
+        }
+        let isolated = self.relay.pool.is_isolated(now);
+        if self.isolated.swap(isolated, Ordering::Relaxed) != isolated {
+            warn!(self.relay.journal.log(), "isolation changed"; "isolated" => isolated);
+        }
+    }
+
+    fn apply_configuration(&self, item: &Item) {
+        let log = self.relay.journal.log();
+        let Document { routes: table, faults } = match self.platform.config(&item.value) {
+            Ok(document) => document,
+            Err(error) => {
+                warn!(log, "configuration unreadable"; "cause" => %error,
+                    "revision" => %item.revision);
+                return;
+            }
+        };
+        for fault in &faults {
+            warn!(log, "route left out"; "cause" => &**fault, "version" => %table.version);
+        }
+        let mut current = self.relay.current.write().unwrap_or_else(PoisonError::into_inner);
+        let known = current.as_ref().map_or_else(Default::default, |routes| routes.version);
+        if current.is_some() && table.version <= known {
+            return;
+        }
+        info!(log, "configuration in force"; "version" => %table.version, "before" => %known,
+            "routes" => table.len(), "revision" => %item.revision);
+        *current = Some(Arc::new(table));
+    }
+
+    fn apply_entry(&self, item: &Item, now: Moment) -> Option<Instance> {
+        let log = self.relay.journal.log();
+        let entry: Entry = match serde_json::from_str(&item.value) {
+            Ok(entry) => entry,
+            Err(error) => {
+                warn!(log, "entry unreadable"; "key" => &*item.key, "cause" => %error);
+                return None;
+            }
+        };
+        let (hop, phase, edition) = (entry.hop, entry.phase, entry.edition);
+        let change = self.relay.pool.list(entry, now);
+        if change != Change::None {
+            info!(log, "member listed"; "agent" => %hop.instance, "change" => ?change,
+                "incarnation" => %hop.incarnation, "edition" => edition, "phase" => ?phase,
+                "revision" => %item.revision);
+        }
+        if change == Change::Joined {
+            self.relay.ping(hop.instance, now);
+        }
+        Some(hop.instance)
+    }
+}
+
+impl<P: Platform> Probe for Control<P>
+where
+    P::Format: Format,
+{
+    fn is_ready(&self) -> bool {
+        let current = self.relay.current.read().unwrap_or_else(PoisonError::into_inner);
+        current.is_some()
+            && self.listed.load(Ordering::Relaxed)
+            && !self.isolated.load(Ordering::Relaxed)
+            && !self.stopping.load(Ordering::Relaxed)
+    }
+}
+
+impl<P: Platform> Sink for Configuration<'_, P> {
+    fn listed(&self, listing: Listing) {
+        let own = |item: &&Item| *item.key == *self.0.platform.config_key();
+        listing.items.iter().filter(own).for_each(|item| self.0.apply_configuration(item));
+    }
+
+    fn changed(&self, changes: Changes) {
+        let own = |item: &&Item| *item.key == *self.0.platform.config_key();
+        changes.items.iter().filter(own).for_each(|item| self.0.apply_configuration(item));
+    }
+}
+
+impl<P: Platform> Sink for Members<'_, P> {
+    fn listed(&self, listing: Listing) {
+        let control = self.0;
+        let now = control.relay.clock.now();
+        let entries = listing.items.iter();
+        let listed: HashSet<Instance> =
+            entries.filter_map(|item| control.apply_entry(item, now)).collect();
+        control.relay.pool.retain_listed(|instance| listed.contains(&instance), now);
+        if !control.listed.swap(true, Ordering::Relaxed) {
+            control.relay.set_certain_from(now + CERTAINTY);
+        }
+    }
+
+    fn changed(&self, changes: Changes) {
+        let control = self.0;
+        let now = control.relay.clock.now();
+        for item in &changes.items {
+            control.apply_entry(item, now);
+        }
+        for key in &changes.removed {
+            let instance = key.strip_prefix(MEMBERS).and_then(|text| text.parse().ok());
+            let Some(instance) = instance else { continue };
+            info!(control.relay.journal.log(), "member unlisted"; "agent" => %instance,
+                "revision" => %changes.revision);
+            control.relay.pool.unlist(instance, now);
+            control.relay.ping(instance, now);
+        }
+    }
+}
--- /dev/null
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -0,0 +1,154 @@
+//! The searches that a balancer has under way, with the segments that wait for their ends.
+
+use yuccacroft_core::{
+    controller::Controller,
+    flow::{Hop, Key},
+    pool::Pool,
+    route::Target,
+    search::{Action, Answer, Candidate, Event, Search},
+    segment::Segment,
+    shards::Shards,
+    time::Moment,
+};
+
+/// Segments of one flow that wait; a sender has at most 16 in flight and repeats the others.
+const MAX_WAITING: usize = 8;
+/// Searches under way at most, so that strangers cannot fill the memory.
+const MAX_SEARCHES: usize = 4_096;
+
+/// A flow whose owner is searched.
+#[derive(Debug)]
+pub struct Waiting {
+    /// The head of the newest segment.
+    pub segment: Segment,
+    /// The segments, the oldest first; agents get this one with the question.
+    pub datagrams: Vec<Box<[u8]>>,
+    target: Option<Target>,
+    search: Search,
+}
+
+/// What the shell does for one search.
+#[derive(Debug)]
+pub enum Step {
+    /// Sends a question with the segment to an agent.
+    Ask(Hop, Box<[u8]>),
+    /// Lets an agent probe its upstream with the segment.
+    Probe(Hop, Box<[u8]>),
+    /// The owner was found and has the first segment; it gets these too.
+    Found(Hop, Vec<Box<[u8]>>),
+    /// Nobody owns the flow: the caller is told.
+    Nobody(Segment),
+    /// The search ended without a result.
+    GiveUp(Segment),
+}
+
+/// All searches.
+#[derive(Debug, Default)]
+pub struct Searches {
+    waiting: Shards<Key, Waiting>,
+}
+
+impl Searches {
+    /// Begins the search for the owner of a segment's flow, or adds the segment to the one that is
+    /// under way. Returns false when there are too many searches.
+    pub fn add(
+        &self,
+        key: Key,
+        segment: Segment,
+        datagram: &[u8],
+        target: Option<Target>,
+        certain_from: Moment,
+        now: Moment,
+    ) -> bool {
+        let full = self.waiting.shard_len(&key) >= MAX_SEARCHES / self.waiting.count();
+        self.waiting.update(key, |slot| {
+            if slot.is_none() && full {
+                return false;
+            }
+            let waiting = slot.get_or_insert_with(|| Waiting {
+                segment,
+                datagrams: Vec::new(),
+                target,
+                search: Search::new(certain_from, now),
+            });
+            waiting.segment = segment;
+            if waiting.datagrams.len() < MAX_WAITING {
+                waiting.datagrams.push(datagram.into());
+            }
+            true
+        })
+    }
+
+    /// Takes the answer of an agent. `None` means that there is no such search.
+    pub fn answer(&self, key: Key, from: Hop, answer: Answer, now: Moment) -> Option<Vec<Step>> {
+        self.step(key, |_| Event::Answered(from, answer), now)
+    }
+
+    /// Moves one search on.
+    pub fn tick(&self, key: Key, pool: &Pool, now: Moment) -> Vec<Step> {
+        let candidates = |target| -> Box<[Candidate]> {
+            let all = pool.all(target).into_iter();
+            all.map(|hop| Candidate {
+                hop,
+                lost: pool.get(hop.instance).is_some_and(|member| member.is_lost(now)),
+            })
+            .collect()
+        };
+        self.step(key, |target| Event::Tick(candidates(target)), now).unwrap_or_default()
+    }
+
+    /// Returns the keys of all searches.
+    pub fn keys(&self) -> Vec<Key> {
+        self.waiting.fold(Vec::new(), |mut keys, key, _| {
+            keys.push(*key);
+            keys
+        })
+    }
+
+    /// Returns the number of searches.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns true when there is no search.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    fn step(
+        &self,
+        key: Key,
+        event: impl FnOnce(Option<Target>) -> Event,
+        now: Moment,
+    ) -> Option<Vec<Step>> {
+        self.waiting.update(key, |slot| {
+            let waiting = slot.as_mut()?;
+            let actions = waiting.search.step(event(waiting.target), now);
+            let mut steps = Vec::with_capacity(actions.len());
+            for action in actions {
+                match action {
+                    Action::Ask(hop) => steps.push(Step::Ask(hop, waiting.datagrams[0].clone())),
+                    Action::Probe(hop) => {
+                        steps.push(Step::Probe(hop, waiting.datagrams[0].clone()));
+                    }
+                    Action::Found(hop) => {
+                        let rest = waiting.datagrams.split_off(1);
+                        *slot = None;
+                        return Some(vec![Step::Found(hop, rest)]);
+                    }
+                    Action::Nobody => {
+                        let segment = waiting.segment;
+                        *slot = None;
+                        return Some(vec![Step::Nobody(segment)]);
+                    }
+                    Action::GiveUp => {
+                        let segment = waiting.segment;
+                        *slot = None;
+                        return Some(vec![Step::GiveUp(segment)]);
+                    }
+                }
+            }
+            Some(steps)
+        })
+    }
+}
--- /dev/null
+++ b/yuccacroft-segment/src/errors.rs
@@ -0,0 +1,38 @@
+//! Errors of the processes of the segment front end.
+
+use std::{
+    fmt::{Display, Formatter},
+    io,
+};
+
+/// The result of starting a process.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a process cannot start.
+#[derive(Debug)]
+pub enum Error {
+    /// A socket could not be opened.
+    Socket {
+        /// Which socket of the settings.
+        name: &'static str,
+        /// The cause.
+        cause: io::Error,
+    },
+}
+
+impl Error {
+    /// Returns a function that adds the name of a socket to its error.
+    pub fn socket(name: &'static str) -> impl FnOnce(io::Error) -> Self {
+        move |cause| Self::Socket { name, cause }
+    }
+}
+
+impl Display for Error {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Socket { name, cause } => write!(f, "socket {name}: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/yuccacroft-segment/src/platform.rs
@@ -0,0 +1,69 @@
+//! The contract between this front end and the adapter of a platform.
+
+use {
+    axum::Router,
+    std::{fmt::Display, net::SocketAddr, sync::Arc},
+    yuccacroft_core::{
+        ids::Incarnation,
+        route::Table,
+        segment::Format,
+        upstream::{Id, Report},
+    },
+    yuccacroft_store::store::Store,
+};
+
+/// A platform. An implementer translates and decides nothing.
+pub trait Platform: Clone + Send + Sync + 'static {
+    /// Why something of the platform could not be read.
+    type Error: Display;
+    /// The encoding of segments.
+    type Format: Format;
+    /// The client of the store.
+    type Store: Store + Clone;
+
+    /// Returns the encoding of segments.
+    fn format(&self) -> Self::Format;
+
+    /// Creates a client of the store.
+    fn store(&self, address: SocketAddr) -> Self::Store;
+
+    /// Returns the store's key of the configuration.
+    fn config_key(&self) -> &'static str;
+
+    /// Reads a configuration. On an error the one in force stays.
+    fn config(&self, text: &str) -> Result<Document, Self::Error>;
+
+    /// Builds the interface by which routers learn whether a process takes packets.
+    fn readiness(&self, probe: Arc<dyn Probe>) -> Router;
+
+    /// Builds the interface to which upstreams report. An answer confirms that the registrar has
+    /// acted on the call.
+    fn registrations(&self, registrar: Arc<dyn Registrar>) -> Router;
+}
+
+/// A configuration as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Document {
+    /// What can be put in force.
+    pub routes: Table,
+    /// Why each unreadable route was left out.
+    pub faults: Box<[Box<str>]>,
+}
+
+/// A process that routers ask whether it takes packets.
+pub trait Probe: Send + Sync {
+    /// Returns true while the process can serve what it is sent.
+    fn is_ready(&self) -> bool;
+}
+
+/// A process that upstreams report to. It has acted on a call when the call returns.
+pub trait Registrar: Send + Sync {
+    /// Takes a report.
+    fn report(&self, report: Report);
+
+    /// Notes that an upstream ends now; `born` tells which life of it, if known.
+    fn depart(&self, id: &Id, born: Option<Incarnation>);
+
+    /// Counts a call that could not be read.
+    fn unreadable(&self, cause: &str);
+}
--- a/yuccacroft-platform/src/etcd.rs
+++ b/yuccacroft-store/src/etcd.rs
@@ -131,7 +131,7 @@
         let (key, value) = (STANDARD.encode(key), STANDARD.encode(value));
         let expected = Expected::Mod { mod_revision: base.to_string().into() };
         let query = Transaction {
-            compare: [Compare { key: &key, result: "EQUAL", expected }],
+            compare: &[Compare { key: &key, result: "EQUAL", expected }],
             success: [Operation::RequestPut { key: &key, value: &value, lease: None }],
             failure: [Operation::RequestRange(Range { key: &key, range_end: None })],
         };
@@ -151,6 +151,22 @@
         Ok(Watch::new(watch::notices(response.into_body())))
     }
 
+    async fn publish(&self, key: &str, value: &str, lease: Id) -> Result<bool> {
+        let (key, value) = (STANDARD.encode(key), STANDARD.encode(value));
+        let lease = Some(lease.to_string().into());
+        let query = Transaction {
+            compare: &[],
+            success: [Operation::RequestPut { key: &key, value: &value, lease }],
+            failure: [Operation::RequestRange(Range { key: &key, range_end: None })],
+        };
+        match self.transact(&query).await {
+            Ok(_) => Ok(true),
+            // The gateway refuses a write under a lease that it does not know.
+            Err(Error::Protocol(_)) => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
     async fn grant(&self, term: Span) -> Result<Id> {
         let seconds = (term.as_millis() / MILLIS_PER_SECOND).max(1).to_string().into();
         let answer: GrantAnswer = self.call("/v3/lease/grant", &GrantQuery { seconds }).await?;
@@ -174,7 +190,7 @@
         let expected = Expected::Mod { mod_revision: "0".into() };
         let lease = Some(lease.to_string().into());
         let query = Transaction {
-            compare: [Compare { key: &key, result: "EQUAL", expected }],
+            compare: &[Compare { key: &key, result: "EQUAL", expected }],
             success: [Operation::RequestPut { key: &key, value: &value, lease }],
             failure: [Operation::RequestRange(Range { key: &key, range_end: None })],
         };
@@ -192,7 +208,7 @@
         let claimed = STANDARD.encode(claimed);
         let expected = Expected::Lease { lease: permit.lease().to_string().into() };
         let query = Transaction {
-            compare: [Compare { key: &claimed, result: "EQUAL", expected }],
+            compare: &[Compare { key: &claimed, result: "EQUAL", expected }],
             success: [Operation::RequestPut { key: &key, value: &value, lease: None }],
             failure: [Operation::RequestRange(Range { key: &claimed, range_end: None })],
         };
--- a/yuccacroft-platform/src/etcd/query.rs
+++ b/yuccacroft-store/src/etcd/query.rs
@@ -41,7 +41,7 @@
 
 #[derive(Serialize)]
 pub(super) struct Transaction<'a> {
-    pub compare: [Compare<'a>; 1],
+    pub compare: &'a [Compare<'a>],
     pub success: [Operation<'a>; 1],
     pub failure: [Operation<'a>; 1],
 }
--- a/yuccacroft-platform/src/etcd/watch.rs
+++ b/yuccacroft-store/src/etcd/watch.rs
@@ -1,10 +1,10 @@
 //! The stream of a watch: one JSON object a line.
 
 use {
-    super::query::{Header, Pair, item, protocol, revision},
+    super::query::{Header, Pair, item, protocol, revision, text},
     crate::{
         errors::{Error, Result},
-        store::{Item, Listing, Notice},
+        store::{Changes, Item, Notice},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::BytesMut,
@@ -120,8 +120,17 @@
     if result.events.is_empty() {
         return Ok(None);
     }
-    let written = result.events.into_iter().filter(|event| &*event.kind != "DELETE");
-    let items: Result<Vec<Item>> = written.map(|event| item(event.kv)).collect();
+    let (mut items, mut removed) = (Vec::new(), Vec::new());
+    for event in result.events {
+        let key = text(&event.kv.key)?;
+        removed.retain(|gone| *gone != key);
+        if &*event.kind == "DELETE" {
+            items.retain(|written: &Item| written.key != key);
+            removed.push(key);
+        } else {
+            items.push(item(event.kv)?);
+        }
+    }
     let revision = revision(&result.header.revision)?;
-    Ok(Some(Notice::Changed(Listing { revision, items: items?.into() })))
+    Ok(Some(Notice::Changed(Changes { revision, items: items.into(), removed: removed.into() })))
 }
--- a/yuccacroft-platform/src/store.rs
+++ b/yuccacroft-store/src/store.rs
@@ -37,6 +37,17 @@
     pub items: Box<[Item]>,
 }
 
+/// What happened to the keys with a prefix up to one revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changes {
+    /// The revision up to which the changes are known.
+    pub revision: Revision,
+    /// The keys that were written and still exist, in the order of their writes.
+    pub items: Box<[Item]>,
+    /// The keys that were removed and not written again.
+    pub removed: Box<[Box<str>]>,
+}
+
 /// The outcome of a conditional write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -49,8 +60,8 @@
 /// What a watch tells.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Notice {
-    /// Keys were written, in this order. Removed keys are left out.
-    Changed(Listing),
+    /// Keys were written or removed.
+    Changed(Changes),
     /// The history from the wanted revision on is gone. The watch has ended; a new listing shows
     /// the present state.
     Compacted(Revision),
@@ -103,6 +114,15 @@
     /// waits.
     fn watch(&self, prefix: &str, from: Revision) -> impl Future<Output = Result<Watch>> + Send;
 
+    /// Writes a key that lives as long as a lease, whatever it held before; false means that the
+    /// lease has ended.
+    fn publish(
+        &self,
+        key: &str,
+        value: &str,
+        lease: Id,
+    ) -> impl Future<Output = Result<bool>> + Send;
+
     /// Creates a lease with a term in whole seconds.
     fn grant(&self, term: Span) -> impl Future<Output = Result<Id>> + Send;
 
--- a/yuccacroft-platform/tests/watch.rs
+++ b/yuccacroft-store/tests/watch.rs
@@ -8,7 +8,7 @@
         time::{Moment, Span},
     },
     yuccacroft_fakes::store::{Kind, Store as Fake},
-    yuccacroft_platform::{
+    yuccacroft_store::{
         errors::Error,
         etcd::Gateway,
         store::{Notice, Outcome, Store, Watch},
--- a/yuccacroft-wire/src/lib.rs
+++ b/yuccacroft-wire/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod invariant;
 pub mod message;
 pub mod proxy;
+pub mod relay;
 pub mod seal;
--- a/yuccacroft/src/cli.rs
+++ b/yuccacroft/src/cli.rs
@@ -3,6 +3,7 @@
 mod check;
 mod operate;
 mod role;
+mod segment;
 
 use {
     crate::{
--- a/yuccacroft/src/cli/check.rs
+++ b/yuccacroft/src/cli/check.rs
@@ -3,7 +3,10 @@
 use {
     crate::{
         errors::{Error, Result},
-        settings,
+        settings::{
+            self,
+            segment::{self, SECTION},
+        },
     },
     argh::FromArgs,
     std::path::{Path, PathBuf},
@@ -65,10 +68,18 @@
         Contract::parse(&name, &text)?.check(&name)?;
         Ok(Content::Contract)
     } else if reader.has("service") || reader.has("upstream") {
-        settings::agent(file)?;
+        if reader.has(SECTION) {
+            segment::agent(file)?;
+        } else {
+            settings::agent(file)?;
+        }
         Ok(Content::Agent)
     } else {
-        settings::balancer(file)?;
+        if reader.has(SECTION) {
+            segment::balancer(file)?;
+        } else {
+            settings::balancer(file)?;
+        }
         Ok(Content::Balancer)
     }
 }
--- a/yuccacroft/src/demo/system.rs
+++ b/yuccacroft/src/demo/system.rs
@@ -25,8 +25,8 @@
     yuccacroft_fakes::{
         certificate::Certificate, fabric::Fabric, store::Store, upstream::Upstream,
     },
-    yuccacroft_platform::{etcd::Gateway, store::Store as _},
     yuccacroft_rpc::admin::Access,
+    yuccacroft_store::{etcd::Gateway, store::Store as _},
 };
 
 /// The customer.
--- a/yuccacroft/src/errors.rs
+++ b/yuccacroft/src/errors.rs
@@ -34,6 +34,8 @@
     Balancer(yuccacroft_balancer::errors::Error),
     /// The agent failed.
     Agent(yuccacroft_agent::errors::Error),
+    /// A process of the segment front end cannot start.
+    Segment(yuccacroft_segment::errors::Error),
     /// The runtime or a signal handler could not be set up.
     System(io::Error),
     /// The command line or a file that it names cannot be used.
@@ -55,6 +57,7 @@
             Self::Settings(error) => write!(f, "{error}"),
             Self::Balancer(error) => write!(f, "balancer: {error}"),
             Self::Agent(error) => write!(f, "agent: {error}"),
+            Self::Segment(error) => write!(f, "segments: {error}"),
             Self::System(error) => write!(f, "system: {error}"),
             Self::Usage(cause) => write!(f, "{cause}"),
             Self::Unreachable(cause) => write!(f, "unreachable, nothing was changed: {cause}"),
--- a/yuccacroft/src/logs.rs
+++ b/yuccacroft/src/logs.rs
@@ -10,10 +10,20 @@
     },
 };
 
-/// Creates a logger that writes to standard error from `level` up.
-pub fn logger(level: Level, process: &str) -> Logger {
-    let lines = Lines { level, output: Mutex::new(std::io::stderr()) };
-    Logger::root(lines.fuse(), o!("process" => process.to_owned()))
+/// Lines that wait for a slow reader of standard output; further ones are dropped and counted.
+const QUEUE_LINES: usize = 2_048;
+
+/// Writes the lines that wait when it is dropped.
+pub type Flush = slog_async::AsyncGuard;
+
+/// Creates a logger that writes to standard output from `level` up and never waits for its reader.
+pub fn logger(level: Level, process: &str) -> (Logger, Flush) {
+    let lines = Lines { level, output: Mutex::new(std::io::stdout()) };
+    let (drain, flush) = slog_async::Async::new(lines.fuse())
+        .chan_size(QUEUE_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    (Logger::root(drain.fuse(), o!("process" => process.to_owned())), flush)
 }
 
 /// Creates a logger that drops everything.
@@ -23,7 +33,7 @@
 
 struct Lines {
     level: Level,
-    output: Mutex<std::io::Stderr>,
+    output: Mutex<std::io::Stdout>,
 }
 
 struct Line(String);
--- a/yuccacroft/src/settings.rs
+++ b/yuccacroft/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings files of processes, checked as a whole before anything starts.
 
+pub mod segment;
+
 use {
     crate::errors::{Error, Result},
     rustls_pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
--- a/yuccacroft/tests/faults/fleet/files.rs
+++ b/yuccacroft/tests/faults/fleet/files.rs
@@ -43,9 +43,11 @@
         let mut options = OpenOptions::new();
         options.create(true).write(true).truncate(true);
         let log = options.open(self.0.join(format!("{name}.log"))).unwrap();
+        // Log lines go to standard output, a fault in the settings to standard error.
+        let lines = log.try_clone().unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_yuccacroft"));
         command.arg(role).arg("--settings").arg(file);
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn().unwrap()
+        command.stdin(Stdio::null()).stdout(lines).stderr(log).spawn().unwrap()
     }
 
     pub fn log(&self, node: &super::Node) -> String {
--- a/yuccacroft/tests/faults/fleet/mod.rs
+++ b/yuccacroft/tests/faults/fleet/mod.rs
@@ -25,7 +25,7 @@
         valve::Valve,
         viewer::Viewer,
     },
-    yuccacroft_platform::{etcd::Gateway, store::Store as _},
+    yuccacroft_store::{etcd::Gateway, store::Store as _},
 };
 
 /// The name of the service that callers use.
--- a/yuccacroft/tests/support/mod.rs
+++ b/yuccacroft/tests/support/mod.rs
@@ -14,7 +14,7 @@
     yuccacroft_fakes::{
         caller::Caller, certificate::Certificate, fabric::Fabric, store::Store, upstream::Upstream,
     },
-    yuccacroft_platform::{etcd::Gateway, store::Store as _},
+    yuccacroft_store::{etcd::Gateway, store::Store as _},
 };
 
 /// The name of the service in certificates.
