Let requests wait at the agent while its upstream is busy

Balancers learned of the store's return up to 0.9 s late, agents waited up to one report interval before they took flows, and lost flows were reset only two seconds after the first listing.

Change: core::backlog orders waiting requests by due time and importance; the count of requests in progress is compared with the load in the upstream's answers. Processes without knowledge call the store every 110 ms. Leases last 24 s. An agent takes flows before the first report. Denials of agents that are all younger than 10 s are certain at once.

--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -35,6 +35,16 @@
 const ABSENCE_MEMORY: Span = Span::from_secs(10);
 /// Time after which a silent flow is forgotten: the longest life of a flow.
 const FLOW_MEMORY: Span = Span::from_secs(60);
+/// Mean service times after which a request without an answer does not count as in progress any
+/// more; long ones take seven times the mean.
+const PATIENCE_FACTOR: u64 = 8;
+/// Shortest time after which a request without an answer does not count as in progress any more.
+const SHORTEST_PATIENCE: Span = Span::from_millis(150);
+/// Longest time after which a request without an answer does not count as in progress any more:
+/// longer than the longest request.
+const LONGEST_PATIENCE: Span = Span::from_millis(400);
+/// Answers of the upstream whose load is compared with the count of requests in progress.
+const SURPLUS_REPORTS: usize = 4;
 /// Part of the mean service time that one request replaces is one in this number.
 const MEAN_WEIGHT: u64 = 16;
 /// Agents that one opening segment may visit.
@@ -82,6 +92,8 @@
     },
     /// The upstream has lost the flow; the caller is told, with this position.
     Reset(Sequence),
+    /// It waits until the upstream has room for another request.
+    Hold,
     /// It is dropped for this cause; the caller sends it again.
     Drop(&'static str),
 }
@@ -150,7 +162,10 @@
     /// The end of the data that the caller sent; unknown until it sends some.
     received: Option<Sequence>,
     seen: Moment,
-    request: Option<Moment>,
+    /// The request that the upstream works on.
+    request: Option<Work>,
+    /// Whether a request waits in the backlog.
+    held: bool,
     /// Whether the upstream itself showed that it holds the flow.
     proved: bool,
     finished: bool,
@@ -163,6 +178,23 @@
     open: AtomicU32,
     active: AtomicU32,
     mean: Mutex<Span>,
+    surplus: Mutex<Surplus>,
+}
+
+/// By how much the count of requests in progress exceeded what the upstream said of itself, in its
+/// last answers. Requests that ended unseen exceed it all the time, requests on their way only now
+/// and then.
+#[derive(Debug, Default)]
+struct Surplus {
+    last: [u32; SURPLUS_REPORTS],
+    next: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Work {
+    begun: Moment,
+    /// Whether it counts among the requests in progress.
+    counted: bool,
 }
 
 impl Decision {
@@ -175,6 +207,7 @@
             Self::Refuse(_) => "refuse",
             Self::Deny { .. } => "deny",
             Self::Reset(_) => "reset",
+            Self::Hold => "hold",
             Self::Drop(_) => "drop",
         }
     }
@@ -214,32 +247,38 @@
     }
 
     /// Decides about a later segment. `unsure` tells whether the upstream may hold flows that the
-    /// agent does not know of.
+    /// agent does not know of. A request beyond the number of `room` waits.
     pub fn segment(
         &self,
         segment: &Segment,
         origin: SocketAddrV4,
         reason: Reason,
         unsure: bool,
+        room: u32,
         now: Moment,
     ) -> Decision {
         let confirmed = if reason == Reason::Owner { Decision::Deliver } else { Decision::Confirm };
         self.entries.update(segment.flow.key(), |slot| {
             match slot.as_mut().map(|entry| &mut entry.state) {
                 Some(State::Open(open)) => {
-                    self.receive(open, segment, now);
-                    confirmed
+                    if self.receive(open, segment, room, now) {
+                        confirmed
+                    } else {
+                        Decision::Hold
+                    }
                 }
                 Some(State::Offered { accepted: Some(accepted), .. })
                     if segment.acknowledged == accepted.next() =>
                 {
-                    let open = self.begin(segment, true, now);
+                    let mut open = self.begin(Some(segment.acknowledged), true, now);
+                    let deliver = self.receive(&mut open, segment, room, now);
                     *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
-                    confirmed
+                    if deliver { confirmed } else { Decision::Hold }
                 }
                 Some(State::Offered { .. }) => Decision::Deny { origin, unsure: false },
                 Some(State::Probed { since, .. }) if now.since(*since) >= BOUNCE_TIMEOUT => {
-                    let open = self.begin(segment, false, now);
+                    let mut open = self.begin(Some(segment.acknowledged), false, now);
+                    self.receive(&mut open, segment, u32::MAX, now);
                     *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
                     Decision::Confirm
                 }
@@ -259,6 +298,16 @@
         })
     }
 
+    /// Compares the requests in progress with what the upstream says of itself in an answer, the
+    /// request of this answer included.
+    pub fn compare(&self, reported: u32) {
+        let counted = self.active.load(Ordering::Relaxed);
+        let mut surplus = self.surplus.lock().unwrap_or_else(PoisonError::into_inner);
+        let next = surplus.next;
+        surplus.last[next] = counted.saturating_sub(reported);
+        surplus.next = (next + 1) % SURPLUS_REPORTS;
+    }
+
     /// Notes what the upstream sends to a caller. Returns the time that a request took when this is
     /// the first part of its answer.
     pub fn reply(&self, segment: &Segment, now: Moment) -> Option<Span> {
@@ -282,7 +331,7 @@
                 (_, Some(State::Open(open))) => self.send(open, segment, now),
                 (_, _) => {
                     // Only an upstream that holds the flow sends on it.
-                    let mut open = self.begin_at(Some(segment.sequence), true, now);
+                    let mut open = self.begin(Some(segment.sequence), true, now);
                     let time = self.send(&mut open, segment, now);
                     *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
                     time
@@ -307,8 +356,8 @@
                     *slot = Some(Entry { flow: entry.flow, state: State::Open(open) });
                     Decision::Drop("late copy")
                 }
-                State::Open(open) => {
-                    self.end(&open);
+                State::Open(mut open) => {
+                    self.end(&mut open);
                     *slot = Some(absent);
                     if open.proved {
                         Decision::Reset(segment.acknowledged)
@@ -328,6 +377,10 @@
     /// forgotten.
     pub fn tick(&self, now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
+        // A request that a caller has given up, or that the upstream had before the agent began,
+        // may have no end that the agent sees.
+        let patience = self.service_time().times(PATIENCE_FACTOR);
+        let patience = patience.clamp(SHORTEST_PATIENCE, LONGEST_PATIENCE);
         self.entries.retain(|_, entry| {
             let flow = entry.flow;
             match &mut entry.state {
@@ -342,11 +395,18 @@
                 State::Probed { origin, since } => {
                     if now.since(*since) >= BOUNCE_TIMEOUT {
                         actions.push(Action::Confirm { flow, origin: *origin });
-                        entry.state = State::Open(self.begin_at(None, false, now));
+                        entry.state = State::Open(self.begin(None, false, now));
                     }
                     true
                 }
                 State::Open(open) => {
+                    if let Some(work) = &mut open.request
+                        && work.counted
+                        && now.since(work.begun) >= patience
+                    {
+                        work.counted = false;
+                        self.active.fetch_sub(1, Ordering::Relaxed);
+                    }
                     let keep = now.since(open.seen) < FLOW_MEMORY;
                     if !keep {
                         self.end(open);
@@ -377,7 +437,7 @@
     pub fn lose(&self) -> Vec<Lost> {
         let mut lost = Vec::new();
         self.entries.retain(|_, entry| {
-            if let State::Open(open) = &entry.state {
+            if let State::Open(open) = &mut entry.state {
                 // Without a segment of the caller any position is as good as another.
                 let acknowledged = open.acknowledged.unwrap_or_default();
                 let busy = open.request.is_some();
@@ -396,7 +456,9 @@
 
     /// Returns the number of requests in progress.
     pub fn active(&self) -> u32 {
-        self.active.load(Ordering::Relaxed)
+        let surplus = self.surplus.lock().unwrap_or_else(PoisonError::into_inner);
+        let least = surplus.last.iter().copied().min().unwrap_or_default();
+        self.active.load(Ordering::Relaxed).saturating_sub(least)
     }
 
     /// Returns the mean time from a request to the first byte of its answer.
@@ -404,32 +466,70 @@
         *self.mean.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn begin(&self, segment: &Segment, proved: bool, now: Moment) -> Open {
-        let mut open = self.begin_at(Some(segment.acknowledged), proved, now);
-        self.receive(&mut open, segment, now);
-        open
-    }
-
-    fn begin_at(&self, acknowledged: Option<Sequence>, proved: bool, now: Moment) -> Open {
+    fn begin(&self, acknowledged: Option<Sequence>, proved: bool, now: Moment) -> Open {
         self.open.fetch_add(1, Ordering::Relaxed);
-        Open { acknowledged, received: None, seen: now, request: None, proved, finished: false }
+        Open {
+            acknowledged,
+            received: None,
+            seen: now,
+            request: None,
+            held: false,
+            proved,
+            finished: false,
+        }
     }
 
-    /// Notes a segment of the caller. New data is taken for a request.
-    fn receive(&self, open: &mut Open, segment: &Segment, now: Moment) {
+    /// Notes a segment of the caller. New data is taken for a request; false means that it waits.
+    fn receive(&self, open: &mut Open, segment: &Segment, room: u32, now: Moment) -> bool {
         open.seen = now;
         let known = open.acknowledged.unwrap_or(segment.acknowledged);
         open.acknowledged = Some(segment.acknowledged.latest(known));
+        if matches!(segment.control, Control::Finish | Control::Reset) {
+            self.finish(open);
+        }
+        if segment.length == 0 {
+            return true;
+        }
         let end = Sequence::new(segment.sequence.get().wrapping_add(u32::from(segment.length)));
         let is_new = open.received.is_none_or(|received| end.is_after(received));
-        if segment.length > 0 && is_new {
+        if is_new {
             open.received = Some(end);
-            if open.request.replace(now).is_none() {
-                self.active.fetch_add(1, Ordering::Relaxed);
-            }
+            open.held |= open.request.is_none() && !open.finished && self.active() >= room;
         }
-        if matches!(segment.control, Control::Finish | Control::Reset) {
-            self.finish(open);
+        if open.held {
+            return false;
+        }
+        if is_new {
+            self.work(open, now);
+        }
+        true
+    }
+
+    /// Hands a request that waited to the upstream. Returns false when its flow has ended.
+    pub fn start(&self, key: Key, now: Moment) -> bool {
+        self.entries.update(key, |slot| match slot.as_mut().map(|entry| &mut entry.state) {
+            Some(State::Open(open)) if open.held => {
+                open.held = false;
+                self.work(open, now);
+                true
+            }
+            _ => false,
+        })
+    }
+
+    /// Notes that the caller of a request that waited has given up.
+    pub fn forgo(&self, key: Key) {
+        self.entries.update(key, |slot| {
+            if let Some(State::Open(open)) = slot.as_mut().map(|entry| &mut entry.state) {
+                open.held = false;
+            }
+        });
+    }
+
+    fn work(&self, open: &mut Open, now: Moment) {
+        if open.request.is_none() {
+            open.request = Some(Work { begun: now, counted: true });
+            self.active.fetch_add(1, Ordering::Relaxed);
         }
     }
 
@@ -437,11 +537,8 @@
     fn send(&self, open: &mut Open, segment: &Segment, now: Moment) -> Option<Span> {
         open.seen = now;
         open.proved = true;
-        let begun = if segment.length > 0 { open.request.take() } else { None };
-        let time = begun.map(|begun| now.since(begun)).inspect(|time| {
-            self.active.fetch_sub(1, Ordering::Relaxed);
-            self.learn(*time);
-        });
+        let work = if segment.length > 0 { self.end_work(open) } else { None };
+        let time = work.map(|work| now.since(work.begun)).inspect(|time| self.learn(*time));
         if segment.control == Control::Finish {
             self.finish(open);
         }
@@ -459,18 +556,22 @@
         if !std::mem::replace(&mut open.finished, true) {
             self.open.fetch_sub(1, Ordering::Relaxed);
         }
-        if open.request.take().is_some() {
-            self.active.fetch_sub(1, Ordering::Relaxed);
-        }
+        self.end_work(open);
     }
 
-    fn end(&self, open: &Open) {
+    fn end(&self, open: &mut Open) {
         if !open.finished {
             self.open.fetch_sub(1, Ordering::Relaxed);
         }
-        if open.request.is_some() {
+        self.end_work(open);
+    }
+
+    fn end_work(&self, open: &mut Open) -> Option<Work> {
+        let work = open.request.take();
+        if work.is_some_and(|work| work.counted) {
             self.active.fetch_sub(1, Ordering::Relaxed);
         }
+        work
     }
 }
 
--- a/yuccacroft-core/src/lib.rs
+++ b/yuccacroft-core/src/lib.rs
@@ -10,6 +10,7 @@
 mod derive;
 
 pub mod admission;
+pub mod backlog;
 pub mod capacity;
 pub mod contract;
 pub mod controller;
--- a/yuccacroft-core/src/route.rs
+++ b/yuccacroft-core/src/route.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{rendezvous::digest, time::Span},
+    serde::{Deserialize, Serialize},
     std::{
         collections::HashMap,
         fmt::{Display, Formatter},
@@ -10,6 +11,11 @@
     },
 };
 
+/// Objective of requests whose route is not known.
+const DEFAULT_OBJECTIVE: Span = Span::from_millis(200);
+/// Timeout of requests whose route is not known.
+const DEFAULT_TIMEOUT: Span = Span::from_secs(3);
+
 newtype! {
     /// The version of a configuration as its operator numbers it. A process never goes back.
     Version(u64), "a version number"
@@ -24,9 +30,21 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Name(Box<str>);
 
-/// The importance of a route: zero is the highest.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Priority(u8);
+newtype! {
+    /// The importance of requests: zero is the highest.
+    Priority(u8), "a priority"
+}
+
+/// What the requests of a route are worth and how long they last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Class {
+    /// Their importance.
+    pub priority: Priority,
+    /// The time within which an answer is of full use.
+    pub objective: Span,
+    /// The time after which a caller has given up.
+    pub timeout: Span,
+}
 
 /// Where new flows to an address go: each service with its share.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,8 +52,8 @@
     /// The services that take new flows, with their relative shares. The shares sum up to more
     /// than zero.
     pub shares: Box<[Share]>,
-    /// The importance of the requests inside.
-    pub priority: Priority,
+    /// The class of the requests inside.
+    pub class: Class,
 }
 
 /// One service of a route.
@@ -86,10 +104,14 @@
     }
 }
 
-impl Priority {
-    /// Wraps a priority.
-    pub const fn new(value: u8) -> Self {
-        Self(value)
+impl Default for Class {
+    /// Returns the class of requests whose route is not known: the least important ones.
+    fn default() -> Self {
+        Self {
+            priority: Priority::new(u8::MAX),
+            objective: DEFAULT_OBJECTIVE,
+            timeout: DEFAULT_TIMEOUT,
+        }
     }
 }
 
--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -21,13 +21,20 @@
 /// Time after which a search ends without a result. The next segment of the flow begins another.
 const LIMIT: Span = Span::from_secs(3);
 
+/// Time since its start for which an agent counts as fresh. When all agents are fresh, the whole
+/// system has been restarted, and there is no older agent that the list could lack.
+const FRESH: Span = Span::from_secs(10);
+
 /// What an agent says of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
     /// It owns the flow and has delivered the segment.
     Owns,
-    /// It does not own the flow.
-    Denies,
+    /// It does not own the flow, as far as it has known since its start.
+    Denies {
+        /// The time since its start.
+        uptime: Span,
+    },
     /// It cannot tell: its upstream is older than itself.
     Unsure,
 }
@@ -82,6 +89,12 @@
     lost: bool,
 }
 
+impl Answer {
+    fn is_denial(self) -> bool {
+        matches!(self, Self::Denies { .. })
+    }
+}
+
 impl Search {
     /// Begins a search. Until `certain_from` the list of agents may be incomplete, so that no
     /// number of denials means that the flow is lost.
@@ -98,7 +111,7 @@
             asked.lost = false;
             // The bounce of a probe is as good as a denial, and a late answer to the question
             // before it is not.
-            if !asked.probed || answer == Answer::Denies {
+            if !asked.probed || answer.is_denial() {
                 asked.answer = Some(answer);
             }
         }
@@ -116,7 +129,7 @@
                 Asked { hop, at: now, probed: false, answer: None, lost }
             });
             asked.lost = lost;
-            let denied = asked.answer == Some(Answer::Denies);
+            let denied = asked.answer.is_some_and(Answer::is_denial);
             if !denied && now.since(asked.at) >= REPEAT && (asked.answer.is_none() || asked.probed)
             {
                 asked.at = now;
@@ -147,8 +160,14 @@
                 .collect();
         }
         // With no denial at all it is this balancer that is cut off.
-        let denied = self.asked.values().any(|asked| asked.answer == Some(Answer::Denies));
-        if denied && now >= self.certain_from { vec![Action::Nobody] } else { Vec::new() }
+        let mut uptimes = self.asked.values().filter_map(|asked| match asked.answer {
+            Some(Answer::Denies { uptime }) => Some(uptime),
+            _ => None,
+        });
+        let Some(first) = uptimes.next() else { return Vec::new() };
+        let oldest = uptimes.fold(first, Span::max);
+        let certain = now >= self.certain_from || oldest < FRESH;
+        if certain { vec![Action::Nobody] } else { Vec::new() }
     }
 }
 
--- a/yuccacroft-core/src/segment.rs
+++ b/yuccacroft-core/src/segment.rs
@@ -79,6 +79,10 @@
     /// Reads a datagram that came from an upstream.
     fn outbound(&self, datagram: &[u8]) -> Result<Outbound, Self::Error>;
 
+    /// Returns the requests that the upstream has in progress, the answered one included, when the
+    /// datagram begins an answer that tells them.
+    fn progress(&self, datagram: &[u8]) -> Option<u32>;
+
     /// Turns a bounced segment back into the one that the caller sent.
     fn restore(&self, datagram: &mut [u8]);
 
--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -246,10 +246,12 @@
         since.map_or_else(|| now.since(self.heard), |since| now.since(since))
     }
 
-    /// Returns true when the upstream takes new flows, as far as the agent knows.
+    /// Returns true when the upstream takes new flows, as far as the agent knows. An upstream that
+    /// has not reported yet does: its agent restarted beside it, and a draining one says so within
+    /// one interval.
     pub fn is_accepting(&self) -> bool {
         let ready = |life: &Life| !life.left && life.report.phase == Phase::Ready;
-        self.silence == Silence::None && self.life.as_ref().is_some_and(ready)
+        self.silence == Silence::None && self.life.as_ref().is_none_or(ready)
     }
 
     /// Returns true when the upstream has ended or is taken to be dead.
--- a/yuccacroft-segment/src/agent/announcer.rs
+++ b/yuccacroft-segment/src/agent/announcer.rs
@@ -19,11 +19,12 @@
     },
 };
 
-/// Term of the lease under which the entry stands: long enough for a restart of the agent beside a
-/// living upstream, whose flows others must be able to find.
-const TERM: Span = Span::from_secs(8);
+/// Term of the lease under which the entry stands: longer than an outage of the store or a restart
+/// of many machines, after which balancers that know nothing must find the agents at once. An entry
+/// that outlives its agent costs a question that stays without an answer.
+const TERM: Span = Span::from_secs(24);
 /// Pause between renewals, so that two of them can fail within the term.
-const RENEWAL: Duration = Duration::from_millis(2_500);
+const RENEWAL: Duration = Duration::from_secs(7);
 /// Time after the start of an agent within which its upstream has reported, if it lives.
 const FIRST_REPORT: Duration = Duration::from_millis(1_500);
 /// Time for the last call of a process that ends.
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -6,10 +6,11 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
     yuccacroft_core::{
+        backlog::Backlog,
         filter::{Chain, Filter, Verdict},
         handshake::{self, Decision, Offer, Reason, Table},
         ids::Incarnation,
-        route::Target,
+        route::{Class, Target},
         segment::Segment,
         time::{Moment, Span},
         upstream::Monitor,
@@ -19,6 +20,10 @@
 /// Time after the start of an agent for which its upstream may hold flows from before: the longest
 /// life of a flow.
 const INHERITANCE: Span = Span::from_secs(60);
+/// Requests at an upstream at the same time beyond its slots.
+const SPARE_ROOM: u32 = 1;
+/// Time after the start of an agent after which its upstream has ended the requests from before.
+const SETTLING: Span = Span::from_secs(3);
 
 /// How a segment came.
 #[derive(Clone, Debug)]
@@ -26,7 +31,7 @@
     /// It opens a flow of this service. The bytes are kept until the upstream has accepted it.
     Open(Target, Offer, Box<[u8]>),
     /// It belongs to a flow that must exist already.
-    Flow(SocketAddrV4, Reason),
+    Flow(SocketAddrV4, Reason, Class),
 }
 
 /// A segment from a balancer or another agent.
@@ -50,6 +55,7 @@
     /// The flows.
     pub table: Table,
     monitor: Mutex<Monitor>,
+    backlog: Mutex<Backlog>,
 }
 
 /// Lets no new flow of another service pass: an address can serve another one by now.
@@ -66,7 +72,13 @@
 impl Beliefs {
     /// Creates the beliefs of an agent that knows nothing yet.
     pub fn new(target: Target, incarnation: Incarnation, monitor: Monitor) -> Self {
-        Self { target, incarnation, table: Table::new(), monitor: Mutex::new(monitor) }
+        Self {
+            target,
+            incarnation,
+            table: Table::new(),
+            monitor: Mutex::new(monitor),
+            backlog: Mutex::default(),
+        }
     }
 
     /// Returns the monitor of the upstream.
@@ -74,6 +86,25 @@
         self.monitor.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the requests that the upstream gets at the same time: one more than it has slots, so
+    /// that a slot that becomes free has work at once. An agent that has just begun beside an older
+    /// upstream cannot count, since it does not know which requests the upstream had before.
+    pub fn room(&self, now: Moment) -> u32 {
+        let monitor = self.monitor();
+        let Some(report) = monitor.last() else { return u32::MAX };
+        let settled = now.since(Moment::default()) >= SETTLING;
+        let lead = self.incarnation.get().saturating_sub(report.born.get());
+        if !settled && lead >= SETTLING.as_millis() {
+            return u32::MAX;
+        }
+        report.slots.get().max(1) + SPARE_ROOM
+    }
+
+    /// Returns the waiting requests.
+    pub fn backlog(&self) -> MutexGuard<'_, Backlog> {
+        self.backlog.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns true when the upstream may hold flows that the agent does not know of, because they
     /// began before the agent did.
     pub fn is_unsure(&self, now: Moment) -> bool {
@@ -114,8 +145,9 @@
                 let accepting = self.0.monitor().is_accepting();
                 table.offer(segment, datagram, offer.clone(), accepting, now)
             }
-            Way::Flow(origin, reason) => {
-                table.segment(segment, *origin, *reason, self.0.is_unsure(now), now)
+            Way::Flow(origin, reason, _) => {
+                let (unsure, room) = (self.0.is_unsure(now), self.0.room(now));
+                table.segment(segment, *origin, *reason, unsure, room, now)
             }
         })
     }
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -13,12 +13,13 @@
     },
     tokio::sync::Notify,
     yuccacroft_core::{
+        backlog::Release,
         filter::Chain,
         flow::{Hop, Key},
         handshake::{Action, Decision, Lost, Offer, Reason},
         ids::Incarnation,
         pool::Load,
-        route::{Target, Version},
+        route::{Class, Target, Version},
         segment::{Control, Flow, Format, Outbound, Segment, Sequence},
         shards::Shards,
         time::{Moment, Span},
@@ -148,7 +149,7 @@
         let monitor = self.beliefs.monitor();
         Load {
             accepting: monitor.is_accepting() && !self.is_stopping(),
-            active: self.beliefs.table.active(),
+            active: self.beliefs.table.active() + self.beliefs.backlog().len() as u32,
             open: self.beliefs.table.open(),
             service_time: self.beliefs.table.service_time(),
             warmup: monitor.warmup(now),
@@ -170,6 +171,7 @@
         for action in self.beliefs.table.tick(now) {
             self.act(action, now);
         }
+        self.release_waiting(now);
     }
 
     /// Hands the opening segments that wait for the upstream to other agents.
@@ -200,6 +202,7 @@
 
     /// Ends all flows of an upstream that is gone, so that their callers need not wait.
     pub fn lose(&self, cause: &'static str, now: Moment) {
+        self.beliefs.backlog().clear();
         let lost = self.beliefs.table.lose();
         if !lost.is_empty() {
             info!(self.journal.log(), "flows lost"; "count" => lost.len(), "cause" => cause,
@@ -222,9 +225,9 @@
                 self.balancers.insert(origin, now);
                 Way::Open(target, Offer { origin, rest, hops }, bytes.into())
             }
-            Request::Carry => Way::Flow(from, Reason::Owner),
-            Request::Search => Way::Flow(from, Reason::Search),
-            Request::Probe => Way::Flow(from, Reason::Probe),
+            Request::Carry(class) => Way::Flow(from, Reason::Owner, class),
+            Request::Search(class) => Way::Flow(from, Reason::Search, class),
+            Request::Probe(class) => Way::Flow(from, Reason::Probe, class),
         };
         let segment = match self.format.inbound(bytes) {
             Ok(segment) => segment,
@@ -244,8 +247,11 @@
         };
         let to = match &item.way {
             Way::Open(_, offer, _) => offer.origin,
-            Way::Flow(origin, _) => *origin,
+            Way::Flow(origin, ..) => *origin,
         };
+        if let (Decision::Hold, Way::Flow(_, reason, class)) = (&decision, &item.way) {
+            return self.hold(&item.segment, to, *reason, *class, bytes, now);
+        }
         self.carry_out(&item.segment, target, to, decision, bytes, now);
     }
 
@@ -281,10 +287,66 @@
             Decision::Reset(sequence) => {
                 self.reset(segment.flow, sequence, "returned by the upstream", now);
             }
+            Decision::Hold => {}
             Decision::Drop(cause) => self.log_end(segment.flow, "drop", cause, now),
         }
     }
 
+    /// Lets a segment of a request wait until the upstream has room for it.
+    fn hold(
+        &self,
+        segment: &Segment,
+        origin: SocketAddrV4,
+        reason: Reason,
+        class: Class,
+        datagram: &[u8],
+        now: Moment,
+    ) {
+        metrics::counter!(DECISIONS, "outcome" => "hold").increment(1);
+        let key = segment.flow.key();
+        let held = self.beliefs.backlog().add(segment, datagram, class, now);
+        if !held {
+            self.beliefs.table.forgo(key);
+            self.deliver(segment, datagram, now);
+        }
+        if reason != Reason::Owner {
+            self.reply(origin, Body::Owns(key), &[], now);
+        }
+        if let Some(log) = self.journal.line(now) {
+            info!(log, "held"; "flow" => %segment.flow, "priority" => %class.priority,
+                "active" => self.beliefs.table.active(), "waiting" => self.beliefs.backlog().len());
+        }
+    }
+
+    /// Hands waiting requests to the upstream while it has room.
+    pub fn release_waiting(&self, now: Moment) {
+        while self.beliefs.table.active() < self.beliefs.room(now) {
+            let time = self.beliefs.table.service_time();
+            let Some(release) = self.beliefs.backlog().release(time, now) else { return };
+            match release {
+                Release::Start(key, datagrams) => {
+                    if self.beliefs.table.start(key, now) {
+                        datagrams.iter().for_each(|datagram| self.forward(datagram, now));
+                    }
+                }
+                Release::Expired(key) => {
+                    self.beliefs.table.forgo(key);
+                    metrics::counter!(DECISIONS, "outcome" => "expired").increment(1);
+                    if let Some(log) = self.journal.line(now) {
+                        info!(log, "request expired while it waited"; "key" => %key);
+                    }
+                }
+            }
+        }
+    }
+
+    fn forward(&self, datagram: &[u8], now: Moment) {
+        self.beliefs.monitor().ask_work(now);
+        if !self.setup.upstream.send_connected(datagram) {
+            self.checked(Check::Refused, now);
+        }
+    }
+
     fn act(&self, action: Action, now: Moment) {
         match action {
             Action::Pass { flow, to, offer, datagram } => {
@@ -317,11 +379,15 @@
         match self.format.outbound(datagram) {
             Ok(Outbound::Reply(segment)) => {
                 self.hear(now);
+                if let Some(progress) = self.format.progress(datagram) {
+                    self.beliefs.table.compare(progress);
+                }
                 if let Some(time) = self.beliefs.table.reply(&segment, now) {
                     metrics::histogram!(SERVICE_SECONDS)
                         .record(std::time::Duration::from(time).as_secs_f64());
                 }
                 self.send_to_caller(segment.flow, datagram);
+                self.release_waiting(now);
             }
             Ok(Outbound::Bounced(segment)) => {
                 self.hear(now);
@@ -413,7 +479,8 @@
 
     fn reply(&self, to: SocketAddrV4, body: Body, segment: &[u8], now: Moment) {
         let version = Version::new(self.version.load(Ordering::Relaxed));
-        let reply = Reply { from: self.setup.own, load: self.load(now), version, body };
+        let uptime = now.since(Moment::default());
+        let reply = Reply { from: self.setup.own, load: self.load(now), uptime, version, body };
         self.send(to, &reply, segment);
     }
 
--- a/yuccacroft-segment/src/balancer/control.rs
+++ b/yuccacroft-segment/src/balancer/control.rs
@@ -28,7 +28,7 @@
 /// The store's keys of agents begin with this; the address of the agent follows.
 pub const MEMBERS: &str = "yuccacroft/agents/";
 /// Pause between changes of members: agents that start together cost one call.
-const MEMBERS_PAUSE: Duration = Duration::from_millis(200);
+const MEMBERS_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two steps of the searches.
 const TICK: Duration = Duration::from_millis(25);
 /// Steps between two checks of the members that owe an answer.
@@ -48,6 +48,7 @@
     stopping: AtomicBool,
     isolated: AtomicBool,
     listed: AtomicBool,
+    configured: Notify,
     reach: Mutex<std::collections::HashMap<Instance, Reach>>,
 }
 
@@ -64,6 +65,7 @@
             stopping: AtomicBool::new(false),
             isolated: AtomicBool::new(false),
             listed: AtomicBool::new(false),
+            configured: Notify::new(),
             reach: Mutex::default(),
         }
     }
@@ -79,8 +81,10 @@
         follower.run(store, &Configuration(self)).await;
     }
 
-    /// Keeps up with the members for ever.
+    /// Keeps up with the members for ever, once there is a configuration: until then one of the two
+    /// is enough to learn that the store is there.
     pub async fn follow_members(&self, store: &P::Store) {
+        self.configured.notified().await;
         let refresh = Notify::new();
         let follower = Follower {
             prefix: MEMBERS,
@@ -173,7 +177,9 @@
         }
         info!(log, "configuration in force"; "version" => %table.version, "before" => %known,
             "routes" => table.len(), "revision" => %item.revision);
-        *current = Some(Arc::new(table));
+        if current.replace(Arc::new(table)).is_none() {
+            self.configured.notify_one();
+        }
     }
 
     fn apply_entry(&self, item: &Item, now: Moment) -> Option<Instance> {
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         chain::{self, Current, Decision, Item},
-        searches::{Searches, Step},
+        searches::{Begin, Searches, Step},
     },
     crate::{journal::Journal, port::Port},
     slog::info,
@@ -20,7 +20,7 @@
         flow::Key,
         ids::{Domain, Instance},
         pool::Pool,
-        route::Version,
+        route::{Class, Version},
         search::Answer,
         segment::{Control, Format, Segment},
         steering::{Record, Table},
@@ -161,7 +161,7 @@
         match decision {
             Decision::Carry(owner) => {
                 metrics::counter!(DECISIONS, "outcome" => "carry").increment(1);
-                self.send(owner, &Request::Carry, datagram);
+                self.send(owner, &Request::Carry(self.class(segment)), datagram);
             }
             Decision::Offer(target, chosen) => {
                 metrics::counter!(DECISIONS, "outcome" => "offer").increment(1);
@@ -175,7 +175,8 @@
             Decision::Search => {
                 let certain_from = Moment::new(self.certain_from.load(Ordering::Relaxed));
                 let (key, target) = (item.key, item.target);
-                if self.searches.add(key, *segment, datagram, target, certain_from, now) {
+                let begin = Begin { target, class: self.class(segment), certain_from };
+                if self.searches.add(key, *segment, datagram, begin, now) {
                     let steps = self.searches.tick(key, &self.pool, now);
                     self.act(key, steps, now);
                 } else {
@@ -193,15 +194,15 @@
     fn act(&self, key: Key, steps: Vec<Step>, now: Moment) {
         for step in steps {
             match step {
-                Step::Ask(hop, datagram) => {
+                Step::Ask(hop, class, datagram) => {
                     self.pool.ask(hop.instance, now);
-                    self.send(hop.instance, &Request::Search, &datagram);
+                    self.send(hop.instance, &Request::Search(class), &datagram);
                 }
-                Step::Probe(hop, datagram) => {
+                Step::Probe(hop, class, datagram) => {
                     self.pool.ask(hop.instance, now);
-                    self.send(hop.instance, &Request::Probe, &datagram);
+                    self.send(hop.instance, &Request::Probe(class), &datagram);
                 }
-                Step::Found(owner, rest) => {
+                Step::Found(owner, class, rest) => {
                     metrics::counter!(DECISIONS, "outcome" => "found").increment(1);
                     self.table.own(key, owner, now);
                     if let Some(log) = self.journal.line(now) {
@@ -209,7 +210,7 @@
                             "incarnation" => %owner.incarnation);
                     }
                     for datagram in rest {
-                        self.send(owner.instance, &Request::Carry, &datagram);
+                        self.send(owner.instance, &Request::Carry(class), &datagram);
                     }
                 }
                 Step::Nobody(segment) => {
@@ -249,7 +250,10 @@
                 }
             }
             Body::Denies { key, unsure } => {
-                let answer = if unsure { Answer::Unsure } else { Answer::Denies };
+                let answer = match unsure {
+                    true => Answer::Unsure,
+                    false => Answer::Denies { uptime: reply.uptime },
+                };
                 match self.searches.answer(key, reply.from, answer, now) {
                     Some(steps) => self.act(key, steps, now),
                     None => self.returned(key, reply.from.instance, segment, now),
@@ -281,7 +285,8 @@
         let Ok(segment) = self.format.inbound(datagram) else { return };
         match self.table.get(key) {
             Some(Record::Owned { owner, .. }) if owner.instance != from => {
-                self.send(owner.instance, &Request::Carry, datagram);
+                let class = self.class(&segment);
+                self.send(owner.instance, &Request::Carry(class), datagram);
             }
             Some(Record::Lost { .. }) => {}
             _ => {
@@ -317,6 +322,13 @@
         }
     }
 
+    /// Returns the class of the requests of a segment's flow.
+    fn class(&self, segment: &Segment) -> Class {
+        let routes = chain::current(&self.current);
+        let route = routes.as_ref().and_then(|routes| routes.route(&segment.flow.address));
+        route.map_or_else(Class::default, |route| route.class)
+    }
+
     fn log_offer(&self, segment: &Segment, to: Instance, now: Moment) {
         let Some(log) = self.journal.line(now) else { return };
         let load = self.pool.get(to).and_then(|member| member.load(now));
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -4,7 +4,7 @@
     controller::Controller,
     flow::{Hop, Key},
     pool::Pool,
-    route::Target,
+    route::{Class, Target},
     search::{Action, Answer, Candidate, Event, Search},
     segment::Segment,
     shards::Shards,
@@ -23,19 +23,30 @@
     pub segment: Segment,
     /// The segments, the oldest first; agents get this one with the question.
     pub datagrams: Vec<Box<[u8]>>,
-    target: Option<Target>,
+    begin: Begin,
     search: Search,
 }
 
+/// What is known of a flow when its search begins.
+#[derive(Clone, Copy, Debug)]
+pub struct Begin {
+    /// The service that the route of its address names.
+    pub target: Option<Target>,
+    /// The class of its requests.
+    pub class: Class,
+    /// The moment from which on the list of agents is complete.
+    pub certain_from: Moment,
+}
+
 /// What the shell does for one search.
 #[derive(Debug)]
 pub enum Step {
     /// Sends a question with the segment to an agent.
-    Ask(Hop, Box<[u8]>),
+    Ask(Hop, Class, Box<[u8]>),
     /// Lets an agent probe its upstream with the segment.
-    Probe(Hop, Box<[u8]>),
+    Probe(Hop, Class, Box<[u8]>),
     /// The owner was found and has the first segment; it gets these too.
-    Found(Hop, Vec<Box<[u8]>>),
+    Found(Hop, Class, Vec<Box<[u8]>>),
     /// Nobody owns the flow: the caller is told.
     Nobody(Segment),
     /// The search ended without a result.
@@ -56,8 +67,7 @@
         key: Key,
         segment: Segment,
         datagram: &[u8],
-        target: Option<Target>,
-        certain_from: Moment,
+        begin: Begin,
         now: Moment,
     ) -> bool {
         let full = self.waiting.shard_len(&key) >= MAX_SEARCHES / self.waiting.count();
@@ -68,8 +78,8 @@
             let waiting = slot.get_or_insert_with(|| Waiting {
                 segment,
                 datagrams: Vec::new(),
-                target,
-                search: Search::new(certain_from, now),
+                begin,
+                search: Search::new(begin.certain_from, now),
             });
             waiting.segment = segment;
             if waiting.datagrams.len() < MAX_WAITING {
@@ -123,18 +133,21 @@
     ) -> Option<Vec<Step>> {
         self.waiting.update(key, |slot| {
             let waiting = slot.as_mut()?;
-            let actions = waiting.search.step(event(waiting.target), now);
+            let actions = waiting.search.step(event(waiting.begin.target), now);
+            let class = waiting.begin.class;
             let mut steps = Vec::with_capacity(actions.len());
             for action in actions {
                 match action {
-                    Action::Ask(hop) => steps.push(Step::Ask(hop, waiting.datagrams[0].clone())),
+                    Action::Ask(hop) => {
+                        steps.push(Step::Ask(hop, class, waiting.datagrams[0].clone()))
+                    }
                     Action::Probe(hop) => {
-                        steps.push(Step::Probe(hop, waiting.datagrams[0].clone()));
+                        steps.push(Step::Probe(hop, class, waiting.datagrams[0].clone()));
                     }
                     Action::Found(hop) => {
                         let rest = waiting.datagrams.split_off(1);
                         *slot = None;
-                        return Some(vec![Step::Found(hop, rest)]);
+                        return Some(vec![Step::Found(hop, class, rest)]);
                     }
                     Action::Nobody => {
                         let segment = waiting.segment;
--- a/yuccacroft-segment/src/follower.rs
+++ b/yuccacroft-segment/src/follower.rs
@@ -19,6 +19,9 @@
 /// the store has returned.
 const LONGEST_PAUSE: Duration = Duration::from_millis(700);
 
+/// Pause between the calls of a process that knows nothing yet and cannot serve before it does.
+const EAGER_PAUSE: Duration = Duration::from_millis(110);
+
 /// Takes what a follower reads.
 pub trait Sink: Send + Sync {
     /// Takes everything that is stored under the prefix.
@@ -41,19 +44,28 @@
     pub log: &'a Logger,
 }
 
+/// How far a follower has come.
+#[derive(Debug)]
+struct Progress {
+    failures: u32,
+    knows: bool,
+}
+
 impl Follower<'_> {
     /// Reads for ever.
     pub async fn run<S: Store>(&self, store: &S, sink: &impl Sink) {
-        let mut failures = 0;
+        let mut progress = Progress { failures: 0, knows: false };
         loop {
-            match self.read(store, sink, &mut failures).await {
-                Ok(()) => failures = 0,
+            match self.read(store, sink, &mut progress).await {
+                Ok(()) => progress.failures = 0,
                 Err(error) => {
-                    if failures == 0 {
+                    if progress.failures == 0 {
                         warn!(self.log, "store lost"; "prefix" => self.prefix, "cause" => %error);
                     }
-                    failures += 1;
-                    tokio::time::sleep(pause(failures)).await;
+                    progress.failures += 1;
+                    let pause =
+                        if progress.knows { pause(progress.failures) } else { eager_pause() };
+                    tokio::time::sleep(pause).await;
                 }
             }
         }
@@ -64,11 +76,12 @@
         &self,
         store: &S,
         sink: &impl Sink,
-        failures: &mut u32,
+        progress: &mut Progress,
     ) -> Result<(), Error> {
         let listing = store.list(self.prefix).await?;
         let revision = listing.revision;
-        if std::mem::take(failures) > 0 {
+        progress.knows = true;
+        if std::mem::take(&mut progress.failures) > 0 {
             info!(self.log, "store regained"; "prefix" => self.prefix, "revision" => %revision);
         }
         sink.listed(listing);
@@ -102,6 +115,14 @@
 /// Returns a pause with jitter, so that processes do not call a returning store at once.
 pub fn pause(failures: u32) -> Duration {
     let doubled = FIRST_PAUSE * 2u32.saturating_pow(failures.saturating_sub(1).min(8));
-    let longest = doubled.min(LONGEST_PAUSE);
-    longest.mul_f64(rand::rng().random_range(0.7..1.3))
+    jittered(doubled.min(LONGEST_PAUSE))
+}
+
+/// Returns the pause of a process that cannot serve before its call succeeds.
+pub fn eager_pause() -> Duration {
+    jittered(EAGER_PAUSE)
+}
+
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.7..1.3))
 }
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -13,7 +13,8 @@
         flow::{Hop, Key},
         ids::{Incarnation, Instance},
         pool::Load,
-        route::{Target, Version as ConfigVersion},
+        route::{Class, Target, Version as ConfigVersion},
+        time::Span,
     },
 };
 
@@ -38,11 +39,11 @@
         hops: u8,
     },
     /// The receiver is taken for the owner of the segment's flow.
-    Carry,
+    Carry(Class),
     /// The sender searches the owner of the segment's flow.
-    Search,
+    Search(Class),
     /// All others have denied the segment's flow.
-    Probe,
+    Probe(Class),
     /// The receiver tells its state.
     Ping {
         /// The entry of the receiver in the listing, as the sender knows it.
@@ -59,6 +60,8 @@
     pub from: Hop,
     /// Its load.
     pub load: Load,
+    /// The time since it started.
+    pub uptime: Span,
     /// The highest version of the configuration that any balancer told it.
     pub version: ConfigVersion,
     /// What it says.
