Test the decisions of the segment front end

Each test names the failure it guards against. Two properties explore random schedules: counters return to zero whatever happens to flows, and no flow is given up for lost without the denial of every agent that is not lost.

--- /dev/null
+++ b/yuccacroft-core/tests/pool.rs
@@ -0,0 +1,150 @@
+//! The members of a balancer and the choice among them.
+
+use yuccacroft_core::{
+    flow::{Hop, Key},
+    ids::{Domain, Incarnation, Instance},
+    pool::{Change, Entry, Load, Phase, Pool, Reach},
+    route::{Name, Target},
+    time::{Moment, Span},
+    units::{Connections, Slots},
+};
+
+const START: Moment = Moment::new(1_000_000);
+
+fn target() -> Target {
+    Name::new("booking").target()
+}
+
+fn domain(name: &str) -> Domain {
+    Domain::new(name).unwrap()
+}
+
+fn instance(number: u8) -> Instance {
+    Instance::new(std::net::SocketAddrV4::new([10, 0, 0, number].into(), 7000))
+}
+
+fn entry(number: u8, life: u64, edition: u32) -> Entry {
+    Entry {
+        hop: Hop { instance: instance(number), incarnation: Incarnation::new(life) },
+        edition,
+        target: target(),
+        domain: domain("a"),
+        slots: Slots::new(4),
+        phase: Phase::Ready,
+    }
+}
+
+fn load(active: u32, service_time: u64) -> Load {
+    Load {
+        accepting: true,
+        active,
+        open: Connections::new(active),
+        service_time: Span::from_millis(service_time),
+        warmup: Span::ZERO,
+    }
+}
+
+fn at(millis: u64) -> Moment {
+    START + Span::from_millis(millis)
+}
+
+fn pool(count: u8) -> Pool {
+    let pool = Pool::new();
+    for number in 1..=count {
+        assert_eq!(pool.list(entry(number, 1, 1), START), Change::Joined);
+    }
+    pool
+}
+
+fn first(pool: &Pool, key: u64, now: Moment) -> Option<Instance> {
+    let key = Key::new(key.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    pool.choose(target(), &domain("a"), key, 8, now).first().copied()
+}
+
+/// Guards against a listing that a late write of an earlier life replaces.
+#[test]
+fn an_earlier_life_or_edition_changes_nothing() {
+    let pool = pool(1);
+    let draining = Entry { phase: Phase::Draining, ..entry(1, 2, 2) };
+    assert_eq!(pool.list(draining.clone(), START), Change::Joined);
+    assert_eq!(pool.list(entry(1, 2, 1), START), Change::None);
+    assert_eq!(pool.list(entry(1, 1, 9), START), Change::None);
+    assert_eq!(pool.get(instance(1)).unwrap().entry, draining);
+}
+
+/// Guards against flows at an upstream of another service that uses the same address now.
+#[test]
+fn a_reused_address_serves_its_new_service_only() {
+    let pool = pool(2);
+    let other = Name::new("packs").target();
+    pool.list(Entry { target: other, ..entry(1, 2, 1) }, START);
+    let chosen = |target| pool.choose(target, &domain("a"), Key::new(7), 8, START);
+    assert_eq!(chosen(target()), [instance(2)]);
+    assert_eq!(chosen(other), [instance(1)]);
+}
+
+/// Guards against members that vanish with the store: they stay while they answer, and go when they
+/// are neither listed nor answer.
+#[test]
+fn an_unlisted_member_stays_while_it_answers() {
+    let pool = pool(2);
+    pool.retain_listed(|_| false, START);
+    pool.ask(instance(2), at(1_000));
+    let gone: Vec<_> = pool.expire(at(2_600)).iter().map(|hop| hop.instance).collect();
+    assert_eq!(gone, [instance(2)]);
+    assert!(pool.expire(at(60_000)).is_empty());
+    assert_eq!(pool.len(), 1);
+}
+
+/// Guards against new flows that go to a silent member, and against flows that are given up after
+/// one lost datagram.
+#[test]
+fn a_silent_member_is_suspected_before_it_is_lost() {
+    let pool = pool(2);
+    pool.ask(instance(1), START);
+    let reach = |now| pool.get(instance(1)).unwrap().reach(now);
+    assert_eq!(reach(at(100)), Reach::Good);
+    assert_eq!(reach(at(400)), Reach::Suspect);
+    assert!((0..50).all(|key| first(&pool, key, at(400)) == Some(instance(2))));
+    assert_eq!(reach(at(1_100)), Reach::Lost);
+    assert!(pool.hear(entry(1, 1, 1).hop, load(0, 20), at(1_200)));
+    assert_eq!(reach(at(1_200)), Reach::Good);
+}
+
+/// Guards against resets of flows whose agent is stopped and started in turn: its upstream lives.
+#[test]
+fn a_member_that_said_it_stops_is_not_lost() {
+    let pool = pool(1);
+    pool.list(Entry { phase: Phase::Stopping, ..entry(1, 1, 2) }, START);
+    pool.ask(instance(1), at(5_000));
+    assert!(!pool.get(instance(1)).unwrap().is_lost(at(9_000)));
+    assert!(pool.get(instance(1)).unwrap().is_lost(at(16_000)));
+}
+
+/// Guards against a balancer that takes itself for the only one that lives.
+#[test]
+fn a_balancer_that_reaches_nobody_is_cut_off() {
+    let pool = pool(2);
+    pool.ask(instance(1), START);
+    assert!(!pool.is_isolated(at(1_100)));
+    pool.ask(instance(2), at(100));
+    assert!(pool.is_isolated(at(1_200)));
+    pool.excuse(at(1_200));
+    assert!(!pool.is_isolated(at(1_200)), "the process itself stood still");
+}
+
+/// Guards against slow upstreams that get as many flows as fast ones, and against members that are
+/// asked although they said that they take none.
+#[test]
+fn the_cheapest_member_is_chosen() {
+    let pool = pool(3);
+    pool.hear(entry(1, 1, 1).hop, load(0, 60), START);
+    pool.hear(entry(2, 1, 1).hop, load(0, 20), START);
+    pool.hear(entry(3, 1, 1).hop, Load { accepting: false, ..load(0, 5) }, START);
+    assert!((0..50).all(|key| first(&pool, key, START) == Some(instance(2))));
+    // Offers count before the member has told its load again.
+    for _ in 0..40 {
+        pool.offered(instance(2), START);
+    }
+    assert!((0..50).all(|key| first(&pool, key, START) == Some(instance(1))));
+}
--- /dev/null
+++ b/yuccacroft-core/tests/search.rs
@@ -0,0 +1,163 @@
+//! The search for the owner of a flow.
+
+use {
+    proptest::prelude::*,
+    yuccacroft_core::{
+        controller::Controller,
+        flow::Hop,
+        ids::{Incarnation, Instance},
+        search::{Action, Answer, Candidate, Event, Search},
+        time::{Moment, Span},
+    },
+};
+
+const START: Moment = Moment::new(1_000_000);
+const OLD: Span = Span::from_secs(60);
+const YOUNG: Span = Span::from_secs(1);
+
+fn hop(number: u8) -> Hop {
+    let instance = Instance::new(std::net::SocketAddrV4::new([10, 0, 0, number].into(), 7000));
+    Hop { instance, incarnation: Incarnation::new(1) }
+}
+
+fn candidates(numbers: std::ops::Range<u8>, lost: &[u8]) -> Event {
+    let all = numbers.map(|n| Candidate { hop: hop(n), lost: lost.contains(&n) });
+    Event::Tick(all.collect())
+}
+
+fn denial(number: u8) -> Event {
+    Event::Answered(hop(number), Answer::Denies { uptime: OLD })
+}
+
+fn at(millis: u64) -> Moment {
+    START + Span::from_millis(millis)
+}
+
+/// Guards against a reset of a living flow: it takes the denial of every agent.
+#[test]
+fn a_flow_is_lost_when_all_have_denied_it() {
+    let mut search = Search::new(START, START);
+    let asked = search.step(candidates(0..3, &[]), START);
+    assert_eq!(asked, [Action::Ask(hop(0)), Action::Ask(hop(1)), Action::Ask(hop(2))]);
+    assert!(search.step(denial(0), at(1)).is_empty());
+    assert!(search.step(denial(1), at(1)).is_empty());
+    assert_eq!(search.step(denial(2), at(1)), [Action::Nobody]);
+}
+
+/// Guards against a reset of the flows of an agent that is only slow to answer.
+#[test]
+fn a_silent_agent_is_asked_again_and_may_own_the_flow() {
+    let mut search = Search::new(START, START);
+    search.step(candidates(0..2, &[]), START);
+    search.step(denial(0), at(1));
+    assert_eq!(search.step(candidates(0..2, &[]), at(70)), [Action::Ask(hop(1))]);
+    assert!(search.step(candidates(0..2, &[]), at(90)).is_empty());
+    let owns = search.step(Event::Answered(hop(1), Answer::Owns), at(100));
+    assert_eq!(owns, [Action::Found(hop(1))]);
+}
+
+/// Guards against callers that wait for the flows of a machine that is gone.
+#[test]
+fn a_lost_agent_has_no_say() {
+    let mut search = Search::new(START, START);
+    search.step(candidates(0..2, &[]), START);
+    search.step(denial(0), at(1));
+    assert_eq!(search.step(candidates(0..2, &[1]), at(40)), [Action::Nobody]);
+}
+
+/// Guards against a balancer that is cut off and resets every flow.
+#[test]
+fn without_any_denial_nothing_is_lost() {
+    let mut search = Search::new(START, START);
+    search.step(candidates(0..2, &[0, 1]), START);
+    assert!(!search.step(candidates(0..2, &[0, 1]), at(40)).contains(&Action::Nobody));
+    assert_eq!(search.step(candidates(0..2, &[0, 1]), at(3_100)), [Action::GiveUp]);
+}
+
+/// Guards against a reset while the list of agents lacks one whose entry has lapsed.
+#[test]
+fn denials_of_an_incomplete_list_prove_nothing() {
+    let mut search = Search::new(at(2_000), START);
+    search.step(candidates(0..1, &[]), START);
+    assert!(search.step(denial(0), at(1)).is_empty());
+    assert_eq!(search.step(candidates(0..1, &[]), at(2_000)), [Action::Nobody]);
+}
+
+/// Guards against callers that wait for nothing after a restart of the whole system: when all
+/// agents are young, no older one can be missing.
+#[test]
+fn denials_of_young_agents_are_certain() {
+    let mut search = Search::new(at(2_000), START);
+    search.step(candidates(0..2, &[]), START);
+    let young = |number| Event::Answered(hop(number), Answer::Denies { uptime: YOUNG });
+    search.step(young(0), at(1));
+    assert_eq!(search.step(young(1), at(1)), [Action::Nobody]);
+    let mut mixed = Search::new(at(2_000), START);
+    mixed.step(candidates(0..2, &[]), START);
+    mixed.step(young(0), at(1));
+    assert!(mixed.step(denial(1), at(1)).is_empty());
+}
+
+/// Guards against segments at wrong upstreams: agents that cannot tell ask theirs only when all
+/// others have denied.
+#[test]
+fn probes_come_last() {
+    let mut search = Search::new(START, START);
+    search.step(candidates(0..3, &[]), START);
+    assert!(search.step(Event::Answered(hop(0), Answer::Unsure), at(1)).is_empty());
+    assert!(search.step(denial(1), at(1)).is_empty());
+    let probed = search.step(Event::Answered(hop(2), Answer::Unsure), at(1));
+    assert_eq!(probed, [Action::Probe(hop(0)), Action::Probe(hop(2))]);
+    assert!(search.step(denial(0), at(2)).is_empty());
+    assert_eq!(search.step(denial(2), at(2)), [Action::Nobody]);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Answer(u8, u8),
+    Tick(u64),
+}
+
+proptest! {
+    /// Guards against a verdict without evidence: whatever the order of answers and their loss, a
+    /// flow is given up for lost only when every agent that is not lost has denied it last.
+    #[test]
+    fn no_verdict_without_every_denial(
+        steps in proptest::collection::vec(
+            prop_oneof![
+                (0..4u8, 0..2u8).prop_map(|(agent, kind)| Step::Answer(agent, kind)),
+                (1..200u64).prop_map(Step::Tick),
+            ],
+            0..60,
+        ),
+        lost in proptest::collection::vec(0..4u8, 0..2),
+    ) {
+        let mut search = Search::new(START, START);
+        let mut now = START;
+        let mut denied = [false; 4];
+        search.step(candidates(0..4, &lost), now);
+        for step in steps {
+            let actions = match step {
+                Step::Answer(agent, 0) => {
+                    denied[usize::from(agent)] = true;
+                    search.step(denial(agent), now)
+                }
+                Step::Answer(agent, _) => {
+                    search.step(Event::Answered(hop(agent), Answer::Unsure), now)
+                }
+                Step::Tick(millis) => {
+                    now = now + Span::from_millis(millis);
+                    search.step(candidates(0..4, &lost), now)
+                }
+            };
+            if actions.contains(&Action::Nobody) {
+                let open = (0..4u8).filter(|agent| !lost.contains(agent));
+                prop_assert!(open.into_iter().all(|agent| denied[usize::from(agent)]));
+                return Ok(());
+            }
+            if actions.contains(&Action::GiveUp) {
+                return Ok(());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/yuccacroft-core/tests/upstream.rs
@@ -0,0 +1,141 @@
+//! What an agent believes of its upstream.
+
+use yuccacroft_core::{
+    ids::Incarnation,
+    route::{Name, Target},
+    time::{Moment, Span},
+    units::Slots,
+    upstream::{Check, Id, Monitor, Number, Outcome, Phase, Report, Silence},
+};
+
+const START: Moment = Moment::new(1_000_000);
+const INTERVAL: Span = Span::from_millis(1_000);
+
+fn target() -> Target {
+    Name::new("booking").target()
+}
+
+fn report(born: u64, number: u64, phase: Phase) -> Report {
+    Report {
+        id: Id::new("upstream-1"),
+        born: Incarnation::new(born),
+        number: Number::new(number),
+        target: target(),
+        phase,
+        slots: Slots::new(4),
+        warmup: Span::ZERO,
+    }
+}
+
+fn at(millis: u64) -> Moment {
+    START + Span::from_millis(millis)
+}
+
+fn monitor() -> Monitor {
+    let mut monitor = Monitor::new(target(), INTERVAL);
+    assert_eq!(monitor.report(report(10, 1, Phase::Ready), START), Outcome::Changed);
+    monitor
+}
+
+/// Guards against new flows at an upstream whose leave was confirmed: the report takes effect
+/// before its answer, and a report that a partition delayed does not undo it.
+#[test]
+fn a_draining_upstream_stays_so_whatever_comes_late() {
+    let mut monitor = monitor();
+    assert_eq!(monitor.report(report(10, 3, Phase::Draining), at(1)), Outcome::Changed);
+    assert!(!monitor.is_accepting());
+    assert_eq!(monitor.report(report(10, 2, Phase::Ready), at(2)), Outcome::Late);
+    assert_eq!(monitor.report(report(10, 3, Phase::Ready), at(2)), Outcome::Late);
+    assert!(!monitor.is_accepting());
+}
+
+/// Guards against a report of a life that has ended and arrives behind the one of its successor.
+#[test]
+fn an_earlier_life_changes_nothing() {
+    let mut monitor = monitor();
+    assert_eq!(monitor.report(report(20, 1, Phase::Ready), at(1)), Outcome::Reborn);
+    assert_eq!(monitor.report(report(10, 9, Phase::Draining), at(2)), Outcome::Late);
+    assert!(monitor.is_accepting());
+}
+
+/// Guards against flows of one service at the upstream of another.
+#[test]
+fn a_report_of_another_service_is_not_taken() {
+    let mut monitor = monitor();
+    let foreign = Report { target: Name::new("packs").target(), ..report(20, 1, Phase::Ready) };
+    assert_eq!(monitor.report(foreign, at(1)), Outcome::Foreign);
+    assert_eq!(monitor.last().map(|report| report.born), Some(Incarnation::new(10)));
+}
+
+/// Guards against a report that is still on its way when its sender has said that it ends.
+#[test]
+fn an_upstream_that_left_does_not_come_back_in_the_same_life() {
+    let mut monitor = monitor();
+    assert!(monitor.leave(&Id::new("upstream-1")));
+    assert_eq!(monitor.report(report(10, 7, Phase::Ready), at(1)), Outcome::Late);
+    assert!(monitor.is_gone());
+    assert_eq!(monitor.report(report(20, 1, Phase::Ready), at(2)), Outcome::Reborn);
+    assert!(monitor.is_accepting());
+}
+
+/// Guards against new flows at a crashed upstream, and against a check of its port for each of
+/// them.
+#[test]
+fn an_unanswered_opening_raises_doubt() {
+    let mut monitor = monitor();
+    monitor.ask(at(10));
+    assert!(!monitor.judge(at(50)));
+    assert!(monitor.judge(at(80)));
+    assert_eq!(monitor.silence(), Silence::Doubtful);
+    assert!(!monitor.is_accepting());
+    assert!(!monitor.judge(at(200)), "one check at a time");
+    monitor.check(Check::Refused, at(201));
+    assert!(monitor.is_gone());
+}
+
+/// Guards against flows that are cut although their upstream lives: one that is slow to answer
+/// still accepts connections.
+#[test]
+fn a_slow_upstream_is_not_dead() {
+    let mut monitor = monitor();
+    monitor.ask_work(at(10));
+    assert!(!monitor.judge(at(200)));
+    assert!(monitor.judge(at(400)));
+    monitor.check(Check::Connected, at(401));
+    assert_eq!(monitor.silence(), Silence::None);
+    assert!(monitor.is_accepting());
+}
+
+/// Guards against a verdict of death after one lost datagram.
+#[test]
+fn silence_alone_takes_time_to_kill() {
+    let mut monitor = monitor();
+    monitor.ask(at(10));
+    monitor.judge(at(100));
+    monitor.check(Check::Silent, at(400));
+    assert_eq!(monitor.silence(), Silence::Doubtful);
+    monitor.check(Check::Silent, at(700));
+    assert_eq!(monitor.silence(), Silence::Dead);
+    monitor.hear(at(701));
+    assert_eq!(monitor.silence(), Silence::None);
+}
+
+/// Guards against flows that are cut because the agent itself was suspended.
+#[test]
+fn a_suspended_agent_blames_nobody() {
+    let mut monitor = monitor();
+    monitor.ask(at(10));
+    monitor.excuse(at(5_000));
+    assert!(!monitor.judge(at(5_020)));
+    assert_eq!(monitor.silence(), Silence::None);
+}
+
+/// Guards against new flows at an upstream that has gone without a word.
+#[test]
+fn missing_reports_raise_doubt() {
+    let mut monitor = monitor();
+    assert!(!monitor.judge(at(2_900)));
+    assert!(monitor.judge(at(3_000)));
+    assert_eq!(monitor.report(report(10, 2, Phase::Ready), at(3_100)), Outcome::Unchanged);
+    assert_eq!(monitor.silence(), Silence::None);
+}
