--- a/yuccacroft/tests/platform/calm.rs
+++ b/yuccacroft/tests/platform/calm.rs
@@ -1,9 +1,9 @@
 //! A calm day.
 
 use {
-    crate::deployment::{BOOKING, Deployment, PATIENCE, booking, fetch},
+    crate::deployment::{BOOKING, Deployment, PATIENCE, booking},
     std::{net::SocketAddrV4, process::Stdio},
-    yuccacroft_emulator::caller::Failure,
+    yuccacroft_emulator::{caller::Failure, operator::fetch},
 };
 
 /// Guards against a path that does not serve: requests on flows of their own and on one long flow,
--- a/yuccacroft/tests/platform/deployment.rs
+++ b/yuccacroft/tests/platform/deployment.rs
@@ -1,7 +1,6 @@
 //! A deployment: processes with the settings of `deploy/` and the stand-ins around them.
 
 use {
-    serde_json::json,
     std::{
         fs::{self, File},
         net::SocketAddrV4,
@@ -12,9 +11,11 @@
     yuccacroft_emulator::{
         caller::Callers,
         machine::{Machine, Network},
+        operator,
         store::Store,
         upstream::{Behaviour, Upstream},
     },
+    yuccacroft_platform::SETTINGS_VARIABLE,
 };
 
 /// Time for one request in calm and under faults: shorter than any test waits in vain.
@@ -22,7 +23,6 @@
 /// Time for a state to come about.
 const DEADLINE: Duration = Duration::from_secs(15);
 const POLL: Duration = Duration::from_millis(20);
-const CONFIG_KEY: &str = "op/config";
 /// The store's keys of agents begin with this.
 pub const MEMBERS: &str = "yuccacroft/agents/";
 /// The service of all upstreams that a test does not name.
@@ -117,22 +117,7 @@
     /// Writes a configuration with these routes as the operator does.
     pub fn configure(&mut self, routes: &[(SocketAddrV4, &str)]) {
         self.version += 3;
-        let routes: Vec<_> = routes
-            .iter()
-            .map(|(address, service)| {
-                json!({
-                    "name": "r", "host": address.ip().to_string(),
-                    "prefix": format!("/{}/", address.port()), "routeType": "safe",
-                    "timeoutMs": 2_500, "targetLatencyMs": 150, "priority": 2,
-                    "service": service, "retryAttempts": 2,
-                })
-            })
-            .collect();
-        let config = json!({
-            "version": self.version, "routes": routes, "services": [],
-            "limits": {"idleTimeoutMs": 15_000},
-        });
-        self.store.write(CONFIG_KEY, &config.to_string());
+        operator::configure(&self.store, self.version, routes);
     }
 
     /// Sends a request on a flow of its own.
@@ -156,7 +141,7 @@
     pub async fn wait_ready(&self, index: usize, ready: bool) {
         let address = self.balancers[index].machine.ready();
         let begun = Instant::now();
-        while is_ready(address).await != ready {
+        while operator::is_ready(address).await != ready {
             assert!(begun.elapsed() < DEADLINE, "ready is not {ready}\n{}", self.logs());
             tokio::time::sleep(POLL).await;
         }
@@ -231,7 +216,7 @@
     /// Starts the process with the settings that it had.
     pub fn start(&mut self, output: Stdio) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_yuccacroft"));
-        command.arg(self.role).env("YUCCACROFT_BOOT", &self.settings);
+        command.arg(self.role).env(SETTINGS_VARIABLE, &self.settings);
         command.stdin(Stdio::null()).stdout(output).stderr(Stdio::inherit());
         self.child = Some(command.spawn().unwrap());
     }
@@ -269,23 +254,3 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 }
-
-/// Asks a process whether it is ready, as routers do.
-pub async fn is_ready(address: SocketAddrV4) -> bool {
-    fetch(address, "/api/ready").await.is_some_and(|(status, _)| status == 200)
-}
-
-/// Fetches a page; `None` when nobody answers.
-pub async fn fetch(address: SocketAddrV4, path: &str) -> Option<(u16, String)> {
-    use {
-        bytes::Bytes,
-        http_body_util::{BodyExt, Full},
-        hyper_util::{client::legacy::Client, rt::TokioExecutor},
-    };
-    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
-    let response = client.get(format!("http://{address}{path}").parse().unwrap());
-    let response = tokio::time::timeout(Duration::from_secs(1), response).await.ok()?.ok()?;
-    let status = response.status().as_u16();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    Some((status, String::from_utf8_lossy(&body).into_owned()))
-}
--- a/yuccacroft/tests/platform/stops.rs
+++ b/yuccacroft/tests/platform/stops.rs
@@ -1,9 +1,9 @@
 //! Planned stops.
 
 use {
-    crate::deployment::{BOOKING, Deployment, PATIENCE, booking, is_ready},
+    crate::deployment::{BOOKING, Deployment, PATIENCE, booking},
     std::time::{Duration, Instant},
-    yuccacroft_emulator::caller::Failure,
+    yuccacroft_emulator::{caller::Failure, operator::is_ready},
 };
 
 /// Requests on one flow from before the stop of its agent until after its restart.
--- a/yuccacroft/tests/platform/store.rs
+++ b/yuccacroft/tests/platform/store.rs
@@ -70,11 +70,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_calm_system_calls_the_store_seldom() {
     let deployment = Deployment::start("calls", 2, 2).await;
-    let kinds = ["kv-key", "kv-range", "kv-watch", "kv-txn", "kv-lease", "kv-keep"];
-    let count = || kinds.iter().map(|kind| deployment.store.calls(kind)).sum::<u64>();
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let before = count();
+    let before = deployment.store.calls();
     tokio::time::sleep(Duration::from_secs(3)).await;
     // Each balancer holds two watches, and each agent renews one lease.
-    assert!(count() - before <= 6, "{} calls in 3 s", count() - before);
+    let calls = deployment.store.calls() - before;
+    assert!(calls <= 6, "{calls} calls in 3 s");
 }
