Count the mean of requests in progress in placement

Ruled out: the comparison of requests in progress (its counts were right), the order of the backlog. Change: agents tell the mean of their last second, and placement weighs it by its square.

--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -12,7 +12,7 @@
         route::Target,
         shards::Shards,
         time::{Moment, Span},
-        units::{Connections, Slots},
+        units::{Connections, Percent, Slots},
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -37,6 +37,8 @@
 const REMOTE_PERCENT: u64 = 115;
 /// Cost of a member that warms up, in hundredths of one that is warm.
 const COLD_PERCENT: u64 = 160;
+/// Times by which the cost of a member grows when its upstream is busy all the time.
+const BUSY_WEIGHT: u64 = 6;
 /// Time for one request that is assumed of a member that has not answered any.
 const DEFAULT_SERVICE_TIME: Span = Span::from_millis(20);
 
@@ -75,6 +77,8 @@
     pub accepting: bool,
     /// The requests in progress at its upstream.
     pub active: u32,
+    /// The mean of the requests in progress over the last second, in hundredths.
+    pub busy: Percent,
     /// The open flows.
     pub open: Connections,
     /// The time that its upstream takes for a request up to the first byte of the answer.
@@ -175,6 +179,10 @@
         let slots = u64::from(self.entry.slots.get().max(1));
         let work = u64::from(load.active + self.pending + 1);
         let mut cost = time.as_micros() * (slots + work) / slots;
+        // A flow stays for many requests, so that the demand of its neighbours counts more than the
+        // work of this moment, the more the closer the upstream is to its limit.
+        let busy = u64::from(load.busy.get()) / slots;
+        cost += cost * BUSY_WEIGHT * busy * busy / (100 * 100);
         if self.entry.domain != *domain {
             cost = cost * REMOTE_PERCENT / 100;
         }
--- a/yuccacroft-core/src/units.rs
+++ b/yuccacroft-core/src/units.rs
@@ -28,6 +28,11 @@
     Weight(u32), "a weight"
 }
 
+newtype! {
+    /// A share or a mean in hundredths.
+    Percent(u32), "a number of hundredths"
+}
+
 newtype! {
     /// A number of events since the process started.
     Count(u64), "a count"
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -6,7 +6,7 @@
     pool::{Change, Entry, Load, Phase, Pool, Reach},
     route::{Name, Target},
     time::{Moment, Span},
-    units::{Connections, Slots},
+    units::{Connections, Percent, Slots},
 };
 
 const START: Moment = Moment::new(1_000_000);
@@ -38,6 +38,7 @@
     Load {
         accepting: true,
         active,
+        busy: Percent::new(0),
         open: Connections::new(active),
         service_time: Span::from_millis(service_time),
         warmup: Span::ZERO,
@@ -142,6 +143,10 @@
     pool.hear(entry(2, 1, 1).hop, load(0, 20), START);
     pool.hear(entry(3, 1, 1).hop, Load { accepting: false, ..load(0, 5) }, START);
     assert!((0..50).all(|key| first(&pool, key, START) == Some(instance(2))));
+    let busy = Load { busy: Percent::new(380), ..load(1, 20) };
+    pool.hear(entry(2, 1, 1).hop, busy, START);
+    assert!((0..50).all(|key| first(&pool, key, START) == Some(instance(1))), "busy for long");
+    pool.hear(entry(2, 1, 1).hop, load(0, 20), START);
     // Offers count before the member has told its load again.
     for _ in 0..40 {
         pool.offered(instance(2), START);
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -3,7 +3,10 @@
 use {
     std::{
         net::SocketAddrV4,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU32, Ordering},
+        },
     },
     yuccacroft_core::{
         backlog::Backlog,
@@ -13,6 +16,7 @@
         route::{Class, Target},
         segment::Segment,
         time::{Moment, Span},
+        units::Percent,
         upstream::Monitor,
     },
 };
@@ -20,6 +24,10 @@
 /// Time after the start of an agent for which its upstream may hold flows from before: the longest
 /// life of a flow.
 const INHERITANCE: Span = Span::from_secs(60);
+/// Ticks over which the mean of the requests in progress forms, about one second.
+const BUSY_TICKS: u32 = 50;
+/// Requests at most that count towards the mean, so that it does not overflow.
+const MAX_BUSY: u32 = 10_000;
 /// Requests at an upstream at the same time beyond its slots.
 const SPARE_ROOM: u32 = 1;
 /// How a segment came.
@@ -53,6 +61,8 @@
     pub table: Table,
     monitor: Mutex<Monitor>,
     backlog: Mutex<Backlog>,
+    /// The mean of the requests in progress, in hundredths.
+    busy: AtomicU32,
 }
 
 /// Lets no new flow of another service pass: an address can serve another one by now.
@@ -75,6 +85,7 @@
             table: Table::new(),
             monitor: Mutex::new(monitor),
             backlog: Mutex::default(),
+            busy: AtomicU32::new(0),
         }
     }
 
@@ -90,6 +101,24 @@
         slots.map_or(u32::MAX, |slots| slots + SPARE_ROOM)
     }
 
+    /// Returns the requests that are in progress or wait.
+    pub fn active(&self) -> u32 {
+        self.table.active() + self.backlog().len() as u32
+    }
+
+    /// Adds the present number of requests to their mean. It is called once a tick.
+    pub fn observe(&self) {
+        let before = self.busy.load(Ordering::Relaxed);
+        let sum = before * (BUSY_TICKS - 1) + self.active().min(MAX_BUSY) * 100;
+        // Rounding up lets the mean reach the present value from below.
+        self.busy.store(sum.div_ceil(BUSY_TICKS), Ordering::Relaxed);
+    }
+
+    /// Returns the mean of the requests in progress over the last second.
+    pub fn busy(&self) -> Percent {
+        Percent::new(self.busy.load(Ordering::Relaxed))
+    }
+
     /// Returns the waiting requests.
     pub fn backlog(&self) -> MutexGuard<'_, Backlog> {
         self.backlog.lock().unwrap_or_else(PoisonError::into_inner)
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -149,7 +149,8 @@
         let monitor = self.beliefs.monitor();
         Load {
             accepting: monitor.is_accepting() && !self.is_stopping(),
-            active: self.beliefs.table.active() + self.beliefs.backlog().len() as u32,
+            active: self.beliefs.active(),
+            busy: self.beliefs.busy(),
             open: self.beliefs.table.open(),
             service_time: self.beliefs.table.service_time(),
             warmup: monitor.warmup(now),
@@ -172,6 +173,7 @@
             self.act(action, now);
         }
         self.release_waiting(now);
+        self.beliefs.observe();
     }
 
     /// Hands the opening segments that wait for the upstream to other agents.
