--- a/yuccacroft-bench/src/main.rs
+++ b/yuccacroft-bench/src/main.rs
@@ -7,7 +7,9 @@
 mod figure;
 mod flows;
 mod forwarding;
+mod memory;
 mod requests;
+mod segments;
 mod slopes;
 
 use {argh::FromArgs, figure::Report, std::process::ExitCode};
@@ -25,6 +27,7 @@
     ("requests", requests::run),
     ("control", control::run),
     ("slopes", slopes::run),
+    ("segments", segments::run),
 ];
 
 /// A case takes the seed of all its random choices and measures.
--- /dev/null
+++ b/yuccacroft-bench/src/segments.rs
@@ -0,0 +1,163 @@
+//! The decisions of the segment front end: time and memory for each flow, growth with the number
+//! of agents, and placement against its alternatives.
+
+mod placement;
+
+use {
+    crate::{
+        figure::{Report, Target},
+        memory,
+    },
+    std::{hint::black_box, net::SocketAddrV4, time::Instant},
+    yuccacroft_core::{
+        flow::{Hop, Key},
+        handshake::{Offer, Reason, Table as Flows},
+        ids::{Domain, Incarnation, Instance},
+        pool::{Entry, Load, Phase, Pool},
+        route::{Name, Target as Service},
+        segment::{Control, Flow, Segment, Sequence},
+        steering::Table as Steering,
+        time::{Moment, Span},
+        units::{Connections, Percent, Slots},
+    },
+};
+
+const FLOWS: u32 = 1_000_000;
+/// The largest number comes first: only its memory is more than that of pages in use already.
+const AGENTS: [u32; 4] = [15_000, 1_700, 300, 16];
+const REPEATS: u32 = 2_000;
+const NOW: Moment = Moment::new(1_000_000);
+/// Open flows of one balancer at the coming size: 12 million before 1,700 nodes, each flow known
+/// to two balancers after a change of the routers.
+const FLOWS_OF_BALANCER: f64 = 12e6 / 1_700.0 * 2.0;
+/// Open flows of one agent at the coming size.
+const FLOWS_OF_AGENT: f64 = 12e6 / 15_000.0;
+/// Bound of `docs/design.md`, section 1.7.
+const MEMORY_MB: f64 = 256.0;
+
+/// Runs the case.
+pub fn run(seed: u64) -> Report {
+    let mut report = Report::new("segments");
+    measure_balancer(&mut report);
+    measure_agent(&mut report);
+    for agents in AGENTS {
+        measure_pool(agents, &mut report);
+    }
+    placement::measure(seed, &mut report);
+    report
+}
+
+/// Returns the service of all agents.
+fn service() -> Service {
+    Name::new("booking").target()
+}
+
+/// Returns the entry of an agent by its number.
+fn entry(number: u32) -> Entry {
+    let address = SocketAddrV4::new((0x0a00_0000 + number).into(), 7_000);
+    Entry {
+        hop: Hop { instance: Instance::new(address), incarnation: Incarnation::new(1) },
+        edition: 1,
+        target: service(),
+        domain: domain(number),
+        slots: Slots::new(4),
+        phase: Phase::Ready,
+    }
+}
+
+fn domain(number: u32) -> Domain {
+    let text = format!("domain-{}", number % 3);
+    text.parse().unwrap_or_else(|error| unreachable!("a valid name: {error}"))
+}
+
+fn flow(number: u32) -> Flow {
+    Flow {
+        caller: SocketAddrV4::new((0x6440_0000 + number / 50_000).into(), (number % 50_000) as u16),
+        address: SocketAddrV4::new([198, 18, 0, 1].into(), 443),
+    }
+}
+
+fn segment(number: u32, control: Control, acknowledged: u32) -> Segment {
+    let (sequence, acknowledged) = (Sequence::new(101), Sequence::new(acknowledged));
+    Segment { flow: flow(number), control, sequence, acknowledged, length: 0 }
+}
+
+/// Runs `step` for each number and returns the nanoseconds that one takes.
+fn time(count: u32, mut step: impl FnMut(u32)) -> f64 {
+    let begun = Instant::now();
+    (0..count).for_each(&mut step);
+    begun.elapsed().as_nanos() as f64 / f64::from(count)
+}
+
+fn measure_balancer(report: &mut Report) {
+    let table = Steering::new();
+    let owner = entry(1).hop;
+    let before = memory::resident();
+    let learned = time(FLOWS, |number| table.own(flow(number).key(), owner, NOW));
+    let bytes = (memory::resident() - before) as f64 / f64::from(FLOWS);
+    let found = time(FLOWS, |number| {
+        black_box(table.touch(flow(number).key(), NOW));
+    });
+    report.add("balancer", "learn_ns_per_flow", learned, Target::None);
+    report.add("balancer", "lookup_ns_per_segment", found, Target::None);
+    report.add("balancer", "bytes_per_flow", bytes, Target::None);
+    let megabytes = FLOWS_OF_BALANCER * bytes / 1e6;
+    report.add("balancer", "flows_mb_at_coming_size", megabytes, Target::AtMost(MEMORY_MB));
+}
+
+fn measure_agent(report: &mut Report) {
+    let table = Flows::new();
+    let origin = SocketAddrV4::new([10, 0, 0, 1].into(), 7_000);
+    let before = memory::resident();
+    let opened = time(FLOWS, |number| {
+        let offer = Offer { origin, rest: Box::new([]), hops: 0 };
+        table.offer(&segment(number, Control::Open, 0), &[0; 32], offer, true, NOW);
+        table.reply(&segment(number, Control::Accept, 0), NOW);
+        let first = segment(number, Control::Continue, 102);
+        black_box(table.segment(&first, origin, Reason::Owner, false, 5, NOW));
+    });
+    let bytes = (memory::resident() - before) as f64 / f64::from(FLOWS);
+    let delivered = time(FLOWS, |number| {
+        let later = segment(number, Control::Continue, 102);
+        black_box(table.segment(&later, origin, Reason::Owner, false, 5, NOW));
+    });
+    report.add("agent", "open_ns_per_flow", opened, Target::None);
+    report.add("agent", "decide_ns_per_segment", delivered, Target::None);
+    report.add("agent", "bytes_per_flow", bytes, Target::None);
+    let megabytes = FLOWS_OF_AGENT * bytes / 1e6;
+    report.add("agent", "flows_mb_at_coming_size", megabytes, Target::AtMost(MEMORY_MB));
+}
+
+fn measure_pool(agents: u32, report: &mut Report) {
+    let variant = format!("{agents} agents");
+    let pool = Pool::new();
+    let before = memory::resident();
+    let listed = time(agents, |number| {
+        pool.list(entry(number), NOW);
+    });
+    let bytes = memory::resident().saturating_sub(before) as f64 / f64::from(agents);
+    for number in 0..agents {
+        let load = Load {
+            accepting: true,
+            active: number % 4,
+            busy: Percent::new(100),
+            open: Connections::new(10),
+            service_time: Span::from_millis(20),
+            warmup: Span::ZERO,
+        };
+        pool.hear(entry(number).hop, load, NOW);
+    }
+    let own = domain(0);
+    let chosen = time(REPEATS, |number| {
+        black_box(pool.choose(service(), &own, Key::new(number.into()), 8, NOW));
+    });
+    let asked = time(REPEATS, |_| {
+        black_box(pool.all(Some(service())));
+    });
+    report.add(&variant, "list_ns_per_agent", listed, Target::None);
+    report.add(&variant, "choose_ns", chosen, Target::None);
+    report.add(&variant, "search_list_ns", asked, Target::None);
+    if agents == AGENTS[0] {
+        report.add(&variant, "bytes_per_agent", bytes, Target::None);
+    }
+}
--- a/yuccacroft-bench/src/slopes.rs
+++ b/yuccacroft-bench/src/slopes.rs
@@ -1,12 +1,11 @@
 //! Processor time and memory of a balancer for each member, contract and peer, and of an agent
 //! for each flow.
 
-mod memory;
-
 use {
     crate::{
         control::contract_of,
         figure::{Report, Target},
+        memory,
     },
     std::{
         net::{Ipv4Addr, SocketAddr, SocketAddrV4},
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -17,7 +17,7 @@
     serde::{Deserialize, Serialize},
     std::{
         collections::HashMap,
-        sync::{Arc, PoisonError, RwLock},
+        sync::{PoisonError, RwLock},
     },
 };
 
@@ -125,7 +125,8 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     members: Shards<Instance, Member>,
-    services: RwLock<HashMap<Target, Arc<[Instance]>>>,
+    /// The members of each service, in order.
+    services: RwLock<HashMap<Target, Vec<Instance>>>,
 }
 
 impl Member {
@@ -230,7 +231,7 @@
             Change::Updated
         });
         if change == Change::Joined {
-            self.index(target);
+            self.index(target, instance);
         }
         change
     }
@@ -294,17 +295,18 @@
     /// Removes members that are not listed and do not answer, and returns them.
     pub fn expire(&self, now: Moment) -> Vec<Hop> {
         let mut gone = Vec::new();
-        let mut targets = Vec::new();
         self.members.retain(|_, member| {
             let unlisted = member.unlisted.is_some_and(|at| now.since(at) >= UNLISTED_GRACE);
             let keep = !unlisted || member.reach(now) == Reach::Good;
             if !keep {
                 gone.push(member.entry.hop);
-                targets.push(member.entry.target);
             }
             keep
         });
-        targets.into_iter().for_each(|target| self.index(target));
+        let mut services = self.services.write().unwrap_or_else(PoisonError::into_inner);
+        for hop in &gone {
+            services.values_mut().for_each(|list| list.retain(|member| *member != hop.instance));
+        }
         gone
     }
 
@@ -318,11 +320,10 @@
         count: usize,
         now: Moment,
     ) -> Vec<Instance> {
-        let Some(members) = self.of(target) else { return Vec::new() };
-        let start = key.get() as usize % members.len().max(1);
-        let compared = members.iter().cycle().skip(start).take(members.len().min(COMPARED));
+        let compared = self.sample(target, key);
         let mut costs: Vec<_> = compared
-            .filter_map(|&instance| {
+            .into_iter()
+            .filter_map(|instance| {
                 let cost = |member: &Member| member.cost(domain, key, now);
                 // An address can serve another service by now.
                 let own = |member: &&Member| member.entry.target == target;
@@ -380,22 +381,23 @@
         });
     }
 
-    fn of(&self, target: Target) -> Option<Arc<[Instance]>> {
+    /// Returns the members of a service that a choice compares.
+    fn sample(&self, target: Target, key: Key) -> Vec<Instance> {
         let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
-        services.get(&target).cloned()
+        let Some(members) = services.get(&target) else { return Vec::new() };
+        let start = key.get() as usize % members.len().max(1);
+        let (before, after) = members.split_at(start);
+        after.iter().chain(before).take(COMPARED).copied().collect()
     }
 
-    /// Builds the list of the members of a service anew.
-    fn index(&self, target: Target) {
-        let mut list = self.members.fold(Vec::new(), |mut list, instance, member| {
-            if member.entry.target == target {
-                list.push(*instance);
-            }
-            list
-        });
-        list.sort_unstable();
+    /// Adds a member to its service. One that served another service before stays listed there,
+    /// where a choice passes over it.
+    fn index(&self, target: Target, instance: Instance) {
         let mut services = self.services.write().unwrap_or_else(PoisonError::into_inner);
-        services.insert(target, list.into());
+        let members = services.entry(target).or_default();
+        if let Err(position) = members.binary_search(&instance) {
+            members.insert(position, instance);
+        }
     }
 }
 
--- a/yuccacroft-core/src/segment.rs
+++ b/yuccacroft-core/src/segment.rs
@@ -79,6 +79,10 @@
     /// Reads a datagram that came from an upstream.
     fn outbound(&self, datagram: &[u8]) -> Result<Outbound, Self::Error>;
 
+    /// Returns the id of the request that the datagram begins, or whose answer it begins, for logs.
+    /// The bytes belong to the two ends, so that nothing may depend on it.
+    fn request_id<'a>(&self, datagram: &'a [u8]) -> Option<&'a str>;
+
     /// Returns the requests that the upstream has in progress, the answered one included, when the
     /// datagram begins an answer that tells them.
     fn progress(&self, datagram: &[u8]) -> Option<u32>;
--- a/yuccacroft-segment/src/agent/control.rs
+++ b/yuccacroft-segment/src/agent/control.rs
@@ -147,7 +147,7 @@
     }
 
     fn unreadable(&self, cause: &str) {
-        if let Some(log) = self.relay.journal.line(self.relay.clock.now()) {
+        if let Some(log) = self.relay.journal.trouble(self.relay.clock.now()) {
             warn!(log, "report unreadable"; "cause" => cause);
         }
     }
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -34,6 +34,8 @@
 const SERVICE_SECONDS: &str = "yuccacroft_agent_service_seconds";
 /// Time for which a balancer that sent something is told the load.
 const BALANCER_MEMORY: Span = Span::from_secs(3);
+/// Time of an answer that is logged: longer than most answers, shorter than most objectives.
+const SLOW_ANSWER: Span = Span::from_millis(100);
 /// Time within which an entry that was written reaches the listing of every balancer.
 const LISTING_DELAY: Span = Span::from_millis(1_500);
 
@@ -315,9 +317,11 @@
         if reason != Reason::Owner {
             self.reply(origin, Body::Owns(key), &[], now);
         }
-        if let Some(log) = self.journal.line(now) {
-            info!(log, "held"; "flow" => %segment.flow, "priority" => %class.priority,
-                "active" => self.beliefs.table.active(), "waiting" => self.beliefs.backlog().len());
+        if let Some(log) = self.journal.usual(now) {
+            let id = self.format.request_id(datagram).unwrap_or_default();
+            info!(log, "held"; "request" => id, "flow" => %segment.flow,
+                "priority" => %class.priority, "active" => self.beliefs.table.active(),
+                "room" => self.beliefs.room(), "waiting" => self.beliefs.backlog().len());
         }
     }
 
@@ -330,12 +334,13 @@
                 Release::Start(key, datagrams) => {
                     if self.beliefs.table.start(key, now) {
                         datagrams.iter().for_each(|datagram| self.forward(datagram, now));
+                        self.log_started(&datagrams, now);
                     }
                 }
                 Release::Expired(key) => {
                     self.beliefs.table.forgo(key);
                     metrics::counter!(DECISIONS, "outcome" => "expired").increment(1);
-                    if let Some(log) = self.journal.line(now) {
+                    if let Some(log) = self.journal.trouble(now) {
                         info!(log, "request expired while it waited"; "key" => %key);
                     }
                 }
@@ -343,6 +348,13 @@
         }
     }
 
+    fn log_started(&self, datagrams: &[Box<[u8]>], now: Moment) {
+        let Some(datagram) = datagrams.first() else { return };
+        if let Ok(segment) = self.format.inbound(datagram) {
+            self.log_request("request", &segment, datagram, None, now);
+        }
+    }
+
     fn forward(&self, datagram: &[u8], now: Moment) {
         self.beliefs.monitor().ask_work(now);
         if !self.setup.upstream.send_connected(datagram) {
@@ -364,6 +376,7 @@
 
     fn deliver(&self, segment: &Segment, datagram: &[u8], now: Moment) {
         metrics::counter!(DECISIONS, "outcome" => "deliver").increment(1);
+        self.log_request("request", segment, datagram, None, now);
         {
             let mut monitor = self.beliefs.monitor();
             match segment.control {
@@ -388,6 +401,9 @@
                 if let Some(time) = self.beliefs.table.reply(&segment, now) {
                     metrics::histogram!(SERVICE_SECONDS)
                         .record(std::time::Duration::from(time).as_secs_f64());
+                    if time >= SLOW_ANSWER {
+                        self.log_request("slow answer", &segment, datagram, Some(time), now);
+                    }
                 }
                 self.send_to_caller(segment.flow, datagram);
                 self.release_waiting(now);
@@ -396,7 +412,7 @@
                 self.hear(now);
                 self.format.restore(datagram);
                 let decision = self.beliefs.table.bounce(&segment, now);
-                if let Some(log) = self.journal.line(now) {
+                if let Some(log) = self.journal.trouble(now) {
                     info!(log, "bounced"; "flow" => %segment.flow, "control" => ?segment.control,
                         "decision" => decision.name());
                 }
@@ -454,7 +470,7 @@
         now: Moment,
     ) {
         metrics::counter!(DECISIONS, "outcome" => "pass").increment(1);
-        if let Some(log) = self.journal.line(now) {
+        if let Some(log) = self.journal.trouble(now) {
             let silence = self.beliefs.monitor().silence();
             info!(log, "passed on"; "flow" => %flow, "to" => %to, "hops" => offer.hops,
                 "silence" => ?silence, "open" => %self.beliefs.table.open());
@@ -496,9 +512,30 @@
         }
     }
 
+    /// Writes a line that ties the id of a request to its flow.
+    fn log_request(
+        &self,
+        event: &'static str,
+        segment: &Segment,
+        datagram: &[u8],
+        time: Option<Span>,
+        now: Moment,
+    ) {
+        if segment.length == 0 {
+            return;
+        }
+        let Some(id) = self.format.request_id(datagram) else { return };
+        if let Some(log) = self.journal.usual(now) {
+            let time = time.unwrap_or_default();
+            info!(log, "{}", event; "request" => id, "flow" => %segment.flow,
+                "active" => self.beliefs.table.active(), "waiting" => self.beliefs.backlog().len(),
+                "time" => %time, "service_time" => %self.beliefs.table.service_time());
+        }
+    }
+
     fn log_end(&self, flow: Flow, outcome: &'static str, cause: &'static str, now: Moment) {
         metrics::counter!(DECISIONS, "outcome" => outcome, "cause" => cause).increment(1);
-        if let Some(log) = self.journal.line(now) {
+        if let Some(log) = self.journal.trouble(now) {
             let key: Key = flow.key();
             info!(log, "not delivered"; "flow" => %flow, "key" => %key, "outcome" => outcome,
                 "cause" => cause);
@@ -507,7 +544,7 @@
 
     fn log_junk(&self, source: &'static str, cause: &dyn std::fmt::Display, now: Moment) {
         metrics::counter!(JUNK, "source" => source).increment(1);
-        if let Some(log) = self.journal.line(now) {
+        if let Some(log) = self.journal.trouble(now) {
             info!(log, "junk dropped"; "source" => source, "cause" => %cause);
         }
     }
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -144,7 +144,7 @@
             Ok(segment) => segment,
             Err(error) => {
                 metrics::counter!(JUNK, "source" => "callers").increment(1);
-                if let Some(log) = self.journal.line(now) {
+                if let Some(log) = self.journal.trouble(now) {
                     info!(log, "junk dropped"; "cause" => %error, "bytes" => datagram.len());
                 }
                 return;
@@ -205,7 +205,7 @@
                 Step::Found(owner, class, rest) => {
                     metrics::counter!(DECISIONS, "outcome" => "found").increment(1);
                     self.table.own(key, owner, now);
-                    if let Some(log) = self.journal.line(now) {
+                    if let Some(log) = self.journal.usual(now) {
                         info!(log, "owner found"; "key" => %key, "owner" => %owner.instance,
                             "incarnation" => %owner.incarnation);
                     }
@@ -228,7 +228,7 @@
             Ok(message) => message,
             Err(error) => {
                 metrics::counter!(JUNK, "source" => "agents").increment(1);
-                if let Some(log) = self.journal.line(now) {
+                if let Some(log) = self.journal.trouble(now) {
                     info!(log, "junk dropped"; "cause" => %error, "bytes" => datagram.len());
                 }
                 return;
@@ -294,7 +294,7 @@
                 let mut item = Item::new(segment, now);
                 item.target = chain::current(&self.current)
                     .and_then(|routes| routes.route(&segment.flow.address)?.target(key.get()));
-                if let Some(log) = self.journal.line(now) {
+                if let Some(log) = self.journal.trouble(now) {
                     info!(log, "owner denied"; "flow" => %segment.flow, "agent" => %from);
                 }
                 self.carry_out(&item, Decision::Search, datagram, now);
@@ -330,7 +330,7 @@
     }
 
     fn log_offer(&self, segment: &Segment, to: Instance, now: Moment) {
-        let Some(log) = self.journal.line(now) else { return };
+        let Some(log) = self.journal.usual(now) else { return };
         let load = self.pool.get(to).and_then(|member| member.load(now));
         let (load, age) = load.unwrap_or_default();
         info!(log, "offered"; "flow" => %segment.flow, "to" => %to, "active" => load.active,
@@ -340,7 +340,7 @@
 
     fn log_end(&self, segment: &Segment, outcome: &'static str, cause: &'static str, now: Moment) {
         metrics::counter!(DECISIONS, "outcome" => outcome, "cause" => cause).increment(1);
-        if let Some(log) = self.journal.line(now) {
+        if let Some(log) = self.journal.trouble(now) {
             info!(log, "not forwarded"; "flow" => %segment.flow, "outcome" => outcome,
                 "cause" => cause, "control" => ?segment.control, "version" => %self.version(),
                 "agents" => self.pool.len());
@@ -349,7 +349,7 @@
 
     fn log_socket(&self, name: &'static str, error: &std::io::Error) {
         metrics::counter!(JUNK, "source" => name).increment(1);
-        if let Some(log) = self.journal.line(self.clock.now()) {
+        if let Some(log) = self.journal.trouble(self.clock.now()) {
             info!(log, "socket error"; "socket" => name, "cause" => %error);
         }
     }
--- a/yuccacroft/tests/platform/main.rs
+++ b/yuccacroft/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod calm;
 mod deployment;
+mod logs;
 mod losses;
 mod stops;
 mod store;
