Return a segment only to a balancer that has no copy of it

Each denial of a search carried the segment back, and the balancer, which had found the owner by then, carried each of them to it. Ruled out: callers' repeats (they are 200 ms apart), the search's own repeats (60 ms apart). Change: a denial carries the segment only when the balancer carried it, and a late denial without a segment is ignored.

--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -89,6 +89,8 @@
         origin: SocketAddrV4,
         /// Whether the upstream may hold the flow although the agent does not know of it.
         unsure: bool,
+        /// Whether the balancer keeps no copy of the segment, which goes back to it then.
+        returned: bool,
     },
     /// The upstream has lost the flow; the caller is told, with this position.
     Reset(Sequence),
@@ -150,7 +152,7 @@
 #[derive(Debug)]
 enum State {
     Offered { offer: Offer, datagram: Box<[u8]>, since: Moment, accepted: Option<Sequence> },
-    Probed { origin: SocketAddrV4, since: Moment },
+    Probed { origin: SocketAddrV4, since: Moment, returned: bool },
     Open(Open),
     Absent { since: Moment },
 }
@@ -259,7 +261,10 @@
         room: u32,
         now: Moment,
     ) -> Decision {
-        let confirmed = if reason == Reason::Owner { Decision::Deliver } else { Decision::Confirm };
+        // A balancer that searches keeps the segment until it has found the owner.
+        let returned = reason == Reason::Owner;
+        let confirmed = if returned { Decision::Deliver } else { Decision::Confirm };
+        let deny = |unsure| Decision::Deny { origin, unsure, returned };
         self.entries.update(segment.flow.key(), |slot| {
             match slot.as_mut().map(|entry| &mut entry.state) {
                 Some(State::Open(open)) => {
@@ -277,7 +282,7 @@
                     *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
                     if deliver { confirmed } else { Decision::Hold }
                 }
-                Some(State::Offered { .. }) => Decision::Deny { origin, unsure: false },
+                Some(State::Offered { .. }) => deny(false),
                 Some(State::Probed { since, .. }) if now.since(*since) >= BOUNCE_TIMEOUT => {
                     let mut open = self.begin(Some(segment.acknowledged), false, now);
                     self.receive(&mut open, segment, u32::MAX, now);
@@ -287,12 +292,12 @@
                 Some(State::Probed { .. }) => Decision::Drop("probing"),
                 Some(State::Absent { since }) => {
                     *since = now;
-                    Decision::Deny { origin, unsure: false }
+                    deny(false)
                 }
-                None if !unsure => Decision::Deny { origin, unsure: false },
-                None if reason == Reason::Search => Decision::Deny { origin, unsure: true },
+                None if !unsure => deny(false),
+                None if reason == Reason::Search => deny(true),
                 None => {
-                    let state = State::Probed { origin, since: now };
+                    let state = State::Probed { origin, since: now, returned };
                     *slot = Some(Entry { flow: segment.flow, state });
                     Decision::Deliver
                 }
@@ -349,9 +354,9 @@
             let absent = Entry { flow: segment.flow, state: State::Absent { since: now } };
             match entry.state {
                 State::Offered { offer, .. } if segment.control == Control::Open => next(offer),
-                State::Probed { origin, .. } => {
+                State::Probed { origin, returned, .. } => {
                     *slot = Some(absent);
-                    Decision::Deny { origin, unsure: false }
+                    Decision::Deny { origin, unsure: false, returned }
                 }
                 State::Open(open) if segment.control == Control::Open => {
                     // A late copy of the opening segment says nothing of the flow.
@@ -394,7 +399,7 @@
                     actions.push(hand_over(flow, offer, datagram));
                     false
                 }
-                State::Probed { origin, since } => {
+                State::Probed { origin, since, .. } => {
                     if now.since(*since) >= BOUNCE_TIMEOUT {
                         actions.push(Action::Confirm { flow, origin: *origin });
                         entry.state = State::Open(self.begin(None, false, now));
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -79,7 +79,7 @@
         table.reply(&segment(1, Control::Accept, sequence, 101, 0), START);
     }
     let acknowledging = segment(1, Control::Continue, 101, 901, 0);
-    let denied = Decision::Deny { origin: balancer(), unsure: false };
+    let denied = Decision::Deny { origin: balancer(), unsure: false, returned: true };
     assert_eq!(carry(&first, &acknowledging, at(1)), denied);
     assert_eq!(carry(&second, &acknowledging, at(1)), Decision::Deliver);
 }
@@ -127,8 +127,9 @@
     let table = Table::new();
     let middle = segment(1, Control::Continue, 7, 9, 0);
     let search = |unsure| table.segment(&middle, balancer(), Reason::Search, unsure, ROOM, START);
-    assert_eq!(search(false), Decision::Deny { origin: balancer(), unsure: false });
-    assert_eq!(search(true), Decision::Deny { origin: balancer(), unsure: true });
+    let denied = |unsure| Decision::Deny { origin: balancer(), unsure, returned: false };
+    assert_eq!(search(false), denied(false));
+    assert_eq!(search(true), denied(true));
 }
 
 /// Guards against an agent that restarted beside a living upstream and cuts its flows: the upstream
@@ -152,7 +153,7 @@
     let middle = segment(1, Control::Continue, 7, 9, 0);
     let probe = |now| table.segment(&middle, balancer(), Reason::Probe, true, ROOM, now);
     assert_eq!(probe(START), Decision::Deliver);
-    let denied = Decision::Deny { origin: balancer(), unsure: false };
+    let denied = Decision::Deny { origin: balancer(), unsure: false, returned: false };
     assert_eq!(table.bounce(&middle, at(1)), denied);
     for later in [2, 100, 2_000] {
         assert_eq!(probe(at(later)), denied);
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -285,8 +285,9 @@
                 self.reply(origin, Body::Load, &[], now);
             }
             Decision::Refuse(origin) => self.refuse(segment.flow, origin, datagram, now),
-            Decision::Deny { origin, unsure } => {
+            Decision::Deny { origin, unsure, returned } => {
                 metrics::counter!(DECISIONS, "outcome" => "deny").increment(1);
+                let datagram = if returned { datagram } else { &[] };
                 self.reply(origin, Body::Denies { key, unsure }, datagram, now);
             }
             Decision::Reset(sequence) => {
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -256,6 +256,8 @@
                 };
                 match self.searches.answer(key, reply.from, answer, now) {
                     Some(steps) => self.act(key, steps, now),
+                    // The late answer to a search that has ended.
+                    None if segment.is_empty() => {}
                     None => self.returned(key, reply.from.instance, segment, now),
                 }
             }
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -79,7 +79,7 @@
     Refused,
     /// The sender owns the flow.
     Owns(Key),
-    /// The sender does not own the flow. A segment that was carried to it comes back.
+    /// The sender does not own the flow. A segment of which the receiver has no copy comes back.
     Denies {
         /// The flow.
         key: Key,
--- a/yuccacroft/tests/platform/calm.rs
+++ b/yuccacroft/tests/platform/calm.rs
@@ -30,7 +30,8 @@
     deployment.check_packets();
 }
 
-/// Guards against a flow that moves when routers hand its packets to another balancer.
+/// Guards against a flow that moves when routers hand its packets to another balancer, and against
+/// packets that reach its upstream once for each agent that was asked.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_flow_stays_when_its_packets_change_balancers() {
     let deployment = Deployment::start("moved", 3, 3).await;
@@ -43,6 +44,8 @@
         let answer = board.request(&format!("board-{number}"), PATIENCE).await.unwrap();
         assert!(answer.ends_with(&owner), "{answer}, not {owner}\n{}", deployment.logs());
     }
+    let repeated = |index: usize| deployment.upstream(index).record().repeated;
+    assert_eq!((0..3).map(repeated).sum::<usize>(), 0, "{}", deployment.logs());
     deployment.check_packets();
 }
 
