--- a/yuccacroft-bench/src/segments.rs
+++ b/yuccacroft-bench/src/segments.rs
@@ -152,7 +152,9 @@
         black_box(pool.choose(service(), &own, Key::new(number.into()), 8, NOW));
     });
     let asked = time(REPEATS, |_| {
-        black_box(pool.all(Some(service())));
+        let mut likely = 0u32;
+        pool.each(|member| likely += u32::from(member.entry.target == service()));
+        black_box(likely);
     });
     report.add(&variant, "list_ns_per_agent", listed, Target::None);
     report.add(&variant, "choose_ns", chosen, Target::None);
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -339,16 +339,6 @@
         self.members.get(&instance)
     }
 
-    /// Returns the lives of all members, those of one service first.
-    pub fn all(&self, first: Option<Target>) -> Vec<Hop> {
-        let mut list = self.members.fold(Vec::new(), |mut list, _, member| {
-            list.push((Some(member.entry.target) != first, member.entry.hop));
-            list
-        });
-        list.sort_unstable();
-        list.into_iter().map(|(_, hop)| hop).collect()
-    }
-
     /// Calls `look` for every member.
     pub fn each(&self, mut look: impl FnMut(&Member)) {
         self.members.fold((), |(), _, member| look(member));
--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -1,6 +1,7 @@
 //! The search for the owner of a flow that a balancer knows nothing of.
 //!
-//! All agents are asked. An agent that owns the flow delivers the segment and says so. An agent
+//! The agents of the service are asked first, and all others when none of those owns the flow: a
+//! route can have named another service when the flow began. An agent that owns the flow delivers the segment and says so. An agent
 //! that lived all the while its upstream did denies with certainty. An agent that began after its
 //! upstream cannot know: its upstream is asked only when everybody else has denied, because a
 //! segment that reaches a wrong upstream looks like a moved flow. A flow is lost when every agent
@@ -55,6 +56,8 @@
     pub hop: Hop,
     /// Whether its flows are taken to be lost, since it has not answered anything for long.
     pub lost: bool,
+    /// Whether it serves the service of the flow's route.
+    pub likely: bool,
 }
 
 /// What the shell is asked to do.
@@ -78,6 +81,8 @@
     begun: Moment,
     certain_from: Moment,
     asked: BTreeMap<Instance, Asked>,
+    /// The agents that are asked when all others have answered.
+    unlikely: Vec<Candidate>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -99,7 +104,7 @@
     /// Begins a search. Until `certain_from` the list of agents may be incomplete, so that no
     /// number of denials means that the flow is lost.
     pub fn new(certain_from: Moment, now: Moment) -> Self {
-        Self { begun: now, certain_from, asked: BTreeMap::new() }
+        Self { begun: now, certain_from, asked: BTreeMap::new(), unlikely: Vec::new() }
     }
 
     fn answered(&mut self, from: Hop, answer: Answer, now: Moment) -> Vec<Action> {
@@ -122,31 +127,41 @@
         if now.since(self.begun) >= LIMIT {
             return vec![Action::GiveUp];
         }
+        // An agent that is no member any more has no flows.
+        self.asked.retain(|instance, _| candidates.iter().any(|c| c.hop.instance == *instance));
+        self.unlikely.clear();
         let mut actions = Vec::new();
-        for &Candidate { hop, lost } in candidates {
-            let asked = self.asked.entry(hop.instance).or_insert_with(|| {
-                actions.push(Action::Ask(hop));
-                Asked { hop, at: now, probed: false, answer: None, lost }
-            });
-            asked.lost = lost;
-            let denied = asked.answer.is_some_and(Answer::is_denial);
-            if !denied && now.since(asked.at) >= REPEAT && (asked.answer.is_none() || asked.probed)
-            {
-                asked.at = now;
-                actions.push(if asked.probed { Action::Probe(hop) } else { Action::Ask(hop) });
+        for &candidate in candidates {
+            let known = self.asked.get_mut(&candidate.hop.instance);
+            match known {
+                Some(asked) => {
+                    asked.lost = candidate.lost;
+                    actions.extend(asked.repeat(candidate.hop, now));
+                }
+                None if candidate.likely => actions.push(self.ask(candidate, now)),
+                None => self.unlikely.push(candidate),
             }
         }
-        // An agent that is no member any more has no flows.
-        self.asked.retain(|instance, _| candidates.iter().any(|c| c.hop.instance == *instance));
         actions.extend(self.conclude(now));
         actions
     }
 
+    fn ask(&mut self, candidate: Candidate, now: Moment) -> Action {
+        let Candidate { hop, lost, .. } = candidate;
+        let asked = Asked { hop, at: now, probed: false, answer: None, lost };
+        self.asked.insert(hop.instance, asked);
+        Action::Ask(hop)
+    }
+
     fn conclude(&mut self, now: Moment) -> Vec<Action> {
         let open = |asked: &&Asked| asked.answer.is_none() && !asked.lost;
-        if self.asked.is_empty() || self.asked.values().any(|asked| open(&asked)) {
+        if self.asked.values().any(|asked| open(&asked)) {
             return Vec::new();
         }
+        if !self.unlikely.is_empty() {
+            let unlikely = std::mem::take(&mut self.unlikely);
+            return unlikely.into_iter().map(|candidate| self.ask(candidate, now)).collect();
+        }
         let unsure: Vec<&mut Asked> =
             self.asked.values_mut().filter(|a| a.answer == Some(Answer::Unsure)).collect();
         if !unsure.is_empty() {
@@ -171,6 +186,19 @@
     }
 }
 
+impl Asked {
+    /// Returns the question again when its answer is overdue.
+    fn repeat(&mut self, hop: Hop, now: Moment) -> Option<Action> {
+        let denied = self.answer.is_some_and(Answer::is_denial);
+        let open = self.answer.is_none() || self.probed;
+        if denied || !open || now.since(self.at) < REPEAT {
+            return None;
+        }
+        self.at = now;
+        Some(if self.probed { Action::Probe(hop) } else { Action::Ask(hop) })
+    }
+}
+
 impl Controller for Search {
     type Action = Action;
     type Event = Event;
--- a/yuccacroft-core/tests/search.rs
+++ b/yuccacroft-core/tests/search.rs
@@ -21,7 +21,7 @@
 }
 
 fn candidates(numbers: std::ops::Range<u8>, lost: &[u8]) -> Event {
-    let all = numbers.map(|n| Candidate { hop: hop(n), lost: lost.contains(&n) });
+    let all = numbers.map(|n| Candidate { hop: hop(n), lost: lost.contains(&n), likely: true });
     Event::Tick(all.collect())
 }
 
@@ -98,6 +98,25 @@
     assert!(mixed.step(denial(1), at(1)).is_empty());
 }
 
+/// Guards against a question to every agent for each flow that a balancer does not know, and against
+/// a flow that is given up although it began when its route named another service.
+#[test]
+fn agents_of_other_services_are_asked_last() {
+    let candidates = || {
+        let all = (0..4).map(|n| Candidate { hop: hop(n), lost: false, likely: n < 2 });
+        Event::Tick(all.collect())
+    };
+    let mut search = Search::new(START, START);
+    assert_eq!(search.step(candidates(), START), [Action::Ask(hop(0)), Action::Ask(hop(1))]);
+    assert!(search.step(denial(0), at(1)).is_empty());
+    assert_eq!(search.step(denial(1), at(1)), [Action::Ask(hop(2)), Action::Ask(hop(3))]);
+    assert!(search.step(denial(2), at(2)).is_empty());
+    let mut moved = search.clone();
+    assert_eq!(search.step(denial(3), at(2)), [Action::Nobody]);
+    let owns = moved.step(Event::Answered(hop(3), Answer::Owns), at(2));
+    assert_eq!(owns, [Action::Found(hop(3))]);
+}
+
 /// Guards against segments at wrong upstreams: agents that cannot tell ask theirs only when all
 /// others have denied.
 #[test]
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -96,13 +96,14 @@
 
     /// Moves one search on.
     pub fn tick(&self, key: Key, pool: &Pool, now: Moment) -> Vec<Step> {
-        let candidates = |target| -> Box<[Candidate]> {
-            let all = pool.all(target).into_iter();
-            all.map(|hop| Candidate {
-                hop,
-                lost: pool.get(hop.instance).is_some_and(|member| member.is_lost(now)),
-            })
-            .collect()
+        let candidates = |target: Option<Target>| -> Box<[Candidate]> {
+            let mut all = Vec::with_capacity(pool.len());
+            pool.each(|member| {
+                let likely = target.is_none_or(|target| member.entry.target == target);
+                let lost = member.is_lost(now);
+                all.push(Candidate { hop: member.entry.hop, lost, likely });
+            });
+            all.into()
         };
         self.step(key, |target| Event::Tick(candidates(target)), now).unwrap_or_default()
     }
