--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -6,7 +6,10 @@
 //! An agent that began after its upstream knows nothing of the flows from before. It lets the
 //! upstream tell, which returns a segment of a flow that it does not hold.
 
+mod counts;
+
 use {
+    self::counts::Counts,
     crate::{
         flow::Key,
         ids::Instance,
@@ -15,13 +18,7 @@
         time::{Moment, Span},
         units::Connections,
     },
-    std::{
-        net::SocketAddrV4,
-        sync::{
-            Mutex, PoisonError,
-            atomic::{AtomicU32, Ordering},
-        },
-    },
+    std::net::SocketAddrV4,
 };
 
 /// Time within which a living upstream accepts or returns an opening segment.
@@ -43,10 +40,6 @@
 /// Longest time after which a request without an answer does not count as in progress any more:
 /// longer than the longest request.
 const LONGEST_PATIENCE: Span = Span::from_millis(400);
-/// Answers of the upstream whose load is compared with the count of requests in progress.
-const SURPLUS_REPORTS: usize = 4;
-/// Part of the mean service time that one request replaces is one in this number.
-const MEAN_WEIGHT: u64 = 16;
 /// Agents that one opening segment may visit.
 pub const MAX_HOPS: u8 = 8;
 
@@ -179,19 +172,7 @@
 #[derive(Debug, Default)]
 pub struct Table {
     entries: Shards<Key, Entry>,
-    open: AtomicU32,
-    active: AtomicU32,
-    mean: Mutex<Span>,
-    surplus: Mutex<Surplus>,
-}
-
-/// By how much the count of requests in progress exceeded what the upstream said of itself, in its
-/// last answers. Requests that ended unseen exceed it all the time, requests on their way only now
-/// and then.
-#[derive(Debug, Default)]
-struct Surplus {
-    last: [u32; SURPLUS_REPORTS],
-    next: usize,
+    counts: Counts,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -308,11 +289,7 @@
     /// Compares the requests in progress with what the upstream says of itself in an answer, the
     /// request of this answer included.
     pub fn compare(&self, reported: u32) {
-        let counted = self.active.load(Ordering::Relaxed);
-        let mut surplus = self.surplus.lock().unwrap_or_else(PoisonError::into_inner);
-        let next = surplus.next;
-        surplus.last[next] = counted.saturating_sub(reported);
-        surplus.next = (next + 1) % SURPLUS_REPORTS;
+        self.counts.compare(reported);
     }
 
     /// Notes what the upstream sends to a caller. Returns the time that a request took when this is
@@ -412,7 +389,7 @@
                         && now.since(work.begun) >= patience
                     {
                         work.counted = false;
-                        self.active.fetch_sub(1, Ordering::Relaxed);
+                        self.counts.remove_active();
                     }
                     let keep = now.since(open.seen) < FLOW_MEMORY;
                     if !keep {
@@ -462,23 +439,21 @@
 
     /// Returns the number of open flows.
     pub fn open(&self) -> Connections {
-        Connections::new(self.open.load(Ordering::Relaxed))
+        self.counts.open()
     }
 
     /// Returns the number of requests in progress.
     pub fn active(&self) -> u32 {
-        let surplus = self.surplus.lock().unwrap_or_else(PoisonError::into_inner);
-        let least = surplus.last.iter().copied().min().unwrap_or_default();
-        self.active.load(Ordering::Relaxed).saturating_sub(least)
+        self.counts.active()
     }
 
     /// Returns the mean time from a request to the first byte of its answer.
     pub fn service_time(&self) -> Span {
-        *self.mean.lock().unwrap_or_else(PoisonError::into_inner)
+        self.counts.service_time()
     }
 
     fn begin(&self, acknowledged: Option<Sequence>, proved: bool, begun: Moment) -> Open {
-        self.open.fetch_add(1, Ordering::Relaxed);
+        self.counts.add_open();
         Open {
             acknowledged,
             received: None,
@@ -541,7 +516,7 @@
     fn work(&self, open: &mut Open, now: Moment) {
         if open.request.is_none() {
             open.request = Some(Work { begun: now, counted: true });
-            self.active.fetch_add(1, Ordering::Relaxed);
+            self.counts.add_active();
         }
     }
 
@@ -550,30 +525,24 @@
         open.seen = now;
         open.proved = true;
         let work = if segment.length > 0 { self.end_work(open) } else { None };
-        let time = work.map(|work| now.since(work.begun)).inspect(|time| self.learn(*time));
+        let time = work.map(|work| now.since(work.begun)).inspect(|time| self.counts.learn(*time));
         if segment.control == Control::Finish {
             self.finish(open);
         }
         time
     }
 
-    fn learn(&self, time: Span) {
-        let mut mean = self.mean.lock().unwrap_or_else(PoisonError::into_inner);
-        let total = mean.as_micros() * (MEAN_WEIGHT - 1) + time.as_micros();
-        *mean = if *mean == Span::ZERO { time } else { Span::from_micros(total / MEAN_WEIGHT) };
-    }
-
     /// A finished flow stays known, since its last segments may still come.
     fn finish(&self, open: &mut Open) {
         if !std::mem::replace(&mut open.finished, true) {
-            self.open.fetch_sub(1, Ordering::Relaxed);
+            self.counts.remove_open();
         }
         self.end_work(open);
     }
 
     fn end(&self, open: &mut Open) {
         if !open.finished {
-            self.open.fetch_sub(1, Ordering::Relaxed);
+            self.counts.remove_open();
         }
         self.end_work(open);
     }
@@ -581,7 +550,7 @@
     fn end_work(&self, open: &mut Open) -> Option<Work> {
         let work = open.request.take();
         if work.is_some_and(|work| work.counted) {
-            self.active.fetch_sub(1, Ordering::Relaxed);
+            self.counts.remove_active();
         }
         work
     }
