--- a/yuccacroft-agent/src/capacity.rs
+++ b/yuccacroft-agent/src/capacity.rs
@@ -1,7 +1,7 @@
 //! The agent's claim on its customer's capacity.
 
 use {
-    crate::process::Settings,
+    crate::settings::Settings,
     slog::{Logger, info, warn},
     std::{
         net::SocketAddr,
--- a/yuccacroft-agent/src/lib.rs
+++ b/yuccacroft-agent/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod process;
 pub mod records;
 pub mod service;
+pub mod settings;
 pub mod siblings;
 pub mod socket;
 pub mod upstream;
--- a/yuccacroft-agent/src/process.rs
+++ b/yuccacroft-agent/src/process.rs
@@ -5,21 +5,16 @@
         announce::Announcer,
         assembly::{self, Parts, Plan, Sockets},
         capacity::Claimant,
-        endpoint::Certificate,
         errors::{Error, Result},
+        settings::Settings,
     },
     slog::{Logger, error, info, warn},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
     yuccacroft_core::{
         contract::{Accepted, Contract, Terms},
         flow::Hop,
-        ids::{
-            Customer, Domain, Incarnation, Instance, Process as Name, Revision,
-            Service as ServiceName,
-        },
-        key::Secret,
+        ids::{Incarnation, Revision},
         member::{self, Entry, Phase},
-        units::Weight,
     },
     yuccacroft_rpc::{
         admin::Access,
@@ -32,31 +27,6 @@
 const FIRST_CLAIM_TRIES: u32 = 5;
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
-/// The checked settings of an agent.
-#[derive(Debug)]
-pub struct Settings {
-    /// The name in logs and state dumps.
-    pub name: Name,
-    /// The failure domain.
-    pub domain: Domain,
-    /// The customer.
-    pub customer: Customer,
-    /// The service that the upstream runs.
-    pub service: ServiceName,
-    /// The customer's key.
-    pub key: Secret,
-    /// Where capsules arrive; also the identity of the agent.
-    pub capsules: Instance,
-    /// The control addresses of some balancers.
-    pub balancers: Box<[SocketAddr]>,
-    /// The address of the upstream.
-    pub upstream: SocketAddr,
-    /// The share of new flows relative to the other upstreams of the service.
-    pub weight: Weight,
-    /// The certificate of the service.
-    pub certificate: Certificate,
-}
-
 /// The process has its settings and nothing else.
 #[derive(Debug)]
 pub struct Starting {
--- a/yuccacroft-balancer/src/lib.rs
+++ b/yuccacroft-balancer/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod errors;
 pub mod outbox;
 pub mod packet;
+pub mod port;
 pub mod process;
 pub mod relay;
 pub mod service;
--- a/yuccacroft-balancer/src/outbox.rs
+++ b/yuccacroft-balancer/src/outbox.rs
@@ -1,7 +1,7 @@
 //! Datagrams on their way out, joined so that one call sends a run of them.
 
 use {
-    crate::relay::Port,
+    crate::port::Port,
     std::net::{Ipv4Addr, SocketAddr},
 };
 
--- a/yuccacroft-balancer/src/relay.rs
+++ b/yuccacroft-balancer/src/relay.rs
@@ -5,18 +5,17 @@
         errors::{Error, Result},
         outbox::Outbox,
         packet::{self, Decision, Item},
+        port::{Port, SLOT_BYTES},
         service::{Routes, View},
     },
     metrics::{Counter, counter},
-    quinn_udp::{BATCH_SIZE, RecvMeta, Transmit, UdpSockRef, UdpSocketState},
-    socket2::{Domain, Protocol, Socket as RawSocket, Type},
+    quinn_udp::{BATCH_SIZE, RecvMeta},
     std::{
-        io::{self, IoSliceMut},
+        io,
         net::{SocketAddr, SocketAddrV4},
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{io::Interest, net::UdpSocket},
     yuccacroft_core::filter::Chain,
     yuccacroft_wire::{
         capsule::{self, Kind},
@@ -25,10 +24,6 @@
     },
 };
 
-/// Receive buffer of one slot of a batch; the kernel may join datagrams of one sender.
-const SLOT_BYTES: usize = 64 << 10;
-/// Kernel buffer of a socket in bytes, asked for so that bursts of a few milliseconds fit.
-const SOCKET_BYTES: usize = 4 << 20;
 /// Room for the causes of drops; the list grows when there are more.
 const MAX_CAUSES: usize = 16;
 /// The cause of a drop when the kernel's send buffer is full.
@@ -37,13 +32,6 @@
 /// agents that announce themselves, then costs each worker a bounded share of its time.
 const REFRESH_EVERY: Duration = Duration::from_millis(5);
 
-/// A UDP socket with batched receive.
-#[derive(Debug)]
-pub struct Port {
-    socket: UdpSocket,
-    state: UdpSocketState,
-}
-
 /// The packet path of one balancer. Several tasks may run each direction at a time; what a task
 /// needs for each packet is its own, so that tasks share nothing but the sockets.
 #[derive(Debug)]
@@ -96,63 +84,6 @@
     counter: Counter,
 }
 
-impl Port {
-    /// Binds a socket. It must be called within a tokio runtime.
-    pub fn bind(name: &'static str, address: SocketAddr) -> Result<Self> {
-        Self::open(address).map_err(|cause| Error::Socket { name, cause })
-    }
-
-    fn open(address: SocketAddr) -> io::Result<Self> {
-        let raw = RawSocket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
-        // The kernel may grant less; that is no fault.
-        let _ = raw.set_recv_buffer_size(SOCKET_BYTES);
-        let _ = raw.set_send_buffer_size(SOCKET_BYTES);
-        raw.set_nonblocking(true)?;
-        raw.bind(&address.into())?;
-        let socket = UdpSocket::from_std(raw.into())?;
-        let state = UdpSocketState::new(UdpSockRef::from(&socket))?;
-        Ok(Self { socket, state })
-    }
-
-    /// Returns the bound address.
-    pub fn address(&self) -> io::Result<SocketAddr> {
-        self.socket.local_addr()
-    }
-
-    /// Sends datagrams of `segment` bytes each, the last one possibly shorter, and returns how
-    /// many were lost. A datagram is lost when the kernel's buffer is full: waiting would hold up
-    /// all flows, and callers send again.
-    pub fn send_run(&self, joined: &[u8], segment: usize, target: SocketAddr) -> usize {
-        let several = joined.len() > segment;
-        if several
-            && self.state.max_gso_segments() > 1
-            && self.send(joined, Some(segment), target).is_ok()
-        {
-            return 0;
-        }
-        let single = |datagram: &&[u8]| self.send(datagram, None, target).is_err();
-        joined.chunks(segment).filter(single).count()
-    }
-
-    fn send(
-        &self,
-        contents: &[u8],
-        segment_size: Option<usize>,
-        destination: SocketAddr,
-    ) -> io::Result<()> {
-        let transmit = Transmit { destination, ecn: None, contents, segment_size, src_ip: None };
-        self.state.try_send(UdpSockRef::from(&self.socket), &transmit)
-    }
-
-    async fn receive(&self, storage: &mut [u8], metas: &mut [RecvMeta]) -> io::Result<usize> {
-        let mut slots = storage.chunks_mut(SLOT_BYTES);
-        let mut buffers: [_; BATCH_SIZE] =
-            std::array::from_fn(|_| IoSliceMut::new(slots.next().unwrap_or_default()));
-        let mut read = || self.state.recv(UdpSockRef::from(&self.socket), &mut buffers, metas);
-        self.socket.async_io(Interest::READABLE, &mut read).await
-    }
-}
-
 impl Relay {
     /// Creates the packet path over two bound sockets. `own` is the address of the capsule socket
     /// as agents reach it.
--- a/yuccacroft-balancer/tests/outbox.rs
+++ b/yuccacroft-balancer/tests/outbox.rs
@@ -9,7 +9,7 @@
     },
     yuccacroft_balancer::{
         outbox::{Outbox, Sent},
-        relay::Port,
+        port::Port,
     },
 };
 
--- a/yuccacroft-bench/src/forwarding.rs
+++ b/yuccacroft-bench/src/forwarding.rs
@@ -11,10 +11,7 @@
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{runtime, task::JoinSet},
-    yuccacroft_balancer::{
-        relay::{Port, Relay},
-        service::Routes,
-    },
+    yuccacroft_balancer::{port::Port, relay::Relay, service::Routes},
     yuccacroft_core::{
         contract::{Accepted, Contract},
         flow::Hop,
--- a/yuccacroft/src/demo/system.rs
+++ b/yuccacroft/src/demo/system.rs
@@ -12,7 +12,7 @@
         time::{Duration, Instant},
     },
     tokio::{sync::oneshot, task::JoinHandle},
-    yuccacroft_agent::{endpoint, process as agent},
+    yuccacroft_agent::{endpoint, process as agent, settings::Settings},
     yuccacroft_balancer::{
         control::{CONTRACTS, Mesh},
         process as balancer,
@@ -261,7 +261,7 @@
         let name = format!("upstream-{index}");
         let upstream = Upstream::start(&name, "127.0.0.1:0".parse()?, WORK).await?;
         let instance = Instance::new(free_v4()?);
-        let settings = agent::Settings {
+        let settings = Settings {
             name: format!("agent-{index}").parse()?,
             domain: format!("vlaanderen-{}", index % 3).parse()?,
             customer: CUSTOMER.parse()?,
--- a/yuccacroft/src/settings.rs
+++ b/yuccacroft/src/settings.rs
@@ -11,7 +11,7 @@
         ops::RangeInclusive,
         path::Path,
     },
-    yuccacroft_agent::{endpoint::Certificate, process as agent},
+    yuccacroft_agent::{endpoint::Certificate, settings as agent},
     yuccacroft_balancer::{control::Mesh, process as balancer},
     yuccacroft_core::{ids::Instance, ini::Reader, units::Weight},
     yuccacroft_rpc::admin::Access,
