Count offered flows until their requests count

An agent answers an offer at once, and its answer cleared the offers that the balancer had counted, although the load in it cannot count requests that come a round trip later. A burst went to the cheapest agent as a whole. Change: an offer counts for 10 ms after it was made, whatever the member says. Test: pool::offers_count_until_their_requests_can, 40 of 40 offers to one member before, at most 30 after.

--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -16,7 +16,7 @@
     },
     serde::{Deserialize, Serialize},
     std::{
-        collections::HashMap,
+        collections::{HashMap, VecDeque},
         sync::{PoisonError, RwLock},
     },
 };
@@ -31,6 +31,11 @@
 /// Time for which a member that left the listing is kept although it does not answer. Entries that
 /// lapsed are back within two seconds after the store has returned.
 const UNLISTED_GRACE: Span = Span::from_millis(2_500);
+/// Time from the offer of a flow until its first request counts in the load of the member: a round
+/// trip to the caller.
+const OFFER_DELAY: Span = Span::from_millis(10);
+/// Offers to one member that are kept; beyond them it is avoided anyway.
+const MAX_PENDING: usize = 256;
 /// Members that one choice compares, so that its cost does not grow with the service.
 const COMPARED: usize = 16;
 /// Cost of a member in another failure domain, in hundredths of one in the own domain.
@@ -93,7 +98,8 @@
     /// What it published last.
     pub entry: Entry,
     load: Option<(Load, Moment)>,
-    pending: u32,
+    /// When flows were offered whose requests the load does not count yet.
+    pending: VecDeque<Moment>,
     unanswered: Option<Moment>,
     unlisted: Option<Moment>,
     stopped: Option<Moment>,
@@ -131,7 +137,14 @@
 
 impl Member {
     fn new(entry: Entry) -> Self {
-        Self { entry, load: None, pending: 0, unanswered: None, unlisted: None, stopped: None }
+        Self {
+            entry,
+            load: None,
+            pending: VecDeque::new(),
+            unanswered: None,
+            unlisted: None,
+            stopped: None,
+        }
     }
 
     /// Returns how well the member can be reached.
@@ -178,7 +191,7 @@
             DEFAULT_SERVICE_TIME
         };
         let slots = u64::from(self.entry.slots.get().max(1));
-        let work = u64::from(load.active + self.pending + 1);
+        let work = u64::from(load.active) + self.pending.len() as u64 + 1;
         let mut cost = time.as_micros() * (slots + work) / slots;
         // A flow stays for many requests, so that the demand of its neighbours counts more than the
         // work of this moment, the more the closer the upstream is to its limit.
@@ -266,7 +279,9 @@
     pub fn offered(&self, instance: Instance, now: Moment) {
         self.with(instance, |member| {
             member.unanswered.get_or_insert(now);
-            member.pending += 1;
+            if member.pending.len() < MAX_PENDING {
+                member.pending.push_back(now);
+            }
         });
     }
 
@@ -279,7 +294,7 @@
             }
             member.unanswered = None;
             member.load = Some((load, now));
-            member.pending = 0;
+            member.pending.retain(|at| now.since(*at) < OFFER_DELAY);
             true
         })
     }
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -153,3 +153,27 @@
     }
     assert!((0..50).all(|key| first(&pool, key, START) == Some(instance(1))));
 }
+
+/// Guards against a burst that goes to one member, which answers each offer before the first request
+/// has come: so it was once in four runs of the test of a burst.
+#[test]
+fn offers_count_until_their_requests_can() {
+    let pool = pool(2);
+    pool.hear(entry(1, 1, 1).hop, load(0, 10), START);
+    pool.hear(entry(2, 1, 1).hop, load(0, 20), START);
+    let mut taken = [0; 2];
+    for key in 0..40 {
+        let chosen = first(&pool, key, at(1)).unwrap();
+        taken[usize::from(chosen == instance(2))] += 1;
+        pool.offered(chosen, at(1));
+        let number = if chosen == instance(1) { 1 } else { 2 };
+        pool.hear(entry(number, 1, 1).hop, load(0, if number == 1 { 10 } else { 20 }), at(2));
+    }
+    assert!(taken[1] >= 10, "{taken:?}");
+    // Later the load that the members tell is all there is.
+    for number in [1, 2] {
+        pool.hear(entry(number, 1, 1).hop, load(0, 20), at(50));
+    }
+    let spread: Vec<_> = (0..40).filter_map(|key| first(&pool, key, at(50))).collect();
+    assert!(spread.contains(&instance(1)) && spread.contains(&instance(2)));
+}
