Put sockets, servers and the wall clock of the segment roles behind a trait

Cause: the roles could run on sockets and in real time only, so that schedules of faults could not be explored. All input and output passes the trait `host::Host` and the store's trait now, the monotonic clock is the runtime's, jitter has a seed, and `select!` is biased: the same processes can run in virtual time with the same trace for the same seed.

With it, from the last reading: - an agent that stops gates new flows in the chain (`Beliefs::is_accepting`), no longer in front of it; the reply goes to the balancer that made the offer, also when an agent passed it on; - balancers forget silent flows after the operator's idle time, which was read and not used; the memory of flows has tests of its own now.

--- a/yuccacroft-core/src/steering.rs
+++ b/yuccacroft-core/src/steering.rs
@@ -9,9 +9,9 @@
     time::{Moment, Span},
 };
 
-/// Time after which an unused entry is forgotten; flows that are silent for longer are rare and are
-/// searched.
-const MEMORY: Span = Span::from_secs(60);
+/// Longest time after which an unused entry is forgotten; flows that are silent for longer are rare
+/// and are searched.
+const LONGEST_MEMORY: Span = Span::from_secs(60);
 /// Time for which the segments of a lost flow are answered with a reset: longer than callers try.
 const LOSS_MEMORY: Span = Span::from_secs(10);
 /// Entries at most, so that memory stays bounded: 64 MB with 64 bytes an entry.
@@ -98,10 +98,12 @@
         self.records.remove(&key);
     }
 
-    /// Forgets what is old.
-    pub fn expire(&self, now: Moment) {
+    /// Forgets what is old. `idle` is the time after which the operator lets a silent flow be
+    /// forgotten.
+    pub fn expire(&self, idle: Option<Span>, now: Moment) {
+        let memory = idle.map_or(LONGEST_MEMORY, |idle| idle.min(LONGEST_MEMORY));
         self.records.retain(|_, record| match *record {
-            Record::Owned { at, .. } => now.since(at) < MEMORY,
+            Record::Owned { at, .. } => now.since(at) < memory,
             Record::Offered { at, .. } | Record::Lost { at } => now.since(at) < LOSS_MEMORY,
         });
     }
--- /dev/null
+++ b/yuccacroft-core/tests/steering.rs
@@ -0,0 +1,67 @@
+//! What a balancer remembers of flows.
+
+use {
+    std::net::SocketAddrV4,
+    yuccacroft_core::{
+        flow::{Hop, Key},
+        ids::{Incarnation, Instance},
+        steering::{Record, Table},
+        time::{Moment, Span},
+    },
+};
+
+const START: Moment = Moment::new(1_000_000);
+const FLOW: Key = Key::new(7);
+
+fn instance(number: u8) -> Instance {
+    Instance::new(SocketAddrV4::new([10, 0, 0, number].into(), 7000))
+}
+
+fn owner() -> Hop {
+    Hop { instance: instance(1), incarnation: Incarnation::new(1) }
+}
+
+fn at(seconds: u64) -> Moment {
+    START + Span::from_secs(seconds)
+}
+
+/// Guards against memory that grows with flows which the operator lets be forgotten, and against a
+/// balancer that forgets flows in use.
+#[test]
+fn silent_flows_are_forgotten_after_the_idle_time() {
+    let table = Table::new();
+    let idle = Some(Span::from_secs(15));
+    table.own(FLOW, owner(), START);
+    table.touch(FLOW, at(10));
+    table.expire(idle, at(20));
+    assert_eq!(table.get(FLOW), Some(Record::Owned { owner: owner(), at: at(10) }));
+    table.expire(idle, at(26));
+    assert!(table.is_empty());
+    table.own(FLOW, owner(), START);
+    table.expire(None, at(59));
+    assert_eq!(table.len(), 1);
+    table.expire(Some(Span::from_secs(3_600)), at(61));
+    assert!(table.is_empty(), "a large idle time does not lift the bound");
+}
+
+/// Guards against a late answer to an offer that takes a flow away from its owner.
+#[test]
+fn an_owner_stays_when_an_offer_is_taken_late() {
+    let table = Table::new();
+    table.offer(FLOW, instance(2), START);
+    table.own(FLOW, owner(), at(1));
+    table.take(FLOW, instance(2), at(2));
+    assert_eq!(table.get(FLOW), Some(Record::Owned { owner: owner(), at: at(1) }));
+}
+
+/// Guards against segments of a lost flow that start a search each, and against a loss that is
+/// remembered for ever, since ports of callers come again.
+#[test]
+fn a_loss_is_remembered_for_a_while() {
+    let table = Table::new();
+    table.lose(FLOW, START);
+    table.expire(None, at(9));
+    assert_eq!(table.touch(FLOW, at(9)), Some(Record::Lost { at: START }));
+    table.expire(None, at(11));
+    assert_eq!(table.get(FLOW), None);
+}
--- a/yuccacroft-rpc/src/clock.rs
+++ b/yuccacroft-rpc/src/clock.rs
@@ -1,14 +1,16 @@
 //! The clocks of a process.
 
 use {
-    std::time::{Instant, SystemTime, UNIX_EPOCH},
+    std::time::{SystemTime, UNIX_EPOCH},
+    tokio::time::Instant,
     yuccacroft_core::{
         ids::Incarnation,
         time::{Moment, Span},
     },
 };
 
-/// The monotonic clock of one process, counted from its start.
+/// The monotonic clock of one process, counted from its start. It stands still with the clock of a
+/// paused runtime.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
--- a/yuccacroft-segment/src/agent/announcer.rs
+++ b/yuccacroft-segment/src/agent/announcer.rs
@@ -1,15 +1,19 @@
 //! Keeps the entry of an agent in the store.
 
 use {
-    super::{control::Control, relay::Relay},
-    crate::{balancer::control::MEMBERS, follower},
+    super::{control::Control, process::Settings, relay::Relay},
+    crate::{
+        balancer::control::MEMBERS,
+        follower::Jitter,
+        host::Host,
+        platform::{Platform, Socket},
+    },
     slog::{Logger, info, warn},
     std::{sync::Arc, time::Duration},
     yuccacroft_core::{
         ids::Domain,
         lease::Id,
         pool::{Entry, Phase},
-        segment::Format,
         time::Span,
         upstream,
     },
@@ -43,22 +47,37 @@
 }
 
 /// Writes the entry of one agent.
-pub struct Announcer<F, S> {
-    relay: Arc<Relay<F>>,
-    control: Arc<Control<F>>,
-    store: S,
+pub struct Announcer<P: Platform> {
+    relay: Arc<Relay<P::Format, Socket<P>>>,
+    control: Arc<Control<P>>,
+    store: P::Store,
     domain: Domain,
     log: Logger,
     lease: Option<Id>,
     edition: u32,
     failures: u32,
+    jitter: Jitter,
 }
 
-impl<F: Format, S: Store> Announcer<F, S> {
+impl<P: Platform> Announcer<P> {
     /// Creates an announcer that has written nothing.
-    pub fn new(relay: Arc<Relay<F>>, control: Arc<Control<F>>, store: S, domain: Domain) -> Self {
-        let log = relay.journal.log().clone();
-        Self { relay, control, store, domain, log, lease: None, edition: 0, failures: 0 }
+    pub fn new(
+        relay: Arc<Relay<P::Format, Socket<P>>>,
+        control: Arc<Control<P>>,
+        platform: &P,
+        settings: &Settings,
+    ) -> Self {
+        Self {
+            store: platform.store(settings.store.into()),
+            domain: settings.domain.clone(),
+            log: relay.journal.log().clone(),
+            jitter: Jitter::new(platform.host().seed()),
+            relay,
+            control,
+            lease: None,
+            edition: 0,
+            failures: 0,
+        }
     }
 
     /// Keeps the entry up to date for ever.
@@ -92,8 +111,12 @@
                     self.failures += 1;
                 }
             }
-            let pause = if self.failures > 0 { follower::pause(self.failures) } else { RENEWAL };
+            let pause = match self.failures {
+                0 => RENEWAL,
+                failures => self.jitter.pause(failures),
+            };
             tokio::select! {
+                biased;
                 () = tokio::time::sleep(pause) => {}
                 () = self.control.changed.notified() => next = Next::Write,
                 () = self.relay.unlisted.notified() => {
@@ -114,16 +137,21 @@
         }
     }
 
-    /// Removes the entry, since nothing is left to be found here. Returns false when the store gave
-    /// no answer; an entry that stays makes balancers wait for an agent that is gone.
-    pub async fn remove(&mut self) -> bool {
-        let Some(lease) = self.lease else { return true };
-        match tokio::time::timeout(LAST_CALL, self.store.revoke(lease)).await {
-            Ok(Ok(())) => return true,
-            Ok(Err(error)) => warn!(self.log, "entry not removed"; "cause" => %error),
-            Err(_) => warn!(self.log, "entry not removed"; "cause" => "timeout"),
+    /// Removes the entry, since nothing is left to be found here. It tries while `in_time` holds: an
+    /// entry that stays makes balancers wait for an agent that is gone.
+    pub async fn remove(&mut self, in_time: impl Fn() -> bool) {
+        let Some(lease) = self.lease else { return };
+        for failures in 1.. {
+            match tokio::time::timeout(LAST_CALL, self.store.revoke(lease)).await {
+                Ok(Ok(())) => return,
+                Ok(Err(error)) => warn!(self.log, "entry not removed"; "cause" => %error),
+                Err(_) => warn!(self.log, "entry not removed"; "cause" => "timeout"),
+            }
+            if !in_time() {
+                return;
+            }
+            tokio::time::sleep(self.jitter.pause(failures)).await;
         }
-        false
     }
 
     /// Writes the entry; false means that the lease has ended.
@@ -182,7 +210,7 @@
         let ready = report.is_some_and(|report| report.phase == upstream::Phase::Ready);
         let phase = if monitor.has_left() {
             Phase::Ended
-        } else if self.relay.is_stopping() {
+        } else if self.relay.beliefs.is_stopping() {
             Phase::Stopping
         } else if ready && !monitor.is_gone() {
             Phase::Ready
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -5,7 +5,7 @@
         net::SocketAddrV4,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicU32, Ordering},
+            atomic::{AtomicBool, AtomicU32, Ordering},
         },
     },
     yuccacroft_core::{
@@ -61,6 +61,7 @@
     pub table: Table,
     monitor: Mutex<Monitor>,
     backlog: Mutex<Backlog>,
+    stopping: AtomicBool,
     /// The mean of the requests in progress, in hundredths.
     busy: AtomicU32,
 }
@@ -85,6 +86,7 @@
             table: Table::new(),
             monitor: Mutex::new(monitor),
             backlog: Mutex::default(),
+            stopping: AtomicBool::new(false),
             busy: AtomicU32::new(0),
         }
     }
@@ -94,6 +96,21 @@
         self.monitor.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Stops taking new flows; those that live here stay.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns true once the agent takes no new flows because it ends.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Returns true when the agent takes new flows.
+    pub fn is_accepting(&self) -> bool {
+        !self.is_stopping() && self.monitor().is_accepting()
+    }
+
     /// Returns the requests that the upstream gets at the same time: one more than it has slots, so
     /// that a slot that becomes free has work at once.
     pub fn room(&self) -> u32 {
@@ -161,8 +178,7 @@
         let (table, segment, now) = (&self.0.table, &item.segment, item.now);
         Verdict::Done(match &item.way {
             Way::Open(_, offer, datagram) => {
-                let accepting = self.0.monitor().is_accepting();
-                table.offer(segment, datagram, offer.clone(), accepting, now)
+                table.offer(segment, datagram, offer.clone(), self.0.is_accepting(), now)
             }
             Way::Flow(origin, reason, _) => {
                 let (unsure, room) = (self.0.is_unsure(now), self.0.room());
--- a/yuccacroft-segment/src/agent/control.rs
+++ b/yuccacroft-segment/src/agent/control.rs
@@ -2,17 +2,18 @@
 
 use {
     super::relay::Relay,
-    crate::platform::{Probe, Registrar},
+    crate::{
+        host::Host,
+        platform::{Platform, Probe, Registrar, Socket},
+    },
     slog::{info, warn},
     std::{net::SocketAddrV4, sync::Arc, time::Duration},
-    tokio::{net::TcpStream, sync::Notify, time::MissedTickBehavior},
+    tokio::{sync::Notify, time::MissedTickBehavior},
     yuccacroft_core::{
         ids::Incarnation,
-        segment::Format,
         time::Span,
-        upstream::{Check, Id, Outcome, Report, Silence},
+        upstream::{Id, Outcome, Report, Silence},
     },
-    yuccacroft_rpc::clock,
 };
 
 /// Pause between two steps.
@@ -21,21 +22,24 @@
 const LOAD_TICKS: u64 = 10;
 /// Time between two steps after which this process itself stood still.
 const STALL: Span = Span::from_millis(400);
-/// Time for a connection to the upstream on the same machine.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The controllers.
-pub struct Control<F> {
-    relay: Arc<Relay<F>>,
+pub struct Control<P: Platform> {
+    host: P::Host,
+    relay: Arc<Relay<P::Format, Socket<P>>>,
     upstream: SocketAddrV4,
     /// Asks for the entry to be written, since the upstream has changed.
     pub changed: Notify,
 }
 
-impl<F: Format> Control<F> {
+impl<P: Platform> Control<P> {
     /// Creates the controllers of a packet path.
-    pub fn new(relay: Arc<Relay<F>>, upstream: SocketAddrV4) -> Self {
-        Self { relay, upstream, changed: Notify::new() }
+    pub fn new(
+        host: P::Host,
+        relay: Arc<Relay<P::Format, Socket<P>>>,
+        upstream: SocketAddrV4,
+    ) -> Self {
+        Self { host, relay, upstream, changed: Notify::new() }
     }
 
     /// Lets time pass for ever.
@@ -81,31 +85,22 @@
             }
         }
         if check {
-            let (relay, upstream) = (self.relay.clone(), self.upstream);
+            let (host, relay, upstream) = (self.host.clone(), self.relay.clone(), self.upstream);
             tokio::spawn(async move {
-                let result = check_port(upstream).await;
+                let result = host.check(upstream).await;
                 relay.checked(result, relay.clock.now());
             });
         }
     }
 }
 
-async fn check_port(upstream: SocketAddrV4) -> Check {
-    match tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(upstream)).await {
-        Ok(Ok(_)) => Check::Connected,
-        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Check::Refused,
-        // The caller logs the verdict that follows from this.
-        Ok(Err(_)) | Err(_) => Check::Silent,
-    }
-}
-
-impl<F: Format> Registrar for Control<F> {
+impl<P: Platform> Registrar for Control<P> {
     fn report(&self, report: Report) {
         let now = self.relay.clock.now();
         let (id, born, number) = (report.id.clone(), report.born, report.number);
         let phase = report.phase;
         // Both ends of the machine's wall clock, which may have been set back between them.
-        let (wall, birth) = (clock::wall(), Span::from_millis(born.get()));
+        let (wall, birth) = (self.host.wall(), Span::from_millis(born.get()));
         let age = (wall >= birth).then(|| wall - birth);
         let (outcome, before) = {
             let mut monitor = self.relay.beliefs.monitor();
@@ -155,8 +150,8 @@
     }
 }
 
-impl<F: Format> Probe for Control<F> {
+impl<P: Platform> Probe for Control<P> {
     fn is_ready(&self) -> bool {
-        !self.relay.is_stopping()
+        !self.relay.beliefs.is_stopping()
     }
 }
--- a/yuccacroft-segment/src/agent/process.rs
+++ b/yuccacroft-segment/src/agent/process.rs
@@ -7,14 +7,18 @@
         control::Control,
         relay::{Relay, Setup},
     },
-    crate::{errors::Result, follower, journal::Journal, platform::Platform, port::Port, server},
+    crate::{
+        errors::Result,
+        host::Host,
+        journal::Journal,
+        platform::{Platform, Socket},
+    },
     slog::{Logger, info},
-    std::{
-        net::{Ipv4Addr, SocketAddrV4},
-        sync::Arc,
-        time::Duration,
+    std::{net::SocketAddrV4, sync::Arc, time::Duration},
+    tokio::{
+        sync::Mutex,
+        task::{AbortHandle, JoinSet},
     },
-    tokio::{sync::Mutex, task::JoinSet},
     yuccacroft_core::{
         flow::Hop,
         ids::{Domain, Instance, Process as Name},
@@ -22,7 +26,7 @@
         time::Span,
         upstream::Monitor,
     },
-    yuccacroft_rpc::clock::{self, Clock},
+    yuccacroft_rpc::clock::Clock,
 };
 
 /// Pause between two looks at the upstream while the process ends.
@@ -70,9 +74,9 @@
 
 /// The process takes flows.
 pub struct Serving<P: Platform> {
-    relay: Arc<Relay<P::Format>>,
-    announcer: Arc<Mutex<Announcer<P::Format, P::Store>>>,
-    announcing: tokio::task::JoinHandle<()>,
+    relay: Arc<Relay<P::Format, Socket<P>>>,
+    announcer: Arc<Mutex<Announcer<P>>>,
+    announcing: AbortHandle,
     tasks: JoinSet<()>,
     grace: Span,
     log: Logger,
@@ -97,13 +101,13 @@
     /// Opens the sockets and begins to serve.
     pub async fn serve(self) -> Result<Process<Serving<P>>> {
         let Starting { platform, settings, log } = self.state;
-        let (clock, incarnation) = (Clock::new(), clock::incarnation());
+        let (host, clock) = (platform.host(), Clock::new());
+        let incarnation = host.incarnation();
         let own = Hop { instance: Instance::new(settings.messages), incarnation };
-        let any = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
         let setup = Setup {
-            messages: Port::bind("messages", settings.messages)?,
-            outbound: Port::bind("outbound", settings.outbound)?,
-            upstream: Port::bind("upstream", any)?.connect(settings.upstream).await?,
+            messages: host.bind("messages", settings.messages)?,
+            outbound: host.bind("outbound", settings.outbound)?,
+            upstream: host.connect("upstream", settings.upstream).await?,
             caller_port: settings.caller_port,
             own,
         };
@@ -112,10 +116,10 @@
         let beliefs = Arc::new(Beliefs::new(target, incarnation, monitor));
         let journal = Journal::new(log.clone());
         let relay = Arc::new(Relay::new(platform.format(), setup, beliefs, clock, journal));
-        let control = Arc::new(Control::new(relay.clone(), settings.upstream));
+        let control = Arc::new(Control::new(host.clone(), relay.clone(), settings.upstream));
         let registrations = platform.registrations(control.clone());
-        server::start("reports", settings.reports, registrations, &log).await?;
-        server::start("ready", settings.ready, platform.readiness(control.clone()), &log).await?;
+        host.serve("reports", settings.reports, registrations, &log).await?;
+        host.serve("ready", settings.ready, platform.readiness(control.clone()), &log).await?;
         info!(log, "started"; "role" => "agent", "domain" => %settings.domain,
             "service" => %settings.service, "messages" => %settings.messages,
             "upstream" => %settings.upstream, "store" => %settings.store,
@@ -129,11 +133,10 @@
         tasks.spawn(async move { path.serve_refusals().await });
         let ticker = control.clone();
         tasks.spawn(async move { ticker.tick().await });
-        let store = platform.store(settings.store.into());
-        let announcer = Announcer::new(relay.clone(), control, store, settings.domain);
+        let announcer = Announcer::new(relay.clone(), control, &platform, &settings);
         let announcer = Arc::new(Mutex::new(announcer));
         let writer = announcer.clone();
-        let announcing = tokio::spawn(async move { writer.lock().await.run().await });
+        let announcing = tasks.spawn(async move { writer.lock().await.run().await });
         let grace = settings.grace;
         Ok(Process { state: Serving { relay, announcer, announcing, tasks, grace, log } })
     }
@@ -171,11 +174,7 @@
         let gone = ended();
         if gone {
             tokio::time::sleep(LINGER).await;
-            let mut failures = 0;
-            while !announcer.remove().await && in_time() {
-                failures += 1;
-                tokio::time::sleep(follower::pause(failures)).await;
-            }
+            announcer.remove(in_time).await;
         }
         tasks.shutdown().await;
         info!(log, "stopped"; "flows" => %relay.beliefs.table.open(), "upstream_gone" => gone);
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -2,13 +2,13 @@
 
 use {
     super::chain::{self, Beliefs, Item, Way},
-    crate::{journal::Journal, port::Port},
+    crate::{host::Socket, journal::Journal},
     slog::info,
     std::{
         net::SocketAddrV4,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
     },
     tokio::sync::Notify,
@@ -41,13 +41,13 @@
 
 /// The sockets and settings of a relay.
 #[derive(Debug)]
-pub struct Setup {
+pub struct Setup<S> {
     /// Where messages of balancers and other agents arrive.
-    pub messages: Port,
+    pub messages: S,
     /// Where the upstream sends its segments.
-    pub outbound: Port,
+    pub outbound: S,
     /// The way to the upstream.
-    pub upstream: Port,
+    pub upstream: S,
     /// The port at which callers are reached.
     pub caller_port: u16,
     /// The address and life of the agent.
@@ -55,9 +55,9 @@
 }
 
 /// The packet path.
-pub struct Relay<F> {
+pub struct Relay<F, S> {
     format: F,
-    setup: Setup,
+    setup: Setup<S>,
     chain: Chain<Item, Decision>,
     /// What the agent knows of its flows and its upstream.
     pub beliefs: Arc<Beliefs>,
@@ -71,14 +71,13 @@
     /// The number of the entry in the store, and when it was written in microseconds.
     written: Mutex<(u32, Moment)>,
     version: AtomicU64,
-    stopping: AtomicBool,
 }
 
-impl<F: Format> Relay<F> {
+impl<F: Format, S: Socket> Relay<F, S> {
     /// Creates a packet path.
     pub fn new(
         format: F,
-        setup: Setup,
+        setup: Setup<S>,
         beliefs: Arc<Beliefs>,
         clock: Clock,
         journal: Journal,
@@ -95,7 +94,6 @@
             balancers: Shards::with_count(1),
             written: Mutex::default(),
             version: AtomicU64::new(0),
-            stopping: AtomicBool::new(false),
         }
     }
 
@@ -137,25 +135,21 @@
 
     /// Stops taking new flows; those that live here stay.
     pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.beliefs.stop();
         self.tell_load(self.clock.now());
     }
 
-    /// Returns true once the agent takes no new flows because it ends.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
     /// Returns the load of the agent.
     pub fn load(&self, now: Moment) -> Load {
-        let monitor = self.beliefs.monitor();
+        let accepting = self.beliefs.is_accepting();
+        let warmup = self.beliefs.monitor().warmup(now);
         Load {
-            accepting: monitor.is_accepting() && !self.is_stopping(),
+            accepting,
             active: self.beliefs.active(),
             busy: self.beliefs.busy(),
             open: self.beliefs.table.open(),
             service_time: self.beliefs.table.service_time(),
-            warmup: monitor.warmup(now),
+            warmup,
         }
     }
 
@@ -239,12 +233,6 @@
             Err(error) => return self.log_junk("segments", &error, now),
         };
         let mut item = Item { segment, way, now };
-        if self.is_stopping()
-            && let Way::Open(target, offer, _) = &item.way
-        {
-            let decision = yuccacroft_core::handshake::next(offer.clone());
-            return self.carry_out(&item.segment, Some(*target), from, decision, bytes, now);
-        }
         let decision = self.chain.run(&mut item).unwrap_or(Decision::Drop("undecided"));
         let target = match &item.way {
             Way::Open(target, ..) => Some(*target),
--- a/yuccacroft-segment/src/balancer/control.rs
+++ b/yuccacroft-segment/src/balancer/control.rs
@@ -1,10 +1,11 @@
 //! The controllers of a balancer: configuration, members and their reach.
 
 use {
-    super::relay::Relay,
+    super::{chain, relay::Relay},
     crate::{
         follower::{Follower, Sink},
-        platform::{Document, Platform, Probe},
+        host::Host,
+        platform::{Document, Platform, Probe, Socket},
     },
     slog::{info, warn},
     std::{
@@ -19,7 +20,6 @@
     yuccacroft_core::{
         ids::Instance,
         pool::{Change, Entry, Reach},
-        segment::Format,
         time::{Moment, Span},
     },
     yuccacroft_store::store::{Changes, Item, Listing},
@@ -44,7 +44,7 @@
 /// What a balancer believes and how it keeps up.
 pub struct Control<P: Platform> {
     platform: P,
-    relay: Arc<Relay<P::Format>>,
+    relay: Arc<Relay<P::Format, Socket<P>>>,
     stopping: AtomicBool,
     isolated: AtomicBool,
     listed: AtomicBool,
@@ -58,7 +58,7 @@
 
 impl<P: Platform> Control<P> {
     /// Creates the controllers of a packet path.
-    pub fn new(platform: P, relay: Arc<Relay<P::Format>>) -> Self {
+    pub fn new(platform: P, relay: Arc<Relay<P::Format, Socket<P>>>) -> Self {
         Self {
             platform,
             relay,
@@ -76,6 +76,7 @@
             prefix: self.platform.config_key(),
             pause: Duration::ZERO,
             refresh: &self.relay.outdated,
+            seed: self.platform.host().seed(),
             log: self.relay.journal.log(),
         };
         follower.run(store, &Configuration(self)).await;
@@ -90,6 +91,7 @@
             prefix: MEMBERS,
             pause: MEMBERS_PAUSE,
             refresh: &refresh,
+            seed: self.platform.host().seed(),
             log: self.relay.journal.log(),
         };
         follower.run(store, &Members(self)).await;
@@ -150,7 +152,8 @@
                 "incarnation" => %hop.incarnation);
         }
         if ping_all {
-            self.relay.table.expire(now);
+            let idle = chain::current(&self.relay.current).and_then(|routes| routes.idle);
+            self.relay.table.expire(idle, now);
         }
         let isolated = self.relay.pool.is_isolated(now);
         if self.isolated.swap(isolated, Ordering::Relaxed) != isolated {
@@ -206,10 +209,7 @@
     }
 }
 
-impl<P: Platform> Probe for Control<P>
-where
-    P::Format: Format,
-{
+impl<P: Platform> Probe for Control<P> {
     fn is_ready(&self) -> bool {
         let current = self.relay.current.read().unwrap_or_else(PoisonError::into_inner);
         current.is_some()
--- a/yuccacroft-segment/src/balancer/process.rs
+++ b/yuccacroft-segment/src/balancer/process.rs
@@ -5,7 +5,12 @@
         control::Control,
         relay::{Relay, Setup},
     },
-    crate::{errors::Result, journal::Journal, platform::Platform, port::Port, server},
+    crate::{
+        errors::Result,
+        host::Host,
+        journal::Journal,
+        platform::{Platform, Socket},
+    },
     slog::{Logger, info},
     std::{net::SocketAddrV4, sync::Arc, time::Duration},
     tokio::task::JoinSet,
@@ -53,7 +58,7 @@
 /// The process forwards segments.
 pub struct Serving<P: Platform> {
     control: Arc<Control<P>>,
-    relay: Arc<Relay<P::Format>>,
+    relay: Arc<Relay<P::Format, Socket<P>>>,
     tasks: JoinSet<()>,
     grace: Span,
     log: Logger,
@@ -78,10 +83,10 @@
     /// Opens the sockets and begins to serve.
     pub async fn serve(self) -> Result<Process<Serving<P>>> {
         let Starting { platform, settings, log } = self.state;
-        let clock = Clock::new();
+        let (host, clock) = (platform.host(), Clock::new());
         let setup = Setup {
-            callers: Port::bind("segments", settings.segments)?,
-            agents: Port::bind("messages", settings.messages)?,
+            callers: host.bind("segments", settings.segments)?,
+            agents: host.bind("messages", settings.messages)?,
             origin: settings.messages,
             caller_port: settings.segments.port(),
             domain: settings.domain.clone(),
@@ -90,7 +95,7 @@
             Arc::new(Relay::new(platform.format(), setup, clock, Journal::new(log.clone())));
         let control = Arc::new(Control::new(platform.clone(), relay.clone()));
         let store = platform.store(settings.store.into());
-        server::start("ready", settings.ready, platform.readiness(control.clone()), &log).await?;
+        host.serve("ready", settings.ready, platform.readiness(control.clone()), &log).await?;
         info!(log, "started"; "role" => "balancer", "domain" => %settings.domain,
             "segments" => %settings.segments, "messages" => %settings.messages,
             "store" => %settings.store, "release" => env!("CARGO_PKG_VERSION"));
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -6,7 +6,7 @@
         chain::{self, Current, Decision, Item},
         searches::{Begin, Searches, Step},
     },
-    crate::{journal::Journal, port::Port},
+    crate::{host::Socket, journal::Journal},
     slog::info,
     std::{
         net::SocketAddrV4,
@@ -36,11 +36,11 @@
 
 /// The sockets and settings of a relay.
 #[derive(Debug)]
-pub struct Setup {
+pub struct Setup<S> {
     /// Where segments of callers arrive.
-    pub callers: Port,
+    pub callers: S,
     /// Where messages of agents arrive.
-    pub agents: Port,
+    pub agents: S,
     /// The address of [`Setup::agents`], as agents reach it.
     pub origin: SocketAddrV4,
     /// The port at which callers are reached.
@@ -50,9 +50,9 @@
 }
 
 /// The packet path.
-pub struct Relay<F> {
+pub struct Relay<F, S> {
     format: F,
-    setup: Setup,
+    setup: Setup<S>,
     chain: Chain<Item, Decision>,
     /// The flows that are known.
     pub table: Arc<Table>,
@@ -76,9 +76,9 @@
     certain_from: AtomicU64,
 }
 
-impl<F: Format> Relay<F> {
+impl<F: Format, S: Socket> Relay<F, S> {
     /// Creates a packet path without agents and configuration.
-    pub fn new(format: F, setup: Setup, clock: Clock, journal: Journal) -> Self {
+    pub fn new(format: F, setup: Setup<S>, clock: Clock, journal: Journal) -> Self {
         let (table, pool) = (Arc::new(Table::new()), Arc::new(Pool::new()));
         let current = Arc::new(Current::default());
         let chain = chain::new(table.clone(), pool.clone(), current.clone(), setup.domain.clone());
--- a/yuccacroft-segment/src/follower.rs
+++ b/yuccacroft-segment/src/follower.rs
@@ -1,7 +1,7 @@
 //! Keeps up with the keys of the store that have a prefix.
 
 use {
-    rand::RngExt,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
     slog::{Logger, info, warn},
     std::time::Duration,
     tokio::sync::Notify,
@@ -40,21 +40,29 @@
     pub pause: Duration,
     /// Asks for a new listing.
     pub refresh: &'a Notify,
+    /// The seed of the jitter of pauses.
+    pub seed: u64,
     /// Where lost and regained access is logged.
     pub log: &'a Logger,
 }
 
+/// Pauses with jitter, so that processes do not call a returning store at once.
+#[derive(Debug)]
+pub struct Jitter(StdRng);
+
 /// How far a follower has come.
 #[derive(Debug)]
 struct Progress {
     failures: u32,
     knows: bool,
+    jitter: Jitter,
 }
 
 impl Follower<'_> {
     /// Reads for ever.
     pub async fn run<S: Store>(&self, store: &S, sink: &impl Sink) {
-        let mut progress = Progress { failures: 0, knows: false };
+        let jitter = Jitter::new(self.seed);
+        let mut progress = Progress { failures: 0, knows: false, jitter };
         loop {
             match self.read(store, sink, &mut progress).await {
                 Ok(()) => progress.failures = 0,
@@ -63,8 +71,11 @@
                         warn!(self.log, "store lost"; "prefix" => self.prefix, "cause" => %error);
                     }
                     progress.failures += 1;
-                    let pause =
-                        if progress.knows { pause(progress.failures) } else { eager_pause() };
+                    let pause = if progress.knows {
+                        progress.jitter.pause(progress.failures)
+                    } else {
+                        progress.jitter.eager_pause()
+                    };
                     tokio::time::sleep(pause).await;
                 }
             }
@@ -88,6 +99,7 @@
         let mut watch = store.watch(self.prefix, Revision::new(revision.get() + 1)).await?;
         loop {
             let notice = tokio::select! {
+                biased;
                 notice = watch.next() => notice,
                 () = self.refresh.notified() => return Ok(()),
             };
@@ -103,7 +115,7 @@
                 // A watch that was cut may have missed something.
                 Some(Err(error)) => {
                     info!(self.log, "watch ended"; "prefix" => self.prefix, "cause" => %error);
-                    tokio::time::sleep(pause(1)).await;
+                    tokio::time::sleep(progress.jitter.pause(1)).await;
                     return Ok(());
                 }
                 None => return Ok(()),
@@ -112,17 +124,24 @@
     }
 }
 
-/// Returns a pause with jitter, so that processes do not call a returning store at once.
-pub fn pause(failures: u32) -> Duration {
-    let doubled = FIRST_PAUSE * 2u32.saturating_pow(failures.saturating_sub(1).min(8));
-    jittered(doubled.min(LONGEST_PAUSE))
-}
+impl Jitter {
+    /// Creates the jitter of one process.
+    pub fn new(seed: u64) -> Self {
+        Self(StdRng::seed_from_u64(seed))
+    }
 
-/// Returns the pause of a process that cannot serve before its call succeeds.
-pub fn eager_pause() -> Duration {
-    jittered(EAGER_PAUSE)
-}
+    /// Returns the pause after so many failed calls in a row.
+    pub fn pause(&mut self, failures: u32) -> Duration {
+        let doubled = FIRST_PAUSE * 2u32.saturating_pow(failures.saturating_sub(1).min(8));
+        self.vary(doubled.min(LONGEST_PAUSE))
+    }
+
+    /// Returns the pause of a process that cannot serve before its call succeeds.
+    pub fn eager_pause(&mut self) -> Duration {
+        self.vary(EAGER_PAUSE)
+    }
 
-fn jittered(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(0.7..1.3))
+    fn vary(&mut self, pause: Duration) -> Duration {
+        pause.mul_f64(self.0.random_range(0.7..1.3))
+    }
 }
--- a/yuccacroft-segment/src/lib.rs
+++ b/yuccacroft-segment/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod balancer;
 pub mod errors;
 pub mod follower;
+pub mod host;
 pub mod journal;
 pub mod platform;
 pub mod port;
-pub mod server;
--- a/yuccacroft-segment/src/platform.rs
+++ b/yuccacroft-segment/src/platform.rs
@@ -1,6 +1,7 @@
 //! The contract between this front end and the adapter of a platform.
 
 use {
+    crate::host::Host,
     axum::Router,
     std::{fmt::Display, net::SocketAddr, sync::Arc},
     yuccacroft_core::{
@@ -20,6 +21,11 @@
     type Format: Format;
     /// The client of the store.
     type Store: Store + Clone;
+    /// The machines of the platform.
+    type Host: Host;
+
+    /// Returns the machine on which the process runs.
+    fn host(&self) -> Self::Host;
 
     /// Returns the encoding of segments.
     fn format(&self) -> Self::Format;
@@ -41,6 +47,9 @@
     fn registrations(&self, registrar: Arc<dyn Registrar>) -> Router;
 }
 
+/// The sockets of a process on a platform.
+pub type Socket<P> = <<P as Platform>::Host as Host>::Socket;
+
 /// A configuration as it was read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Document {
--- a/yuccacroft-segment/src/port.rs
+++ b/yuccacroft-segment/src/port.rs
@@ -1,7 +1,10 @@
 //! UDP sockets that are read in batches.
 
 use {
-    crate::errors::{Error, Result},
+    crate::{
+        errors::{Error, Result},
+        host::Socket,
+    },
     std::{
         io,
         net::{SocketAddr, SocketAddrV4},
@@ -45,18 +48,22 @@
         Ok(Self { name, socket: open().map_err(Error::socket(name))? })
     }
 
-    /// Limits the socket to one peer, so that the system reports a port that nobody listens at.
-    pub async fn connect(self, peer: SocketAddrV4) -> Result<Self> {
+    fn count(&self, error: &io::Error) {
+        let cause = error.kind().to_string();
+        metrics::counter!(DROPPED, "socket" => self.name, "cause" => cause).increment(1);
+    }
+}
+
+impl Socket for Port {
+    async fn connect(self, peer: SocketAddrV4) -> Result<Self> {
         self.socket.connect(peer).await.map_err(Error::socket(self.name))?;
         Ok(self)
     }
 
-    /// Reads datagrams for ever and hands each to `take`, which may change the bytes. `failed`
-    /// learns of errors that the system reports in place of a datagram.
-    pub async fn receive(
+    async fn receive(
         &self,
-        mut take: impl FnMut(&mut [u8], SocketAddrV4),
-        mut failed: impl FnMut(io::Error),
+        mut take: impl FnMut(&mut [u8], SocketAddrV4) + Send,
+        mut failed: impl FnMut(io::Error) + Send,
     ) {
         let mut buffer = vec![0; DATAGRAM_BYTES];
         loop {
@@ -76,16 +83,13 @@
         }
     }
 
-    /// Sends a datagram, or drops it when the socket has no room: a sender of the flow repeats it.
-    pub fn send(&self, datagram: &[u8], to: SocketAddrV4) {
+    fn send(&self, datagram: &[u8], to: SocketAddrV4) {
         if let Err(error) = self.socket.try_send_to(datagram, to.into()) {
             self.count(&error);
         }
     }
 
-    /// Sends a datagram to the peer of a connected socket. Returns false when the system says that
-    /// nobody listens there.
-    pub fn send_connected(&self, datagram: &[u8]) -> bool {
+    fn send_connected(&self, datagram: &[u8]) -> bool {
         match self.socket.try_send(datagram) {
             Ok(_) => true,
             Err(error) => {
@@ -94,9 +98,4 @@
             }
         }
     }
-
-    fn count(&self, error: &io::Error) {
-        let cause = error.kind().to_string();
-        metrics::counter!(DROPPED, "socket" => self.name, "cause" => cause).increment(1);
-    }
 }
--- a/yuccacroft/src/cli/segment.rs
+++ b/yuccacroft/src/cli/segment.rs
@@ -12,7 +12,10 @@
     tokio::signal::unix::{SignalKind, signal},
     yuccacroft_platform::Platform,
     yuccacroft_rpc::admin,
-    yuccacroft_segment::{agent, balancer, server},
+    yuccacroft_segment::{
+        agent, balancer,
+        host::{Host, Machine},
+    },
 };
 
 /// Runs a balancer until it is asked to stop.
@@ -51,7 +54,7 @@
 
 async fn serve_metrics(address: Option<SocketAddrV4>, log: &Logger) -> Result<()> {
     let Some(address) = address else { return Ok(()) };
-    let served = server::start("metrics", address, admin::open_metrics(), log).await;
+    let served = Machine.serve("metrics", address, admin::open_metrics(), log).await;
     served.map_err(Error::Segment)
 }
 
