--- a/yuccacroft-segment/src/agent/process.rs
+++ b/yuccacroft-segment/src/agent/process.rs
@@ -9,7 +9,7 @@
     },
     crate::{
         errors::Result,
-        host::Host,
+        host::{Host, Server},
         journal::Journal,
         platform::{Platform, Socket},
     },
@@ -78,6 +78,7 @@
     announcer: Arc<Mutex<Announcer<P>>>,
     announcing: AbortHandle,
     tasks: JoinSet<()>,
+    servers: Vec<Server>,
     grace: Span,
     log: Logger,
 }
@@ -118,8 +119,11 @@
         let relay = Arc::new(Relay::new(platform.format(), setup, beliefs, clock, journal));
         let control = Arc::new(Control::new(host.clone(), relay.clone(), settings.upstream));
         let registrations = platform.registrations(control.clone());
-        host.serve("reports", settings.reports, registrations, &log).await?;
-        host.serve("ready", settings.ready, platform.readiness(control.clone()), &log).await?;
+        let readiness = platform.readiness(control.clone());
+        let servers = vec![
+            host.serve("reports", settings.reports, registrations, &log).await?,
+            host.serve("ready", settings.ready, readiness, &log).await?,
+        ];
         info!(log, "started"; "role" => "agent", "domain" => %settings.domain,
             "service" => %settings.service, "messages" => %settings.messages,
             "upstream" => %settings.upstream, "store" => %settings.store,
@@ -138,7 +142,7 @@
         let writer = announcer.clone();
         let announcing = tasks.spawn(async move { writer.lock().await.run().await });
         let grace = settings.grace;
-        Ok(Process { state: Serving { relay, announcer, announcing, tasks, grace, log } })
+        Ok(Process { state: Serving { relay, announcer, announcing, tasks, servers, grace, log } })
     }
 }
 
@@ -155,7 +159,8 @@
 impl<P: Platform> Process<Draining<P>> {
     /// Forwards until the upstream has ended, or the grace period is nearly over.
     pub async fn stop(self) {
-        let Serving { relay, announcer, announcing, mut tasks, grace, log } = self.state.serving;
+        let Serving { relay, announcer, announcing, mut tasks, servers, grace, log } =
+            self.state.serving;
         // A call under way is given up; the last call follows it.
         announcing.abort();
         let mut announcer = announcer.lock().await;
@@ -177,6 +182,7 @@
             announcer.remove(in_time).await;
         }
         tasks.shutdown().await;
+        drop(servers);
         info!(log, "stopped"; "flows" => %relay.beliefs.table.open(), "upstream_gone" => gone);
     }
 }
--- a/yuccacroft-segment/src/balancer/process.rs
+++ b/yuccacroft-segment/src/balancer/process.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         errors::Result,
-        host::Host,
+        host::{Host, Server},
         journal::Journal,
         platform::{Platform, Socket},
     },
@@ -60,6 +60,7 @@
     control: Arc<Control<P>>,
     relay: Arc<Relay<P::Format, Socket<P>>>,
     tasks: JoinSet<()>,
+    servers: Vec<Server>,
     grace: Span,
     log: Logger,
 }
@@ -95,7 +96,8 @@
             Arc::new(Relay::new(platform.format(), setup, clock, Journal::new(log.clone())));
         let control = Arc::new(Control::new(platform.clone(), relay.clone()));
         let store = platform.store(settings.store.into());
-        host.serve("ready", settings.ready, platform.readiness(control.clone()), &log).await?;
+        let readiness = platform.readiness(control.clone());
+        let servers = vec![host.serve("ready", settings.ready, readiness, &log).await?];
         info!(log, "started"; "role" => "balancer", "domain" => %settings.domain,
             "segments" => %settings.segments, "messages" => %settings.messages,
             "store" => %settings.store, "release" => env!("CARGO_PKG_VERSION"));
@@ -111,7 +113,7 @@
         let ticker = control.clone();
         tasks.spawn(async move { ticker.tick().await });
         let grace = settings.grace;
-        Ok(Process { state: Serving { control, relay, tasks, grace, log } })
+        Ok(Process { state: Serving { control, relay, tasks, servers, grace, log } })
     }
 }
 
@@ -128,7 +130,7 @@
 impl<P: Platform> Process<Draining<P>> {
     /// Forwards until the routers have moved, or the grace period is nearly over.
     pub async fn stop(self) {
-        let Serving { relay, mut tasks, grace, log, .. } = self.state.serving;
+        let Serving { relay, mut tasks, servers, grace, log, .. } = self.state.serving;
         let begun = relay.clock.now();
         loop {
             tokio::time::sleep(STEP).await;
@@ -139,6 +141,7 @@
             }
         }
         tasks.shutdown().await;
+        drop(servers);
         info!(log, "stopped"; "flows" => relay.table.len(), "searches" => relay.searches.len());
     }
 }
--- a/yuccacroft-segment/src/host.rs
+++ b/yuccacroft-segment/src/host.rs
@@ -11,12 +11,16 @@
     axum::Router,
     slog::{Logger, error},
     std::{
+        fmt::Debug,
         future::Future,
         io,
         net::{Ipv4Addr, SocketAddrV4},
         time::Duration,
     },
-    tokio::net::{TcpListener, TcpStream},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        task::JoinHandle,
+    },
     yuccacroft_core::{ids::Incarnation, time::Span, upstream::Check},
     yuccacroft_rpc::clock,
 };
@@ -25,21 +29,21 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A machine.
-pub trait Host: Clone + Send + Sync + 'static {
+pub trait Host: Clone + Debug + Send + Sync + 'static {
     /// Its UDP sockets.
     type Socket: Socket;
 
     /// Opens a socket. `name` is the one in the settings.
     fn bind(&self, name: &'static str, address: SocketAddrV4) -> Result<Self::Socket>;
 
-    /// Opens a listener and serves `routes` there until the process ends.
+    /// Opens a listener and serves `routes` there until the server is dropped.
     fn serve(
         &self,
         name: &'static str,
         address: SocketAddrV4,
         routes: Router,
         log: &Logger,
-    ) -> impl Future<Output = Result<()>> + Send;
+    ) -> impl Future<Output = Result<Server>> + Send;
 
     /// Checks whether something accepts connections at an address of the machine.
     fn check(&self, address: SocketAddrV4) -> impl Future<Output = Check> + Send;
@@ -69,7 +73,7 @@
 }
 
 /// A UDP socket.
-pub trait Socket: Sized + Send + Sync + 'static {
+pub trait Socket: Sized + Debug + Send + Sync + 'static {
     /// Limits the socket to one peer, so that a port that nobody listens at is reported.
     fn connect(self, peer: SocketAddrV4) -> impl Future<Output = Result<Self>> + Send;
 
@@ -89,10 +93,27 @@
     fn send_connected(&self, datagram: &[u8]) -> bool;
 }
 
+/// An HTTP server that ends when it is dropped.
+#[derive(Debug)]
+pub struct Server(JoinHandle<()>);
+
 /// The machine on which this program runs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Machine;
 
+impl Server {
+    /// Wraps the task that serves.
+    pub fn new(task: JoinHandle<()>) -> Self {
+        Self(task)
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 impl Host for Machine {
     type Socket = Port;
 
@@ -106,15 +127,14 @@
         address: SocketAddrV4,
         routes: Router,
         log: &Logger,
-    ) -> Result<()> {
+    ) -> Result<Server> {
         let listener = TcpListener::bind(address).await.map_err(Error::socket(name))?;
         let log = log.clone();
-        tokio::spawn(async move {
+        Ok(Server::new(tokio::spawn(async move {
             if let Err(cause) = axum::serve(listener, routes).await {
                 error!(log, "server ended"; "socket" => name, "cause" => %cause);
             }
-        });
-        Ok(())
+        })))
     }
 
     async fn check(&self, address: SocketAddrV4) -> Check {
--- a/yuccacroft/src/cli/segment.rs
+++ b/yuccacroft/src/cli/segment.rs
@@ -14,7 +14,7 @@
     yuccacroft_rpc::admin,
     yuccacroft_segment::{
         agent, balancer,
-        host::{Host, Machine},
+        host::{Host, Machine, Server},
     },
 };
 
@@ -23,7 +23,7 @@
     let (settings, metrics) = settings::balancer(file)?;
     admin::record_metrics();
     let (log, _flush) = logs::logger(Level::Info, &settings.name.to_string());
-    serve_metrics(metrics, &log).await?;
+    let _metrics = serve_metrics(metrics, &log).await?;
     let stop = Stop::new()?;
     let process = balancer::Process::new(Platform, settings, log.clone());
     let serving = process.serve().await.map_err(Error::Segment)?;
@@ -40,7 +40,7 @@
     let (settings, metrics) = settings::agent(file)?;
     admin::record_metrics();
     let (log, _flush) = logs::logger(Level::Info, &settings.name.to_string());
-    serve_metrics(metrics, &log).await?;
+    let _metrics = serve_metrics(metrics, &log).await?;
     let stop = Stop::new()?;
     let process = agent::Process::new(Platform, settings, log.clone());
     let serving = process.serve().await.map_err(Error::Segment)?;
@@ -52,10 +52,10 @@
     Ok(())
 }
 
-async fn serve_metrics(address: Option<SocketAddrV4>, log: &Logger) -> Result<()> {
-    let Some(address) = address else { return Ok(()) };
-    let served = Machine.serve("metrics", address, admin::open_metrics(), log).await;
-    served.map_err(Error::Segment)
+async fn serve_metrics(address: Option<SocketAddrV4>, log: &Logger) -> Result<Option<Server>> {
+    let Some(address) = address else { return Ok(None) };
+    let server = Machine.serve("metrics", address, admin::open_metrics(), log).await;
+    server.map(Some).map_err(Error::Segment)
 }
 
 /// Checks the settings again at each SIGHUP. All of them take effect at the next start, since they
--- a/yuccacroft/tests/platform/calm.rs
+++ b/yuccacroft/tests/platform/calm.rs
@@ -4,6 +4,7 @@
     crate::deployment::{BOOKING, Deployment, PATIENCE, booking},
     std::{net::SocketAddrV4, process::Stdio},
     yuccacroft_emulator::{caller::Failure, operator::fetch},
+    yuccacroft_segment::host::Machine as Local,
 };
 
 /// Guards against a path that does not serve: requests on flows of their own and on one long flow,
@@ -72,10 +73,11 @@
 async fn junk_is_counted_and_dropped() {
     let deployment = Deployment::start("junk", 1, 1).await;
     for length in [0, 1, 31, 32, 33, 1_400] {
-        deployment.callers.send_junk(&vec![0xff; length]).await;
+        deployment.callers.send_junk(&vec![0xff; length]);
     }
     deployment.request("after the junk").await;
-    let metrics = fetch(deployment.balancers[0].machine.metrics(), "/metrics").await.unwrap().1;
+    let metrics =
+        fetch(&Local, deployment.balancers[0].machine.metrics(), "/metrics").await.unwrap().1;
     let line = metrics.lines().find(|line| line.starts_with("yuccacroft_balancer_junk_total{"));
     assert!(line.is_some_and(|line| line.contains("source=\"callers\"")), "{metrics}");
 }
@@ -92,7 +94,7 @@
     // More lines than a pipe and the queue of lines hold together.
     for _ in 0..30 {
         for _ in 0..200 {
-            deployment.callers.send_junk(&[0xff; 40]).await;
+            deployment.callers.send_junk(&[0xff; 40]);
         }
         deployment.request("beside the flood").await;
     }
--- a/yuccacroft/tests/platform/deployment.rs
+++ b/yuccacroft/tests/platform/deployment.rs
@@ -10,12 +10,14 @@
     },
     yuccacroft_emulator::{
         caller::Callers,
+        ledger::Ledger,
         machine::{Machine, Network},
         operator,
         store::Store,
         upstream::{Behaviour, Upstream},
     },
     yuccacroft_platform::SETTINGS_VARIABLE,
+    yuccacroft_segment::host::Machine as Local,
 };
 
 /// Time for one request in calm and under faults: shorter than any test waits in vain.
@@ -51,6 +53,7 @@
     pub balancers: Vec<Node>,
     pub sides: Vec<Side>,
     pub callers: Callers,
+    ledger: Ledger,
     network: Network,
     folder: PathBuf,
     version: u64,
@@ -74,14 +77,15 @@
         let folder =
             std::env::temp_dir().join(format!("yuccacroft-platform-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
-        let store = Store::start(network.machine(1).store().into()).await.unwrap();
+        let store = Store::start(&Local, network.machine(1).store()).await.unwrap();
         let fronts: Vec<Machine> = (0..balancers).map(|n| network.machine(10 + n)).collect();
-        let callers = Callers::start(network.machine(2), &fronts).await.unwrap();
+        let callers = Callers::start(&Local, network.machine(2), &fronts).unwrap();
         let mut deployment = Self {
             store,
             balancers: Vec::new(),
             sides: Vec::new(),
             callers,
+            ledger: Ledger::default(),
             network,
             folder,
             version: 0,
@@ -110,10 +114,15 @@
         let machine = self.network.machine(100 + number);
         let node = self.node(machine, "agent", service);
         let id = format!("upstream-{number}");
-        let upstream = Upstream::start(machine, &id, behaviour(service)).await.unwrap();
+        let upstream = self.start_upstream(machine, &id, behaviour(service)).await;
         Side { node, upstream: Some(upstream) }
     }
 
+    /// Starts an upstream on a machine.
+    pub async fn start_upstream(&self, machine: Machine, id: &str, kind: Behaviour) -> Upstream {
+        Upstream::start(&Local, machine, id, kind, self.ledger.clone()).await.unwrap()
+    }
+
     /// Writes a configuration with these routes as the operator does.
     pub fn configure(&mut self, routes: &[(SocketAddrV4, &str)]) {
         self.version += 3;
@@ -141,7 +150,7 @@
     pub async fn wait_ready(&self, index: usize, ready: bool) {
         let address = self.balancers[index].machine.ready();
         let begun = Instant::now();
-        while operator::is_ready(address).await != ready {
+        while operator::is_ready(&Local, address).await != ready {
             assert!(begun.elapsed() < DEADLINE, "ready is not {ready}\n{}", self.logs());
             tokio::time::sleep(POLL).await;
         }
@@ -176,8 +185,9 @@
         .collect()
     }
 
-    /// Checks that nobody got a packet that its sender did not write so.
+    /// Checks that nobody got a packet that its sender did not write so, and that no flow moved.
     pub fn check_packets(&self) {
+        assert_eq!(self.ledger.breaches(), []);
         assert_eq!(self.callers.forged(), 0, "a caller got a forged packet");
         for side in &self.sides {
             let forged = side.upstream.as_ref().map_or(0, |upstream| upstream.record().forged);
--- a/yuccacroft/tests/platform/logs.rs
+++ b/yuccacroft/tests/platform/logs.rs
@@ -4,10 +4,7 @@
 use {
     crate::deployment::{BOOKING, Deployment, PATIENCE, behaviour, booking},
     std::time::Duration,
-    yuccacroft_emulator::{
-        caller::Failure,
-        upstream::{Behaviour, Upstream},
-    },
+    yuccacroft_emulator::{caller::Failure, upstream::Behaviour},
 };
 
 /// A request as callers write it.
@@ -79,7 +76,7 @@
     deployment.crash(0).await;
     let machine = deployment.sides[0].node.machine;
     let slow = Behaviour { work: Duration::from_millis(180), ..behaviour(BOOKING) };
-    deployment.sides[0].upstream = Some(Upstream::start(machine, "slow", slow).await.unwrap());
+    deployment.sides[0].upstream = Some(deployment.start_upstream(machine, "slow", slow).await);
     let reborn = |logs: &str| !lines(logs, &["outcome=Reborn"]).is_empty();
     deployment.wait("the new life", || reborn(&deployment.logs())).await;
     deployment.request(&request("cc33")).await;
--- a/yuccacroft/tests/platform/losses.rs
+++ b/yuccacroft/tests/platform/losses.rs
@@ -3,10 +3,7 @@
 use {
     crate::deployment::{BOOKING, Deployment, PATIENCE, behaviour, booking},
     std::time::{Duration, Instant},
-    yuccacroft_emulator::{
-        caller::{Connection, Failure},
-        upstream::Upstream,
-    },
+    yuccacroft_emulator::caller::{Connection, Failure},
 };
 
 const BOARDS: usize = 6;
@@ -97,7 +94,7 @@
     board.request("first", PATIENCE).await.unwrap();
     deployment.crash(0).await;
     let machine = deployment.sides[0].node.machine;
-    let reborn = Upstream::start(machine, "upstream-0", behaviour(BOOKING)).await.unwrap();
+    let reborn = deployment.start_upstream(machine, "upstream-0", behaviour(BOOKING)).await;
     deployment.sides[0].upstream = Some(reborn);
     assert_eq!(board.request("second", PATIENCE).await.unwrap_err(), Failure::Reset);
     deployment.request("a new flow").await;
--- a/yuccacroft/tests/platform/stops.rs
+++ b/yuccacroft/tests/platform/stops.rs
@@ -4,6 +4,7 @@
     crate::deployment::{BOOKING, Deployment, PATIENCE, booking},
     std::time::{Duration, Instant},
     yuccacroft_emulator::{caller::Failure, operator::is_ready, store::Fault},
+    yuccacroft_segment::host::Machine as Local,
 };
 
 /// Requests on one flow from before the stop of its agent until after its restart.
@@ -67,7 +68,7 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     assert_eq!(deployment.balancers[0].ended(), Some(true));
-    assert!(!is_ready(machines[0].ready()).await);
+    assert!(!is_ready(&Local, machines[0].ready()).await);
 }
 
 /// Guards against flows that a planned restart of their agent cuts while their upstream lives.
