Reset no living flow after a cut, a loss of entries or a planned stop; show state dumps

A balancer that had been cut off heard one agent a moment before the others, took the others for lost and reset two living flows. Now the first answer after a cut excuses all members, and a search that began with all agents lost gives all of them time. A balancer started when the entries of all agents had been taken away. It knew one agent, which had just been restarted, took the whole system for restarted and reset the flows of agents that it did not know. Now that shortcut takes a loss of power: agents and their upstreams are young, and the list shows an earlier life of each of them. - From reading: an agent that stops in an outage of the store could tell nobody. It says so in its load now, and balancers give it the grace of a restart. Version 2 of the messages. - From reading: only an agent that never answered counts as absent after a loss of power.

--- a/yuccacroft-bench/src/main.rs
+++ b/yuccacroft-bench/src/main.rs
@@ -8,11 +8,16 @@
 mod flows;
 mod forwarding;
 mod memory;
+mod platform;
 mod requests;
 mod segments;
 mod slopes;
 
-use {argh::FromArgs, figure::Report, std::process::ExitCode};
+use {
+    argh::FromArgs,
+    figure::Report,
+    std::{path::PathBuf, process::ExitCode},
+};
 
 /// Seed of all random choices when none is given.
 const DEFAULT_SEED: u64 = 1;
@@ -28,6 +33,7 @@
     ("control", control::run),
     ("slopes", slopes::run),
     ("segments", segments::run),
+    ("platform", platform::run),
 ];
 
 /// A case takes the seed of all its random choices and measures.
@@ -42,6 +48,12 @@
     /// the seed of all random choices
     #[argh(option, default = "DEFAULT_SEED")]
     seed: u64,
+    /// with the case platform: the day of this file, in place of the usual ones
+    #[argh(option)]
+    day: Option<PathBuf>,
+    /// with a day: prints the lines of its trace that have this text
+    #[argh(option)]
+    trace: Option<String>,
 }
 
 fn main() -> ExitCode {
@@ -54,7 +66,16 @@
         eprintln!("unknown case {}, expected one of: {}", arguments.case, names.join(", "));
         return ExitCode::FAILURE;
     };
-    let report = case(arguments.seed);
+    let report = match &arguments.day {
+        Some(file) => match platform::run_file(file, arguments.trace.as_deref()) {
+            Ok(report) => report,
+            Err(error) => {
+                eprintln!("{error}");
+                return ExitCode::FAILURE;
+            }
+        },
+        None => case(arguments.seed),
+    };
     print!("{report}");
     if report.met() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/yuccacroft-bench/src/segments.rs
+++ b/yuccacroft-bench/src/segments.rs
@@ -141,6 +141,7 @@
             open: Connections::new(10),
             service_time: Span::from_millis(20),
             warmup: Span::ZERO,
+            stopping: false,
         };
         pool.hear(entry(number).hop, load, NOW);
     }
--- a/yuccacroft-bench/src/segments/placement.rs
+++ b/yuccacroft-bench/src/segments/placement.rs
@@ -205,6 +205,7 @@
             open: Connections::new(self.open),
             service_time: Span::from_micros((self.service_ms * 1_000.0) as u64),
             warmup: Span::ZERO,
+            stopping: false,
         }
     }
 }
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -95,6 +95,8 @@
     pub service_time: Span,
     /// How much longer its upstream is slow after its start.
     pub warmup: Span,
+    /// Whether it ends soon, while its upstream may go on.
+    pub stopping: bool,
 }
 
 /// One agent as a balancer knows it.
@@ -108,6 +110,8 @@
     unanswered: Option<Moment>,
     unlisted: Option<Moment>,
     stopped: Option<Moment>,
+    /// Whether a later life answered than the one that was listed first.
+    revived: bool,
 }
 
 /// How well a member can be reached.
@@ -150,6 +154,7 @@
             unanswered: None,
             unlisted: None,
             stopped,
+            revived: false,
         }
     }
 
@@ -169,9 +174,15 @@
         self.reach(now) >= limit && !restarts
     }
 
-    /// Returns true when the member would have answered by now if it had started with all others.
+    /// Returns true when the member has never answered, though it would have by now if it had started
+    /// with all others.
     pub fn is_absent(&self, now: Moment) -> bool {
-        self.owes(ABSENCE, now)
+        self.load.is_none() && self.owes(ABSENCE, now)
+    }
+
+    /// Returns true when the listing showed an earlier life of the member than the one that lives.
+    pub fn is_revived(&self) -> bool {
+        self.revived
     }
 
     /// Returns the load and its age, if the member ever told it.
@@ -247,6 +258,7 @@
                 let stopped = member.stopped;
                 *member = Member::new(entry, now);
                 member.stopped = member.stopped.or(stopped);
+                member.revived = true;
                 return Change::Joined;
             }
             if entry.phase == Phase::Stopping {
@@ -299,19 +311,30 @@
 
     /// Notes a message of a member. Returns false for one that is not in the pool.
     pub fn hear(&self, hop: Hop, load: Load, now: Moment) -> bool {
+        let was_lost =
+            |member: Option<&Member>| member.is_some_and(|member| member.reach(now) == Reach::Lost);
+        // The end of a cut: what the others owe was asked while this process reached nobody.
+        if self.members.read(&hop.instance, was_lost) && self.is_isolated(now) {
+            self.excuse(now);
+        }
         self.members.update(hop.instance, |slot| {
             let Some(member) = slot else { return false };
             if hop.incarnation < member.entry.hop.incarnation {
                 return true;
             }
             member.unanswered = None;
+            member.revived |= hop.incarnation > member.entry.hop.incarnation;
             member.load = Some((load, now));
+            if load.stopping {
+                member.stopped = Some(now);
+            }
             member.pending.retain(|at| now.since(*at) < OFFER_DELAY);
             true
         })
     }
 
-    /// Forgets how long answers are due, after a time in which this process itself stood still.
+    /// Forgets how long answers are due, after a time in which this process itself stood still or was
+    /// cut off.
     pub fn excuse(&self, now: Moment) {
         self.members.retain(|_, member| {
             member.unanswered = member.unanswered.map(|_| now);
--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -23,8 +23,9 @@
 /// Time after which a search ends without a result. The next segment of the flow begins another.
 const LIMIT: Span = Span::from_secs(3);
 
-/// Time since its start for which an agent counts as fresh. When all agents are fresh, the whole
-/// system has been restarted, and there is no older agent that the list could lack.
+/// Age up to which an agent and its upstream count as fresh. When all agents are fresh, and the list
+/// shows an earlier life of each, the whole system has lost power, and there is no older agent that
+/// the list could lack.
 const FRESH: Span = Span::from_secs(10);
 
 /// What an agent says of a flow.
@@ -34,13 +35,13 @@
     Owns,
     /// It does not own the flow, as far as it has known since its start.
     Denies {
-        /// The time since its start.
-        uptime: Span,
+        /// The time since the start of the agent or its upstream, whichever is longer.
+        age: Span,
     },
     /// It cannot tell: its upstream is older than itself.
     Unsure {
-        /// The time since its start.
-        uptime: Span,
+        /// The time since the start of the agent or its upstream, whichever is longer.
+        age: Span,
     },
 }
 
@@ -60,8 +61,10 @@
     pub hop: Hop,
     /// Whether its flows are taken to be lost, since it has not answered anything for long.
     pub lost: bool,
-    /// Whether it would have answered by now if it had started with all others.
+    /// Whether it has never answered, though it would have by now if it had started with all others.
     pub absent: bool,
+    /// Whether the list showed an earlier life of it.
+    pub revived: bool,
     /// Whether it serves the service of the flow's route.
     pub likely: bool,
 }
@@ -99,6 +102,7 @@
     answer: Option<Answer>,
     lost: bool,
     absent: bool,
+    revived: bool,
 }
 
 impl Answer {
@@ -106,10 +110,10 @@
         matches!(self, Self::Denies { .. })
     }
 
-    fn uptime(self) -> Option<Span> {
+    fn age(self) -> Option<Span> {
         match self {
             Self::Owns => None,
-            Self::Denies { uptime } | Self::Unsure { uptime } => Some(uptime),
+            Self::Denies { age } | Self::Unsure { age } => Some(age),
         }
     }
 }
@@ -125,6 +129,10 @@
         if answer == Answer::Owns {
             return vec![Action::Found(from)];
         }
+        // When all were lost, it was this balancer that was cut off until now.
+        if self.asked.values().all(|asked| asked.lost) {
+            self.asked.values_mut().for_each(|asked| (asked.lost, asked.absent) = (false, false));
+        }
         if let Some(asked) = self.asked.get_mut(&from.instance) {
             asked.hop = from;
             asked.lost = false;
@@ -152,6 +160,7 @@
                 Some(asked) => {
                     asked.lost = candidate.lost;
                     asked.absent = candidate.absent;
+                    asked.revived = candidate.revived;
                     actions.extend(asked.repeat(candidate.hop, now));
                 }
                 None if candidate.likely => actions.push(self.ask(candidate, now)),
@@ -163,8 +172,8 @@
     }
 
     fn ask(&mut self, candidate: Candidate, now: Moment) -> Action {
-        let Candidate { hop, lost, absent, .. } = candidate;
-        let asked = Asked { hop, at: now, probed: false, answer: None, lost, absent };
+        let Candidate { hop, lost, absent, revived, .. } = candidate;
+        let asked = Asked { hop, at: now, probed: false, answer: None, lost, absent, revived };
         self.asked.insert(hop.instance, asked);
         Action::Ask(hop)
     }
@@ -197,10 +206,15 @@
         if denied && certain { vec![Action::Nobody] } else { Vec::new() }
     }
 
-    /// Returns true when every agent that has answered is fresh, and at least one has.
+    /// Returns true when every agent that has answered is fresh and was listed with an earlier life,
+    /// and at least one has.
     fn is_fresh(&self) -> bool {
-        let uptimes = self.asked.values().filter_map(|asked| asked.answer?.uptime());
-        uptimes.max().is_some_and(|oldest| oldest < FRESH)
+        let mut answered = self.asked.values().filter(|asked| asked.answer.is_some()).peekable();
+        let fresh = |asked: &Asked| {
+            let age = asked.answer.and_then(Answer::age);
+            asked.revived && age.is_some_and(|age| age < FRESH)
+        };
+        answered.peek().is_some() && answered.all(fresh)
     }
 }
 
--- a/yuccacroft-core/src/steering.rs
+++ b/yuccacroft-core/src/steering.rs
@@ -2,11 +2,14 @@
 //!
 //! The memory is a cache. Without an entry the owner is searched; see [`crate::search`].
 
-use crate::{
-    flow::{Hop, Key},
-    ids::Instance,
-    shards::Shards,
-    time::{Moment, Span},
+use {
+    crate::{
+        flow::{Hop, Key},
+        ids::Instance,
+        shards::Shards,
+        time::{Moment, Span},
+    },
+    std::collections::BTreeMap,
 };
 
 /// Longest time after which an unused entry is forgotten; flows that are silent for longer are rare
@@ -108,6 +111,22 @@
         });
     }
 
+    /// Returns the number of flows of each agent that owns them or was offered them, and the number
+    /// of lost ones.
+    pub fn owners(&self) -> (BTreeMap<Instance, usize>, usize) {
+        self.records.fold((BTreeMap::new(), 0), |(mut owners, lost), _, record| match record {
+            Record::Owned { owner, .. } => {
+                *owners.entry(owner.instance).or_default() += 1;
+                (owners, lost)
+            }
+            Record::Offered { to, .. } => {
+                *owners.entry(*to).or_default() += 1;
+                (owners, lost)
+            }
+            Record::Lost { .. } => (owners, lost + 1),
+        })
+    }
+
     /// Returns the number of flows.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -26,6 +26,8 @@
 /// Part of a report interval within which no report follows one that was confirmed, in hundredths:
 /// the interval is approximate.
 const CONFIRMED_PERCENT: u64 = 75;
+/// Age of an upstream whose start the wall clock does not tell: older than any that is fresh.
+const UNKNOWN_AGE: Span = Span::from_secs(3_600);
 /// Time between two checks of an upstream in doubt, since each costs it a connection.
 const CHECK_PAUSE: Span = Span::from_millis(250);
 
@@ -121,6 +123,9 @@
     report: Report,
     left: bool,
     reported: Moment,
+    /// The age of the upstream at its first report here; unknown ages count as high.
+    age: Span,
+    begun: Moment,
     /// Whether no earlier life of the agent can have served the upstream.
     first_agent: bool,
 }
@@ -286,6 +291,11 @@
         self.life.as_ref().map_or(Span::ZERO, left)
     }
 
+    /// Returns the time since the start of the upstream; zero before its first report.
+    pub fn age(&self, now: Moment) -> Span {
+        self.life.as_ref().map_or(Span::ZERO, |life| life.age + now.since(life.begun))
+    }
+
     /// Returns true when the upstream may hold flows that an earlier life of this agent took:
     /// `incarnation` is the present one. Without a report nothing excludes it.
     pub fn is_older_than(&self, incarnation: Incarnation) -> bool {
@@ -298,7 +308,8 @@
         // reports sooner has not been answered yet, so that no agent was there before.
         let sooner = Span::from_micros(self.interval.as_micros() * CONFIRMED_PERCENT / 100);
         let first_agent = report.phase == Phase::Ready && age.is_some_and(|age| age < sooner);
-        self.life = Some(Life { report, left: false, reported: now, first_agent });
+        let age = age.unwrap_or(UNKNOWN_AGE);
+        self.life = Some(Life { report, left: false, reported: now, age, begun: now, first_agent });
         self.hear(now);
     }
 }
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -42,6 +42,7 @@
         open: Connections::new(active),
         service_time: Span::from_millis(service_time),
         warmup: Span::ZERO,
+        stopping: false,
     }
 }
 
@@ -122,6 +123,17 @@
     assert!(pool.get(instance(1)).unwrap().is_lost(at(16_000)));
 }
 
+/// Guards against resets of flows whose agent stops in an outage of the store, which nobody can read
+/// its phase from (day 2316 of the emulator): it says so itself.
+#[test]
+fn a_member_that_says_itself_that_it_stops_is_not_lost() {
+    let pool = pool(1);
+    pool.hear(entry(1, 1, 1).hop, Load { stopping: true, ..load(0, 20) }, START);
+    pool.ask(instance(1), at(100));
+    assert!(!pool.get(instance(1)).unwrap().is_lost(at(9_000)));
+    assert!(pool.get(instance(1)).unwrap().is_lost(at(16_000)));
+}
+
 /// Guards against resets by a new balancer that hears of a stopping agent for the first time: its
 /// upstream lives.
 #[test]
@@ -145,6 +157,19 @@
     assert!(!lost(2, at(400)));
 }
 
+/// Guards against a verdict on an agent that has answered since the restart of everything: its
+/// silence means a pause until it lasts longer.
+#[test]
+fn only_a_member_that_never_answered_is_absent() {
+    let pool = pool(2);
+    pool.hear(entry(1, 1, 1).hop, load(0, 20), START);
+    pool.ask(instance(1), START);
+    pool.ask(instance(2), START);
+    let absent = |number, now| pool.get(instance(number)).unwrap().is_absent(now);
+    assert!(!absent(1, at(600)) && absent(2, at(600)));
+    assert!(!absent(2, at(400)));
+}
+
 /// Guards against a balancer that takes itself for the only one that lives.
 #[test]
 fn a_balancer_that_reaches_nobody_is_cut_off() {
@@ -157,6 +182,23 @@
     assert!(!pool.is_isolated(at(1_200)), "the process itself stood still");
 }
 
+/// Guards against resets right after a cut: the first answer shows that the balancer was the one that
+/// was cut off, so that the silence of the others says nothing (day 1219 of the emulator).
+#[test]
+fn the_end_of_a_cut_excuses_everybody() {
+    let pool = pool(3);
+    for number in 1..=3 {
+        pool.ask(instance(number), START);
+    }
+    assert!(pool.is_isolated(at(2_000)));
+    pool.hear(entry(1, 1, 1).hop, load(0, 20), at(2_000));
+    let lost = |number, now| pool.get(instance(number)).unwrap().is_lost(now);
+    assert!(!lost(2, at(2_010)) && !lost(3, at(2_010)));
+    pool.hear(entry(2, 1, 1).hop, load(0, 20), at(2_020));
+    assert!(lost(3, at(3_100)), "it had time to answer");
+    assert!(!lost(1, at(3_100)));
+}
+
 /// Guards against slow upstreams that get as many flows as fast ones, and against members that are
 /// asked although they said that they take none.
 #[test]
--- a/yuccacroft-core/tests/search.rs
+++ b/yuccacroft-core/tests/search.rs
@@ -21,7 +21,7 @@
 }
 
 fn candidate(number: u8) -> Candidate {
-    Candidate { hop: hop(number), lost: false, absent: false, likely: true }
+    Candidate { hop: hop(number), lost: false, absent: false, revived: true, likely: true }
 }
 
 fn candidates(numbers: std::ops::Range<u8>, lost: &[u8]) -> Event {
@@ -29,10 +29,10 @@
     Event::Tick(all.collect())
 }
 
-const UNSURE: Answer = Answer::Unsure { uptime: OLD };
+const UNSURE: Answer = Answer::Unsure { age: OLD };
 
 fn denial(number: u8) -> Event {
-    Event::Answered(hop(number), Answer::Denies { uptime: OLD })
+    Event::Answered(hop(number), Answer::Denies { age: OLD })
 }
 
 fn at(millis: u64) -> Moment {
@@ -80,6 +80,19 @@
     assert_eq!(search.step(candidates(0..2, &[0, 1]), at(3_100)), [Action::GiveUp]);
 }
 
+/// Guards against a reset right after a cut: the first denial shows that the balancer was the one
+/// that was cut off, so that the others may answer too (day 1219 of the emulator).
+#[test]
+fn the_end_of_a_cut_gives_all_agents_time() {
+    let mut search = Search::new(START, START);
+    let silent = |number| Candidate { lost: true, absent: true, ..candidate(number) };
+    search.step(Event::Tick([silent(0), silent(1)].into()), START);
+    let young = Event::Answered(hop(0), Answer::Denies { age: YOUNG });
+    assert!(search.step(young, at(1)).is_empty());
+    let owns = search.step(Event::Answered(hop(1), Answer::Owns), at(2));
+    assert_eq!(owns, [Action::Found(hop(1))]);
+}
+
 /// Guards against a reset while the list of agents lacks one whose entry has lapsed.
 #[test]
 fn denials_of_an_incomplete_list_prove_nothing() {
@@ -95,9 +108,14 @@
 fn denials_of_young_agents_are_certain() {
     let mut search = Search::new(at(2_000), START);
     search.step(candidates(0..2, &[]), START);
-    let young = |number| Event::Answered(hop(number), Answer::Denies { uptime: YOUNG });
+    let young = |number| Event::Answered(hop(number), Answer::Denies { age: YOUNG });
     search.step(young(0), at(1));
     assert_eq!(search.step(young(1), at(1)), [Action::Nobody]);
+    // A new agent beside a new upstream says nothing of agents whose entries are missing (day 2316 of
+    // the emulator).
+    let mut added = Search::new(at(2_000), START);
+    added.step(Event::Tick([Candidate { revived: false, ..candidate(0) }].into()), START);
+    assert!(added.step(young(0), at(1)).is_empty());
     let mut mixed = Search::new(at(2_000), START);
     mixed.step(candidates(0..2, &[]), START);
     mixed.step(young(0), at(1));
@@ -109,10 +127,10 @@
 #[test]
 fn an_absent_agent_has_no_say_when_all_others_are_young() {
     let absent = || Event::Tick([candidate(0), Candidate { absent: true, ..candidate(1) }].into());
-    let verdict = |uptime| {
+    let verdict = |age| {
         let mut search = Search::new(START, START);
         search.step(candidates(0..2, &[]), START);
-        search.step(Event::Answered(hop(0), Answer::Denies { uptime }), at(1));
+        search.step(Event::Answered(hop(0), Answer::Denies { age }), at(1));
         search.step(absent(), at(40)).contains(&Action::Nobody)
     };
     assert!(verdict(YOUNG));
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -141,6 +141,11 @@
         self.backlog.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the time since the start of the agent or of its upstream, whichever is longer.
+    pub fn age(&self, now: Moment) -> Span {
+        now.since(Moment::default()).max(self.monitor().age(now))
+    }
+
     /// Returns true when the upstream may hold flows that the agent does not know of, because they
     /// began before the agent did.
     pub fn is_unsure(&self, now: Moment) -> bool {
--- a/yuccacroft-segment/src/agent/control.rs
+++ b/yuccacroft-segment/src/agent/control.rs
@@ -18,6 +18,8 @@
 
 /// Pause between two steps.
 const TICK: Duration = Duration::from_millis(20);
+/// Steps between two updates of the metrics that show sizes.
+const GAUGE_TICKS: u64 = 50;
 /// Steps between two messages about the load.
 const LOAD_TICKS: u64 = 10;
 /// Time between two steps after which this process itself stood still.
@@ -59,6 +61,9 @@
             last = now;
             count += 1;
             self.relay.tick(now);
+            if count.is_multiple_of(GAUGE_TICKS) {
+                self.relay.gauge();
+            }
             self.judge();
             let load = self.relay.load(now);
             if count.is_multiple_of(LOAD_TICKS) && told != Some(load) {
--- a/yuccacroft-segment/src/agent/process.rs
+++ b/yuccacroft-segment/src/agent/process.rs
@@ -8,11 +8,13 @@
         relay::{Relay, Setup},
     },
     crate::{
+        dump,
         errors::Result,
         host::{Host, Server},
         journal::Journal,
         platform::{Platform, Socket},
     },
+    axum::Router,
     slog::{Logger, info},
     std::{net::SocketAddrV4, sync::Arc, time::Duration},
     tokio::{
@@ -147,6 +149,12 @@
 }
 
 impl<P: Platform> Process<Serving<P>> {
+    /// Returns routes that show what the process believes.
+    pub fn dump(&self) -> Router {
+        let relay = self.state.relay.clone();
+        dump::routes(move || relay.dump())
+    }
+
     /// Begins the shutdown.
     pub fn drain(self) -> Process<Draining<P>> {
         let serving = self.state;
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -2,7 +2,7 @@
 
 use {
     super::chain::{self, Beliefs, Item, Way},
-    crate::{host::Socket, journal::Journal},
+    crate::{dump, host::Socket, journal::Journal},
     slog::info,
     std::{
         net::SocketAddrV4,
@@ -30,6 +30,12 @@
 };
 
 const DECISIONS: &str = "yuccacroft_agent_decisions_total";
+/// The metric of the open flows.
+const OPEN_FLOWS: &str = "yuccacroft_agent_open_flows";
+/// The metric of the requests in progress at the upstream.
+const ACTIVE: &str = "yuccacroft_agent_active_requests";
+/// The metric of the requests that wait for the upstream.
+const WAITING: &str = "yuccacroft_agent_waiting_requests";
 const JUNK: &str = "yuccacroft_agent_junk_total";
 const SERVICE_SECONDS: &str = "yuccacroft_agent_service_seconds";
 /// Time for which a balancer that sent something is told the load.
@@ -150,9 +156,49 @@
             open: self.beliefs.table.open(),
             service_time: self.beliefs.table.service_time(),
             warmup,
+            stopping: self.beliefs.is_stopping(),
         }
     }
 
+    /// Returns what the process believes.
+    pub fn dump(&self) -> dump::Agent {
+        let now = self.clock.now();
+        let (edition, written) = *self.written();
+        let upstream = {
+            let monitor = self.beliefs.monitor();
+            let silence = format!("{:?}", monitor.silence());
+            monitor.last().map(|report| dump::Upstream {
+                id: report.id.to_string().into(),
+                born: report.born,
+                report: report.number.get(),
+                phase: format!("{:?}", report.phase).into(),
+                slots: report.slots,
+                silence: silence.into(),
+            })
+        };
+        dump::Agent {
+            incarnation: self.setup.own.incarnation,
+            uptime: now.since(Moment::default()),
+            stopping: self.beliefs.is_stopping(),
+            accepting: self.beliefs.is_accepting(),
+            version: Version::new(self.version.load(Ordering::Relaxed)),
+            edition,
+            entry_age: now.since(written),
+            upstream,
+            load: self.load(now),
+            busy: self.beliefs.busy(),
+            waiting: self.beliefs.backlog().len(),
+            balancers: self.balancers.len(),
+        }
+    }
+
+    /// Shows the sizes of what the process holds.
+    pub fn gauge(&self) {
+        metrics::gauge!(OPEN_FLOWS).set(f64::from(self.beliefs.table.open().get()));
+        metrics::gauge!(ACTIVE).set(f64::from(self.beliefs.table.active()));
+        metrics::gauge!(WAITING).set(self.beliefs.backlog().len() as f64);
+    }
+
     /// Tells the load to every balancer that sent something lately.
     pub fn tell_load(&self, now: Moment) {
         self.balancers.retain(|_, seen| now.since(*seen) < BALANCER_MEMORY);
@@ -487,8 +533,8 @@
 
     fn reply(&self, to: SocketAddrV4, body: Body, segment: &[u8], now: Moment) {
         let version = Version::new(self.version.load(Ordering::Relaxed));
-        let uptime = now.since(Moment::default());
-        let reply = Reply { from: self.setup.own, load: self.load(now), uptime, version, body };
+        let age = self.beliefs.age(now);
+        let reply = Reply { from: self.setup.own, load: self.load(now), age, version, body };
         self.send(to, &reply, segment);
     }
 
--- a/yuccacroft-segment/src/balancer/control.rs
+++ b/yuccacroft-segment/src/balancer/control.rs
@@ -3,6 +3,7 @@
 use {
     super::{chain, relay::Relay},
     crate::{
+        dump,
         follower::{Follower, Sink},
         host::Host,
         platform::{Document, Platform, Probe, Socket},
@@ -27,6 +28,16 @@
 
 /// The store's keys of agents begin with this; the address of the agent follows.
 pub const MEMBERS: &str = "yuccacroft/agents/";
+/// The metric of the flows that are remembered.
+const FLOWS: &str = "yuccacroft_balancer_flows";
+/// The metric of the agents that are known.
+const MEMBERS_KNOWN: &str = "yuccacroft_balancer_members";
+/// The metric of the searches under way.
+const SEARCHES: &str = "yuccacroft_balancer_searches";
+/// The metric of the version of the configuration in force.
+const CONFIGURATION_VERSION: &str = "yuccacroft_balancer_configuration_version";
+/// The metric of the age of the oldest load of an agent.
+const LOAD_AGE: &str = "yuccacroft_balancer_load_age_seconds";
 /// Pause between changes of members: agents that start together cost one call.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two steps of the searches.
@@ -125,6 +136,52 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Returns what the process believes.
+    pub fn dump(&self) -> dump::Balancer {
+        let (relay, now) = (&self.relay, self.relay.clock.now());
+        let routes = chain::current(&relay.current);
+        let mut members = Vec::with_capacity(relay.pool.len());
+        relay.pool.each(|member| {
+            let load = member.load(now);
+            members.push(dump::Member {
+                entry: member.entry.clone(),
+                listed: member.is_listed(),
+                reach: format!("{:?}", member.reach(now)).into(),
+                load: load.map(|(load, _)| load),
+                load_age: load.map(|(_, age)| age),
+            });
+        });
+        members.sort_by_key(|member| member.entry.hop.instance);
+        let (flows, lost_flows) = relay.table.owners();
+        dump::Balancer {
+            ready: self.is_ready(),
+            isolated: self.isolated.load(Ordering::Relaxed),
+            version: relay.version(),
+            routes: routes.map_or(0, |routes| routes.len()),
+            members,
+            flows,
+            lost_flows,
+            searches: relay.searches.len(),
+            early: relay.early(),
+        }
+    }
+
+    /// Shows the sizes of what the process remembers.
+    fn gauge(&self) {
+        let relay = &self.relay;
+        metrics::gauge!(FLOWS).set(relay.table.len() as f64);
+        metrics::gauge!(MEMBERS_KNOWN).set(relay.pool.len() as f64);
+        metrics::gauge!(SEARCHES).set(relay.searches.len() as f64);
+        metrics::gauge!(CONFIGURATION_VERSION).set(relay.version().get() as f64);
+        let mut oldest = Span::ZERO;
+        let now = relay.clock.now();
+        relay.pool.each(|member| {
+            let age = member.load(now).map_or(Span::ZERO, |(_, age)| age);
+            oldest = oldest.max(age);
+        });
+        metrics::gauge!(LOAD_AGE).set(Duration::from(oldest).as_secs_f64());
+    }
+
     fn check(&self, ping_all: bool, now: Moment) {
         let mut due = Vec::new();
         let mut changes = Vec::new();
@@ -154,6 +211,7 @@
         if ping_all {
             let idle = chain::current(&self.relay.current).and_then(|routes| routes.idle);
             self.relay.table.expire(idle, now);
+            self.gauge();
         }
         let isolated = self.relay.pool.is_isolated(now);
         if self.isolated.swap(isolated, Ordering::Relaxed) != isolated {
--- a/yuccacroft-segment/src/balancer/process.rs
+++ b/yuccacroft-segment/src/balancer/process.rs
@@ -6,11 +6,13 @@
         relay::{Relay, Setup},
     },
     crate::{
+        dump,
         errors::Result,
         host::{Host, Server},
         journal::Journal,
         platform::{Platform, Socket},
     },
+    axum::Router,
     slog::{Logger, info},
     std::{net::SocketAddrV4, sync::Arc, time::Duration},
     tokio::task::JoinSet,
@@ -118,6 +120,12 @@
 }
 
 impl<P: Platform> Process<Serving<P>> {
+    /// Returns routes that show what the process believes.
+    pub fn dump(&self) -> Router {
+        let control = self.state.control.clone();
+        dump::routes(move || control.dump())
+    }
+
     /// Begins the shutdown.
     pub fn drain(self) -> Process<Draining<P>> {
         let serving = self.state;
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -126,6 +126,11 @@
         chain::current(&self.current).map_or_else(Version::default, |routes| routes.version)
     }
 
+    /// Returns the number of flows with segments that came too early.
+    pub fn early(&self) -> usize {
+        self.arrivals.len()
+    }
+
     /// Asks an agent for its state.
     pub fn ping(&self, instance: Instance, now: Moment) {
         let entry = self.pool.get(instance).filter(|member| member.is_listed());
@@ -279,9 +284,8 @@
                 }
             }
             Body::Denies { key, unsure } => {
-                let uptime = reply.uptime;
-                let answer =
-                    if unsure { Answer::Unsure { uptime } } else { Answer::Denies { uptime } };
+                let age = reply.age;
+                let answer = if unsure { Answer::Unsure { age } } else { Answer::Denies { age } };
                 match self.searches.answer(key, reply.from, answer, now) {
                     Some(steps) => self.act(key, steps, now),
                     // The late answer to a search that has ended.
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -101,7 +101,8 @@
             pool.each(|member| {
                 let likely = target.is_none_or(|target| member.entry.target == target);
                 let (lost, absent) = (member.is_lost(now), member.is_absent(now));
-                all.push(Candidate { hop: member.entry.hop, lost, absent, likely });
+                let (hop, revived) = (member.entry.hop, member.is_revived());
+                all.push(Candidate { hop, lost, absent, revived, likely });
             });
             all.into()
         };
--- a/yuccacroft-segment/src/host.rs
+++ b/yuccacroft-segment/src/host.rs
@@ -106,6 +106,13 @@
     pub fn new(task: JoinHandle<()>) -> Self {
         Self(task)
     }
+
+    /// Ends the server. Its address is free when this returns.
+    pub async fn end(mut self) {
+        self.0.abort();
+        // The error says that it was ended.
+        let _ = (&mut self.0).await;
+    }
 }
 
 impl Drop for Server {
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -19,7 +19,7 @@
 };
 
 /// The first byte of a message.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Longest head in bytes; a head with the most candidates is shorter.
 const MAX_HEAD: usize = 255;
 const HEAD_START: usize = 2;
@@ -60,8 +60,8 @@
     pub from: Hop,
     /// Its load.
     pub load: Load,
-    /// The time since it started.
-    pub uptime: Span,
+    /// The time since it or its upstream started, whichever is longer.
+    pub age: Span,
     /// The highest version of the configuration that any balancer told it.
     pub version: ConfigVersion,
     /// What it says.
--- a/yuccacroft/src/cli/segment.rs
+++ b/yuccacroft/src/cli/segment.rs
@@ -7,6 +7,7 @@
         logs,
         settings::segment as settings,
     },
+    axum::Router,
     slog::{Level, Logger, info, warn},
     std::{net::SocketAddrV4, path::Path},
     tokio::signal::unix::{SignalKind, signal},
@@ -23,10 +24,10 @@
     let (settings, metrics) = settings::balancer(file)?;
     admin::record_metrics();
     let (log, _flush) = logs::logger(Level::Info, &settings.name.to_string());
-    let _metrics = serve_metrics(metrics, &log).await?;
     let stop = Stop::new()?;
     let process = balancer::Process::new(Platform, settings, log.clone());
     let serving = process.serve().await.map_err(Error::Segment)?;
+    let _inspection = inspect(metrics, serving.dump(), &log).await?;
     tokio::select! {
         () = stop.requested() => {}
         never = reload(&log, || settings::balancer(file).map(|_| ())) => match never? {},
@@ -40,10 +41,10 @@
     let (settings, metrics) = settings::agent(file)?;
     admin::record_metrics();
     let (log, _flush) = logs::logger(Level::Info, &settings.name.to_string());
-    let _metrics = serve_metrics(metrics, &log).await?;
     let stop = Stop::new()?;
     let process = agent::Process::new(Platform, settings, log.clone());
     let serving = process.serve().await.map_err(Error::Segment)?;
+    let _inspection = inspect(metrics, serving.dump(), &log).await?;
     tokio::select! {
         () = stop.requested() => {}
         never = reload(&log, || settings::agent(file).map(|_| ())) => match never? {},
@@ -52,9 +53,15 @@
     Ok(())
 }
 
-async fn serve_metrics(address: Option<SocketAddrV4>, log: &Logger) -> Result<Option<Server>> {
+/// Serves metrics and the state dump to everybody who reaches their address.
+async fn inspect(
+    address: Option<SocketAddrV4>,
+    dump: Router,
+    log: &Logger,
+) -> Result<Option<Server>> {
     let Some(address) = address else { return Ok(None) };
-    let server = Machine.serve("metrics", address, admin::open_metrics(), log).await;
+    let routes = admin::open_metrics().merge(dump);
+    let server = Machine.serve("metrics", address, routes, log).await;
     server.map(Some).map_err(Error::Segment)
 }
 
--- a/yuccacroft/tests/platform/logs.rs
+++ b/yuccacroft/tests/platform/logs.rs
@@ -3,8 +3,11 @@
 
 use {
     crate::deployment::{BOOKING, Deployment, PATIENCE, behaviour, booking},
-    std::time::Duration,
-    yuccacroft_emulator::{caller::Failure, upstream::Behaviour},
+    std::time::{Duration, Instant},
+    yuccacroft_emulator::{
+        caller::Failure, machine::Machine, operator::fetch, upstream::Behaviour,
+    },
+    yuccacroft_segment::host::Machine as Local,
 };
 
 /// A request as callers write it.
@@ -88,3 +91,35 @@
     let micros: u64 = field(late, "time").trim_end_matches(" us").parse().unwrap();
     assert!((180_000..400_000).contains(&micros), "{late}");
 }
+
+/// Guards against an operator who cannot see what a process believes without its logs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dump_shows_members_flows_and_the_upstream() {
+    let deployment = Deployment::start("dump", 1, 2).await;
+    let mut board = deployment.callers.open(booking()).await.unwrap();
+    board.request("first", PATIENCE).await.unwrap();
+    let owner = deployment.ran("first")[0];
+    let dump = async |machine: Machine| {
+        let (status, text) = fetch(&Local, machine.metrics(), "/v1/dump").await.unwrap();
+        assert_eq!(status, 200);
+        serde_json::from_str::<serde_json::Value>(&text).unwrap()
+    };
+    let balancer = dump(deployment.balancers[0].machine).await;
+    assert_eq!(balancer["ready"], true);
+    assert_eq!(balancer["members"].as_array().unwrap().len(), 2);
+    let machine = deployment.sides[owner].node.machine;
+    assert_eq!(balancer["flows"][machine.segments().to_string()], 1);
+    let agent = dump(machine).await;
+    assert_eq!(agent["upstream"]["id"], format!("upstream-{owner}"));
+    assert_eq!(agent["load"]["open"], 1);
+    // The sizes are updated once a second.
+    let shown = async || {
+        let metrics = fetch(&Local, machine.metrics(), "/metrics").await.unwrap().1;
+        metrics.contains("yuccacroft_agent_open_flows 1")
+    };
+    let begun = Instant::now();
+    while !shown().await {
+        assert!(begun.elapsed() < Duration::from_secs(5), "no metric of open flows");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
