Notice settings that change without a signal

Cause: the settings file was read again at SIGHUP only, though the platform may change it silently. Change: a look every 5 s; the line names the changed keys and whether the new text is valid. It takes effect at the next start, as before. The test failed before (nothing was noticed). Ruled out: a watch of the file system, which the platform does not offer.

--- a/yuccacroft-core/src/ini.rs
+++ b/yuccacroft-core/src/ini.rs
@@ -3,7 +3,10 @@
 use {
     crate::errors::{Error, Fault, Result},
     ini::Ini,
-    std::{collections::BTreeSet, str::FromStr},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        str::FromStr,
+    },
 };
 
 /// A section and a key in it; the key is empty when the section itself is meant.
@@ -154,3 +157,21 @@
         }
     }
 }
+
+/// Returns the keys whose values differ between two texts, as `section.key` in order. A text that
+/// cannot be parsed counts as empty.
+pub fn differences(before: &str, after: &str) -> Vec<Box<str>> {
+    let values = |text: &str| -> BTreeMap<Box<str>, Box<str>> {
+        let Ok(ini) = Ini::load_from_str(text) else { return BTreeMap::new() };
+        let keys = ini.iter().flat_map(|(section, properties)| {
+            let section = section.unwrap_or_default().to_owned();
+            properties.iter().map(move |(key, value)| {
+                (format!("{section}.{key}").into(), Box::from(value.trim()))
+            })
+        });
+        keys.collect()
+    };
+    let (before, after) = (values(before), values(after));
+    let keys: BTreeSet<&Box<str>> = before.keys().chain(after.keys()).collect();
+    keys.into_iter().filter(|key| before.get(*key) != after.get(*key)).cloned().collect()
+}
--- a/yuccacroft/src/cli/segment.rs
+++ b/yuccacroft/src/cli/segment.rs
@@ -9,8 +9,9 @@
     },
     axum::Router,
     slog::{Level, Logger, info, warn},
-    std::{net::SocketAddrV4, path::Path},
+    std::{net::SocketAddrV4, path::Path, time::Duration},
     tokio::signal::unix::{SignalKind, signal},
+    yuccacroft_core::ini,
     yuccacroft_platform::Platform,
     yuccacroft_rpc::admin,
     yuccacroft_segment::{
@@ -19,6 +20,9 @@
     },
 };
 
+/// Pause between two looks at the settings file; the platform may change it without a signal.
+const FILE_PAUSE: Duration = Duration::from_secs(5);
+
 /// Runs a balancer until it is asked to stop.
 pub async fn balancer(file: &Path) -> Result<()> {
     let (settings, metrics) = settings::balancer(file)?;
@@ -30,7 +34,7 @@
     let _inspection = inspect(metrics, serving.dump(), &log).await?;
     tokio::select! {
         () = stop.requested() => {}
-        never = reload(&log, || settings::balancer(file).map(|_| ())) => match never? {},
+        never = reload(&log, file, || settings::balancer(file).map(|_| ())) => match never? {},
     }
     serving.drain().stop().await;
     Ok(())
@@ -47,7 +51,7 @@
     let _inspection = inspect(metrics, serving.dump(), &log).await?;
     tokio::select! {
         () = stop.requested() => {}
-        never = reload(&log, || settings::agent(file).map(|_| ())) => match never? {},
+        never = reload(&log, file, || settings::agent(file).map(|_| ())) => match never? {},
     }
     serving.drain().stop().await;
     Ok(())
@@ -65,15 +69,38 @@
     server.map(Some).map_err(Error::Segment)
 }
 
-/// Checks the settings again at each SIGHUP. All of them take effect at the next start, since they
-/// name sockets that callers and upstreams use now.
-async fn reload(log: &Logger, read: impl Fn() -> Result<()>) -> Result<std::convert::Infallible> {
+/// Checks the settings again at each SIGHUP and when the file has changed without one. All of them
+/// take effect at the next start, since they name sockets that callers and upstreams use now.
+async fn reload(
+    log: &Logger,
+    file: &Path,
+    read: impl Fn() -> Result<()>,
+) -> Result<std::convert::Infallible> {
     let mut hangup = signal(SignalKind::hangup()).map_err(Error::System)?;
+    let mut known = text(log, file).unwrap_or_default();
     loop {
-        hangup.recv().await;
+        let asked = tokio::select! {
+            biased;
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(FILE_PAUSE) => false,
+        };
+        let Some(present) = text(log, file) else { continue };
+        if present == known && !asked {
+            continue;
+        }
+        let changed = ini::differences(&known, &present).join(",");
+        known = present;
         match read() {
-            Ok(()) => info!(log, "settings checked"; "outcome" => "valid at the next start"),
-            Err(error) => warn!(log, "settings checked"; "cause" => %error),
+            Ok(()) => info!(log, "settings checked"; "asked" => asked, "changed" => changed,
+                "outcome" => "valid at the next start"),
+            Err(error) => warn!(log, "settings checked"; "asked" => asked, "changed" => changed,
+                "cause" => %error),
         }
     }
 }
+
+/// Reads the settings file, which is small and local.
+fn text(log: &Logger, file: &Path) -> Option<String> {
+    let read = std::fs::read_to_string(file);
+    read.inspect_err(|error| warn!(log, "settings not read"; "cause" => %error)).ok()
+}
--- a/yuccacroft/tests/platform/calm.rs
+++ b/yuccacroft/tests/platform/calm.rs
@@ -115,3 +115,18 @@
         .await;
     deployment.request("after the hangup").await;
 }
+
+/// Guards against settings that change without a signal and are found to be wrong at the next start
+/// only.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_change_of_the_settings_is_noticed() {
+    let deployment = Deployment::start("silent-change", 1, 1).await;
+    deployment.balancers[0].edit_settings(|text| text.replace("grace = 4 s", "grace = 1 s"));
+    let noticed = || {
+        let log = deployment.balancers[0].log();
+        let mut checked = log.lines().filter(|line| line.contains("settings checked"));
+        checked.any(|line| line.contains("changed=process.grace") && line.contains("at least 2 s"))
+    };
+    deployment.wait("the check", noticed).await;
+    deployment.request("after the change").await;
+}
--- a/yuccacroft/tests/platform/deployment.rs
+++ b/yuccacroft/tests/platform/deployment.rs
@@ -231,6 +231,12 @@
         self.child = Some(command.spawn().unwrap());
     }
 
+    /// Changes the settings file.
+    pub fn edit_settings(&self, change: impl FnOnce(String) -> String) {
+        let text = fs::read_to_string(&self.settings).unwrap();
+        fs::write(&self.settings, change(text)).unwrap();
+    }
+
     /// Kills the process and starts it again.
     pub fn restart(&mut self) {
         self.kill();
