--- a/yuccacroft/tests/platform/deployment.rs
+++ b/yuccacroft/tests/platform/deployment.rs
@@ -6,6 +6,7 @@
         net::SocketAddrV4,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
+        sync::Arc,
         time::{Duration, Instant},
     },
     yuccacroft_emulator::{
@@ -16,6 +17,7 @@
         store::Store,
         upstream::{Behaviour, Upstream},
     },
+    yuccacroft_fakes::valve::Valve,
     yuccacroft_platform::SETTINGS_VARIABLE,
     yuccacroft_segment::host::Machine as Local,
 };
@@ -52,8 +54,10 @@
     pub store: Store,
     pub balancers: Vec<Node>,
     pub sides: Vec<Side>,
-    pub callers: Callers,
-    ledger: Ledger,
+    /// Between all processes and the store.
+    pub valve: Valve,
+    pub callers: Arc<Callers>,
+    pub ledger: Ledger,
     network: Network,
     folder: PathBuf,
     version: u64,
@@ -78,13 +82,15 @@
             std::env::temp_dir().join(format!("yuccacroft-platform-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
         let store = Store::start(&Local, network.machine(1).store()).await.unwrap();
+        let valve = Valve::start(network.machine(1).store().into()).await.unwrap();
         let fronts: Vec<Machine> = (0..balancers).map(|n| network.machine(10 + n)).collect();
         let callers = Callers::start(&Local, network.machine(2), &fronts).unwrap();
         let mut deployment = Self {
             store,
             balancers: Vec::new(),
             sides: Vec::new(),
-            callers,
+            valve,
+            callers: Arc::new(callers),
             ledger: Ledger::default(),
             network,
             folder,
@@ -118,6 +124,11 @@
         Side { node, upstream: Some(upstream) }
     }
 
+    /// Notes that something unplanned happens to the machine of an agent.
+    pub fn disturb_side(&self, index: usize) {
+        self.ledger.disturb(self.sides[index].node.machine.ip());
+    }
+
     /// Starts an upstream on a machine.
     pub async fn start_upstream(&self, machine: Machine, id: &str, kind: Behaviour) -> Upstream {
         Upstream::start(&Local, machine, id, kind, self.ledger.clone()).await.unwrap()
@@ -204,7 +215,7 @@
     /// Starts a process on a machine.
     pub fn node(&self, machine: Machine, role: &'static str, service: &str) -> Node {
         let template = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("../deploy/{role}.ini"));
-        let store = self.network.machine(1);
+        let store = self.valve.address();
         let settings = machine.settings(&template, &self.folder, store, service);
         let log = settings.with_extension("log");
         let mut node = Node { machine, role, settings, log, child: None };
--- a/yuccacroft/tests/platform/main.rs
+++ b/yuccacroft/tests/platform/main.rs
@@ -5,5 +5,6 @@
 mod deployment;
 mod logs;
 mod losses;
+mod soak;
 mod stops;
 mod store;
