Bound the questions of searches

Each search asked up to 60 agents again every 60 ms for three seconds: 1.4 GB between failure domains, against 0.013 GB at 16 machines. The questions delayed the answers, and missing answers brought more questions.

Ruled out: the grace of stopping agents (no entry was listed as stopping), processor time of balancers (7% of a core at most).

Change: repeats double their pause from 60 to 960 ms; a balancer asks 2,500 questions a second with a burst of 1,000; a search without a result rests for one second.

--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -18,8 +18,17 @@
     std::collections::BTreeMap,
 };
 
-/// Time after which an agent that did not answer is asked again.
+/// Time after which an agent that did not answer is asked again; it doubles, so that searches do not
+/// add to the load that delays their answers.
 const REPEAT: Span = Span::from_millis(60);
+/// Repeats after which the pause does not grow any more: 960 ms.
+const MAX_DOUBLINGS: u32 = 4;
+/// Questions a second that the searches of one balancer may ask: 16 KB/s for each of 60 agents at
+/// most, which a link of 10 Mbit/s carries beside its segments.
+const QUESTIONS_PER_SECOND: u64 = 2_500;
+/// Questions that may be asked at once after a quiet time: those for a hundred flows among ten
+/// agents.
+const BURST: u64 = 1_000;
 /// Time after which a search ends without a result. The next segment of the flow begins another.
 const LIMIT: Span = Span::from_secs(3);
 
@@ -84,6 +93,14 @@
     GiveUp,
 }
 
+/// How many questions the searches of one balancer may ask now.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    /// The questions that are left.
+    left: u64,
+    filled: Moment,
+}
+
 /// One search.
 #[derive(Clone, Debug)]
 pub struct Search {
@@ -98,6 +115,8 @@
 struct Asked {
     hop: Hop,
     at: Moment,
+    /// How often the present question was repeated.
+    repeats: u32,
     probed: bool,
     answer: Option<Answer>,
     lost: bool,
@@ -105,6 +124,30 @@
     revived: bool,
 }
 
+impl Default for Budget {
+    fn default() -> Self {
+        Self { left: BURST, filled: Moment::default() }
+    }
+}
+
+impl Budget {
+    /// Adds what time has brought and returns true when questions may be asked.
+    pub fn has_room(&mut self, now: Moment) -> bool {
+        let gained = now.since(self.filled).as_micros() * QUESTIONS_PER_SECOND / 1_000_000;
+        if gained > 0 {
+            self.left = (self.left + gained).min(BURST);
+            self.filled = now;
+        }
+        self.left > 0
+    }
+
+    /// Takes questions off that were asked. One search may go over what is left, so that it can ask
+    /// all agents however many there are.
+    pub fn spend(&mut self, questions: usize) {
+        self.left = self.left.saturating_sub(questions as u64);
+    }
+}
+
 impl Answer {
     fn is_denial(self) -> bool {
         matches!(self, Self::Denies { .. })
@@ -173,7 +216,8 @@
 
     fn ask(&mut self, candidate: Candidate, now: Moment) -> Action {
         let Candidate { hop, lost, absent, revived, .. } = candidate;
-        let asked = Asked { hop, at: now, probed: false, answer: None, lost, absent, revived };
+        let asked =
+            Asked { hop, at: now, repeats: 0, probed: false, answer: None, lost, absent, revived };
         self.asked.insert(hop.instance, asked);
         Action::Ask(hop)
     }
@@ -195,6 +239,7 @@
             return fresh
                 .map(|asked| {
                     asked.probed = true;
+                    asked.repeats = 0;
                     asked.at = now;
                     Action::Probe(asked.hop)
                 })
@@ -227,9 +272,11 @@
     fn repeat(&mut self, hop: Hop, now: Moment) -> Option<Action> {
         let denied = self.answer.is_some_and(Answer::is_denial);
         let open = self.answer.is_none() || self.probed;
-        if denied || !open || now.since(self.at) < REPEAT {
+        let pause = REPEAT.times(1 << self.repeats.min(MAX_DOUBLINGS));
+        if denied || !open || now.since(self.at) < pause {
             return None;
         }
+        self.repeats += 1;
         self.at = now;
         Some(if self.probed { Action::Probe(hop) } else { Action::Ask(hop) })
     }
--- a/yuccacroft-core/tests/search.rs
+++ b/yuccacroft-core/tests/search.rs
@@ -6,7 +6,7 @@
         controller::Controller,
         flow::Hop,
         ids::{Incarnation, Instance},
-        search::{Action, Answer, Candidate, Event, Search},
+        search::{Action, Answer, Budget, Candidate, Event, Search},
         time::{Moment, Span},
     },
 };
@@ -62,6 +62,40 @@
     assert_eq!(owns, [Action::Found(hop(1))]);
 }
 
+/// Guards against searches that add to the load which delays their answers: after a loss of power of
+/// 64 machines, balancers asked so much that nobody was heard for 15 s.
+#[test]
+fn questions_are_repeated_ever_more_seldom() {
+    let mut search = Search::new(START, START);
+    search.step(candidates(0..2, &[]), START);
+    search.step(denial(0), at(1));
+    let repeats = (1..120).filter(|step| {
+        let actions = search.step(candidates(0..2, &[]), at(step * 25));
+        actions.contains(&Action::Ask(hop(1)))
+    });
+    assert!((4..=6).contains(&repeats.count()));
+}
+
+/// Guards against as many questions as there are unknown flows times agents.
+#[test]
+fn questions_have_a_budget() {
+    let mut budget = Budget::default();
+    let mut asked = 0;
+    for step in 0..400 {
+        while budget.has_room(at(step * 25)) {
+            budget.spend(64);
+            asked += 64;
+        }
+    }
+    // Ten seconds, the burst and one search that goes over what is left in each step.
+    assert!((25_000..55_000).contains(&asked), "{asked}");
+    let mut small = Budget::default();
+    assert!((0..10).all(|_| {
+        small.spend(10);
+        small.has_room(START)
+    }));
+}
+
 /// Guards against callers that wait for the flows of a machine that is gone.
 #[test]
 fn a_lost_agent_has_no_say() {
--- a/yuccacroft-segment/src/balancer/control.rs
+++ b/yuccacroft-segment/src/balancer/control.rs
@@ -211,6 +211,7 @@
         if ping_all {
             let idle = chain::current(&self.relay.current).and_then(|routes| routes.idle);
             self.relay.table.expire(idle, now);
+            self.relay.searches.expire(now);
             self.gauge();
         }
         let isolated = self.relay.pool.is_isolated(now);
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -212,7 +212,7 @@
                     let steps = self.searches.tick(key, &self.pool, now);
                     self.act(key, steps, now);
                 } else {
-                    self.log_end(segment, "drop", "too many searches", now);
+                    self.log_end(segment, "drop", "no search now", now);
                 }
             }
             Decision::Reset(cause) => {
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -1,18 +1,24 @@
 //! The searches that a balancer has under way, with the segments that wait for their ends.
 
-use yuccacroft_core::{
-    controller::Controller,
-    flow::{Hop, Key},
-    pool::Pool,
-    route::{Class, Target},
-    search::{Action, Answer, Candidate, Event, Search},
-    segment::Segment,
-    shards::Shards,
-    time::Moment,
+use {
+    std::sync::{Mutex, MutexGuard, PoisonError},
+    yuccacroft_core::{
+        controller::Controller,
+        flow::{Hop, Key},
+        pool::Pool,
+        route::{Class, Target},
+        search::{Action, Answer, Budget, Candidate, Event, Search},
+        segment::Segment,
+        shards::Shards,
+        time::{Moment, Span},
+    },
 };
 
 /// Segments of one flow that wait; a sender has at most 16 in flight and repeats the others.
 const MAX_WAITING: usize = 8;
+/// Time after a search without a result in which another one for the same flow is not begun: callers
+/// repeat their segments more often than the answer to them can change.
+const REST: Span = Span::from_millis(1_000);
 /// Searches under way at most, so that strangers cannot fill the memory.
 const MAX_SEARCHES: usize = 4_096;
 
@@ -57,11 +63,15 @@
 #[derive(Debug, Default)]
 pub struct Searches {
     waiting: Shards<Key, Waiting>,
+    /// The flows whose searches ended without a result, and when.
+    given_up: Shards<Key, Moment>,
+    budget: Mutex<Budget>,
 }
 
 impl Searches {
     /// Begins the search for the owner of a segment's flow, or adds the segment to the one that is
-    /// under way. Returns false when there are too many searches.
+    /// under way. Returns false when there are too many searches, or when one for this flow has just
+    /// ended without a result.
     pub fn add(
         &self,
         key: Key,
@@ -70,6 +80,9 @@
         begin: Begin,
         now: Moment,
     ) -> bool {
+        if self.given_up.get(&key).is_some_and(|at| now.since(at) < REST) {
+            return false;
+        }
         let full = self.waiting.shard_len(&key) >= MAX_SEARCHES / self.waiting.count();
         self.waiting.update(key, |slot| {
             if slot.is_none() && full {
@@ -94,8 +107,11 @@
         self.step(key, |_| Event::Answered(from, answer), now)
     }
 
-    /// Moves one search on.
+    /// Moves one search on, unless the questions of all searches are used up.
     pub fn tick(&self, key: Key, pool: &Pool, now: Moment) -> Vec<Step> {
+        if !self.budget().has_room(now) {
+            return Vec::new();
+        }
         let candidates = |target: Option<Target>| -> Box<[Candidate]> {
             let mut all = Vec::with_capacity(pool.len());
             pool.each(|member| {
@@ -109,6 +125,15 @@
         self.step(key, |target| Event::Tick(candidates(target)), now).unwrap_or_default()
     }
 
+    /// Forgets the searches that ended long ago.
+    pub fn expire(&self, now: Moment) {
+        self.given_up.retain(|_, at| now.since(*at) < REST);
+    }
+
+    fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the keys of all searches.
     pub fn keys(&self) -> Vec<Key> {
         self.waiting.fold(Vec::new(), |mut keys, key, _| {
@@ -159,10 +184,12 @@
                     Action::GiveUp => {
                         let segment = waiting.segment;
                         *slot = None;
+                        self.given_up.insert(key, now);
                         return Some(vec![Step::GiveUp(segment)]);
                     }
                 }
             }
+            self.budget().spend(steps.len());
             Some(steps)
         })
     }
