--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -186,7 +186,6 @@
             entry_age: now.since(written),
             upstream,
             load: self.load(now),
-            busy: self.beliefs.busy(),
             waiting: self.beliefs.backlog().len(),
             balancers: self.balancers.len(),
         }
--- a/yuccacroft-segment/src/dump.rs
+++ b/yuccacroft-segment/src/dump.rs
@@ -9,7 +9,7 @@
         pool::{Entry, Load},
         route::Version,
         time::Span,
-        units::{Percent, Slots},
+        units::Slots,
     },
     yuccacroft_rpc::admin::DUMP_PATH,
 };
@@ -73,8 +73,6 @@
     pub upstream: Option<Upstream>,
     /// Its load as it tells balancers.
     pub load: Load,
-    /// The mean of the requests in progress.
-    pub busy: Percent,
     /// The requests that wait for the upstream.
     pub waiting: usize,
     /// The balancers that sent something lately.
