Let no agent without an upstream hold searches up

In its log, searches ended without a result for ten seconds after the kill of all processes: an agent was started beside an upstream that had ended, answered that it could not tell, and was stopped a second later.

Ruled out: the bound on questions (the processes asked far less), the resting time of searches.

Change: an agent says that it stops only while an upstream lives beside it; an ended upstream has no grace; a search does not wait for an unsure agent that is lost. Both unit tests failed before.

--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -170,8 +170,10 @@
     /// Returns true when the flows of the member are lost for certain enough to tell the callers.
     pub fn is_lost(&self, now: Moment) -> bool {
         let restarts = self.stopped.is_some_and(|at| now.since(at) < RESTART_GRACE);
-        let limit = if self.entry.phase == Phase::Ended { Reach::Suspect } else { Reach::Lost };
-        self.reach(now) >= limit && !restarts
+        match self.entry.phase {
+            Phase::Ended => self.reach(now) >= Reach::Suspect,
+            _ => self.reach(now) == Reach::Lost && !restarts,
+        }
     }
 
     /// Returns true when the member has never answered, though it would have by now if it had started
--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -233,7 +233,7 @@
             return unlikely.into_iter().map(|candidate| self.ask(candidate, now)).collect();
         }
         let unsure: Vec<&mut Asked> =
-            self.asked.values_mut().filter(|asked| asked.is_unsure()).collect();
+            self.asked.values_mut().filter(|a| a.is_unsure() && !a.lost).collect();
         if !unsure.is_empty() {
             let fresh = unsure.into_iter().filter(|asked| !asked.probed);
             return fresh
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -155,6 +155,10 @@
     assert!(!lost(1, at(200)));
     assert!(lost(1, at(400)));
     assert!(!lost(2, at(400)));
+    // Nor does a stop of its agent give flows back that have ended.
+    pool.hear(entry(1, 1, 1).hop, Load { stopping: true, ..load(0, 20) }, at(500));
+    pool.ask(instance(1), at(500));
+    assert!(lost(1, at(900)));
 }
 
 /// Guards against a verdict on an agent that has answered since the restart of everything: its
--- a/yuccacroft-core/tests/search.rs
+++ b/yuccacroft-core/tests/search.rs
@@ -207,6 +207,19 @@
     assert_eq!(search.step(denial(2), at(2)), [Action::Nobody]);
 }
 
+/// Guards against searches that wait for an agent which could not tell and was stopped before its
+/// upstream answered (kampvuur scale-1: 79 requests failed in ten seconds).
+#[test]
+fn an_unsure_agent_that_is_lost_holds_no_verdict_up() {
+    let mut search = Search::new(START, START);
+    search.step(candidates(0..2, &[]), START);
+    search.step(denial(0), at(1));
+    let probed = search.step(Event::Answered(hop(1), UNSURE), at(1));
+    assert_eq!(probed, [Action::Probe(hop(1))]);
+    assert!(!search.step(candidates(0..2, &[]), at(400)).contains(&Action::Nobody));
+    assert_eq!(search.step(candidates(0..2, &[1]), at(425)), [Action::Nobody]);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Answer(u8, u8),
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -106,6 +106,12 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns true when no upstream is known to live here.
+    pub fn is_alone(&self) -> bool {
+        let monitor = self.monitor();
+        monitor.is_gone() || monitor.last().is_none()
+    }
+
     /// Returns true when the agent takes new flows.
     pub fn is_accepting(&self) -> bool {
         !self.is_stopping() && self.monitor().is_accepting()
--- a/yuccacroft-segment/src/agent/process.rs
+++ b/yuccacroft-segment/src/agent/process.rs
@@ -173,10 +173,7 @@
         announcing.abort();
         let mut announcer = announcer.lock().await;
         let begun = relay.clock.now();
-        let ended = || {
-            let monitor = relay.beliefs.monitor();
-            monitor.is_gone() || monitor.last().is_none()
-        };
+        let ended = || relay.beliefs.is_alone();
         let in_time = || relay.clock.now().since(begun) < grace - RESERVE;
         if !ended() {
             announcer.conclude().await;
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -156,7 +156,7 @@
             open: self.beliefs.table.open(),
             service_time: self.beliefs.table.service_time(),
             warmup,
-            stopping: self.beliefs.is_stopping(),
+            stopping: self.beliefs.is_stopping() && !self.beliefs.is_alone(),
         }
     }
 
