Tell in an entry whether an earlier life of the agent was listed

Agents that were back before a balancer had listed them had replaced the entries of their earlier lives, so that the balancer saw no sign of a loss of power and waited two seconds (311 resets at 37.0 s, processes back at 34.8 to 35.3 s).

Change: an agent reads its own key before its first write and says in its entry whether an earlier life stood there. That costs one read for each start of an agent. The unit test failed before.

--- a/yuccacroft-bench/src/segments.rs
+++ b/yuccacroft-bench/src/segments.rs
@@ -61,6 +61,7 @@
         domain: domain(number),
         slots: Slots::new(4),
         phase: Phase::Ready,
+        succeeds: false,
     }
 }
 
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -65,6 +65,9 @@
     pub slots: Slots,
     /// What it does with flows.
     pub phase: Phase,
+    /// Whether an earlier life of the agent was listed when this one wrote its first entry.
+    #[serde(default)]
+    pub succeeds: bool,
 }
 
 /// What an agent does with flows.
@@ -147,6 +150,7 @@
 impl Member {
     fn new(entry: Entry, now: Moment) -> Self {
         let stopped = (entry.phase == Phase::Stopping).then_some(now);
+        let revived = entry.succeeds;
         Self {
             entry,
             load: None,
@@ -154,7 +158,7 @@
             unanswered: None,
             unlisted: None,
             stopped,
-            revived: false,
+            revived,
         }
     }
 
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -31,6 +31,7 @@
         domain: domain("a"),
         slots: Slots::new(4),
         phase: Phase::Ready,
+        succeeds: false,
     }
 }
 
@@ -161,6 +162,19 @@
     assert!(lost(1, at(900)));
 }
 
+/// Guards against callers that wait two seconds after a loss of power, since agents were back before
+/// the balancer listed them and no earlier life was there to be seen (snowline trouble-2).
+#[test]
+fn a_member_is_revived_when_an_earlier_life_was_listed() {
+    let pool = Pool::new();
+    pool.list(entry(1, 2, 1), START);
+    pool.list(Entry { succeeds: true, ..entry(2, 2, 1) }, START);
+    pool.list(entry(3, 1, 1), START);
+    pool.hear(entry(3, 2, 1).hop, load(0, 20), at(1));
+    let revived = |number| pool.get(instance(number)).unwrap().is_revived();
+    assert!(!revived(1) && revived(2) && revived(3));
+}
+
 /// Guards against a verdict on an agent that has answered since the restart of everything: its
 /// silence means a pause until it lasts longer.
 #[test]
--- a/yuccacroft-segment/src/agent/announcer.rs
+++ b/yuccacroft-segment/src/agent/announcer.rs
@@ -55,6 +55,8 @@
     log: Logger,
     lease: Option<Id>,
     edition: u32,
+    /// Whether an earlier life was listed, once that is known.
+    succeeds: Option<bool>,
     failures: u32,
     jitter: Jitter,
 }
@@ -76,6 +78,7 @@
             control,
             lease: None,
             edition: 0,
+            succeeds: None,
             failures: 0,
         }
     }
@@ -160,6 +163,9 @@
             Some(lease) => lease,
             None => *self.lease.insert(self.store.grant(TERM).await?),
         };
+        if self.succeeds.is_none() {
+            self.succeeds = Some(self.listed().await?.is_some());
+        }
         self.edition += 1;
         let entry = self.entry();
         let value = serde_json::to_string(&entry)
@@ -178,9 +184,7 @@
     /// Looks whether the entry is there; false means that it is not. Keys can vanish while their
     /// lease goes on, and a late write of an earlier life can replace them.
     async fn check(&mut self) -> Result<bool> {
-        let key = format!("{MEMBERS}{}", self.relay.own().instance);
-        let found = self.store.get(&key).await?;
-        let entry = found.and_then(|item| serde_json::from_str::<Entry>(&item.value).ok());
+        let entry = self.listed().await?;
         let own = (self.relay.own(), self.edition);
         let present = entry.is_some_and(|entry| (entry.hop, entry.edition) == own);
         if present {
@@ -193,6 +197,14 @@
         Ok(present)
     }
 
+    /// Reads the entry that is listed for the address of the agent. One that cannot be read is left to
+    /// the next write.
+    async fn listed(&self) -> Result<Option<Entry>> {
+        let key = format!("{MEMBERS}{}", self.relay.own().instance);
+        let found = self.store.get(&key).await?;
+        Ok(found.and_then(|item| serde_json::from_str(&item.value).ok()))
+    }
+
     /// Renews the lease; false means that it has ended.
     async fn renew(&mut self) -> Result<bool> {
         let Some(lease) = self.lease else { return Ok(false) };
@@ -224,6 +236,7 @@
             domain: self.domain.clone(),
             slots: report.map(|report| report.slots).unwrap_or_default(),
             phase,
+            succeeds: self.succeeds.unwrap_or_default(),
         }
     }
 }
