--- /dev/null
+++ b/yuccacroft-core/src/handshake/decision.rs
@@ -0,0 +1,62 @@
+//! The decisions of an agent about single segments.
+
+use {
+    super::offer::Offer,
+    crate::{ids::Instance, segment::Sequence},
+    std::net::SocketAddrV4,
+};
+
+/// The reason why a balancer sends a segment of an existing flow to an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForwardReason {
+    /// The balancer considers this agent the owner.
+    Owner,
+    /// The balancer searches for the owner.
+    Search,
+    /// All other agents have denied ownership, so the segment may go to the upstream as a probe.
+    Probe,
+}
+
+/// The decision about a segment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Deliver the segment to the upstream.
+    Deliver,
+    /// Deliver the segment to the upstream, and tell the balancer that this agent has the flow.
+    Confirm,
+    /// Offer the flow to the next candidate.
+    Pass(Instance, Offer),
+    /// Tell the balancer that no candidate takes the flow.
+    Refuse(SocketAddrV4),
+    /// Tell the balancer that this agent does not own the flow.
+    Deny {
+        /// The balancer.
+        origin: SocketAddrV4,
+        /// Whether the upstream may hold the flow although the agent does not know of it.
+        unsure: bool,
+        /// Whether the segment goes back to the balancer, because it kept no copy.
+        returned: bool,
+    },
+    /// Send a reset with this position to the caller: the upstream no longer holds the flow.
+    Reset(Sequence),
+    /// Hold the segment until the upstream has capacity for another request.
+    Hold,
+    /// Drop the segment for this cause. The caller retransmits it.
+    Drop(&'static str),
+}
+
+impl Decision {
+    /// Returns a short name for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Deliver => "deliver",
+            Self::Confirm => "confirm",
+            Self::Pass(..) => "pass",
+            Self::Refuse(_) => "refuse",
+            Self::Deny { .. } => "deny",
+            Self::Reset(_) => "reset",
+            Self::Hold => "hold",
+            Self::Drop(_) => "drop",
+        }
+    }
+}
--- /dev/null
+++ b/yuccacroft-core/src/handshake/offer.rs
@@ -0,0 +1,29 @@
+//! The route of an opening segment through the agents that may take its flow.
+
+use {super::decision::Decision, crate::ids::Instance, std::net::SocketAddrV4};
+
+/// Maximum number of agents that one opening segment visits.
+pub const MAX_HOPS: u8 = 8;
+
+/// The route of an opening segment through the candidate agents.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Offer {
+    /// The balancer that chose the candidates and gets the result.
+    pub origin: SocketAddrV4,
+    /// The candidates after the current agent, in order.
+    pub rest: Box<[Instance]>,
+    /// The number of agents that the segment has visited before.
+    pub hops: u8,
+}
+
+/// Passes an opening segment that an agent does not take to the next candidate, or refuses it if
+/// none is left.
+pub fn pass_or_refuse(offer: Offer) -> Decision {
+    let Offer { origin, rest, hops } = offer;
+    match rest.split_first() {
+        Some((&to, rest)) if hops + 1 < MAX_HOPS => {
+            Decision::Pass(to, Offer { origin, rest: rest.into(), hops: hops + 1 })
+        }
+        _ => Decision::Refuse(origin),
+    }
+}
--- /dev/null
+++ b/yuccacroft-core/src/handshake/table.rs
@@ -0,0 +1,237 @@
+//! The flow table: decides about segments by the state of their flow.
+
+use {
+    super::{
+        counts::Counts,
+        decision::{Decision, ForwardReason},
+        offer::{self, Offer},
+        open_flow::OpenFlow,
+        state::{Entry, State},
+    },
+    crate::{
+        flow::FlowKey,
+        segment::{Control, Segment},
+        shards::Shards,
+        time::{Moment, Span},
+        units::Connections,
+    },
+    std::net::SocketAddrV4,
+};
+
+/// Time within which an upstream returns a segment of a flow that it does not hold.
+pub(super) const BOUNCE_TIMEOUT: Span = Span::from_millis(30);
+
+/// The flow table of one agent.
+#[derive(Debug, Default)]
+pub struct FlowTable {
+    pub(super) entries: Shards<FlowKey, Entry>,
+    pub(super) counts: Counts,
+}
+
+impl FlowTable {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Decides about an opening segment. `accepting` is true if the upstream takes new flows.
+    pub fn handle_opening(
+        &self,
+        segment: &Segment,
+        datagram: &[u8],
+        offer: Offer,
+        accepting: bool,
+        now: Moment,
+    ) -> Decision {
+        self.entries.update(segment.flow.key(), |slot| {
+            if matches!(slot, Some(Entry { state: State::Open(_), .. })) {
+                return Decision::Deliver;
+            }
+            if !accepting {
+                return offer::pass_or_refuse(offer);
+            }
+            let accepted = match slot {
+                Some(Entry { state: State::Offered { accepted, .. }, .. }) => *accepted,
+                _ => None,
+            };
+            let datagram = datagram.into();
+            let state = State::Offered { offer, datagram, changed_at: now, accepted };
+            *slot = Some(Entry { flow: segment.flow, state });
+            Decision::Confirm
+        })
+    }
+
+    /// Decides about any later segment. `unsure` is true if the upstream may hold flows that the
+    /// agent does not know of. A new request waits while `max_active` requests are in progress.
+    pub fn handle_segment(
+        &self,
+        segment: &Segment,
+        origin: SocketAddrV4,
+        reason: ForwardReason,
+        unsure: bool,
+        max_active: u32,
+        now: Moment,
+    ) -> Decision {
+        // A balancer that searches keeps the segment until it has found the owner.
+        let returned = reason == ForwardReason::Owner;
+        let delivered = if returned { Decision::Deliver } else { Decision::Confirm };
+        let deny = |unsure| Decision::Deny { origin, unsure, returned };
+        self.entries.update(segment.flow.key(), |slot| {
+            match slot.as_mut().map(|entry| &mut entry.state) {
+                Some(State::Open(open)) => {
+                    if open.handle_caller_segment(segment, max_active, now, &self.counts) {
+                        delivered
+                    } else {
+                        Decision::Hold
+                    }
+                }
+                Some(State::Offered { accepted: Some(accepted), changed_at, .. })
+                    if segment.acknowledged == accepted.next() =>
+                {
+                    let mut open =
+                        OpenFlow::new(Some(segment.acknowledged), true, *changed_at, &self.counts);
+                    let deliver =
+                        open.handle_caller_segment(segment, max_active, now, &self.counts);
+                    *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
+                    if deliver { delivered } else { Decision::Hold }
+                }
+                Some(State::Offered { .. }) => deny(false),
+                Some(State::Probed { changed_at, .. })
+                    if now.since(*changed_at) >= BOUNCE_TIMEOUT =>
+                {
+                    let mut open =
+                        OpenFlow::new(Some(segment.acknowledged), false, now, &self.counts);
+                    open.handle_caller_segment(segment, u32::MAX, now, &self.counts);
+                    *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
+                    Decision::Confirm
+                }
+                Some(State::Probed { .. }) => Decision::Drop("probing"),
+                Some(State::Absent { changed_at }) => {
+                    *changed_at = now;
+                    deny(false)
+                }
+                None if !unsure => deny(false),
+                None if reason == ForwardReason::Search => deny(true),
+                None => {
+                    let state = State::Probed { origin, changed_at: now, returned };
+                    *slot = Some(Entry { flow: segment.flow, state });
+                    Decision::Deliver
+                }
+            }
+        })
+    }
+
+    /// Compares the count of requests in progress with the number that the upstream reported in a
+    /// response. The reported number includes the request of this response.
+    pub fn reconcile_active(&self, reported: u32) {
+        self.counts.reconcile_active(reported);
+    }
+
+    /// Records a segment from the upstream to a caller. Returns the service time of a request if
+    /// the segment begins its response.
+    pub fn handle_reply(&self, segment: &Segment, now: Moment) -> Option<Span> {
+        self.entries.update(segment.flow.key(), |slot| {
+            let state = slot.as_mut().map(|entry| &mut entry.state);
+            match (segment.control, state) {
+                (Control::Accept, Some(State::Offered { accepted, .. })) => {
+                    *accepted = Some(segment.sequence);
+                    None
+                }
+                (Control::Accept, _) | (_, Some(State::Offered { .. })) => None,
+                (Control::Reset, Some(State::Open(open))) => {
+                    open.end(&self.counts);
+                    *slot = None;
+                    None
+                }
+                (Control::Reset, _) => {
+                    *slot = None;
+                    None
+                }
+                (_, Some(State::Open(open))) => {
+                    open.handle_upstream_segment(segment, now, &self.counts)
+                }
+                (_, _) => {
+                    // Only the upstream that holds a flow sends segments of it.
+                    let mut open = OpenFlow::new(Some(segment.sequence), true, now, &self.counts);
+                    let time = open.handle_upstream_segment(segment, now, &self.counts);
+                    *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
+                    time
+                }
+            }
+        })
+    }
+
+    /// Decides about a segment that the upstream has returned.
+    pub fn handle_bounce(&self, segment: &Segment, now: Moment) -> Decision {
+        self.entries.update(segment.flow.key(), |slot| {
+            let Some(entry) = slot.take() else { return Decision::Drop("unknown bounce") };
+            let absent_entry =
+                Entry { flow: segment.flow, state: State::Absent { changed_at: now } };
+            match entry.state {
+                State::Offered { offer, .. } if segment.control == Control::Open => {
+                    offer::pass_or_refuse(offer)
+                }
+                State::Probed { origin, returned, .. } => {
+                    *slot = Some(absent_entry);
+                    Decision::Deny { origin, unsure: false, returned }
+                }
+                State::Open(open) if segment.control == Control::Open => {
+                    // The bounce of a delayed duplicate of the opening segment does not prove that
+                    // the upstream lacks the flow.
+                    *slot = Some(Entry { flow: entry.flow, state: State::Open(open) });
+                    Decision::Drop("late copy")
+                }
+                State::Open(mut open) => {
+                    open.end(&self.counts);
+                    *slot = Some(absent_entry);
+                    if open.is_proven {
+                        Decision::Reset(segment.acknowledged)
+                    } else {
+                        Decision::Drop("flow of another upstream")
+                    }
+                }
+                state => {
+                    *slot = Some(Entry { flow: entry.flow, state });
+                    Decision::Drop("unknown bounce")
+                }
+            }
+        })
+    }
+
+    /// Records that a held request goes to the upstream. Returns false if its flow has ended or
+    /// holds no request.
+    pub fn start_held(&self, key: FlowKey, now: Moment) -> bool {
+        self.entries.update(key, |slot| match slot.as_mut().map(|entry| &mut entry.state) {
+            Some(State::Open(open)) if open.is_held => {
+                open.is_held = false;
+                open.start_request(now, &self.counts);
+                true
+            }
+            _ => false,
+        })
+    }
+
+    /// Records that a held request has expired.
+    pub fn drop_held(&self, key: FlowKey) {
+        self.entries.update(key, |slot| {
+            if let Some(State::Open(open)) = slot.as_mut().map(|entry| &mut entry.state) {
+                open.is_held = false;
+            }
+        });
+    }
+
+    /// Returns the number of open flows.
+    pub fn open_flows(&self) -> Connections {
+        self.counts.open()
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn active_requests(&self) -> u32 {
+        self.counts.active()
+    }
+
+    /// Returns the mean time from a request to the first byte of its response.
+    pub fn service_time(&self) -> Span {
+        self.counts.service_time()
+    }
+}
--- /dev/null
+++ b/yuccacroft-segment/src/agent/relay/backlog.rs
@@ -0,0 +1,85 @@
+//! The requests that wait for a free slot of the upstream.
+
+use {
+    super::{DECISIONS_METRIC, Relay},
+    crate::host::Socket,
+    slog::info,
+    std::net::SocketAddrV4,
+    yuccacroft_core::{
+        backlog::Release,
+        handshake::ForwardReason,
+        route::TrafficClass,
+        segment::{Format, Segment},
+        time::Moment,
+        upstream::ConnectResult,
+    },
+    yuccacroft_wire::relay::Body,
+};
+
+impl<F: Format, S: Socket> Relay<F, S> {
+    /// Queues a segment of a request until the upstream has a free slot.
+    pub(super) fn hold_request(
+        &self,
+        segment: &Segment,
+        origin: SocketAddrV4,
+        reason: ForwardReason,
+        class: TrafficClass,
+        datagram: &[u8],
+        now: Moment,
+    ) {
+        metrics::counter!(DECISIONS_METRIC, "outcome" => "hold").increment(1);
+        let key = segment.flow.key();
+        let queued = self.state.backlog().add(segment, datagram, class, now);
+        if !queued {
+            self.state.table.drop_held(key);
+            self.deliver(segment, datagram, now);
+        }
+        if reason != ForwardReason::Owner {
+            self.reply(origin, Body::Owns(key), &[], now);
+        }
+        if let Some(log) = self.flow_log.normal(now) {
+            let id = self.format.request_id(datagram).unwrap_or_default();
+            info!(log, "held"; "request" => id, "flow" => %segment.flow,
+                "priority" => %class.priority, "active" => self.state.table.active_requests(),
+                "room" => self.state.max_concurrent(), "waiting" => self.state.backlog().len());
+        }
+    }
+
+    /// Forwards waiting requests to the upstream while it is below its limit of concurrent
+    /// requests.
+    pub fn release_waiting(&self, now: Moment) {
+        while self.state.table.active_requests() < self.state.max_concurrent() {
+            let service_time = self.state.table.service_time();
+            let Some(release) = self.state.backlog().release(service_time, now) else { return };
+            match release {
+                Release::Start(key, datagrams) => {
+                    if self.state.table.start_held(key, now) {
+                        datagrams.iter().for_each(|datagram| self.forward(datagram, now));
+                        self.log_released(&datagrams, now);
+                    }
+                }
+                Release::Expired(key) => {
+                    self.state.table.drop_held(key);
+                    metrics::counter!(DECISIONS_METRIC, "outcome" => "expired").increment(1);
+                    if let Some(log) = self.flow_log.failure(now) {
+                        info!(log, "request expired while waiting"; "key" => %key);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn forward(&self, datagram: &[u8], now: Moment) {
+        self.state.monitor().record_data(now);
+        if !self.setup.upstream.send_connected(datagram) {
+            self.apply_port_check(ConnectResult::Refused, now);
+        }
+    }
+
+    pub(super) fn log_released(&self, datagrams: &[Box<[u8]>], now: Moment) {
+        let Some(datagram) = datagrams.first() else { return };
+        if let Ok(segment) = self.format.parse_inbound(datagram) {
+            self.log_request("request", &segment, datagram, None, now);
+        }
+    }
+}
--- /dev/null
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -0,0 +1,149 @@
+//! The path of segments from balancers and other agents to the upstream.
+
+use {
+    super::{
+        super::chain::{Context, ReceivedSegment},
+        DECISIONS_METRIC, Relay,
+    },
+    crate::host::Socket,
+    slog::info,
+    std::net::SocketAddrV4,
+    yuccacroft_core::{
+        handshake::{Action, Decision, ForwardReason, Offer},
+        route::Target,
+        segment::{Control, Flow, Format, Segment},
+        time::Moment,
+        upstream::ConnectResult,
+    },
+    yuccacroft_wire::relay::{self, Body, Request},
+};
+
+impl<F: Format, S: Socket> Relay<F, S> {
+    pub(super) fn handle_message(&self, datagram: &[u8], from: SocketAddrV4) {
+        let now = self.clock.now();
+        let (request, bytes) = match relay::decode::<Request>(datagram) {
+            Ok(message) => message,
+            Err(error) => return self.log_junk("messages", &error, now),
+        };
+        let context = match request {
+            Request::Ping { listed, version } => return self.send_pong(from, listed, version, now),
+            Request::Offer { target, origin, rest, hops } => {
+                self.balancers.insert(origin, now);
+                Context::NewFlow(target, Offer { origin, rest, hops }, bytes.into())
+            }
+            Request::Carry(class) => Context::Established(from, ForwardReason::Owner, class),
+            Request::Search(class) => Context::Established(from, ForwardReason::Search, class),
+            Request::Probe(class) => Context::Established(from, ForwardReason::Probe, class),
+        };
+        let segment = match self.format.parse_inbound(bytes) {
+            Ok(segment) => segment,
+            Err(error) => return self.log_junk("segments", &error, now),
+        };
+        let mut received = ReceivedSegment { segment, context, now };
+        let decision = self.chain.run(&mut received).unwrap_or(Decision::Drop("undecided"));
+        let target = match &received.context {
+            Context::NewFlow(target, ..) => Some(*target),
+            Context::Established(..) => None,
+        };
+        let to = match &received.context {
+            Context::NewFlow(_, offer, _) => offer.origin,
+            Context::Established(origin, ..) => *origin,
+        };
+        if let (Decision::Hold, Context::Established(_, reason, class)) =
+            (&decision, &received.context)
+        {
+            return self.hold_request(&received.segment, to, *reason, *class, bytes, now);
+        }
+        self.apply_decision(&received.segment, target, to, decision, bytes, now);
+    }
+
+    /// Executes a decision about a segment. `origin` is the balancer that gets the reply.
+    pub(super) fn apply_decision(
+        &self,
+        segment: &Segment,
+        target: Option<Target>,
+        origin: SocketAddrV4,
+        decision: Decision,
+        datagram: &[u8],
+        now: Moment,
+    ) {
+        let key = segment.flow.key();
+        match decision {
+            Decision::Deliver => self.deliver(segment, datagram, now),
+            Decision::Confirm => {
+                self.deliver(segment, datagram, now);
+                let opening = segment.control == Control::Open;
+                let body = if opening { Body::Took(key) } else { Body::Owns(key) };
+                self.reply(origin, body, &[], now);
+            }
+            Decision::Pass(to, offer) => {
+                self.pass(segment.flow, target, to.address(), offer, datagram, now);
+                self.reply(origin, Body::Load, &[], now);
+            }
+            Decision::Refuse(origin) => self.refuse(segment.flow, origin, datagram, now),
+            Decision::Deny { origin, unsure, returned } => {
+                metrics::counter!(DECISIONS_METRIC, "outcome" => "deny").increment(1);
+                let datagram = if returned { datagram } else { &[] };
+                self.reply(origin, Body::Denies { key, unsure }, datagram, now);
+            }
+            Decision::Reset(sequence) => {
+                self.reset(segment.flow, sequence, "returned by the upstream", now);
+            }
+            Decision::Hold => {}
+            Decision::Drop(cause) => self.log_not_delivered(segment.flow, "drop", cause, now),
+        }
+    }
+
+    pub(super) fn perform(&self, action: Action, now: Moment) {
+        match action {
+            Action::Pass { flow, to, offer, datagram } => {
+                self.pass(flow, Some(self.state.target), to.address(), offer, &datagram, now);
+            }
+            Action::Refuse { flow, origin, datagram } => self.refuse(flow, origin, &datagram, now),
+            Action::Confirm { flow, origin } => {
+                self.reply(origin, Body::Owns(flow.key()), &[], now);
+            }
+        }
+    }
+
+    pub(super) fn deliver(&self, segment: &Segment, datagram: &[u8], now: Moment) {
+        metrics::counter!(DECISIONS_METRIC, "outcome" => "deliver").increment(1);
+        self.log_request("request", segment, datagram, None, now);
+        {
+            let mut monitor = self.state.monitor();
+            match segment.control {
+                Control::Open => monitor.record_opening(now),
+                _ if segment.length > 0 => monitor.record_data(now),
+                _ => {}
+            }
+        }
+        if !self.setup.upstream.send_connected(datagram) {
+            self.apply_port_check(ConnectResult::Refused, now);
+        }
+    }
+
+    pub(super) fn pass(
+        &self,
+        flow: Flow,
+        target: Option<Target>,
+        to: SocketAddrV4,
+        offer: Offer,
+        datagram: &[u8],
+        now: Moment,
+    ) {
+        metrics::counter!(DECISIONS_METRIC, "outcome" => "pass").increment(1);
+        if let Some(log) = self.flow_log.failure(now) {
+            let silence = self.state.monitor().silence();
+            info!(log, "passed on"; "flow" => %flow, "to" => %to, "hops" => offer.hops,
+                "silence" => ?silence, "open" => %self.state.table.open_flows());
+        }
+        let target = target.unwrap_or(self.state.target);
+        let Offer { origin, rest, hops } = offer;
+        self.send(to, &Request::Offer { target, origin, rest, hops }, datagram);
+    }
+
+    pub(super) fn refuse(&self, flow: Flow, origin: SocketAddrV4, datagram: &[u8], now: Moment) {
+        self.log_not_delivered(flow, "refuse", "no further agent", now);
+        self.reply(origin, Body::Refused, datagram, now);
+    }
+}
--- /dev/null
+++ b/yuccacroft-segment/src/agent/relay/log.rs
@@ -0,0 +1,69 @@
+//! The log lines and counters of segments.
+
+use {
+    super::{DECISIONS_METRIC, Relay},
+    crate::host::Socket,
+    slog::info,
+    yuccacroft_core::{
+        flow::FlowKey,
+        segment::{Flow, Format, Segment},
+        time::{Moment, Span},
+    },
+};
+
+/// Metric: number of undecodable datagrams and socket errors, labelled with the source.
+const JUNK_METRIC: &str = "yuccacroft_agent_junk_total";
+
+impl<F: Format, S: Socket> Relay<F, S> {
+    /// Logs an event of a request with its id and its flow.
+    pub(super) fn log_request(
+        &self,
+        event: &'static str,
+        segment: &Segment,
+        datagram: &[u8],
+        time: Option<Span>,
+        now: Moment,
+    ) {
+        if segment.length == 0 {
+            return;
+        }
+        let Some(id) = self.format.request_id(datagram) else { return };
+        if let Some(log) = self.flow_log.normal(now) {
+            let time = time.unwrap_or_default();
+            info!(log, "{}", event; "request" => id, "flow" => %segment.flow,
+                "active" => self.state.table.active_requests(), "waiting" => self.state.backlog().len(),
+                "time" => %time, "service_time" => %self.state.table.service_time());
+        }
+    }
+
+    pub(super) fn log_not_delivered(
+        &self,
+        flow: Flow,
+        outcome: &'static str,
+        cause: &'static str,
+        now: Moment,
+    ) {
+        metrics::counter!(DECISIONS_METRIC, "outcome" => outcome, "cause" => cause).increment(1);
+        if let Some(log) = self.flow_log.failure(now) {
+            let key: FlowKey = flow.key();
+            info!(log, "not delivered"; "flow" => %flow, "key" => %key, "outcome" => outcome,
+                "cause" => cause);
+        }
+    }
+
+    pub(super) fn log_junk(
+        &self,
+        source: &'static str,
+        cause: &dyn std::fmt::Display,
+        now: Moment,
+    ) {
+        metrics::counter!(JUNK_METRIC, "source" => source).increment(1);
+        if let Some(log) = self.flow_log.failure(now) {
+            info!(log, "junk dropped"; "source" => source, "cause" => %cause);
+        }
+    }
+
+    pub(super) fn log_socket_error(&self, name: &'static str, error: &std::io::Error) {
+        self.log_junk(name, error, self.clock.now());
+    }
+}
--- /dev/null
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -0,0 +1,86 @@
+//! The path of segments from the upstream to callers.
+
+use {
+    super::Relay,
+    crate::host::Socket,
+    slog::info,
+    std::net::SocketAddrV4,
+    yuccacroft_core::{
+        handshake::Decision,
+        segment::{Flow, Format, Outbound, Segment},
+        time::{Moment, Span},
+        upstream::Silence,
+    },
+};
+
+/// Metric: time from a request to the first byte of its response.
+const SERVICE_SECONDS_METRIC: &str = "yuccacroft_agent_service_seconds";
+/// Response time from which on a response is logged as slow: longer than most responses and shorter
+/// than most latency objectives.
+const SLOW_RESPONSE: Span = Span::from_millis(100);
+
+impl<F: Format, S: Socket> Relay<F, S> {
+    pub(super) fn handle_outbound(&self, datagram: &mut [u8]) {
+        let now = self.clock.now();
+        match self.format.parse_outbound(datagram) {
+            Ok(Outbound::Reply(segment)) => {
+                self.record_activity(now);
+                if let Some(progress) = self.format.requests_in_progress(datagram) {
+                    self.state.table.reconcile_active(progress);
+                }
+                if let Some(time) = self.state.table.handle_reply(&segment, now) {
+                    metrics::histogram!(SERVICE_SECONDS_METRIC)
+                        .record(std::time::Duration::from(time).as_secs_f64());
+                    if time >= SLOW_RESPONSE {
+                        self.log_request("slow answer", &segment, datagram, Some(time), now);
+                    }
+                }
+                self.send_to_caller(segment.flow, datagram);
+                self.release_waiting(now);
+            }
+            Ok(Outbound::Bounced(segment)) => {
+                self.record_activity(now);
+                self.format.restore_bounced(datagram);
+                let decision = self.state.table.handle_bounce(&segment, now);
+                if let Some(log) = self.flow_log.failure(now) {
+                    info!(log, "bounced"; "flow" => %segment.flow, "control" => ?segment.control,
+                        "decision" => decision.name());
+                }
+                self.apply_bounce_decision(&segment, decision, datagram, now);
+            }
+            Err(error) => self.log_junk("outbound", &error, now),
+        }
+    }
+
+    pub(super) fn apply_bounce_decision(
+        &self,
+        segment: &Segment,
+        decision: Decision,
+        datagram: &[u8],
+        now: Moment,
+    ) {
+        let origin = match &decision {
+            Decision::Pass(_, offer) => offer.origin,
+            Decision::Refuse(origin) | Decision::Deny { origin, .. } => *origin,
+            // The other decisions send no reply.
+            _ => self.setup.agent_id.instance.address(),
+        };
+        self.apply_decision(segment, Some(self.state.target), origin, decision, datagram, now);
+    }
+
+    pub(super) fn record_activity(&self, now: Moment) {
+        let mut monitor = self.state.monitor();
+        let before = monitor.silence();
+        monitor.record_reply(now);
+        drop(monitor);
+        if before != Silence::None {
+            info!(self.flow_log.log(), "upstream answers"; "before" => ?before);
+            self.send_load(now);
+        }
+    }
+
+    pub(super) fn send_to_caller(&self, flow: Flow, datagram: &[u8]) {
+        let caller = SocketAddrV4::new(*flow.caller.ip(), self.setup.caller_port);
+        self.setup.messages.send(datagram, caller);
+    }
+}
--- /dev/null
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -0,0 +1,81 @@
+//! The replies to balancers and messages to other agents.
+
+use {
+    super::Relay,
+    crate::host::Socket,
+    slog::info,
+    std::{net::SocketAddrV4, sync::atomic::Ordering},
+    yuccacroft_core::{
+        ids::Incarnation,
+        pool::AgentLoad,
+        route::ConfigVersion,
+        segment::Format,
+        time::{Moment, Span},
+    },
+    yuccacroft_wire::relay::{self, Body, Reply},
+};
+
+/// Time for which a balancer is sent the load after its last message.
+const BALANCER_TIMEOUT: Span = Span::from_secs(3);
+/// Time within which a written entry is in the listing of every balancer.
+const MAX_LISTING_DELAY: Span = Span::from_millis(1_500);
+
+impl<F: Format, S: Socket> Relay<F, S> {
+    /// Returns the present load of the agent.
+    pub fn load(&self, now: Moment) -> AgentLoad {
+        let accepting = self.state.is_accepting();
+        let warmup = self.state.monitor().remaining_warmup(now);
+        AgentLoad {
+            accepting,
+            active: self.state.open_requests(),
+            busy: self.state.mean_requests(),
+            open: self.state.table.open_flows(),
+            service_time: self.state.table.service_time(),
+            warmup,
+            stopping: self.state.is_stopping() && !self.state.has_no_upstream(),
+        }
+    }
+
+    /// Sends the load to every balancer that sent a message recently.
+    pub fn send_load(&self, now: Moment) {
+        self.balancers.retain(|_, last_seen| now.since(*last_seen) < BALANCER_TIMEOUT);
+        let balancers = self.balancers.fold(Vec::new(), |mut balancers, balancer, _| {
+            balancers.push(*balancer);
+            balancers
+        });
+        balancers.into_iter().for_each(|balancer| self.reply(balancer, Body::Load, &[], now));
+    }
+
+    pub(super) fn send_pong(
+        &self,
+        from: SocketAddrV4,
+        listed: Option<(Incarnation, u32)>,
+        version: ConfigVersion,
+        now: Moment,
+    ) {
+        self.balancers.insert(from, now);
+        self.config_version.fetch_max(version.get(), Ordering::Relaxed);
+        let (entry_version, written) = *self.written_entry();
+        let current = (self.setup.agent_id.incarnation, entry_version);
+        if entry_version > 0 && listed != Some(current) && now.since(written) >= MAX_LISTING_DELAY {
+            self.entry_unlisted.notify_one();
+        }
+        self.reply(from, Body::Load, &[], now);
+    }
+
+    pub(super) fn reply(&self, to: SocketAddrV4, body: Body, segment: &[u8], now: Moment) {
+        let version = ConfigVersion::new(self.config_version.load(Ordering::Relaxed));
+        let age = self.state.age(now);
+        let reply = Reply { from: self.setup.agent_id, load: self.load(now), age, version, body };
+        self.send(to, &reply, segment);
+    }
+
+    pub(super) fn send<T: serde::Serialize>(&self, to: SocketAddrV4, message: &T, segment: &[u8]) {
+        match relay::encode(message, segment) {
+            Ok(datagram) => self.setup.messages.send(&datagram, to),
+            Err(error) => {
+                info!(self.flow_log.log(), "message not encoded"; "cause" => %error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/yuccacroft-segment/src/agent/relay/status.rs
@@ -0,0 +1,55 @@
+//! The state of the agent as gauges and as a dump.
+
+use {
+    super::Relay,
+    crate::{dump, host::Socket},
+    std::sync::atomic::Ordering,
+    yuccacroft_core::{route::ConfigVersion, segment::Format, time::Moment},
+};
+
+/// Metric: number of open flows.
+const OPEN_FLOWS_METRIC: &str = "yuccacroft_agent_open_flows";
+/// Metric: number of requests in progress at the upstream.
+const ACTIVE_REQUESTS_METRIC: &str = "yuccacroft_agent_active_requests";
+/// Metric: number of requests that wait for the upstream.
+const WAITING_REQUESTS_METRIC: &str = "yuccacroft_agent_waiting_requests";
+
+impl<F: Format, S: Socket> Relay<F, S> {
+    /// Returns a dump of the agent's state.
+    pub fn dump(&self) -> dump::Agent {
+        let now = self.clock.now();
+        let (entry_version, written) = *self.written_entry();
+        let upstream = {
+            let monitor = self.state.monitor();
+            let silence = format!("{:?}", monitor.silence());
+            monitor.last_report().map(|report| dump::Upstream {
+                id: report.id.to_string().into(),
+                born: report.incarnation,
+                report: report.number.get(),
+                phase: format!("{:?}", report.phase).into(),
+                slots: report.slots,
+                silence: silence.into(),
+            })
+        };
+        dump::Agent {
+            incarnation: self.setup.agent_id.incarnation,
+            uptime: now.since(Moment::default()),
+            stopping: self.state.is_stopping(),
+            accepting: self.state.is_accepting(),
+            version: ConfigVersion::new(self.config_version.load(Ordering::Relaxed)),
+            entry_version,
+            entry_age: now.since(written),
+            upstream,
+            load: self.load(now),
+            waiting: self.state.backlog().len(),
+            balancers: self.balancers.len(),
+        }
+    }
+
+    /// Updates the gauges.
+    pub fn update_gauges(&self) {
+        metrics::gauge!(OPEN_FLOWS_METRIC).set(f64::from(self.state.table.open_flows().get()));
+        metrics::gauge!(ACTIVE_REQUESTS_METRIC).set(f64::from(self.state.table.active_requests()));
+        metrics::gauge!(WAITING_REQUESTS_METRIC).set(self.state.backlog().len() as f64);
+    }
+}
