--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -8,6 +8,9 @@
 //! It probes the upstream with a segment, which the upstream returns if it does not hold the flow.
 
 mod counts;
+mod observation;
+
+pub use self::observation::OfferedFlow;
 
 use {
     self::counts::Counts,
@@ -125,6 +128,13 @@
         /// The balancer.
         origin: SocketAddrV4,
     },
+    /// Note that an accepted flow was removed, since its caller has sent no segment to this agent.
+    Expire {
+        /// The flow.
+        flow: Flow,
+        /// The sequence number with which the upstream accepted the flow.
+        accepted: Sequence,
+    },
 }
 
 /// A flow that was lost with its upstream.
@@ -377,8 +387,12 @@
         self.entries.retain(|_, entry| {
             let flow = entry.flow;
             match &mut entry.state {
-                State::Offered { accepted: Some(_), changed_at, .. } => {
-                    now.since(*changed_at) < FIRST_SEGMENT_TIMEOUT
+                State::Offered { accepted: Some(accepted), changed_at, .. } => {
+                    let is_kept = now.since(*changed_at) < FIRST_SEGMENT_TIMEOUT;
+                    if !is_kept {
+                        actions.push(Action::Expire { flow, accepted: *accepted });
+                    }
+                    is_kept
                 }
                 State::Offered { offer, datagram, changed_at, .. } => {
                     if now.since(*changed_at) < ACCEPT_TIMEOUT {
--- /dev/null
+++ b/yuccacroft-core/src/handshake/observation.rs
@@ -0,0 +1,31 @@
+//! Read-only views of the flow table for logs.
+
+use {
+    super::{Entry, FlowTable, State},
+    crate::{
+        flow::FlowKey,
+        segment::Sequence,
+        time::{Moment, Span},
+    },
+};
+
+/// An offered flow whose caller has not yet acknowledged the upstream's acceptance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OfferedFlow {
+    /// The sequence number with which the upstream accepted the flow, or `None` if it has not.
+    pub accepted: Option<Sequence>,
+    /// The time since the latest copy of the opening segment.
+    pub age: Span,
+}
+
+impl FlowTable {
+    /// Returns the state of a flow that is offered and not open, or `None` in any other state.
+    pub fn offered_flow(&self, key: FlowKey, now: Moment) -> Option<OfferedFlow> {
+        self.entries.read(&key, |entry| match entry {
+            Some(Entry { state: State::Offered { accepted, changed_at, .. }, .. }) => {
+                Some(OfferedFlow { accepted: *accepted, age: now.since(*changed_at) })
+            }
+            _ => None,
+        })
+    }
+}
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -118,6 +118,8 @@
     /// The times of offers whose requests the reported load does not include yet.
     pending_offers: VecDeque<Moment>,
     unanswered_since: Option<Moment>,
+    /// The number of queries and offers since the last message of the member.
+    unanswered_queries: u32,
     unlisted_since: Option<Moment>,
     stopped_at: Option<Moment>,
     /// Whether the listing showed an earlier incarnation than the current one.
@@ -135,6 +137,17 @@
     Lost,
 }
 
+/// The number of members of each reachability.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReachabilityCounts {
+    /// Members that answer or owe no answer.
+    pub good: usize,
+    /// Members with an overdue answer.
+    pub suspect: usize,
+    /// Members whose flows count as lost, unless they restart.
+    pub lost: usize,
+}
+
 /// The effect of a listed entry on the pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpsertResult {
@@ -163,6 +176,7 @@
             load: None,
             pending_offers: VecDeque::new(),
             unanswered_since: None,
+            unanswered_queries: 0,
             unlisted_since: None,
             stopped_at,
             restarted,
@@ -214,6 +228,21 @@
         self.unanswered_since.is_some_and(|since| now.since(since) >= span)
     }
 
+    /// Returns the time since which the member has owed an answer, or `None` if it owes none.
+    pub fn unanswered_since(&self) -> Option<Moment> {
+        self.unanswered_since
+    }
+
+    /// Returns the number of queries and offers since the last message of the member.
+    pub fn unanswered_queries(&self) -> u32 {
+        self.unanswered_queries
+    }
+
+    fn record_query(&mut self, now: Moment) {
+        self.unanswered_since.get_or_insert(now);
+        self.unanswered_queries += 1;
+    }
+
     /// Returns the reachability of the member and the cost of a new flow there, or `None` if it
     /// takes no new flow.
     fn cost(&self, domain: &Domain, key: FlowKey, now: Moment) -> Option<(Reachability, u64)> {
@@ -311,16 +340,14 @@
 
     /// Records a message that a running member answers.
     pub fn record_query(&self, instance: Instance, now: Moment) {
-        self.update_member(instance, |member| {
-            member.unanswered_since.get_or_insert(now);
-        });
+        self.update_member(instance, |member| member.record_query(now));
     }
 
     /// Records the offer of a flow, which counts towards the load of the member until its reports
     /// include it.
     pub fn record_offer(&self, instance: Instance, now: Moment) {
         self.update_member(instance, |member| {
-            member.unanswered_since.get_or_insert(now);
+            member.record_query(now);
             if member.pending_offers.len() < MAX_PENDING_OFFERS {
                 member.pending_offers.push_back(now);
             }
@@ -344,6 +371,7 @@
                 return true;
             }
             member.unanswered_since = None;
+            member.unanswered_queries = 0;
             member.restarted |= agent_id.incarnation > member.entry.agent_id.incarnation;
             member.load = Some((load, now));
             if load.stopping {
@@ -425,14 +453,26 @@
     /// Returns true if there are members and all of them count as lost, which means that this
     /// process itself is isolated.
     pub fn is_isolated(&self, now: Moment) -> bool {
-        let (lost, rest) = self.members.fold((0, 0), |(lost, rest), _, member| {
-            if member.reachability(now) == Reachability::Lost {
-                (lost + 1, rest)
-            } else {
-                (lost, rest + 1)
+        let ReachabilityCounts { good, suspect, lost } = self.count_by_reachability(now);
+        lost > 0 && good + suspect == 0
+    }
+
+    /// Returns the number of members of each reachability.
+    pub fn count_by_reachability(&self, now: Moment) -> ReachabilityCounts {
+        self.members.fold(ReachabilityCounts::default(), |mut counts, _, member| {
+            match member.reachability(now) {
+                Reachability::Good => counts.good += 1,
+                Reachability::Suspect => counts.suspect += 1,
+                Reachability::Lost => counts.lost += 1,
             }
-        });
-        lost > 0 && rest == 0
+            counts
+        })
+    }
+
+    /// Returns the time for which a member has owed an answer, or `None` if it owes none.
+    pub fn unanswered_time(&self, instance: Instance, now: Moment) -> Option<Span> {
+        let since = self.members.read(&instance, |member| member.and_then(|m| m.unanswered_since));
+        since.map(|since| now.since(since))
     }
 
     /// Returns the number of members.
--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -9,6 +9,10 @@
 //! looks like a moved flow. A flow is lost once every reachable agent has denied it. It is not lost
 //! while its owner may merely be unreachable.
 
+pub mod evidence;
+
+pub use self::evidence::{AgentFinding, Evidence, Finding};
+
 use {
     crate::{
         controller::Controller,
@@ -77,6 +81,8 @@
     pub restarted: bool,
     /// Whether it serves the service of the flow's route and is therefore queried first.
     pub preferred: bool,
+    /// The time since which it has owed an answer.
+    pub unanswered_since: Option<Moment>,
 }
 
 /// An action that the caller of the controller carries out.
@@ -110,6 +116,13 @@
     queries: BTreeMap<Instance, AgentQuery>,
     /// The agents of other services, which are queried after all preferred agents have answered.
     deferred: Vec<SearchCandidate>,
+    /// The agents that were queried and have left the list of members.
+    removed: Vec<AgentQuery>,
+    /// The number of first queries and probes.
+    sent_queries: u32,
+    sent_retries: u32,
+    /// The number of ticks for which the query budget had no tokens.
+    skipped_ticks: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -123,6 +136,9 @@
     lost: bool,
     absent: bool,
     restarted: bool,
+    answered_at: Option<Moment>,
+    /// The time since which the agent has owed an answer to any message.
+    unanswered_since: Option<Moment>,
 }
 
 impl Default for QueryBudget {
@@ -166,7 +182,16 @@
     /// Starts a search. Until `list_complete_at` the list of agents may be incomplete, so denials
     /// do not prove that the flow is lost.
     pub fn new(list_complete_at: Moment, now: Moment) -> Self {
-        Self { started: now, list_complete_at, queries: BTreeMap::new(), deferred: Vec::new() }
+        Self {
+            started: now,
+            list_complete_at,
+            queries: BTreeMap::new(),
+            deferred: Vec::new(),
+            removed: Vec::new(),
+            sent_queries: 0,
+            sent_retries: 0,
+            skipped_ticks: 0,
+        }
     }
 
     fn handle_answer(&mut self, from: AgentId, answer: QueryAnswer, now: Moment) -> Vec<Action> {
@@ -181,10 +206,12 @@
             query.agent_id = from;
             query.lost = false;
             query.absent = false;
+            query.unanswered_since = None;
             // After a probe only a denial counts: the bounce of the probe is reported as one, while
             // a late answer to the earlier query proves nothing.
             if !query.probed || answer.is_denial() {
                 query.answer = Some(answer);
+                query.answered_at = Some(now);
             }
         }
         self.conclude(now)
@@ -195,8 +222,10 @@
             return vec![Action::TimedOut];
         }
         // An agent that is no longer a member has no flows.
-        self.queries
-            .retain(|instance, _| candidates.iter().any(|c| c.agent_id.instance == *instance));
+        let removed = self.queries.extract_if(.., |instance, _| {
+            !candidates.iter().any(|c| c.agent_id.instance == *instance)
+        });
+        self.removed.extend(removed.map(|(_, query)| query));
         self.deferred.clear();
         let mut actions = Vec::new();
         for &candidate in candidates {
@@ -206,7 +235,10 @@
                     query.lost = candidate.lost;
                     query.absent = candidate.absent;
                     query.restarted = candidate.restarted;
-                    actions.extend(query.retry(candidate.agent_id, now));
+                    query.unanswered_since = candidate.unanswered_since;
+                    let retry = query.retry(candidate.agent_id, now);
+                    self.sent_retries += u32::from(retry.is_some());
+                    actions.extend(retry);
                 }
                 None if candidate.preferred => actions.push(self.query(candidate, now)),
                 None => self.deferred.push(candidate),
@@ -217,7 +249,7 @@
     }
 
     fn query(&mut self, candidate: SearchCandidate, now: Moment) -> Action {
-        let SearchCandidate { agent_id, lost, absent, restarted, .. } = candidate;
+        let SearchCandidate { agent_id, lost, absent, restarted, unanswered_since, .. } = candidate;
         let query = AgentQuery {
             agent_id,
             sent_at: now,
@@ -227,7 +259,10 @@
             lost,
             absent,
             restarted,
+            answered_at: None,
+            unanswered_since,
         };
+        self.sent_queries += 1;
         self.queries.insert(agent_id.instance, query);
         Action::Query(agent_id)
     }
@@ -246,11 +281,13 @@
             self.queries.values_mut().filter(|a| a.is_unsure() && !a.lost).collect();
         if !unsure.is_empty() {
             let unprobed = unsure.into_iter().filter(|query| !query.probed);
+            let sent_queries = &mut self.sent_queries;
             return unprobed
                 .map(|query| {
                     query.probed = true;
                     query.retries = 0;
                     query.sent_at = now;
+                    *sent_queries += 1;
                     Action::Probe(query.agent_id)
                 })
                 .collect();
@@ -261,6 +298,43 @@
         if has_answer && is_certain { vec![Action::NotFound] } else { Vec::new() }
     }
 
+    /// Records that a tick was skipped because the query budget was used up.
+    pub fn record_skipped_tick(&mut self) {
+        self.skipped_ticks += 1;
+    }
+
+    /// Returns true if the last query or probe to this agent was a retry.
+    pub fn is_retry(&self, instance: Instance) -> bool {
+        self.queries.get(&instance).is_some_and(|query| query.retries > 0)
+    }
+
+    /// Returns what the search knows about each agent.
+    pub fn evidence(&self, now: Moment) -> Evidence {
+        let all_fresh = self.are_all_fresh();
+        let queried = self.queries.values().map(|query| {
+            let finding = query.finding(all_fresh);
+            query.describe(finding, now)
+        });
+        let deferred = self.deferred.iter().map(|candidate| AgentFinding {
+            instance: candidate.agent_id.instance,
+            finding: Finding::Deferred,
+            answer_age: None,
+            silence: candidate.unanswered_since.map(|since| now.since(since)),
+        });
+        let removed = self.removed.iter();
+        let removed = removed.filter(|query| !self.queries.contains_key(&query.agent_id.instance));
+        let removed = removed.map(|query| query.describe(Finding::Removed, now));
+        Evidence {
+            elapsed: now.since(self.started),
+            agents: queried.chain(deferred).chain(removed).collect(),
+            queries: self.sent_queries,
+            retries: self.sent_retries,
+            skipped_ticks: self.skipped_ticks,
+            all_fresh,
+            list_incomplete: now < self.list_complete_at,
+        }
+    }
+
     /// Returns true if at least one agent has answered, and every agent that has is fresh and was
     /// listed with an earlier incarnation.
     fn are_all_fresh(&self) -> bool {
@@ -278,6 +352,26 @@
         matches!(self.answer, Some(QueryAnswer::Unsure { .. }))
     }
 
+    fn finding(&self, all_fresh: bool) -> Finding {
+        match self.answer {
+            Some(QueryAnswer::Unsure { .. }) if self.lost => Finding::UnsureLost,
+            Some(QueryAnswer::Unsure { .. }) => Finding::Unsure,
+            Some(_) => Finding::Denied,
+            None if self.lost => Finding::Lost,
+            None if self.absent && all_fresh => Finding::Absent,
+            None => Finding::Unanswered,
+        }
+    }
+
+    fn describe(&self, finding: Finding, now: Moment) -> AgentFinding {
+        AgentFinding {
+            instance: self.agent_id.instance,
+            finding,
+            answer_age: self.answered_at.map(|at| now.since(at)),
+            silence: self.unanswered_since.map(|since| now.since(since)),
+        }
+    }
+
     /// Returns the query or probe again if its answer is overdue.
     fn retry(&mut self, agent_id: AgentId, now: Moment) -> Option<Action> {
         let is_denied = self.answer.is_some_and(QueryAnswer::is_denial);
--- a/yuccacroft-core/src/steering.rs
+++ b/yuccacroft-core/src/steering.rs
@@ -43,11 +43,24 @@
     },
     /// The flow is lost: no reachable agent owns it.
     Lost {
-        /// The time at which the loss was detected.
+        /// The time of the latest reset, from which the entry expires.
         at: Moment,
+        /// The time at which the loss was detected.
+        detected_at: Moment,
     },
 }
 
+impl CachedFlow {
+    /// Returns the agent that owns the flow or was offered it.
+    pub fn agent(self) -> Option<Instance> {
+        match self {
+            Self::Offered { to, .. } => Some(to),
+            Self::Owned { owner, .. } => Some(owner.instance),
+            Self::Lost { .. } => None,
+        }
+    }
+}
+
 /// The flow cache of one balancer.
 #[derive(Debug, Default)]
 pub struct SteeringTable {
@@ -93,9 +106,13 @@
         self.insert(key, CachedFlow::Owned { owner, at: now });
     }
 
-    /// Records that a flow is lost.
+    /// Records that a flow is lost. A flow that is lost already is kept for longer.
     pub fn mark_lost(&self, key: FlowKey, now: Moment) {
-        self.insert(key, CachedFlow::Lost { at: now });
+        let detected_at = match self.get(key) {
+            Some(CachedFlow::Lost { detected_at, .. }) => detected_at,
+            _ => now,
+        };
+        self.insert(key, CachedFlow::Lost { at: now, detected_at });
     }
 
     /// Removes the entry of a flow.
@@ -109,7 +126,9 @@
         let idle_timeout = idle.map_or(MAX_IDLE_TIME, |idle| idle.min(MAX_IDLE_TIME));
         self.records.retain(|_, record| match *record {
             CachedFlow::Owned { at, .. } => now.since(at) < idle_timeout,
-            CachedFlow::Offered { at, .. } | CachedFlow::Lost { at } => now.since(at) < UNOWNED_TTL,
+            CachedFlow::Offered { at, .. } | CachedFlow::Lost { at, .. } => {
+                now.since(at) < UNOWNED_TTL
+            }
         });
     }
 
--- a/yuccacroft-core/tests/search.rs
+++ b/yuccacroft-core/tests/search.rs
@@ -27,6 +27,7 @@
         absent: false,
         restarted: true,
         preferred: true,
+        unanswered_since: None,
     }
 }
 
--- a/yuccacroft-core/tests/steering.rs
+++ b/yuccacroft-core/tests/steering.rs
@@ -61,7 +61,7 @@
     let table = SteeringTable::new();
     table.mark_lost(FLOW, START);
     table.expire(None, at(9));
-    assert_eq!(table.touch(FLOW, at(9)), Some(CachedFlow::Lost { at: START }));
+    assert_eq!(table.touch(FLOW, at(9)), Some(CachedFlow::Lost { at: START, detected_at: START }));
     table.expire(None, at(11));
     assert_eq!(table.get(FLOW), None);
 }
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -334,6 +334,7 @@
             Decision::Refuse(origin) => self.refuse(segment.flow, origin, datagram, now),
             Decision::Deny { origin, unsure, returned } => {
                 metrics::counter!(DECISIONS_METRIC, "outcome" => "deny").increment(1);
+                self.log_offered_denial(segment, origin, now);
                 let datagram = if returned { datagram } else { &[] };
                 self.reply(origin, Body::Denies { key, unsure }, datagram, now);
             }
@@ -420,6 +421,23 @@
             Action::Confirm { flow, origin } => {
                 self.reply(origin, Body::Owns(flow.key()), &[], now);
             }
+            Action::Expire { flow, accepted } => {
+                metrics::counter!(DECISIONS_METRIC, "outcome" => "expire").increment(1);
+                if let Some(log) = self.flow_log.failure(now) {
+                    info!(log, "accepted flow expired"; "flow" => %flow, "accepted" => %accepted);
+                }
+            }
+        }
+    }
+
+    /// Logs the denial of a flow that was offered to this agent. The caller has accepted it
+    /// elsewhere, unless the acknowledged sequence number follows the accepted one.
+    fn log_offered_denial(&self, segment: &Segment, origin: SocketAddrV4, now: Moment) {
+        let Some(offered) = self.state.table.offered_flow(segment.flow.key(), now) else { return };
+        if let Some(log) = self.flow_log.failure(now) {
+            info!(log, "offered flow denied"; "flow" => %segment.flow, "to" => %origin,
+                "accepted" => ?offered.accepted.map(Sequence::get), "age" => %offered.age,
+                "acknowledged" => segment.acknowledged.get(), "control" => ?segment.control);
         }
     }
 
--- a/yuccacroft-segment/src/balancer.rs
+++ b/yuccacroft-segment/src/balancer.rs
@@ -2,9 +2,12 @@
 
 pub mod chain;
 pub mod controllers;
+pub mod freshness;
+pub mod grounds;
 pub mod pending;
 pub mod process;
 pub mod relay;
+pub mod response_times;
 pub mod searches;
 
 pub use self::process::{Process, Settings};
--- a/yuccacroft-segment/src/balancer/chain.rs
+++ b/yuccacroft-segment/src/balancer/chain.rs
@@ -32,6 +32,8 @@
     /// The service of the flow, chosen by the route of its address; `None` until the chain has
     /// found the route.
     pub target: Option<Target>,
+    /// The agent that was offered the flow or owned it before, if this balancer knew one.
+    pub last_agent: Option<Instance>,
     /// The agent that is offered the flow first, since it was sent an earlier copy of the segment.
     preferred: Option<Instance>,
     /// The agent that is offered the flow last, since it did not take an earlier copy in time.
@@ -83,7 +85,7 @@
     /// Creates the input of the chain for a segment.
     pub fn new(segment: Segment, now: Moment) -> Self {
         let key = segment.flow.key();
-        Self { segment, key, now, target: None, preferred: None, avoided: None }
+        Self { segment, key, now, target: None, last_agent: None, preferred: None, avoided: None }
     }
 
     fn is_opening(&self) -> bool {
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -20,7 +20,7 @@
     },
     tokio::{sync::Notify, time::MissedTickBehavior},
     yuccacroft_core::{
-        ids::Instance,
+        ids::{Instance, Revision},
         pool::{AgentEntry, Reachability, UpsertResult},
         time::{Moment, Span},
     },
@@ -126,6 +126,7 @@
                 warn!(self.relay.flow_log.log(), "process stood still";
                     "for" => %now.since(last_tick));
                 self.relay.pool.restart_timeouts(now);
+                self.relay.freshness.record_stall(now);
             }
             last_tick = now;
             ticks += 1;
@@ -227,6 +228,7 @@
             self.relay.table.expire(idle_timeout, now);
             self.relay.searches.expire(now);
             self.update_gauges();
+            self.relay.log_traffic();
         }
         let isolated = self.relay.pool.is_isolated(now);
         if self.isolated.swap(isolated, Ordering::Relaxed) != isolated {
@@ -234,7 +236,7 @@
         }
     }
 
-    fn apply_configuration(&self, item: &KeyValue) {
+    fn apply_configuration(&self, item: &KeyValue, now: Moment) {
         let log = self.relay.flow_log.log();
         let ParsedConfig { routes: new_routes, route_errors } =
             match self.platform.parse_config(&item.value) {
@@ -255,6 +257,7 @@
         }
         info!(log, "configuration in force"; "version" => %new_routes.version, "before" => %previous,
             "routes" => new_routes.len(), "revision" => %item.revision);
+        self.relay.freshness.record_configuration_applied(now);
         if current.replace(Arc::new(new_routes)).is_none() {
             self.configured.notify_one();
         }
@@ -293,15 +296,23 @@
     }
 }
 
+impl<P: Platform> ConfigurationHandler<'_, P> {
+    fn apply(&self, items: &[KeyValue], revision: Revision) {
+        let relay = &self.0.relay;
+        let now = relay.clock.now();
+        relay.freshness.record_configuration(revision, now);
+        let is_config = |item: &&KeyValue| *item.key == *self.0.platform.config_key();
+        items.iter().filter(is_config).for_each(|item| self.0.apply_configuration(item, now));
+    }
+}
+
 impl<P: Platform> WatchHandler for ConfigurationHandler<'_, P> {
     fn handle_listing(&self, listing: Listing) {
-        let is_config = |item: &&KeyValue| *item.key == *self.0.platform.config_key();
-        listing.items.iter().filter(is_config).for_each(|item| self.0.apply_configuration(item));
+        self.apply(&listing.items, listing.revision);
     }
 
     fn handle_changes(&self, changes: Changes) {
-        let is_config = |item: &&KeyValue| *item.key == *self.0.platform.config_key();
-        changes.items.iter().filter(is_config).for_each(|item| self.0.apply_configuration(item));
+        self.apply(&changes.items, changes.revision);
     }
 }
 
@@ -309,6 +320,7 @@
     fn handle_listing(&self, listing: Listing) {
         let controllers = self.0;
         let now = controllers.relay.clock.now();
+        controllers.relay.freshness.record_members(listing.revision, now);
         let entries = listing.items.iter();
         let listed: HashSet<Instance> =
             entries.filter_map(|item| controllers.apply_entry(item, now)).collect();
@@ -322,6 +334,7 @@
     fn handle_changes(&self, changes: Changes) {
         let controllers = self.0;
         let now = controllers.relay.clock.now();
+        controllers.relay.freshness.record_members(changes.revision, now);
         for item in &changes.items {
             controllers.apply_entry(item, now);
         }
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -3,10 +3,17 @@
 use {
     super::{
         chain::{self, CurrentRoutes, Decision, ReceivedSegment},
+        freshness::Freshness,
+        grounds::{Grounds, Members},
         pending::PendingSegments,
-        searches::{SearchParams, Searches, Step},
+        response_times::ResponseTimes,
+        searches::{Query, SearchParams, Searches, Step},
+    },
+    crate::{
+        flow_log::FlowLog,
+        host::Socket,
+        traffic::{Direction, Kind, Traffic},
     },
-    crate::{flow_log::FlowLog, host::Socket},
     slog::info,
     std::{
         net::SocketAddrV4,
@@ -35,6 +42,10 @@
 const DECISIONS_METRIC: &str = "yuccacroft_balancer_decisions_total";
 /// Metric: number of undecodable datagrams and socket errors, labelled with the source.
 const JUNK_METRIC: &str = "yuccacroft_balancer_junk_total";
+/// Metric: number of datagrams, labelled with direction and kind.
+const MESSAGES_METRIC: &str = "yuccacroft_balancer_messages_total";
+/// Metric: bytes of datagrams without the headers of IP and UDP, labelled with direction and kind.
+const MESSAGE_BYTES_METRIC: &str = "yuccacroft_balancer_message_bytes_total";
 
 /// The sockets and settings of a relay.
 #[derive(Debug)]
@@ -73,6 +84,11 @@
     pub clock: Clock,
     /// The rate-limited log of flow events.
     pub flow_log: FlowLog,
+    /// The ages of what the decisions rest on.
+    pub freshness: Freshness,
+    /// The messages since the last line about traffic.
+    traffic: Traffic,
+    response_times: ResponseTimes,
     /// The time of the last segment from a caller, in microseconds.
     last_segment: AtomicU64,
     /// The time from which on the list of agents is complete, in microseconds.
@@ -102,6 +118,9 @@
             config_outdated: Notify::new(),
             clock,
             flow_log,
+            freshness: Freshness::default(),
+            traffic: Traffic::default(),
+            response_times: ResponseTimes::default(),
             last_segment: AtomicU64::new(0),
             agents_complete_at: AtomicU64::new(u64::MAX),
         }
@@ -165,6 +184,7 @@
 
     fn handle_segment(&self, datagram: &[u8]) {
         let now = self.clock.now();
+        self.traffic.record(Direction::Received, Kind::Caller, datagram.len());
         let segment = match self.format.parse_inbound(datagram) {
             Ok(segment) => segment,
             Err(error) => {
@@ -230,8 +250,8 @@
                 let agents_complete_at =
                     Moment::new(self.agents_complete_at.load(Ordering::Relaxed));
                 let (key, target) = (received.key, received.target);
-                let params =
-                    SearchParams { target, class: self.class(segment), agents_complete_at };
+                let (class, last_agent) = (self.class(segment), received.last_agent);
+                let params = SearchParams { target, class, agents_complete_at, last_agent };
                 if self.searches.add(key, *segment, datagram, params, now) {
                     let steps = self.searches.tick(key, &self.pool, now);
                     self.perform(key, steps, now);
@@ -240,8 +260,9 @@
                 }
             }
             Decision::Reset(cause) => {
+                let grounds = Grounds::of_cached(self.table.get(received.key), &self.pool, now);
                 self.table.mark_lost(received.key, now);
-                self.reset(segment, cause, now);
+                self.reset(segment, cause, &grounds, now);
             }
             Decision::Wait(cause) | Decision::Drop(cause) => {
                 self.log_not_forwarded(segment, "drop", cause, now);
@@ -252,14 +273,8 @@
     fn perform(&self, key: FlowKey, steps: Vec<Step>, now: Moment) {
         for step in steps {
             match step {
-                Step::Query(agent_id, class, datagram) => {
-                    self.pool.record_query(agent_id.instance, now);
-                    self.send(agent_id.instance, &Request::Search(class), &datagram);
-                }
-                Step::Probe(agent_id, class, datagram) => {
-                    self.pool.record_query(agent_id.instance, now);
-                    self.send(agent_id.instance, &Request::Probe(class), &datagram);
-                }
+                Step::Query(query) => self.query(&query, Request::Search(query.class), now),
+                Step::Probe(query) => self.query(&query, Request::Probe(query.class), now),
                 Step::Found(owner, class, rest) => {
                     metrics::counter!(DECISIONS_METRIC, "outcome" => "found").increment(1);
                     self.table.set_owner(key, owner, now);
@@ -271,17 +286,23 @@
                         self.send(owner.instance, &Request::Carry(class), &datagram);
                     }
                 }
-                Step::NotFound(segment) => {
+                Step::NotFound(segment, grounds) => {
                     self.table.mark_lost(key, now);
-                    self.reset(&segment, "all agents denied", now);
+                    self.reset(&segment, "all agents denied", &grounds, now);
                 }
-                Step::TimedOut(segment) => {
-                    self.log_not_forwarded(&segment, "drop", "search without end", now)
+                Step::TimedOut(segment, grounds) => {
+                    self.log_outcome(&segment, "drop", "search without end", &grounds, now)
                 }
             }
         }
     }
 
+    fn query(&self, query: &Query, request: Request, now: Moment) {
+        let to = query.to.instance;
+        self.pool.record_query(to, now);
+        self.send_as(Kind::of_request(&request, query.retry), to, &request, &query.datagram);
+    }
+
     fn handle_message(&self, datagram: &[u8]) {
         let now = self.clock.now();
         let (reply, segment) = match relay::decode::<Reply>(datagram) {
@@ -294,6 +315,10 @@
                 return;
             }
         };
+        self.traffic.record(Direction::Received, Kind::of_reply(&reply.body), datagram.len());
+        if let Some(time) = self.pool.unanswered_time(reply.from.instance, now) {
+            self.response_times.record(time);
+        }
         self.pool.record_load(reply.from, reply.load, now);
         if reply.version > self.version() {
             self.config_outdated.notify_one();
@@ -338,14 +363,15 @@
             self.log_not_forwarded(&segment, "drop", "agents not known yet", now);
             return;
         }
-        self.reset(&segment, "no agent took the flow", now);
+        self.reset(&segment, "no agent took the flow", &Grounds::None, now);
     }
 
     /// Handles a segment that was sent back by an agent that does not own its flow. The segment
     /// goes to the known owner or into a new search.
     fn handle_returned(&self, key: FlowKey, from: Instance, datagram: &[u8], now: Moment) {
         let Ok(segment) = self.format.parse_inbound(datagram) else { return };
-        match self.table.get(key) {
+        let cached = self.table.get(key);
+        match cached {
             Some(CachedFlow::Owned { owner, .. }) if owner.instance != from => {
                 let class = self.class(&segment);
                 self.send(owner.instance, &Request::Carry(class), datagram);
@@ -354,6 +380,7 @@
             _ => {
                 self.table.remove(key);
                 let mut received = ReceivedSegment::new(segment, now);
+                received.last_agent = cached.and_then(CachedFlow::agent).or(Some(from));
                 received.target = chain::current_routes(&self.current_routes)
                     .and_then(|routes| routes.route(&segment.flow.address)?.target(key.get()));
                 if let Some(log) = self.flow_log.failure(now) {
@@ -365,19 +392,28 @@
     }
 
     /// Sends a reset to the caller. A caller that resets a flow itself expects no reply.
-    fn reset(&self, segment: &Segment, cause: &'static str, now: Moment) {
-        self.log_not_forwarded(segment, "reset", cause, now);
+    fn reset(&self, segment: &Segment, cause: &'static str, grounds: &Grounds, now: Moment) {
+        self.log_outcome(segment, "reset", cause, grounds, now);
         if segment.control == Control::Reset {
             return;
         }
         let datagram = self.format.encode_reset(segment.flow, segment.acknowledged);
         let caller = SocketAddrV4::new(*segment.flow.caller.ip(), self.setup.caller_port);
+        self.traffic.record(Direction::Sent, Kind::Reset, datagram.len());
         self.setup.callers.send(&datagram, caller);
     }
 
     fn send(&self, to: Instance, request: &Request, segment: &[u8]) {
+        self.send_as(Kind::of_request(request, false), to, request, segment);
+    }
+
+    /// Sends a message and counts it as this kind.
+    fn send_as(&self, kind: Kind, to: Instance, request: &Request, segment: &[u8]) {
         match relay::encode(request, segment) {
-            Ok(datagram) => self.setup.agents.send(&datagram, to.address()),
+            Ok(datagram) => {
+                self.traffic.record(Direction::Sent, kind, datagram.len());
+                self.setup.agents.send(&datagram, to.address());
+            }
             Err(error) => {
                 info!(self.flow_log.log(), "message not encoded"; "cause" => %error);
             }
@@ -406,13 +442,36 @@
         outcome: &'static str,
         cause: &'static str,
         now: Moment,
+    ) {
+        self.log_outcome(segment, outcome, cause, &Grounds::None, now);
+    }
+
+    fn log_outcome(
+        &self,
+        segment: &Segment,
+        outcome: &'static str,
+        cause: &'static str,
+        grounds: &Grounds,
+        now: Moment,
     ) {
         metrics::counter!(DECISIONS_METRIC, "outcome" => outcome, "cause" => cause).increment(1);
         if let Some(log) = self.flow_log.failure(now) {
             info!(log, "not forwarded"; "flow" => %segment.flow, "outcome" => outcome,
                 "cause" => cause, "control" => ?segment.control, "version" => %self.version(),
-                "agents" => self.pool.len());
+                Members(self.pool.count_by_reachability(now)), self.freshness.ages(now), grounds);
+        }
+    }
+
+    /// Logs the messages since the last call, if any were sent, and adds them to the metrics.
+    pub fn log_traffic(&self) {
+        let report = self.traffic.take(MESSAGES_METRIC, MESSAGE_BYTES_METRIC);
+        let (times, skipped_ticks) =
+            (self.response_times.take(), self.searches.take_skipped_ticks());
+        if report.total(Direction::Sent).messages == 0 {
+            return;
         }
+        info!(self.flow_log.log(), "traffic"; report, "searches" => self.searches.len(),
+            "skipped_ticks" => skipped_ticks, times);
     }
 
     fn log_socket_error(&self, name: &'static str, error: &std::io::Error) {
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -1,10 +1,15 @@
 //! The running owner searches of a balancer, with the segments that wait for their results.
 
 use {
-    std::sync::{Mutex, MutexGuard, PoisonError},
+    super::grounds::Grounds,
+    std::sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     yuccacroft_core::{
         controller::Controller,
         flow::{AgentId, FlowKey},
+        ids::Instance,
         pool::Pool,
         route::{Target, TrafficClass},
         search::{Action, Event, QueryAnswer, QueryBudget, Search, SearchCandidate},
@@ -43,21 +48,36 @@
     pub class: TrafficClass,
     /// The time from which on the list of agents is complete.
     pub agents_complete_at: Moment,
+    /// The agent that was offered the flow or owned it before, if this balancer knew one.
+    pub last_agent: Option<Instance>,
 }
 
 /// An action that the relay performs for a search.
 #[derive(Debug)]
 pub enum Step {
     /// Query an agent and send it the segment.
-    Query(AgentId, TrafficClass, Box<[u8]>),
+    Query(Query),
     /// Let an agent probe its upstream with the segment.
-    Probe(AgentId, TrafficClass, Box<[u8]>),
+    Probe(Query),
     /// The owner was found and has the first segment. Send it the other segments.
     Found(AgentId, TrafficClass, Vec<Box<[u8]>>),
     /// No agent owns the flow. Reset it towards the caller.
-    NotFound(Segment),
+    NotFound(Segment, Grounds),
     /// The search ended without a result. Drop the segment.
-    TimedOut(Segment),
+    TimedOut(Segment, Grounds),
+}
+
+/// A query or probe of a search.
+#[derive(Debug)]
+pub struct Query {
+    /// The agent that is asked.
+    pub to: AgentId,
+    /// The class of the flow's requests.
+    pub class: TrafficClass,
+    /// The segment that the agent gets.
+    pub datagram: Box<[u8]>,
+    /// Whether it repeats an earlier query or probe.
+    pub retry: bool,
 }
 
 /// All running searches.
@@ -67,6 +87,8 @@
     /// The flows whose last search ended without a result, and the time of its end.
     unresolved: Shards<FlowKey, Moment>,
     budget: Mutex<QueryBudget>,
+    /// The number of ticks that were skipped because the query budget was used up.
+    skipped_ticks: AtomicU64,
 }
 
 impl Searches {
@@ -119,6 +141,7 @@
     /// searches is used up.
     pub fn tick(&self, key: FlowKey, pool: &Pool, now: Moment) -> Vec<Step> {
         if !self.budget().has_tokens(now) {
+            self.record_skipped_tick(key);
             return Vec::new();
         }
         let list_candidates = |target: Option<Target>| -> Box<[SearchCandidate]> {
@@ -127,7 +150,14 @@
                 let preferred = target.is_none_or(|target| member.entry.target == target);
                 let (lost, absent) = (member.is_lost(now), member.is_absent(now));
                 let (agent_id, restarted) = (member.entry.agent_id, member.has_restarted());
-                candidates.push(SearchCandidate { agent_id, lost, absent, restarted, preferred });
+                candidates.push(SearchCandidate {
+                    agent_id,
+                    lost,
+                    absent,
+                    restarted,
+                    preferred,
+                    unanswered_since: member.unanswered_since(),
+                });
             });
             candidates.into()
         };
@@ -139,6 +169,20 @@
         self.unresolved.retain(|_, at| now.since(*at) < RETRY_DELAY);
     }
 
+    /// Returns the number of skipped ticks since the last call.
+    pub fn take_skipped_ticks(&self) -> u64 {
+        self.skipped_ticks.swap(0, Ordering::Relaxed)
+    }
+
+    fn record_skipped_tick(&self, key: FlowKey) {
+        self.skipped_ticks.fetch_add(1, Ordering::Relaxed);
+        self.running.update(key, |slot| {
+            if let Some(running) = slot {
+                running.search.record_skipped_tick();
+            }
+        });
+    }
+
     fn budget(&self) -> MutexGuard<'_, QueryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -171,30 +215,36 @@
             let running = slot.as_mut()?;
             let actions = running.search.step(event(running.params.target), now);
             let class = running.params.class;
+            let query = |to: AgentId| Query {
+                to,
+                class,
+                datagram: running.datagrams[0].clone(),
+                retry: running.search.is_retry(to.instance),
+            };
+            let grounds = || Grounds::Search {
+                evidence: running.search.evidence(now),
+                last_agent: running.params.last_agent,
+            };
             let mut steps = Vec::with_capacity(actions.len());
             for action in actions {
                 match action {
-                    Action::Query(agent_id) => {
-                        steps.push(Step::Query(agent_id, class, running.datagrams[0].clone()))
-                    }
-                    Action::Probe(agent_id) => {
-                        steps.push(Step::Probe(agent_id, class, running.datagrams[0].clone()));
-                    }
+                    Action::Query(agent_id) => steps.push(Step::Query(query(agent_id))),
+                    Action::Probe(agent_id) => steps.push(Step::Probe(query(agent_id))),
                     Action::Found(agent_id) => {
                         let rest = running.datagrams.split_off(1);
                         *slot = None;
                         return Some(vec![Step::Found(agent_id, class, rest)]);
                     }
                     Action::NotFound => {
-                        let segment = running.segment;
+                        let step = Step::NotFound(running.segment, grounds());
                         *slot = None;
-                        return Some(vec![Step::NotFound(segment)]);
+                        return Some(vec![step]);
                     }
                     Action::TimedOut => {
-                        let segment = running.segment;
+                        let step = Step::TimedOut(running.segment, grounds());
                         *slot = None;
                         self.unresolved.insert(key, now);
-                        return Some(vec![Step::TimedOut(segment)]);
+                        return Some(vec![step]);
                     }
                 }
             }
--- a/yuccacroft-segment/src/lib.rs
+++ b/yuccacroft-segment/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod platform;
 pub mod prefix_watcher;
 pub mod socket;
+pub mod traffic;
