--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -11,6 +11,7 @@
 mod counts;
 mod decision;
 mod expiry;
+mod observation;
 mod offer;
 mod open_flow;
 mod state;
@@ -19,6 +20,7 @@
 pub use self::{
     action::{Action, LostFlow},
     decision::{Decision, ForwardReason},
+    observation::OfferedFlow,
     offer::{MAX_HOPS, Offer, pass_or_refuse},
     table::FlowTable,
 };
--- a/yuccacroft-core/src/handshake/action.rs
+++ b/yuccacroft-core/src/handshake/action.rs
@@ -42,6 +42,13 @@
         /// The balancer.
         origin: SocketAddrV4,
     },
+    /// Note that an accepted flow was removed, since its caller has sent no segment to this agent.
+    Expire {
+        /// The flow.
+        flow: Flow,
+        /// The sequence number with which the upstream accepted the flow.
+        accepted: Sequence,
+    },
 }
 
 /// A flow that was lost with its upstream.
--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -41,8 +41,12 @@
         self.entries.retain(|_, entry| {
             let flow = entry.flow;
             match &mut entry.state {
-                State::Offered { accepted: Some(_), changed_at, .. } => {
-                    now.since(*changed_at) < FIRST_SEGMENT_TIMEOUT
+                State::Offered { accepted: Some(accepted), changed_at, .. } => {
+                    let is_kept = now.since(*changed_at) < FIRST_SEGMENT_TIMEOUT;
+                    if !is_kept {
+                        actions.push(Action::Expire { flow, accepted: *accepted });
+                    }
+                    is_kept
                 }
                 State::Offered { offer, datagram, changed_at, .. } => {
                     if now.since(*changed_at) < ACCEPT_TIMEOUT {
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -83,6 +83,7 @@
             Decision::Refuse(origin) => self.refuse(segment.flow, origin, datagram, now),
             Decision::Deny { origin, unsure, returned } => {
                 metrics::counter!(DECISIONS_METRIC, "outcome" => "deny").increment(1);
+                self.log_offered_denial(segment, origin, now);
                 let datagram = if returned { datagram } else { &[] };
                 self.reply(origin, Body::Denies { key, unsure }, datagram, now);
             }
@@ -103,6 +104,12 @@
             Action::Confirm { flow, origin } => {
                 self.reply(origin, Body::Owns(flow.key()), &[], now);
             }
+            Action::Expire { flow, accepted } => {
+                metrics::counter!(DECISIONS_METRIC, "outcome" => "expire").increment(1);
+                if let Some(log) = self.flow_log.failure(now) {
+                    info!(log, "accepted flow expired"; "flow" => %flow, "accepted" => %accepted);
+                }
+            }
         }
     }
 
