--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -4,7 +4,12 @@
 //! anyway. A member that disappears from the listing stays while it answers, so that an outage of
 //! the store does not empty the pool.
 
+mod path;
+
+pub use path::AnswerCounts;
+
 use {
+    self::path::{Answer, Path},
     crate::{
         flow::{AgentId, FlowKey},
         ids::{Domain, Incarnation, Instance},
@@ -115,6 +120,8 @@
     /// The latest entry of the agent.
     pub entry: AgentEntry,
     load: Option<(AgentLoad, Moment)>,
+    /// The latest answer to a message of this process.
+    answer: Option<Answer>,
     /// The times of offers whose requests the reported load does not include yet.
     pending_offers: VecDeque<Moment>,
     unanswered_since: Option<Moment>,
@@ -165,6 +172,7 @@
     members: Shards<Instance, Member>,
     /// The members of each service, sorted by address.
     members_by_service: RwLock<HashMap<Target, Vec<Instance>>>,
+    path: Path,
 }
 
 impl Member {
@@ -174,6 +182,7 @@
         Self {
             entry,
             load: None,
+            answer: None,
             pending_offers: VecDeque::new(),
             unanswered_since: None,
             unanswered_queries: 0,
@@ -192,7 +201,8 @@
         }
     }
 
-    /// Returns true if the flows of the member count as lost, so that their callers get a reset.
+    /// Returns true if the member has been silent for so long that its flows count as lost. This is
+    /// evidence only while [`Pool::is_silence_conclusive`].
     pub fn is_lost(&self, now: Moment) -> bool {
         let may_restart = self.stopped_at.is_some_and(|at| now.since(at) < RESTART_GRACE_PERIOD);
         match self.entry.phase {
@@ -354,9 +364,25 @@
         });
     }
 
-    /// Records a message of a member and the load that it carries. Returns false if the member is
-    /// not in the pool.
+    /// Records a message that a member sent on its own and the load that it carries. Returns false
+    /// if the member is not in the pool.
     pub fn record_load(&self, agent_id: AgentId, load: AgentLoad, now: Moment) -> bool {
+        self.record_message(agent_id, load, false, now)
+    }
+
+    /// Records an answer of a member to a message of this process, and the load that it carries.
+    /// Its delay tells the state of the path. Returns false if the member is not in the pool.
+    pub fn record_answer(&self, agent_id: AgentId, load: AgentLoad, now: Moment) -> bool {
+        self.record_message(agent_id, load, true, now)
+    }
+
+    fn record_message(
+        &self,
+        agent_id: AgentId,
+        load: AgentLoad,
+        is_answer: bool,
+        now: Moment,
+    ) -> bool {
         let was_lost = |member: Option<&Member>| {
             member.is_some_and(|member| member.reachability(now) == Reachability::Lost)
         };
@@ -370,6 +396,9 @@
             if agent_id.incarnation < member.entry.agent_id.incarnation {
                 return true;
             }
+            if is_answer && let Some(since) = member.unanswered_since {
+                member.answer = Some(Answer { at: now, delay: now.since(since) });
+            }
             member.unanswered_since = None;
             member.unanswered_queries = 0;
             member.restarted |= agent_id.incarnation > member.entry.agent_id.incarnation;
@@ -391,13 +420,36 @@
         });
     }
 
-    /// Removes and returns the members that are neither listed nor answering.
+    /// Returns the numbers of members by the delay of their latest answer.
+    pub fn answer_counts(&self, now: Moment) -> AnswerCounts {
+        self.members.fold(AnswerCounts::default(), |mut counts, _, member| {
+            counts.add(member.answer, now);
+            counts
+        })
+    }
+
+    /// Records whether answers arrive in time. It is called several times a second.
+    pub fn check_path(&self, now: Moment) {
+        self.path.record(self.answer_counts(now), now);
+    }
+
+    /// Returns true if the silence of a member is evidence against that member. It is not while the
+    /// link of this process is congested or cut: then the silence of a running member is as likely
+    /// as that of one that has failed.
+    pub fn is_silence_conclusive(&self, now: Moment) -> bool {
+        self.path.is_sound(self.answer_counts(now), now)
+    }
+
+    /// Removes and returns the members that are neither listed nor answering. A member stays while
+    /// its silence is not conclusive, since searches rely on the pool to know every possible owner.
     pub fn expire(&self, now: Moment) -> Vec<AgentId> {
         let mut removed = Vec::new();
+        let is_conclusive = self.is_silence_conclusive(now);
         self.members.retain(|_, member| {
             let is_unlisted =
                 member.unlisted_since.is_some_and(|at| now.since(at) >= UNLISTED_GRACE_PERIOD);
-            let is_kept = !is_unlisted || member.reachability(now) == Reachability::Good;
+            let is_kept =
+                !is_unlisted || !is_conclusive || member.reachability(now) != Reachability::Lost;
             if !is_kept {
                 removed.push(member.entry.agent_id);
             }
--- /dev/null
+++ b/yuccacroft-core/src/pool/path.rs
@@ -0,0 +1,88 @@
+//! The path between this process and the members: whether a silent member says something about that
+//! member, or only about the link of this process.
+//!
+//! A congested link delays or drops the answers of all members. Silence is evidence against one
+//! member only while the answers of the others arrive in time, see `docs/platform.md`.
+
+use {
+    crate::time::{Moment, Span},
+    std::sync::atomic::{AtomicU64, Ordering},
+};
+
+/// Delay up to which an answer is prompt: one lost message and its repetition, and many round trips
+/// between failure domains.
+const MAX_PROMPT_DELAY: Span = Span::from_millis(150);
+/// Age up to which an answer tells the state of the path. All members are pinged every second.
+const MAX_ANSWER_AGE: Span = Span::from_millis(1_500);
+/// Time after the last sign of congestion from which on silence is conclusive again: the silence
+/// that makes a member count as lost must lie after it.
+const RECOVERY_TIME: Span = Span::from_millis(1_000);
+/// A quarter of the members must have answered promptly. The rest may have failed together.
+const MIN_PROMPT_FRACTION: usize = 4;
+/// The path counts as congested if more than a quarter of the recent answers were late.
+const MAX_LATE_FRACTION: usize = 4;
+
+/// An answer of a member to a message of this process.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Answer {
+    /// The time at which it arrived.
+    pub at: Moment,
+    /// The time since the first unanswered message.
+    pub delay: Span,
+}
+
+/// The numbers of members by their latest answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerCounts {
+    /// Members that have recently answered in time.
+    pub prompt: usize,
+    /// Members whose recent answer was late.
+    pub late: usize,
+    /// Members without a recent answer.
+    pub silent: usize,
+}
+
+/// The history of the path.
+#[derive(Debug, Default)]
+pub(super) struct Path {
+    /// The time at which the path was last congested, in microseconds; 0 for never.
+    congested_at: AtomicU64,
+}
+
+impl AnswerCounts {
+    /// Adds a member with its latest answer.
+    pub(super) fn add(&mut self, answer: Option<Answer>, now: Moment) {
+        match answer.filter(|answer| now.since(answer.at) < MAX_ANSWER_AGE) {
+            Some(answer) if answer.delay <= MAX_PROMPT_DELAY => self.prompt += 1,
+            Some(_) => self.late += 1,
+            None => self.silent += 1,
+        }
+    }
+
+    /// Returns true if so many answers are late that the link of this process is the likely cause.
+    fn shows_congestion(self) -> bool {
+        self.late * MAX_LATE_FRACTION > self.late + self.prompt
+    }
+
+    fn shows_sound_path(self) -> bool {
+        let members = self.prompt + self.late + self.silent;
+        self.prompt > 0 && self.prompt * MIN_PROMPT_FRACTION >= members
+    }
+}
+
+impl Path {
+    /// Records the present answers. It is called several times a second.
+    pub fn record(&self, counts: AnswerCounts, now: Moment) {
+        if counts.shows_congestion() {
+            self.congested_at.fetch_max(now.get(), Ordering::Relaxed);
+        }
+    }
+
+    /// Returns true if the path has carried answers in time for as long as a silence has to last.
+    pub fn is_sound(&self, counts: AnswerCounts, now: Moment) -> bool {
+        let congested_at = self.congested_at.load(Ordering::Relaxed);
+        let has_recovered =
+            congested_at == 0 || now.since(Moment::new(congested_at)) >= RECOVERY_TIME;
+        has_recovered && counts.shows_sound_path() && !counts.shows_congestion()
+    }
+}
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -96,6 +96,8 @@
     let pool = pool(2);
     pool.sync_listing(|_| false, START);
     pool.record_query(instance(2), at(1_000));
+    pool.record_query(instance(1), at(2_500));
+    pool.record_answer(entry(1, 1, 1).agent_id, load(0, 20), at(2_501));
     let removed: Vec<_> = pool.expire(at(2_600)).iter().map(|agent_id| agent_id.instance).collect();
     assert_eq!(removed, [instance(2)]);
     assert!(pool.expire(at(60_000)).is_empty());
@@ -117,6 +119,74 @@
     assert_eq!(reachability(at(1_200)), Reachability::Good);
 }
 
+/// Answers a query of each of these members after a delay.
+fn answer(pool: &Pool, numbers: std::ops::RangeInclusive<u8>, asked: u64, delay: u64) {
+    for number in numbers {
+        pool.record_query(instance(number), at(asked));
+        pool.record_answer(entry(number, 1, 1).agent_id, load(0, 20), at(asked + delay));
+    }
+}
+
+/// Guards against resets of living flows by a balancer whose link is congested: it takes the agents
+/// whose answers are delayed for lost (issue 20, kampvuur grown, scale-1).
+#[test]
+fn silence_proves_nothing_while_answers_are_late() {
+    let pool = pool(4);
+    answer(&pool, 1..=3, 0, 2);
+    pool.record_query(instance(4), at(100));
+    assert!(pool.is_silence_conclusive(at(1_200)), "the others answer in time");
+    answer(&pool, 1..=3, 1_000, 400);
+    pool.check_path(at(1_400));
+    assert!(!pool.is_silence_conclusive(at(1_400)));
+    // Answers in time do not excuse the silence before them.
+    answer(&pool, 1..=3, 1_500, 2);
+    assert!(!pool.is_silence_conclusive(at(1_600)));
+    answer(&pool, 1..=3, 2_400, 2);
+    assert!(pool.is_silence_conclusive(at(2_450)));
+    // Without answers nothing is known.
+    assert!(!pool.is_silence_conclusive(at(4_000)));
+}
+
+/// Guards against a path that counts as sound because agents report their load unasked, while the
+/// questions of this balancer get lost.
+#[test]
+fn only_answers_show_a_sound_path() {
+    let pool = pool(4);
+    for number in 1..=3 {
+        pool.record_query(instance(number), START);
+        pool.record_load(entry(number, 1, 1).agent_id, load(0, 20), at(1));
+    }
+    pool.record_query(instance(4), START);
+    assert!(!pool.is_silence_conclusive(at(1_100)));
+}
+
+/// Guards against callers that wait for flows of machines that have failed together while the others
+/// answer.
+#[test]
+fn silence_of_many_members_is_conclusive_while_the_others_answer() {
+    let pool = pool(8);
+    for number in 4..=8 {
+        pool.record_query(instance(number), START);
+    }
+    answer(&pool, 1..=3, 900, 3);
+    assert!(pool.is_silence_conclusive(at(1_100)));
+    assert!(pool.get(instance(8)).unwrap().is_lost(at(1_100)));
+}
+
+/// Guards against a member that a congested balancer forgets while the store has lost its entry: its
+/// flows would count as lost, since no search asks it.
+#[test]
+fn an_unlisted_member_stays_while_its_silence_is_not_conclusive() {
+    let pool = pool(3);
+    pool.sync_listing(|listed| listed != instance(3), START);
+    pool.record_query(instance(3), at(2_000));
+    answer(&pool, 1..=2, 3_000, 600);
+    pool.check_path(at(3_600));
+    assert!(pool.expire(at(3_600)).is_empty());
+    answer(&pool, 1..=2, 4_600, 2);
+    assert_eq!(pool.expire(at(4_700)), [entry(3, 1, 1).agent_id]);
+}
+
 /// Guards against resets of flows while their agent restarts and its upstream keeps running.
 #[test]
 fn a_member_listed_as_stopping_is_not_lost() {
--- a/yuccacroft-segment/src/agent/relay/reply.rs
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -60,7 +60,7 @@
         if entry_version > 0 && listed != Some(current) && now.since(written) >= MAX_LISTING_DELAY {
             self.entry_unlisted.notify_one();
         }
-        self.reply(from, Body::Load, &[], now);
+        self.reply(from, Body::Pong, &[], now);
     }
 
     pub(super) fn reply(&self, to: SocketAddrV4, body: Body, segment: &[u8], now: Moment) {
--- a/yuccacroft-segment/src/balancer/chain.rs
+++ b/yuccacroft-segment/src/balancer/chain.rs
@@ -115,10 +115,10 @@
 
 impl FlowLookup {
     /// Returns the decision for a flow with a known owner. The flows of a lost agent are reset,
-    /// unless this balancer itself is isolated.
+    /// unless its silence may be due to the link of this balancer.
     fn decide_owned(&self, owner: Instance, now: Moment) -> Decision {
         let is_lost = self.pool.get(owner).is_some_and(|member| member.is_lost(now));
-        if is_lost && !self.pool.is_isolated(now) {
+        if is_lost && self.pool.is_silence_conclusive(now) {
             return Decision::Reset("owner lost");
         }
         Decision::Carry(owner)
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -214,6 +214,7 @@
                 "reach" => ?reachability);
         }
         to_ping.into_iter().for_each(|instance| self.relay.ping(instance, now));
+        self.relay.pool.check_path(now);
         for agent_id in self.relay.pool.expire(now) {
             self.last_reachability
                 .lock()
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -319,12 +319,15 @@
         if let Some(time) = self.pool.unanswered_time(reply.from.instance, now) {
             self.response_times.record(time);
         }
-        self.pool.record_load(reply.from, reply.load, now);
+        match reply.body {
+            Body::Load => self.pool.record_load(reply.from, reply.load, now),
+            _ => self.pool.record_answer(reply.from, reply.load, now),
+        };
         if reply.version > self.version() {
             self.config_outdated.notify_one();
         }
         match reply.body {
-            Body::Load => {}
+            Body::Load | Body::Pong => {}
             Body::Took(key) => self.table.record_taken(key, reply.from.instance, now),
             Body::Refused => self.handle_refused(segment, now),
             Body::Owns(key) => {
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -145,10 +145,12 @@
             return Vec::new();
         }
         let list_candidates = |target: Option<Target>| -> Box<[SearchCandidate]> {
+            let is_conclusive = pool.is_silence_conclusive(now);
             let mut candidates = Vec::with_capacity(pool.len());
             pool.for_each(|member| {
                 let preferred = target.is_none_or(|target| member.entry.target == target);
-                let (lost, absent) = (member.is_lost(now), member.is_absent(now));
+                let lost = is_conclusive && member.is_lost(now);
+                let absent = is_conclusive && member.is_absent(now);
                 let (agent_id, restarted) = (member.entry.agent_id, member.has_restarted());
                 candidates.push(SearchCandidate {
                     agent_id,
--- a/yuccacroft-segment/src/traffic.rs
+++ b/yuccacroft-segment/src/traffic.rs
@@ -121,7 +121,7 @@
     /// Returns the kind of a message to a balancer.
     pub fn of_reply(body: &Body) -> Self {
         match body {
-            Body::Load => Self::Load,
+            Body::Load | Body::Pong => Self::Load,
             Body::Took(_) => Self::Took,
             Body::Refused => Self::Refused,
             Body::Owns(_) => Self::Owns,
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -19,7 +19,7 @@
 };
 
 /// The first byte of a message.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Upper bound of a header in bytes. The header with the largest number of candidates is shorter.
 const MAX_HEADER_BYTES: usize = 255;
 const HEADER_START: usize = 2;
@@ -71,8 +71,10 @@
 /// The content of a message of an agent, besides its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
-    /// Only the load.
+    /// The load, which the sender reports on its own.
     Load,
+    /// The answer to a ping.
+    Pong,
     /// The sender accepted the flow.
     Took(FlowKey),
     /// Neither the sender nor any agent before it accepts the flow; the opening segment is
