--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -19,7 +19,7 @@
 
 pub use self::{
     action::{Action, LostFlow},
-    decision::{Decision, ForwardReason},
+    decision::{Decision, ForwardReason, Ownership},
     observation::OfferedFlow,
     offer::{MAX_HOPS, Offer, pass_or_refuse},
     table::FlowTable,
--- a/yuccacroft-core/src/handshake/decision.rs
+++ b/yuccacroft-core/src/handshake/decision.rs
@@ -11,12 +11,23 @@
 pub enum ForwardReason {
     /// The balancer considers this agent the owner.
     Owner,
-    /// The balancer searches for the owner.
-    Search,
     /// All other agents have denied ownership, so the segment may go to the upstream as a probe.
     Probe,
 }
 
+/// Whether an agent owns a flow that a balancer searches for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ownership {
+    /// The agent owns the flow.
+    Owns,
+    /// The agent does not own the flow.
+    Denies,
+    /// The upstream may hold the flow although the agent does not know of it.
+    Unsure,
+    /// A probe of the upstream will tell.
+    Pending,
+}
+
 /// The decision about a segment.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
--- a/yuccacroft-core/src/handshake/table.rs
+++ b/yuccacroft-core/src/handshake/table.rs
@@ -3,14 +3,14 @@
 use {
     super::{
         counts::Counts,
-        decision::{Decision, ForwardReason},
+        decision::{Decision, ForwardReason, Ownership},
         offer::{self, Offer},
         open_flow::OpenFlow,
         state::{Entry, State},
     },
     crate::{
         flow::FlowKey,
-        segment::{Control, Segment},
+        segment::{Control, Segment, Sequence},
         shards::Shards,
         time::{Moment, Span},
         units::Connections,
@@ -72,7 +72,7 @@
         max_active: u32,
         now: Moment,
     ) -> Decision {
-        // A balancer that searches keeps the segment until it has found the owner.
+        // A balancer that lets the agent probe its upstream keeps a copy of the segment.
         let returned = reason == ForwardReason::Owner;
         let delivered = if returned { Decision::Deliver } else { Decision::Confirm };
         let deny = |unsure| Decision::Deny { origin, unsure, returned };
@@ -111,7 +111,6 @@
                     deny(false)
                 }
                 None if !unsure => deny(false),
-                None if reason == ForwardReason::Search => deny(true),
                 None => {
                     let state = State::Probed { origin, changed_at: now, returned };
                     *slot = Some(Entry { flow: segment.flow, state });
@@ -121,6 +120,34 @@
         })
     }
 
+    /// Tells whether the agent owns a flow, for a balancer with a segment that acknowledges
+    /// `acknowledged`. `unsure` is true if the upstream may hold flows that the agent does not know
+    /// of.
+    pub fn ownership(
+        &self,
+        key: FlowKey,
+        acknowledged: Sequence,
+        unsure: bool,
+        now: Moment,
+    ) -> Ownership {
+        self.entries.update(key, |slot| match slot.as_mut().map(|entry| &mut entry.state) {
+            Some(State::Open(_)) => Ownership::Owns,
+            Some(State::Offered { accepted: Some(accepted), .. })
+                if acknowledged == accepted.next() =>
+            {
+                Ownership::Owns
+            }
+            Some(State::Offered { .. }) => Ownership::Denies,
+            Some(State::Probed { .. }) => Ownership::Pending,
+            Some(State::Absent { changed_at }) => {
+                *changed_at = now;
+                Ownership::Denies
+            }
+            None if unsure => Ownership::Unsure,
+            None => Ownership::Denies,
+        })
+    }
+
     /// Compares the count of requests in progress with the number that the upstream reported in a
     /// response. The reported number includes the request of this response.
     pub fn reconcile_active(&self, reported: u32) {
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -5,11 +5,15 @@
 //! the store does not empty the pool.
 
 mod path;
+mod ring;
 
 pub use path::AnswerCounts;
 
 use {
-    self::path::{Answer, Path},
+    self::{
+        path::{Answer, Path},
+        ring::Ring,
+    },
     crate::{
         flow::{AgentId, FlowKey},
         ids::{Domain, Incarnation, Instance},
@@ -46,9 +50,12 @@
 /// Maximum number of pending offers that are tracked per member. A member with more is avoided
 /// anyway.
 const MAX_PENDING_OFFERS: usize = 256;
-/// Maximum number of members that one choice compares, so that its cost does not grow with the size
-/// of the service.
-const MAX_COMPARED_MEMBERS: usize = 16;
+/// Number of members that one choice compares, so that its cost does not grow with the size of the
+/// service.
+const PLACEMENT_WINDOW: usize = 16;
+/// Number of members that a search queries first: those that the flow may have been placed at, and
+/// some that have joined since.
+const SEARCH_WINDOW: usize = 20;
 /// Cost of a member in another failure domain, in percent of a member in the balancer's own domain.
 const REMOTE_DOMAIN_COST_PERCENT: u64 = 115;
 /// Cost of a member whose upstream is warming up, in percent of one whose upstream is warm.
@@ -170,8 +177,8 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     members: Shards<Instance, Member>,
-    /// The members of each service, sorted by address.
-    members_by_service: RwLock<HashMap<Target, Vec<Instance>>>,
+    /// The members of each service.
+    members_by_service: RwLock<HashMap<Target, Ring>>,
     path: Path,
 }
 
@@ -458,9 +465,7 @@
         let mut members_by_service =
             self.members_by_service.write().unwrap_or_else(PoisonError::into_inner);
         for agent_id in &removed {
-            members_by_service
-                .values_mut()
-                .for_each(|list| list.retain(|member| *member != agent_id.instance));
+            members_by_service.values_mut().for_each(|ring| ring.remove(agent_id.instance));
         }
         removed
     }
@@ -475,7 +480,7 @@
         count: usize,
         now: Moment,
     ) -> Vec<Instance> {
-        let candidates = self.sample(target, key);
+        let candidates = self.window(target, key, PLACEMENT_WINDOW);
         let mut costs: Vec<_> = candidates
             .into_iter()
             .filter_map(|instance| {
@@ -545,25 +550,25 @@
         });
     }
 
-    /// Returns the members of a service that the choice for this flow compares.
-    fn sample(&self, target: Target, key: FlowKey) -> Vec<Instance> {
+    /// Returns the members of a service that own the flow of this key if none of them has joined or
+    /// left lately.
+    pub fn likely_owners(&self, target: Target, key: FlowKey) -> Vec<Instance> {
+        self.window(target, key, SEARCH_WINDOW)
+    }
+
+    fn window(&self, target: Target, key: FlowKey, count: usize) -> Vec<Instance> {
         let members_by_service =
             self.members_by_service.read().unwrap_or_else(PoisonError::into_inner);
-        let Some(members) = members_by_service.get(&target) else { return Vec::new() };
-        let start = key.get() as usize % members.len().max(1);
-        let (before, after) = members.split_at(start);
-        after.iter().chain(before).take(MAX_COMPARED_MEMBERS).copied().collect()
+        let ring = members_by_service.get(&target);
+        ring.map_or_else(Vec::new, |ring| ring.window(key, count).collect())
     }
 
-    /// Adds a member to the list of its service. A member that served another service before stays
-    /// in that list, where `choose` skips it.
+    /// Adds a member to the ring of its service. A member that served another service before stays
+    /// in that ring, where `choose` skips it.
     fn index_by_service(&self, target: Target, instance: Instance) {
         let mut members_by_service =
             self.members_by_service.write().unwrap_or_else(PoisonError::into_inner);
-        let members = members_by_service.entry(target).or_default();
-        if let Err(position) = members.binary_search(&instance) {
-            members.insert(position, instance);
-        }
+        members_by_service.entry(target).or_default().insert(instance);
     }
 }
 
--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -1,13 +1,14 @@
 //! The search for the owner of a flow that has no entry in a balancer's flow cache.
 //!
-//! The agents of the route's service are queried first. If none of them owns the flow, all other
-//! agents follow, since the route may have named another service when the flow began. An agent that
-//! owns the flow delivers the segment and reports ownership. An agent that has run at least as long
+//! Agents are queried in waves: first those that the flow was most likely placed at, then the other
+//! agents of the route's service, then all others, since the route may have named another service
+//! when the flow began. A query carries the key of the flow and no data, so that its cost does not
+//! depend on the segment. An agent that has run at least as long
 //! as its upstream denies ownership reliably. An agent that started after its upstream is unsure,
 //! since the upstream may hold flows that it accepted before; the segment is handed to its upstream
 //! as a probe only after all other agents have denied, because a segment at the wrong upstream
-//! looks like a moved flow. A flow is lost once every reachable agent has denied it. It is not lost
-//! while its owner may merely be unreachable.
+//! looks like a moved flow. A flow is lost once every agent has denied it or is known to have failed.
+//! It is not lost while its owner may merely be unreachable.
 
 pub mod evidence;
 
@@ -28,11 +29,14 @@
 const INITIAL_RETRY_INTERVAL: Span = Span::from_millis(60);
 /// Number of times that the retry interval doubles, up to 960 ms.
 const MAX_DOUBLINGS: u32 = 4;
-/// Mean time between two queries of the searches of one balancer: at most 16 KB/s for each of 60
-/// agents, which a link of 10 Mbit/s carries in addition to its segments.
+/// Mean time between two queries of the searches of one balancer. 2,500 queries a second and their
+/// answers take less than a fifth of either direction of a link of 10 Mbit/s.
 const QUERY_INTERVAL: Span = Span::from_micros(400);
 /// Maximum burst of queries after an idle time: enough for a hundred flows among ten agents.
 const MAX_BURST_QUERIES: i64 = 1_000;
+/// Time after which the next wave starts although some agents have not answered: several round
+/// trips and one repeated query.
+const WAVE_TIMEOUT: Span = Span::from_millis(120);
 /// Time after which a search ends without a result. The next segment of the flow starts a new one.
 const SEARCH_TIMEOUT: Span = Span::from_secs(3);
 
@@ -44,7 +48,7 @@
 /// The answer of an agent to a query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QueryAnswer {
-    /// The agent owns the flow and has delivered the segment.
+    /// The agent owns the flow.
     Owns,
     /// The agent does not own the flow, and its table is complete since its start.
     Denies {
@@ -79,12 +83,24 @@
     pub absent: bool,
     /// Whether the listing showed an earlier incarnation of it.
     pub restarted: bool,
-    /// Whether it serves the service of the flow's route and is therefore queried first.
-    pub preferred: bool,
+    /// When it is queried.
+    pub wave: Wave,
     /// The time since which it has owed an answer.
     pub unanswered_since: Option<Moment>,
 }
 
+/// The order in which agents are queried.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wave {
+    /// The flow was probably placed at the agent.
+    #[default]
+    Likely,
+    /// The agent serves the service of the flow's route.
+    Service,
+    /// The agent serves another service.
+    Other,
+}
+
 /// An action that the caller of the controller carries out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -114,7 +130,10 @@
     started: Moment,
     list_complete_at: Moment,
     queries: BTreeMap<Instance, AgentQuery>,
-    /// The agents of other services, which are queried after all preferred agents have answered.
+    /// The wave that is being queried, and the time at which it started.
+    wave: Wave,
+    wave_started: Moment,
+    /// The agents of later waves.
     deferred: Vec<SearchCandidate>,
     /// The agents that were queried and have left the list of members.
     removed: Vec<AgentQuery>,
@@ -186,6 +205,8 @@
             started: now,
             list_complete_at,
             queries: BTreeMap::new(),
+            wave: Wave::default(),
+            wave_started: now,
             deferred: Vec::new(),
             removed: Vec::new(),
             sent_queries: 0,
@@ -240,14 +261,30 @@
                     self.sent_retries += u32::from(retry.is_some());
                     actions.extend(retry);
                 }
-                None if candidate.preferred => actions.push(self.query(candidate, now)),
+                None if candidate.wave <= self.wave => actions.push(self.query(candidate, now)),
                 None => self.deferred.push(candidate),
             }
         }
+        if now.since(self.wave_started) >= WAVE_TIMEOUT {
+            actions.extend(self.start_next_wave(now));
+        }
         actions.extend(self.conclude(now));
         actions
     }
 
+    /// Queries the agents of the next wave that has any.
+    fn start_next_wave(&mut self, now: Moment) -> Vec<Action> {
+        let Some(next) = self.deferred.iter().map(|candidate| candidate.wave).min() else {
+            return Vec::new();
+        };
+        (self.wave, self.wave_started) = (next, now);
+        let (due, later) =
+            std::mem::take(&mut self.deferred).into_iter().partition(|c| c.wave <= next);
+        self.deferred = later;
+        let due: Vec<SearchCandidate> = due;
+        due.into_iter().map(|candidate| self.query(candidate, now)).collect()
+    }
+
     fn query(&mut self, candidate: SearchCandidate, now: Moment) -> Action {
         let SearchCandidate { agent_id, lost, absent, restarted, unanswered_since, .. } = candidate;
         let query = AgentQuery {
@@ -274,8 +311,7 @@
             return Vec::new();
         }
         if !self.deferred.is_empty() {
-            let deferred = std::mem::take(&mut self.deferred);
-            return deferred.into_iter().map(|candidate| self.query(candidate, now)).collect();
+            return self.start_next_wave(now);
         }
         let unsure: Vec<&mut AgentQuery> =
             self.queries.values_mut().filter(|a| a.is_unsure() && !a.lost).collect();
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -187,6 +187,24 @@
     assert_eq!(pool.expire(at(4_700)), [entry(3, 1, 1).agent_id]);
 }
 
+/// Guards against searches that begin at the wrong agents: the likely owners include the members
+/// that the flow was placed at, also when a few members have joined or left since.
+#[test]
+fn likely_owners_include_the_placement_after_changes() {
+    let pool = pool(50);
+    let key = |number: u64| FlowKey::new(number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let placed: Vec<Vec<Instance>> = (0..200)
+        .map(|number| pool.choose(target(), &domain("a"), key(number), 16, START))
+        .collect();
+    for number in 51..=54 {
+        pool.upsert(entry(number, 1, 1), START);
+    }
+    for (number, placed) in (0u64..).zip(&placed) {
+        let likely = pool.likely_owners(target(), key(number));
+        assert!(likely.len() == 20 && placed.iter().all(|member| likely.contains(member)));
+    }
+}
+
 /// Guards against resets of flows while their agent restarts and its upstream keeps running.
 #[test]
 fn a_member_listed_as_stopping_is_not_lost() {
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -9,9 +9,10 @@
     slog::info,
     std::net::SocketAddrV4,
     yuccacroft_core::{
-        handshake::{Action, Decision, ForwardReason, Offer},
+        flow::FlowKey,
+        handshake::{Action, Decision, ForwardReason, Offer, Ownership},
         route::Target,
-        segment::{Control, Flow, Format, Segment},
+        segment::{Control, Flow, Format, Segment, Sequence},
         time::Moment,
         upstream::ConnectResult,
     },
@@ -31,8 +32,10 @@
                 self.balancers.insert(origin, now);
                 Context::NewFlow(target, Offer { origin, rest, hops }, bytes.into())
             }
+            Request::Search { key, acknowledged } => {
+                return self.answer_search(key, acknowledged, from, now);
+            }
             Request::Carry(class) => Context::Established(from, ForwardReason::Owner, class),
-            Request::Search(class) => Context::Established(from, ForwardReason::Search, class),
             Request::Probe(class) => Context::Established(from, ForwardReason::Probe, class),
         };
         let segment = match self.format.parse_inbound(bytes) {
@@ -57,6 +60,23 @@
         self.apply_decision(&received.segment, target, to, decision, bytes, now);
     }
 
+    /// Tells a balancer whether this agent owns a flow. While a probe of the upstream is not
+    /// decided there is no answer; the balancer repeats its question.
+    fn answer_search(&self, key: FlowKey, acknowledged: Sequence, from: SocketAddrV4, now: Moment) {
+        let unsure = self.state.may_hold_unknown_flows(now);
+        let body = match self.state.table.ownership(key, acknowledged, unsure, now) {
+            Ownership::Owns => Body::Owns(key),
+            Ownership::Denies => Body::Denies { key, unsure: false },
+            Ownership::Unsure => Body::Denies { key, unsure: true },
+            Ownership::Pending => return,
+        };
+        if !matches!(body, Body::Owns(_)) {
+            metrics::counter!(DECISIONS_METRIC, "outcome" => "deny").increment(1);
+            self.log_offered_denial(key, acknowledged, from, now);
+        }
+        self.reply(from, body, &[], now);
+    }
+
     /// Executes a decision about a segment. `origin` is the balancer that gets the reply.
     pub(super) fn apply_decision(
         &self,
@@ -83,7 +103,7 @@
             Decision::Refuse(origin) => self.refuse(segment.flow, origin, datagram, now),
             Decision::Deny { origin, unsure, returned } => {
                 metrics::counter!(DECISIONS_METRIC, "outcome" => "deny").increment(1);
-                self.log_offered_denial(segment, origin, now);
+                self.log_offered_denial(key, segment.acknowledged, origin, now);
                 let datagram = if returned { datagram } else { &[] };
                 self.reply(origin, Body::Denies { key, unsure }, datagram, now);
             }
--- a/yuccacroft-segment/src/agent/relay/log.rs
+++ b/yuccacroft-segment/src/agent/relay/log.rs
@@ -54,12 +54,18 @@
 
     /// Logs the denial of a flow that was offered to this agent. The caller has accepted it
     /// elsewhere, unless the acknowledged sequence number follows the accepted one.
-    pub(super) fn log_offered_denial(&self, segment: &Segment, origin: SocketAddrV4, now: Moment) {
-        let Some(offered) = self.state.table.offered_flow(segment.flow.key(), now) else { return };
+    pub(super) fn log_offered_denial(
+        &self,
+        key: FlowKey,
+        acknowledged: Sequence,
+        origin: SocketAddrV4,
+        now: Moment,
+    ) {
+        let Some(offered) = self.state.table.offered_flow(key, now) else { return };
         if let Some(log) = self.flow_log.failure(now) {
-            info!(log, "offered flow denied"; "flow" => %segment.flow, "to" => %origin,
+            info!(log, "offered flow denied"; "key" => %key, "to" => %origin,
                 "accepted" => ?offered.accepted.map(Sequence::get), "age" => %offered.age,
-                "acknowledged" => segment.acknowledged.get(), "control" => ?segment.control);
+                "acknowledged" => acknowledged.get());
         }
     }
 
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -7,7 +7,7 @@
         grounds::{Grounds, Members},
         pending::PendingSegments,
         response_times::ResponseTimes,
-        searches::{Query, SearchParams, Searches, Step},
+        searches::{Query, QueryKind, SearchParams, Searches, Step},
     },
     crate::{
         flow_log::FlowLog,
@@ -273,16 +273,15 @@
     fn perform(&self, key: FlowKey, steps: Vec<Step>, now: Moment) {
         for step in steps {
             match step {
-                Step::Query(query) => self.query(&query, Request::Search(query.class), now),
-                Step::Probe(query) => self.query(&query, Request::Probe(query.class), now),
-                Step::Found(owner, class, rest) => {
+                Step::Query(query) => self.query(key, query, now),
+                Step::Found(owner, class, datagrams) => {
                     metrics::counter!(DECISIONS_METRIC, "outcome" => "found").increment(1);
                     self.table.set_owner(key, owner, now);
                     if let Some(log) = self.flow_log.normal(now) {
                         info!(log, "owner found"; "key" => %key, "owner" => %owner.instance,
                             "incarnation" => %owner.incarnation);
                     }
-                    for datagram in rest {
+                    for datagram in datagrams {
                         self.send(owner.instance, &Request::Carry(class), &datagram);
                     }
                 }
@@ -297,10 +296,16 @@
         }
     }
 
-    fn query(&self, query: &Query, request: Request, now: Moment) {
-        let to = query.to.instance;
-        self.pool.record_query(to, now);
-        self.send_as(Kind::of_request(&request, query.retry), to, &request, &query.datagram);
+    fn query(&self, key: FlowKey, query: Query, now: Moment) {
+        let Query { to, kind, retry } = query;
+        let (request, datagram) = match kind {
+            QueryKind::Ownership(acknowledged) => {
+                (Request::Search { key, acknowledged }, Box::default())
+            }
+            QueryKind::Probe(class, datagram) => (Request::Probe(class), datagram),
+        };
+        self.pool.record_query(to.instance, now);
+        self.send_as(Kind::of_request(&request, retry), to.instance, &request, &datagram);
     }
 
     fn handle_message(&self, datagram: &[u8]) {
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -12,8 +12,8 @@
         ids::Instance,
         pool::Pool,
         route::{Target, TrafficClass},
-        search::{Action, Event, QueryAnswer, QueryBudget, Search, SearchCandidate},
-        segment::Segment,
+        search::{Action, Event, QueryAnswer, QueryBudget, Search, SearchCandidate, Wave},
+        segment::{Segment, Sequence},
         shards::Shards,
         time::{Moment, Span},
     },
@@ -33,8 +33,10 @@
 pub struct RunningSearch {
     /// The latest segment of the flow.
     pub segment: Segment,
-    /// The waiting segments, oldest first. Agents are sent the first one with the query.
+    /// The waiting segments, oldest first. Agents are sent the first one with a probe.
     pub datagrams: Vec<Box<[u8]>>,
+    /// The position that the first segment acknowledges.
+    acknowledged: Sequence,
     params: SearchParams,
     search: Search,
 }
@@ -55,11 +57,9 @@
 /// An action that the relay performs for a search.
 #[derive(Debug)]
 pub enum Step {
-    /// Query an agent and send it the segment.
+    /// Query an agent.
     Query(Query),
-    /// Let an agent probe its upstream with the segment.
-    Probe(Query),
-    /// The owner was found and has the first segment. Send it the other segments.
+    /// The owner was found. Send it the waiting segments.
     Found(AgentId, TrafficClass, Vec<Box<[u8]>>),
     /// No agent owns the flow. Reset it towards the caller.
     NotFound(Segment, Grounds),
@@ -72,14 +72,21 @@
 pub struct Query {
     /// The agent that is asked.
     pub to: AgentId,
-    /// The class of the flow's requests.
-    pub class: TrafficClass,
-    /// The segment that the agent gets.
-    pub datagram: Box<[u8]>,
+    /// What it is asked.
+    pub kind: QueryKind,
     /// Whether it repeats an earlier query or probe.
     pub retry: bool,
 }
 
+/// What a search asks an agent.
+#[derive(Debug)]
+pub enum QueryKind {
+    /// Whether it owns the flow whose segment acknowledges this position.
+    Ownership(Sequence),
+    /// To probe its upstream with this segment of a flow of this class.
+    Probe(TrafficClass, Box<[u8]>),
+}
+
 /// All running searches.
 #[derive(Debug, Default)]
 pub struct Searches {
@@ -114,6 +121,7 @@
             let running = slot.get_or_insert_with(|| RunningSearch {
                 segment,
                 datagrams: Vec::new(),
+                acknowledged: segment.acknowledged,
                 params,
                 search: Search::new(params.agents_complete_at, now),
             });
@@ -144,25 +152,7 @@
             self.record_skipped_tick(key);
             return Vec::new();
         }
-        let list_candidates = |target: Option<Target>| -> Box<[SearchCandidate]> {
-            let is_conclusive = pool.is_silence_conclusive(now);
-            let mut candidates = Vec::with_capacity(pool.len());
-            pool.for_each(|member| {
-                let preferred = target.is_none_or(|target| member.entry.target == target);
-                let lost = is_conclusive && member.is_lost(now);
-                let absent = is_conclusive && member.is_absent(now);
-                let (agent_id, restarted) = (member.entry.agent_id, member.has_restarted());
-                candidates.push(SearchCandidate {
-                    agent_id,
-                    lost,
-                    absent,
-                    restarted,
-                    preferred,
-                    unanswered_since: member.unanswered_since(),
-                });
-            });
-            candidates.into()
-        };
+        let list_candidates = |target| list_candidates(pool, target, key, now);
         self.step(key, |target| Event::Tick(list_candidates(target)), now).unwrap_or_default()
     }
 
@@ -217,12 +207,8 @@
             let running = slot.as_mut()?;
             let actions = running.search.step(event(running.params.target), now);
             let class = running.params.class;
-            let query = |to: AgentId| Query {
-                to,
-                class,
-                datagram: running.datagrams[0].clone(),
-                retry: running.search.is_retry(to.instance),
-            };
+            let query =
+                |to: AgentId, kind| Query { to, kind, retry: running.search.is_retry(to.instance) };
             let grounds = || Grounds::Search {
                 evidence: running.search.evidence(now),
                 last_agent: running.params.last_agent,
@@ -230,12 +216,18 @@
             let mut steps = Vec::with_capacity(actions.len());
             for action in actions {
                 match action {
-                    Action::Query(agent_id) => steps.push(Step::Query(query(agent_id))),
-                    Action::Probe(agent_id) => steps.push(Step::Probe(query(agent_id))),
+                    Action::Query(agent_id) => {
+                        let kind = QueryKind::Ownership(running.acknowledged);
+                        steps.push(Step::Query(query(agent_id, kind)));
+                    }
+                    Action::Probe(agent_id) => {
+                        let kind = QueryKind::Probe(class, running.datagrams[0].clone());
+                        steps.push(Step::Query(query(agent_id, kind)));
+                    }
                     Action::Found(agent_id) => {
-                        let rest = running.datagrams.split_off(1);
+                        let datagrams = std::mem::take(&mut running.datagrams);
                         *slot = None;
-                        return Some(vec![Step::Found(agent_id, class, rest)]);
+                        return Some(vec![Step::Found(agent_id, class, datagrams)]);
                     }
                     Action::NotFound => {
                         let step = Step::NotFound(running.segment, grounds());
@@ -255,3 +247,32 @@
         })
     }
 }
+
+/// Returns the members of the pool as candidates for the owner of a flow.
+fn list_candidates(
+    pool: &Pool,
+    target: Option<Target>,
+    key: FlowKey,
+    now: Moment,
+) -> Box<[SearchCandidate]> {
+    let likely = target.map_or_else(Vec::new, |target| pool.likely_owners(target, key));
+    let is_conclusive = pool.is_silence_conclusive(now);
+    let mut candidates = Vec::with_capacity(pool.len());
+    pool.for_each(|member| {
+        let agent_id = member.entry.agent_id;
+        let wave = match target {
+            Some(_) if likely.contains(&agent_id.instance) => Wave::Likely,
+            Some(target) if member.entry.target != target => Wave::Other,
+            _ => Wave::Service,
+        };
+        candidates.push(SearchCandidate {
+            agent_id,
+            lost: is_conclusive && member.is_lost(now),
+            absent: is_conclusive && member.is_absent(now),
+            restarted: member.has_restarted(),
+            wave,
+            unanswered_since: member.unanswered_since(),
+        });
+    });
+    candidates.into()
+}
--- a/yuccacroft-segment/src/traffic.rs
+++ b/yuccacroft-segment/src/traffic.rs
@@ -110,8 +110,8 @@
         match request {
             Request::Offer { .. } => Self::Offer,
             Request::Carry(_) => Self::Carry,
-            Request::Search(_) if retry => Self::SearchRetry,
-            Request::Search(_) => Self::Search,
+            Request::Search { .. } if retry => Self::SearchRetry,
+            Request::Search { .. } => Self::Search,
             Request::Probe(_) if retry => Self::ProbeRetry,
             Request::Probe(_) => Self::Probe,
             Request::Ping { .. } => Self::Ping,
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -14,6 +14,7 @@
         ids::{Incarnation, Instance},
         pool::AgentLoad,
         route::{ConfigVersion, Target, TrafficClass},
+        segment::Sequence,
         time::Span,
     },
 };
@@ -40,8 +41,14 @@
     },
     /// The receiver is believed to own the segment's flow.
     Carry(TrafficClass),
-    /// The sender searches for the owner of the segment's flow.
-    Search(TrafficClass),
+    /// The sender searches for the owner of a flow.
+    Search {
+        /// The flow.
+        key: FlowKey,
+        /// The position that the waiting segment of the caller acknowledges, which tells whether
+        /// the caller accepted the answer of the receiver's upstream.
+        acknowledged: Sequence,
+    },
     /// All other agents have denied that they own the segment's flow.
     Probe(TrafficClass),
     /// The sender asks for the state of the receiver.
