--- a/yuccacroft-agent/src/limiter.rs
+++ b/yuccacroft-agent/src/limiter.rs
@@ -9,9 +9,7 @@
     tokio::sync::{Notify, oneshot},
     yuccacroft_core::{
         admission::{
-            Action, AdmissionController, Event, SlotRequest,
-            class::Class,
-            limit::{AttemptOutcome, Hint},
+            Action, AdmissionController, Event, SlotRequest, class::Class, limit::AttemptOutcome,
             peers::SiblingLoad,
         },
         controller::Controller,
@@ -130,16 +128,6 @@
         self.set_limits(Slots::default(), Span::ZERO);
     }
 
-    /// Passes a hint from the health and load endpoints of the upstream to the controller.
-    pub fn apply_hint(&self, hint: Hint) {
-        self.step_controller(Event::Hint(hint));
-    }
-
-    /// Returns the number of running requests.
-    pub fn running(&self) -> u32 {
-        self.controller().running().get()
-    }
-
     /// Returns the load that is sent to siblings.
     pub fn load(&self) -> SiblingLoad {
         let now = self.clock.now();
--- a/yuccacroft-agent/src/records.rs
+++ b/yuccacroft-agent/src/records.rs
@@ -97,14 +97,6 @@
         });
     }
 
-    /// Returns the number of keys and the size of the recorded answers.
-    pub fn size(&self) -> (usize, Size) {
-        let (keys, bytes) = self.shards.fold((0, 0), |(keys, bytes), _, table| {
-            (keys + table.len(), bytes + table.size().get())
-        });
-        (keys, Size::new(bytes))
-    }
-
     fn with_shard<R>(
         &self,
         key: IdempotencyKey,
@@ -122,11 +114,6 @@
         self.record_outcome(outcome);
     }
 
-    /// Returns the request that the key is bound to.
-    pub fn request_id(&self) -> RequestId {
-        self.request_id
-    }
-
     /// Returns true if a retry waits for the answer.
     pub fn has_waiters(&self) -> bool {
         self.records.has_waiters(self.request_id)
--- a/yuccacroft-agent/src/service.rs
+++ b/yuccacroft-agent/src/service.rs
@@ -119,11 +119,6 @@
         &self.setup.limiter
     }
 
-    /// Returns the idempotency keys and their outcomes.
-    pub fn records(&self) -> &Arc<Records> {
-        &self.setup.records
-    }
-
     /// Returns the owner header of the answer to a request that arrived at `arrived`.
     ///
     /// A retry keeps the owner that it names, even when another agent answers. With another owner
--- a/yuccacroft-core/src/lease.rs
+++ b/yuccacroft-core/src/lease.rs
@@ -62,11 +62,6 @@
         Ok((self, Permit { lease: self.id }))
     }
 
-    /// Returns when the holder should renew the lease: after a third of the term.
-    pub fn renew_at(&self) -> Moment {
-        self.state.expires_at - Span::from_micros(self.state.term.as_micros() / 3 * 2)
-    }
-
     fn expire(self) -> Lease<Expired> {
         Lease { id: self.id, state: Expired }
     }
