--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -116,8 +116,8 @@
     queries: BTreeMap<Instance, AgentQuery>,
     /// The agents of other services, which are queried after all preferred agents have answered.
     deferred: Vec<SearchCandidate>,
-    /// The agents that were queried and have left the list of members.
-    removed: Vec<AgentQuery>,
+    /// The agents that have left the list of members.
+    removed: BTreeMap<Instance, RemovedAgent>,
     /// The number of first queries and probes.
     sent_queries: u32,
     sent_retries: u32,
@@ -141,6 +141,14 @@
     unanswered_since: Option<Moment>,
 }
 
+/// An agent that has left the list of members during the search.
+#[derive(Clone, Copy, Debug)]
+struct RemovedAgent {
+    denied: bool,
+    answered_at: Option<Moment>,
+    unanswered_since: Option<Moment>,
+}
+
 impl Default for QueryBudget {
     fn default() -> Self {
         Self { tokens: MAX_BURST_QUERIES, refilled_at: Moment::default() }
@@ -187,7 +195,7 @@
             list_complete_at,
             queries: BTreeMap::new(),
             deferred: Vec::new(),
-            removed: Vec::new(),
+            removed: BTreeMap::new(),
             sent_queries: 0,
             sent_retries: 0,
             skipped_ticks: 0,
@@ -222,11 +230,7 @@
             return vec![Action::TimedOut];
         }
         // An agent that is no longer a member has no flows.
-        let removed = self.queries.extract_if(.., |instance, _| {
-            !candidates.iter().any(|c| c.agent_id.instance == *instance)
-        });
-        self.removed.extend(removed.map(|(_, query)| query));
-        self.deferred.clear();
+        self.remove_unlisted(candidates);
         let mut actions = Vec::new();
         for &candidate in candidates {
             let known = self.queries.get_mut(&candidate.agent_id.instance);
@@ -248,6 +252,25 @@
         actions
     }
 
+    fn remove_unlisted(&mut self, candidates: &[SearchCandidate]) {
+        let mut listed: Vec<_> = candidates.iter().map(|c| c.agent_id.instance).collect();
+        listed.sort_unstable();
+        let is_listed = |instance: Instance| listed.binary_search(&instance).is_ok();
+        self.removed.retain(|instance, _| !is_listed(*instance));
+        for (instance, query) in self.queries.extract_if(.., |instance, _| !is_listed(*instance)) {
+            let AgentQuery { answered_at, unanswered_since, .. } = query;
+            let denied = query.answer.is_some_and(QueryAnswer::is_denial);
+            self.removed.insert(instance, RemovedAgent { denied, answered_at, unanswered_since });
+        }
+        for candidate in self.deferred.drain(..) {
+            let SearchCandidate { agent_id, unanswered_since, .. } = candidate;
+            if !is_listed(agent_id.instance) {
+                let agent = RemovedAgent { denied: false, answered_at: None, unanswered_since };
+                self.removed.insert(agent_id.instance, agent);
+            }
+        }
+    }
+
     fn query(&mut self, candidate: SearchCandidate, now: Moment) -> Action {
         let SearchCandidate { agent_id, lost, absent, restarted, unanswered_since, .. } = candidate;
         let query = AgentQuery {
@@ -311,19 +334,23 @@
     /// Returns what the search knows about each agent.
     pub fn evidence(&self, now: Moment) -> Evidence {
         let all_fresh = self.are_all_fresh();
-        let queried = self.queries.values().map(|query| {
+        let describe = |instance, finding, answered_at: Option<Moment>, since: Option<Moment>| {
+            let age = |at| now.since(at);
+            let (answer_age, silence) = (answered_at.map(age), since.map(age));
+            AgentFinding { instance, finding, answer_age, silence }
+        };
+        let queried = self.queries.iter().map(|(instance, query)| {
             let finding = query.finding(all_fresh);
-            query.describe(finding, now)
+            describe(*instance, finding, query.answered_at, query.unanswered_since)
         });
-        let deferred = self.deferred.iter().map(|candidate| AgentFinding {
-            instance: candidate.agent_id.instance,
-            finding: Finding::Deferred,
-            answer_age: None,
-            silence: candidate.unanswered_since.map(|since| now.since(since)),
+        let deferred = self.deferred.iter().map(|candidate| {
+            let instance = candidate.agent_id.instance;
+            describe(instance, Finding::Deferred, None, candidate.unanswered_since)
+        });
+        let removed = self.removed.iter().map(|(instance, agent)| {
+            let finding = if agent.denied { Finding::Denied } else { Finding::Removed };
+            describe(*instance, finding, agent.answered_at, agent.unanswered_since)
         });
-        let removed = self.removed.iter();
-        let removed = removed.filter(|query| !self.queries.contains_key(&query.agent_id.instance));
-        let removed = removed.map(|query| query.describe(Finding::Removed, now));
         Evidence {
             elapsed: now.since(self.started),
             agents: queried.chain(deferred).chain(removed).collect(),
@@ -363,15 +390,6 @@
         }
     }
 
-    fn describe(&self, finding: Finding, now: Moment) -> AgentFinding {
-        AgentFinding {
-            instance: self.agent_id.instance,
-            finding,
-            answer_age: self.answered_at.map(|at| now.since(at)),
-            silence: self.unanswered_since.map(|since| now.since(since)),
-        }
-    }
-
     /// Returns the query or probe again if its answer is overdue.
     fn retry(&mut self, agent_id: AgentId, now: Moment) -> Option<Action> {
         let is_denied = self.answer.is_some_and(QueryAnswer::is_denial);
--- a/yuccacroft-core/src/search/evidence.rs
+++ b/yuccacroft-core/src/search/evidence.rs
@@ -22,7 +22,7 @@
     Unanswered,
     /// The agent was not queried, since agents of the flow's service had not answered yet.
     Deferred,
-    /// The agent left the list of members during the search.
+    /// The agent left the list of members during the search, without a denial.
     Removed,
 }
 
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -4,7 +4,7 @@
     proptest::prelude::*,
     std::net::SocketAddrV4,
     yuccacroft_core::{
-        handshake::{Action, Decision, FlowTable, ForwardReason, MAX_HOPS, Offer},
+        handshake::{Action, Decision, FlowTable, ForwardReason, MAX_HOPS, Offer, OfferedFlow},
         ids::Instance,
         segment::{Control, Flow, Segment, Sequence},
         time::{Moment, Span},
@@ -126,6 +126,34 @@
     assert!(table.release_unaccepted().is_empty());
 }
 
+/// Guards against accepted flows that disappear without a trace although their caller may hold them
+/// for open.
+#[test]
+fn an_accepted_flow_without_a_segment_expires_visibly() {
+    let table = FlowTable::new();
+    table.handle_opening(&opening(1), b"open", offer(&[]), true, START);
+    table.handle_reply(&segment(1, Control::Accept, 500, 101, 0), START);
+    assert!(table.tick(at(2_990)).is_empty());
+    let expired = Action::Expire { flow: flow(1), accepted: Sequence::new(500) };
+    assert_eq!(table.tick(at(3_000)), [expired]);
+    assert!(table.tick(at(3_010)).is_empty());
+}
+
+/// Guards against a denial of an offered flow whose log does not show what the upstream accepted.
+#[test]
+fn an_offered_flow_can_be_inspected_until_it_opens() {
+    let table = FlowTable::new();
+    let key = flow(1).key();
+    assert_eq!(table.offered_flow(key, START), None);
+    table.handle_opening(&opening(1), b"open", offer(&[]), true, START);
+    let offered = |accepted| Some(OfferedFlow { accepted, age: Span::from_millis(5) });
+    assert_eq!(table.offered_flow(key, at(5)), offered(None));
+    table.handle_reply(&segment(1, Control::Accept, 500, 101, 0), at(2));
+    assert_eq!(table.offered_flow(key, at(5)), offered(Some(Sequence::new(500))));
+    open(&table, 1, at(6));
+    assert_eq!(table.offered_flow(key, at(7)), None);
+}
+
 /// Guards against segments that reach a wrong upstream during a search, before all other agents
 /// have denied ownership.
 #[test]
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -3,7 +3,9 @@
 use yuccacroft_core::{
     flow::{AgentId, FlowKey},
     ids::{Domain, Incarnation, Instance},
-    pool::{AgentEntry, AgentLoad, AgentPhase, Pool, Reachability, UpsertResult},
+    pool::{
+        AgentEntry, AgentLoad, AgentPhase, Pool, Reachability, ReachabilityCounts, UpsertResult,
+    },
     route::{ServiceName, Target},
     time::{Moment, Span},
     units::{Connections, Percent, Slots},
@@ -270,3 +272,22 @@
     let spread: Vec<_> = (0..40).filter_map(|key| first(&pool, key, at(50))).collect();
     assert!(spread.contains(&instance(1)) && spread.contains(&instance(2)));
 }
+
+/// Guards against logs that show how much a member owes wrongly: each of its messages settles all
+/// earlier queries.
+#[test]
+fn unanswered_queries_count_since_the_last_message() {
+    let pool = pool(2);
+    assert_eq!(pool.unanswered_time(instance(1), at(10)), None);
+    pool.record_query(instance(1), at(10));
+    pool.record_offer(instance(1), at(400));
+    assert_eq!(pool.unanswered_time(instance(1), at(500)), Some(Span::from_millis(490)));
+    let member = pool.get(instance(1)).unwrap();
+    assert_eq!((member.unanswered_queries(), member.unanswered_since()), (2, Some(at(10))));
+    let counts = ReachabilityCounts { good: 1, suspect: 1, lost: 0 };
+    assert_eq!(pool.count_by_reachability(at(500)), counts);
+    pool.record_load(entry(1, 1, 1).agent_id, load(0, 20), at(600));
+    let member = pool.get(instance(1)).unwrap();
+    assert_eq!((member.unanswered_queries(), member.unanswered_since()), (0, None));
+    assert_eq!(pool.unanswered_time(instance(9), at(600)), None);
+}
--- a/yuccacroft-core/tests/steering.rs
+++ b/yuccacroft-core/tests/steering.rs
@@ -54,6 +54,22 @@
     assert_eq!(table.get(FLOW), Some(CachedFlow::Owned { owner: owner(), at: at(1) }));
 }
 
+/// Guards against repeated resets of a lost flow that make its verdict look recent.
+#[test]
+fn the_time_of_a_loss_stays_when_the_flow_is_reset_again() {
+    let table = SteeringTable::new();
+    table.mark_lost(FLOW, START);
+    table.mark_lost(FLOW, at(9));
+    assert_eq!(table.get(FLOW), Some(CachedFlow::Lost { at: at(9), detected_at: START }));
+    table.expire(None, at(18));
+    assert_eq!(table.len(), 1);
+    table.set_owner(FLOW, owner(), at(20));
+    assert_eq!(table.get(FLOW).and_then(CachedFlow::agent), Some(instance(1)));
+    table.mark_lost(FLOW, at(21));
+    assert_eq!(table.get(FLOW), Some(CachedFlow::Lost { at: at(21), detected_at: at(21) }));
+    assert_eq!(table.get(FLOW).and_then(CachedFlow::agent), None);
+}
+
 /// Guards against a search for each segment of a lost flow, and against a loss that is kept
 /// permanently, since callers reuse their ports.
 #[test]
--- a/yuccacroft-segment/src/agent/controllers.rs
+++ b/yuccacroft-segment/src/agent/controllers.rs
@@ -18,8 +18,8 @@
 
 /// Time between ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// Ticks between updates of the gauges.
-const GAUGE_TICKS: u64 = 50;
+/// Ticks between updates of the metrics.
+const METRICS_TICKS: u64 = 50;
 /// Ticks between load messages to balancers.
 const LOAD_TICKS: u64 = 10;
 /// Time between ticks from which on the process counts as stalled.
@@ -62,8 +62,8 @@
             last_tick = now;
             ticks += 1;
             self.relay.tick(now);
-            if ticks.is_multiple_of(GAUGE_TICKS) {
-                self.relay.update_gauges();
+            if ticks.is_multiple_of(METRICS_TICKS) {
+                self.relay.update_metrics();
             }
             self.update_silence();
             let load = self.relay.load(now);
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -1,8 +1,15 @@
 //! The packet path of an agent: receives datagrams, runs the filter chain and sends the results.
 
+mod observation;
+
 use {
     super::chain::{self, AgentState, Context, ReceivedSegment},
-    crate::{dump, flow_log::FlowLog, host::Socket},
+    crate::{
+        dump,
+        flow_log::FlowLog,
+        host::Socket,
+        traffic::{Direction, Kind, Traffic},
+    },
     slog::info,
     std::{
         net::SocketAddrV4,
@@ -77,6 +84,8 @@
     pub clock: Clock,
     /// The rate-limited log of flow events.
     pub flow_log: FlowLog,
+    /// The messages since the last update of the metrics.
+    traffic: Traffic,
     /// The balancers and the times of their last messages.
     balancers: Shards<SocketAddrV4, Moment>,
     /// The version of the entry in the store, and when it was written or last found there.
@@ -103,6 +112,7 @@
             entry_unlisted: Notify::new(),
             clock,
             flow_log,
+            traffic: Traffic::default(),
             balancers: Shards::with_shards(1),
             written_entry: Mutex::default(),
             config_version: AtomicU64::new(0),
@@ -204,13 +214,6 @@
         }
     }
 
-    /// Updates the gauges.
-    pub fn update_gauges(&self) {
-        metrics::gauge!(OPEN_FLOWS_METRIC).set(f64::from(self.state.table.open_flows().get()));
-        metrics::gauge!(ACTIVE_REQUESTS_METRIC).set(f64::from(self.state.table.active_requests()));
-        metrics::gauge!(WAITING_REQUESTS_METRIC).set(self.state.backlog().len() as f64);
-    }
-
     /// Sends the load to every balancer that sent a message recently.
     pub fn send_load(&self, now: Moment) {
         self.balancers.retain(|_, last_seen| now.since(*last_seen) < BALANCER_TIMEOUT);
@@ -276,6 +279,8 @@
             Ok(message) => message,
             Err(error) => return self.log_junk("messages", &error, now),
         };
+        let kind = Kind::of_request(&request, false);
+        self.traffic.record(Direction::Received, kind, datagram.len());
         let context = match request {
             Request::Ping { listed, version } => return self.send_pong(from, listed, version, now),
             Request::Offer { target, origin, rest, hops } => {
@@ -407,6 +412,11 @@
 
     fn forward(&self, datagram: &[u8], now: Moment) {
         self.state.monitor().record_data(now);
+        self.send_to_upstream(datagram, now);
+    }
+
+    fn send_to_upstream(&self, datagram: &[u8], now: Moment) {
+        self.traffic.record(Direction::Sent, Kind::Upstream, datagram.len());
         if !self.setup.upstream.send_connected(datagram) {
             self.apply_port_check(ConnectResult::Refused, now);
         }
@@ -421,23 +431,7 @@
             Action::Confirm { flow, origin } => {
                 self.reply(origin, Body::Owns(flow.key()), &[], now);
             }
-            Action::Expire { flow, accepted } => {
-                metrics::counter!(DECISIONS_METRIC, "outcome" => "expire").increment(1);
-                if let Some(log) = self.flow_log.failure(now) {
-                    info!(log, "accepted flow expired"; "flow" => %flow, "accepted" => %accepted);
-                }
-            }
-        }
-    }
-
-    /// Logs the denial of a flow that was offered to this agent. The caller has accepted it
-    /// elsewhere, unless the acknowledged sequence number follows the accepted one.
-    fn log_offered_denial(&self, segment: &Segment, origin: SocketAddrV4, now: Moment) {
-        let Some(offered) = self.state.table.offered_flow(segment.flow.key(), now) else { return };
-        if let Some(log) = self.flow_log.failure(now) {
-            info!(log, "offered flow denied"; "flow" => %segment.flow, "to" => %origin,
-                "accepted" => ?offered.accepted.map(Sequence::get), "age" => %offered.age,
-                "acknowledged" => segment.acknowledged.get(), "control" => ?segment.control);
+            Action::Expire { flow, accepted } => self.log_expired(flow, accepted, now),
         }
     }
 
@@ -452,13 +446,12 @@
                 _ => {}
             }
         }
-        if !self.setup.upstream.send_connected(datagram) {
-            self.apply_port_check(ConnectResult::Refused, now);
-        }
+        self.send_to_upstream(datagram, now);
     }
 
     fn handle_outbound(&self, datagram: &mut [u8]) {
         let now = self.clock.now();
+        self.traffic.record(Direction::Received, Kind::Upstream, datagram.len());
         match self.format.parse_outbound(datagram) {
             Ok(Outbound::Reply(segment)) => {
                 self.record_activity(now);
@@ -472,7 +465,7 @@
                         self.log_request("slow answer", &segment, datagram, Some(time), now);
                     }
                 }
-                self.send_to_caller(segment.flow, datagram);
+                self.send_to_caller(Kind::Caller, segment.flow, datagram);
                 self.release_waiting(now);
             }
             Ok(Outbound::Bounced(segment)) => {
@@ -550,7 +543,7 @@
         }
         let target = target.unwrap_or(self.state.target);
         let Offer { origin, rest, hops } = offer;
-        self.send(to, &Request::Offer { target, origin, rest, hops }, datagram);
+        self.send(Kind::Offer, to, &Request::Offer { target, origin, rest, hops }, datagram);
     }
 
     fn refuse(&self, flow: Flow, origin: SocketAddrV4, datagram: &[u8], now: Moment) {
@@ -561,10 +554,11 @@
     fn reset(&self, flow: Flow, sequence: Sequence, cause: &'static str, now: Moment) {
         self.log_not_delivered(flow, "reset", cause, now);
         let datagram = self.format.encode_reset(flow, sequence);
-        self.send_to_caller(flow, &datagram);
+        self.send_to_caller(Kind::Reset, flow, &datagram);
     }
 
-    fn send_to_caller(&self, flow: Flow, datagram: &[u8]) {
+    fn send_to_caller(&self, kind: Kind, flow: Flow, datagram: &[u8]) {
+        self.traffic.record(Direction::Sent, kind, datagram.len());
         let caller = SocketAddrV4::new(*flow.caller.ip(), self.setup.caller_port);
         self.setup.messages.send(datagram, caller);
     }
@@ -573,12 +567,15 @@
         let version = ConfigVersion::new(self.config_version.load(Ordering::Relaxed));
         let age = self.state.age(now);
         let reply = Reply { from: self.setup.agent_id, load: self.load(now), age, version, body };
-        self.send(to, &reply, segment);
+        self.send(Kind::of_reply(&reply.body), to, &reply, segment);
     }
 
-    fn send<T: serde::Serialize>(&self, to: SocketAddrV4, message: &T, segment: &[u8]) {
+    fn send<T: serde::Serialize>(&self, kind: Kind, to: SocketAddrV4, message: &T, segment: &[u8]) {
         match relay::encode(message, segment) {
-            Ok(datagram) => self.setup.messages.send(&datagram, to),
+            Ok(datagram) => {
+                self.traffic.record(Direction::Sent, kind, datagram.len());
+                self.setup.messages.send(&datagram, to);
+            }
             Err(error) => {
                 info!(self.flow_log.log(), "message not encoded"; "cause" => %error);
             }
--- a/yuccacroft-segment/src/balancer/grounds.rs
+++ b/yuccacroft-segment/src/balancer/grounds.rs
@@ -5,7 +5,7 @@
     std::fmt::{Display, Formatter},
     yuccacroft_core::{
         ids::Instance,
-        pool::{Pool, ReachabilityCounts},
+        pool::{AgentPhase, Pool, ReachabilityCounts},
         search::{Evidence, Finding},
         steering::CachedFlow,
         time::{Moment, Span},
@@ -41,6 +41,8 @@
     OwnerLost {
         /// The owner.
         owner: Instance,
+        /// Its phase. An ended agent counts as lost after a shorter silence.
+        phase: Option<AgentPhase>,
         /// The time since its last message, or `None` if there was none.
         last_message: Option<Span>,
         /// The number of queries and offers that it has not answered.
@@ -74,6 +76,7 @@
                 let member = member.as_ref();
                 Self::OwnerLost {
                     owner: owner.instance,
+                    phase: member.map(|m| m.entry.phase),
                     last_message: member.and_then(|m| m.load(now)).map(|(_, age)| age),
                     unanswered: member.map_or(0, |m| m.unanswered_queries()),
                     silence: member.and_then(|m| m.unanswered_since()).map(|at| now.since(at)),
@@ -94,8 +97,11 @@
             Self::Search { evidence, last_agent } => {
                 serialize_evidence(evidence, *last_agent, serializer)
             }
-            Self::OwnerLost { owner, last_message, unanswered, silence } => {
+            Self::OwnerLost { owner, phase, last_message, unanswered, silence } => {
                 serializer.emit_arguments("owner", &format_args!("{owner}"))?;
+                if let Some(phase) = phase {
+                    serializer.emit_arguments("owner_phase", &format_args!("{phase:?}"))?;
+                }
                 emit_span(serializer, "owner_last_message", *last_message)?;
                 serializer.emit_u32("owner_unanswered", *unanswered)?;
                 emit_span(serializer, "owner_silence", *silence)
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -25,7 +25,7 @@
     tokio::sync::Notify,
     yuccacroft_core::{
         filter::FilterChain,
-        flow::FlowKey,
+        flow::{AgentId, FlowKey},
         ids::{Domain, Instance},
         pool::Pool,
         route::{ConfigVersion, TrafficClass},
@@ -46,6 +46,8 @@
 const MESSAGES_METRIC: &str = "yuccacroft_balancer_messages_total";
 /// Metric: bytes of datagrams without the headers of IP and UDP, labelled with direction and kind.
 const MESSAGE_BYTES_METRIC: &str = "yuccacroft_balancer_message_bytes_total";
+/// Metric: number of ticks of searches that were skipped because the query budget was used up.
+const SKIPPED_TICKS_METRIC: &str = "yuccacroft_balancer_skipped_search_ticks_total";
 
 /// The sockets and settings of a relay.
 #[derive(Debug)]
@@ -331,7 +333,10 @@
                 let steps = self.searches.apply_answer(key, reply.from, QueryAnswer::Owns, now);
                 match steps {
                     Some(steps) => self.perform(key, steps, now),
-                    None => self.table.set_owner(key, reply.from, now),
+                    None => {
+                        self.log_late_owner(key, reply.from, now);
+                        self.table.set_owner(key, reply.from, now);
+                    }
                 }
             }
             Body::Denies { key, unsure } => {
@@ -456,9 +461,20 @@
     ) {
         metrics::counter!(DECISIONS_METRIC, "outcome" => outcome, "cause" => cause).increment(1);
         if let Some(log) = self.flow_log.failure(now) {
-            info!(log, "not forwarded"; "flow" => %segment.flow, "outcome" => outcome,
-                "cause" => cause, "control" => ?segment.control, "version" => %self.version(),
-                Members(self.pool.count_by_reachability(now)), self.freshness.ages(now), grounds);
+            info!(log, "not forwarded"; "flow" => %segment.flow, "key" => %segment.flow.key(),
+                "outcome" => outcome, "cause" => cause, "control" => ?segment.control,
+                "version" => %self.version(), Members(self.pool.count_by_reachability(now)),
+                self.freshness.ages(now), grounds);
+        }
+    }
+
+    /// Logs that an agent owns a flow that was reset as lost.
+    fn log_late_owner(&self, key: FlowKey, owner: AgentId, now: Moment) {
+        let Some(CachedFlow::Lost { detected_at, .. }) = self.table.get(key) else { return };
+        metrics::counter!(DECISIONS_METRIC, "outcome" => "found late").increment(1);
+        if let Some(log) = self.flow_log.failure(now) {
+            info!(log, "owner found late"; "key" => %key, "owner" => %owner.instance,
+                "incarnation" => %owner.incarnation, "verdict_age" => %now.since(detected_at));
         }
     }
 
@@ -467,6 +483,7 @@
         let report = self.traffic.take(MESSAGES_METRIC, MESSAGE_BYTES_METRIC);
         let (times, skipped_ticks) =
             (self.response_times.take(), self.searches.take_skipped_ticks());
+        metrics::counter!(SKIPPED_TICKS_METRIC).increment(skipped_ticks);
         if report.total(Direction::Sent).messages == 0 {
             return;
         }
--- /dev/null
+++ b/yuccacroft-segment/tests/grounds.rs
@@ -0,0 +1,200 @@
+//! Tests of the fields that explain the reset of a flow in the log.
+
+use {
+    slog::{Drain, KV, Logger, OwnedKVList, Record, Serializer, info, o},
+    std::{
+        collections::BTreeMap,
+        fmt::Arguments,
+        net::SocketAddrV4,
+        sync::{Arc, Mutex},
+    },
+    yuccacroft_core::{
+        flow::AgentId,
+        ids::{Domain, Incarnation, Instance, Revision},
+        pool::{AgentEntry, AgentLoad, AgentPhase, Pool},
+        route::ServiceName,
+        search::{AgentFinding, Evidence, Finding},
+        steering::CachedFlow,
+        time::{Moment, Span},
+        units::Slots,
+    },
+    yuccacroft_segment::balancer::{
+        freshness::Freshness,
+        grounds::{Grounds, Members},
+    },
+};
+
+const START: Moment = Moment::new(1_000_000);
+
+type Fields = BTreeMap<String, String>;
+
+/// A drain that keeps the fields of its last line.
+#[derive(Clone, Debug, Default)]
+struct Capture(Arc<Mutex<Fields>>);
+
+struct FieldWriter<'a>(&'a mut Fields);
+
+impl Drain for Capture {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), slog::Never> {
+        let mut fields = self.0.lock().unwrap();
+        fields.clear();
+        record.kv().serialize(record, &mut FieldWriter(&mut fields)).unwrap();
+        Ok(())
+    }
+}
+
+impl Serializer for FieldWriter<'_> {
+    fn emit_arguments(&mut self, key: slog::Key, value: &Arguments<'_>) -> slog::Result {
+        let previous = self.0.insert(key.to_string(), value.to_string());
+        assert_eq!(previous, None, "{key} is written twice");
+        Ok(())
+    }
+}
+
+/// Returns the fields that these values add to a line.
+fn fields(values: impl KV) -> Fields {
+    let capture = Capture::default();
+    info!(Logger::root(capture.clone(), o!()), "line"; values);
+    let mut fields = capture.0.lock().unwrap();
+    std::mem::take(&mut *fields)
+}
+
+fn instance(number: u8) -> Instance {
+    Instance::new(SocketAddrV4::new([10, 0, 0, number].into(), 7000))
+}
+
+fn agent_id(number: u8) -> AgentId {
+    AgentId { instance: instance(number), incarnation: Incarnation::new(1) }
+}
+
+fn at(millis: u64) -> Moment {
+    START + Span::from_millis(millis)
+}
+
+fn pool(count: u8) -> Pool {
+    let pool = Pool::new();
+    for number in 1..=count {
+        let entry = AgentEntry {
+            agent_id: agent_id(number),
+            entry_version: 1,
+            target: ServiceName::new("booking").target(),
+            domain: Domain::new("a").unwrap(),
+            slots: Slots::new(2),
+            phase: AgentPhase::Ready,
+            succeeds: false,
+        };
+        pool.upsert(entry, START);
+    }
+    pool
+}
+
+fn finding(number: u8, finding: Finding, answer_age: u64, silence: u64) -> AgentFinding {
+    let age = |millis| (millis > 0).then(|| Span::from_millis(millis));
+    AgentFinding {
+        instance: instance(number),
+        finding,
+        answer_age: age(answer_age),
+        silence: age(silence),
+    }
+}
+
+/// Guards against a line about a search that gives numbers only: it must name the agents that did
+/// not deny, and what the search knew about the agent that had the flow before.
+#[test]
+fn a_search_names_the_agents_that_did_not_deny() {
+    let evidence = Evidence {
+        elapsed: Span::from_millis(1_300),
+        agents: Box::new([
+            finding(1, Finding::Denied, 1_200, 0),
+            finding(2, Finding::Lost, 0, 1_100),
+            finding(3, Finding::Lost, 0, 1_050),
+            finding(4, Finding::Removed, 0, 400),
+        ]),
+        queries: 4,
+        retries: 7,
+        skipped_ticks: 2,
+        ..Evidence::default()
+    };
+    let fields = fields(Grounds::Search { evidence, last_agent: Some(instance(3)) });
+    let value = |key: &str| fields.get(key).map(String::as_str);
+    assert_eq!(value("search_time"), Some("1300 ms"));
+    assert_eq!(value("denied"), Some("1"));
+    assert_eq!(value("excluded_lost"), Some("2"));
+    assert_eq!(value("removed"), Some("1"));
+    assert_eq!(value("unanswered"), Some("0"));
+    assert_eq!(value("lost_agents"), Some("10.0.0.2:7000,10.0.0.3:7000"));
+    assert_eq!(value("removed_agents"), Some("10.0.0.4:7000"));
+    assert_eq!(value("denied_agents"), None);
+    assert_eq!(value("oldest_denial"), Some("1200 ms"));
+    assert_eq!(value("longest_silence"), Some("1100 ms"));
+    assert_eq!(value("skipped_ticks"), Some("2"));
+    assert_eq!(value("last_agent"), Some("10.0.0.3:7000"));
+    assert_eq!(value("last_agent_finding"), Some("excluded_lost"));
+}
+
+/// Guards against lines that grow with the number of agents.
+#[test]
+fn the_number_of_named_agents_is_limited() {
+    let agents = (0..200).map(|number| finding(number, Finding::Lost, 0, 1_000)).collect();
+    let evidence = Evidence { agents, ..Evidence::default() };
+    let fields = fields(Grounds::Search { evidence, last_agent: None });
+    assert_eq!(fields["excluded_lost"], "200");
+    assert!(fields["lost_agents"].len() < 400, "{}", fields["lost_agents"]);
+    assert!(fields["lost_agents"].ends_with(",..."));
+}
+
+/// Guards against resets of a silent owner that do not tell how long it has been silent, and
+/// whether other members answer.
+#[test]
+fn a_lost_owner_is_described_by_its_silence() {
+    let pool = pool(3);
+    pool.record_load(agent_id(1), AgentLoad::default(), at(100));
+    for millis in [200, 300, 1_200] {
+        pool.record_query(instance(1), at(millis));
+    }
+    pool.record_query(instance(2), at(900));
+    let cached = CachedFlow::Owned { owner: agent_id(1), at: at(100) };
+    let owner = fields(Grounds::of_cached(Some(cached), &pool, at(1_250)));
+    assert_eq!(owner["owner"], "10.0.0.1:7000");
+    assert_eq!(owner["owner_phase"], "Ready");
+    assert_eq!(owner["owner_last_message"], "1150 ms");
+    assert_eq!(owner["owner_unanswered"], "3");
+    assert_eq!(owner["owner_silence"], "1050 ms");
+    let members = fields(Members(pool.count_by_reachability(at(1_250))));
+    let count = |key: &str| &*members[key];
+    assert_eq!(
+        [count("agents"), count("good"), count("suspect"), count("lost")],
+        ["3", "1", "1", "1"]
+    );
+}
+
+/// Guards against repeated resets of a lost flow whose lines hide the age of the verdict.
+#[test]
+fn a_lost_flow_is_described_by_the_age_of_the_verdict() {
+    let cached = CachedFlow::Lost { at: at(900), detected_at: at(100) };
+    let fields = fields(Grounds::of_cached(Some(cached), &pool(1), at(1_000)));
+    assert_eq!(fields["verdict_age"], "900 ms");
+}
+
+/// Guards against ages that begin at the wrong event: a change of the configuration is older than
+/// its last confirmation by the store.
+#[test]
+fn ages_tell_changes_from_confirmations() {
+    let freshness = Freshness::default();
+    assert!(!fields(freshness.ages(START)).contains_key("members_age"));
+    freshness.record_configuration(Revision::new(7), at(0));
+    freshness.record_configuration_applied(at(0));
+    freshness.record_configuration(Revision::new(9), at(800));
+    freshness.record_members(Revision::new(8), at(400));
+    freshness.record_stall(at(700));
+    let ages = fields(freshness.ages(at(1_100)));
+    assert_eq!(ages["version_age"], "1100 ms");
+    assert_eq!(ages["configuration_age"], "300 ms");
+    assert_eq!(ages["configuration_revision"], "9");
+    assert_eq!(ages["members_age"], "700 ms");
+    assert_eq!(ages["members_revision"], "8");
+    assert_eq!(ages["running"], "400 ms");
+}
--- a/yuccacroft/tests/platform/logs.rs
+++ b/yuccacroft/tests/platform/logs.rs
@@ -6,6 +6,7 @@
         BOOKING_SERVICE, Deployment, REQUEST_TIMEOUT, booking_address, default_behaviour,
     },
     std::time::{Duration, Instant},
+    yuccacroft_core::time::Span,
     yuccacroft_emulator::{
         caller::Failure, machine::Machine, operator::fetch, upstream::Behaviour,
     },
@@ -33,6 +34,19 @@
     }
 }
 
+/// Waits until the metrics of a machine contain a line. They are updated once a second.
+async fn wait_for_metric(machine: Machine, line: &str) {
+    let started_at = Instant::now();
+    loop {
+        let metrics = fetch(&SystemHost, machine.metrics(), "/metrics").await.unwrap().1;
+        if metrics.contains(line) {
+            return;
+        }
+        assert!(started_at.elapsed() < Duration::from_secs(5), "no {line} in {metrics}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Guards against resets that the logs do not explain. The request id must lead to the flow, the
 /// flow to the agent that reset it, and the log of that agent to the reason.
 #[tokio::test(flavor = "multi_thread")]
@@ -101,6 +115,135 @@
     assert!((180_000..400_000).contains(&micros), "{slow_line}");
 }
 
+/// Returns the value of a field of a log line in microseconds.
+fn micros(line: &str, name: &str) -> u64 {
+    field(line, name)
+        .parse::<Span>()
+        .unwrap_or_else(|error| panic!("{error} in {line}"))
+        .as_micros()
+}
+
+/// Ends an agent and its upstream without notice.
+async fn crash_machine(deployment: &mut Deployment, index: usize) {
+    deployment.agents[index].node.kill();
+    deployment.crash_upstream(index).await;
+}
+
+/// Waits for a line about a reset with this cause and returns it.
+async fn reset_line(deployment: &Deployment, cause: &str) -> String {
+    let (event, cause) = ("event=\"not forwarded\"", format!("cause=\"{cause}\""));
+    let texts = [event, &cause, "outcome=reset"];
+    let is_logged = || !lines(&deployment.logs(), &texts).is_empty();
+    deployment.wait_until("the line about the reset", is_logged).await;
+    lines(&deployment.logs(), &texts).swap_remove(0)
+}
+
+/// Guards against resets of silent owners whose lines do not show how long the owner was silent,
+/// whether others answered, and how old the balancer's knowledge was.
+#[tokio::test(flavor = "multi_thread")]
+async fn logs_trace_a_reset_to_a_silent_owner() {
+    let mut deployment = Deployment::start("log-silent", 1, 2).await;
+    let mut board = deployment.callers.open(booking_address()).await.unwrap();
+    board.request("first", REQUEST_TIMEOUT).await.unwrap();
+    let owner = deployment.upstreams_that_ran("first")[0];
+    let address = deployment.agents[owner].node.machine.segments().to_string();
+    // The restarted balancer learns the owner by a search. Before, it only knew the offer.
+    deployment.balancers[0].restart();
+    deployment.wait_for_readiness(0, true).await;
+    board.request("second", REQUEST_TIMEOUT).await.unwrap();
+    crash_machine(&mut deployment, owner).await;
+    let is_lost = |logs: &str| !lines(logs, &["event=\"reach changed\"", "reach=Lost"]).is_empty();
+    deployment.wait_until("the loss of the agent", || is_lost(&deployment.logs())).await;
+    assert_eq!(board.request("third", REQUEST_TIMEOUT).await.unwrap_err(), Failure::Reset);
+    let line = reset_line(&deployment, "owner lost").await;
+    assert_eq!(field(&line, "owner"), address);
+    assert_eq!((field(&line, "good"), field(&line, "lost")), ("1", "1"), "{line}");
+    assert!(micros(&line, "owner_silence") >= 1_000_000, "{line}");
+    assert!(micros(&line, "owner_last_message") >= micros(&line, "owner_silence"), "{line}");
+    assert!(field(&line, "owner_unanswered").parse::<u32>().unwrap() >= 2, "{line}");
+    assert!(micros(&line, "members_age") < micros(&line, "running"), "{line}");
+    assert!(micros(&line, "version_age") < micros(&line, "running"), "{line}");
+}
+
+/// Guards against searches whose lines do not tell denials from silence: the line must name the
+/// agent that was excluded for its silence.
+#[tokio::test(flavor = "multi_thread")]
+async fn logs_trace_a_reset_to_the_answers_of_a_search() {
+    let mut deployment = Deployment::start("log-search", 1, 2).await;
+    let mut board = deployment.callers.open(booking_address()).await.unwrap();
+    board.request("first", REQUEST_TIMEOUT).await.unwrap();
+    let owner = deployment.upstreams_that_ran("first")[0];
+    let address = deployment.agents[owner].node.machine.segments().to_string();
+    crash_machine(&mut deployment, owner).await;
+    deployment.balancers[0].restart();
+    deployment.wait_for_readiness(0, true).await;
+    assert_eq!(board.request("second", REQUEST_TIMEOUT).await.unwrap_err(), Failure::Reset);
+    let line = reset_line(&deployment, "all agents denied").await;
+    assert_eq!((field(&line, "denied"), field(&line, "excluded_lost")), ("1", "1"), "{line}");
+    assert_eq!(field(&line, "lost_agents"), address, "{line}");
+    assert_eq!(field(&line, "unanswered"), "0", "{line}");
+    assert!(micros(&line, "longest_silence") >= 1_000_000, "{line}");
+    assert!(micros(&line, "oldest_denial") <= micros(&line, "search_time"), "{line}");
+}
+
+/// Guards against searches without a result whose lines do not name the agents that did not answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn logs_trace_a_dropped_segment_to_a_search_without_end() {
+    let mut deployment = Deployment::start("log-timeout", 1, 1).await;
+    let mut board = deployment.callers.open(booking_address()).await.unwrap();
+    board.request("first", REQUEST_TIMEOUT).await.unwrap();
+    let address = deployment.agents[0].node.machine.segments().to_string();
+    crash_machine(&mut deployment, 0).await;
+    deployment.balancers[0].restart();
+    board.request("second", REQUEST_TIMEOUT).await.unwrap_err();
+    let texts = ["event=\"not forwarded\"", "cause=\"search without end\""];
+    let is_logged = || !lines(&deployment.logs(), &texts).is_empty();
+    deployment.wait_until("the line about the search", is_logged).await;
+    let line = &lines(&deployment.logs(), &texts)[0];
+    assert_eq!(field(line, "outcome"), "drop");
+    assert_eq!(field(line, "denied"), "0", "{line}");
+    assert_eq!(field(line, "lost_agents"), address, "{line}");
+    assert!(micros(line, "search_time") >= 3_000_000, "{line}");
+}
+
+/// Guards against a balancer whose messages cannot be told by kind: the line about traffic and the
+/// metrics of both roles must show them.
+#[tokio::test(flavor = "multi_thread")]
+async fn logs_and_metrics_show_messages_by_kind() {
+    let deployment = Deployment::start("log-traffic", 1, 1).await;
+    deployment.request("first").await;
+    let texts = ["event=traffic", "offer:", "took:", "ping:", "load:", "caller:"];
+    let is_logged = || !lines(&deployment.logs(), &texts).is_empty();
+    deployment.wait_until("the line about traffic", is_logged).await;
+    let line = &lines(&deployment.logs(), &texts)[0];
+    let number = |name: &str| field(line, name).parse::<u64>().unwrap();
+    let totals = |name: &str| {
+        let volumes = field(line, name).split(' ').map(|entry| entry.split_once(':').unwrap().1);
+        let volumes = volumes.map(|volume| volume.split_once('/').unwrap());
+        volumes.fold((0, 0), |(messages, bytes), (more_messages, more_bytes)| {
+            let parse = |text: &str| text.parse::<u64>().unwrap();
+            (messages + parse(more_messages), bytes + parse(more_bytes))
+        })
+    };
+    assert_eq!(totals("sent"), (number("sent_messages"), number("sent_bytes")), "{line}");
+    let received = (number("received_messages"), number("received_bytes"));
+    assert_eq!(totals("received"), received, "{line}");
+    assert!(number("responses") >= 1, "{line}");
+    assert!(micros(line, "response_median") <= micros(line, "response_max"), "{line}");
+    for (machine, counter) in [
+        (
+            deployment.balancers[0].machine,
+            "yuccacroft_balancer_messages_total{direction=\"sent\",kind=\"offer\"} 1",
+        ),
+        (
+            deployment.agents[0].node.machine,
+            "yuccacroft_agent_messages_total{direction=\"received\",kind=\"offer\"} 1",
+        ),
+    ] {
+        wait_for_metric(machine, counter).await;
+    }
+}
+
 /// Guards against state dumps that do not show what a process knows about agents, flows and its
 /// upstream.
 #[tokio::test(flavor = "multi_thread")]
@@ -122,17 +265,5 @@
     let agent = dump(machine).await;
     assert_eq!(agent["upstream"]["id"], format!("upstream-{owner}"));
     assert_eq!(agent["load"]["open"], 1);
-    // These metrics are updated once a second.
-    let is_shown = async || {
-        let metrics = fetch(&SystemHost, machine.metrics(), "/metrics").await.unwrap().1;
-        metrics.contains("yuccacroft_agent_open_flows 1")
-    };
-    let started_at = Instant::now();
-    while !is_shown().await {
-        assert!(
-            started_at.elapsed() < Duration::from_secs(5),
-            "the metric of open flows is missing"
-        );
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
+    wait_for_metric(machine, "yuccacroft_agent_open_flows 1").await;
 }
