--- a/yuccacroft-core/src/handshake/observation.rs
+++ b/yuccacroft-core/src/handshake/observation.rs
@@ -1,7 +1,10 @@
 //! Read-only views of the flow table for logs.
 
 use {
-    super::{Entry, FlowTable, State},
+    super::{
+        state::{Entry, State},
+        table::FlowTable,
+    },
     crate::{
         flow::FlowKey,
         segment::Sequence,
