--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -3,7 +3,9 @@
 use yuccacroft_core::{
     flow::{AgentId, FlowKey},
     ids::{Domain, Incarnation, Instance},
-    pool::{AgentEntry, AgentLoad, AgentPhase, Pool, Reachability, UpsertResult},
+    pool::{
+        AgentEntry, AgentLoad, AgentPhase, Pool, Reachability, ReachabilityCounts, UpsertResult,
+    },
     route::{ServiceName, Target},
     time::{Moment, Span},
     units::{Connections, Percent, Slots},
@@ -136,7 +138,6 @@
     pool.record_query(instance(4), at(100));
     assert!(pool.is_silence_conclusive(at(1_200)), "the others answer in time");
     answer(&pool, 1..=3, 1_000, 400);
-    pool.check_path(at(1_400));
     assert!(!pool.is_silence_conclusive(at(1_400)));
     // Answers in time do not excuse the silence before them.
     answer(&pool, 1..=3, 1_500, 2);
@@ -160,6 +161,27 @@
     assert!(!pool.is_silence_conclusive(at(1_100)));
 }
 
+/// Guards against resets in the first milliseconds after a cut of several seconds: the first answers
+/// arrive while most members are still silent (issue 20: 62 of 63 agents counted as lost, and the
+/// denial of the newest one decided).
+#[test]
+fn silence_proves_nothing_right_after_a_cut() {
+    let pool = pool(8);
+    answer(&pool, 1..=8, 0, 2);
+    assert!(pool.is_silence_conclusive(at(100)));
+    for number in 1..=8 {
+        pool.record_query(instance(number), at(200));
+    }
+    assert!(!pool.is_silence_conclusive(at(4_200)));
+    for number in 1..=4 {
+        pool.record_answer(entry(number, 1, 1).agent_id, load(0, 20), at(4_300));
+        pool.record_query(instance(number), at(4_301));
+        pool.record_answer(entry(number, 1, 1).agent_id, load(0, 20), at(4_302));
+    }
+    assert!(!pool.is_silence_conclusive(at(4_303)), "the path has only just recovered");
+    assert!(pool.is_silence_conclusive(at(5_303)), "the others had time to answer");
+}
+
 /// Guards against callers that wait for flows of machines that have failed together while the others
 /// answer.
 #[test]
@@ -181,7 +203,6 @@
     pool.sync_listing(|listed| listed != instance(3), START);
     pool.record_query(instance(3), at(2_000));
     answer(&pool, 1..=2, 3_000, 600);
-    pool.check_path(at(3_600));
     assert!(pool.expire(at(3_600)).is_empty());
     answer(&pool, 1..=2, 4_600, 2);
     assert_eq!(pool.expire(at(4_700)), [entry(3, 1, 1).agent_id]);
@@ -358,3 +379,22 @@
     let spread: Vec<_> = (0..40).filter_map(|key| first(&pool, key, at(50))).collect();
     assert!(spread.contains(&instance(1)) && spread.contains(&instance(2)));
 }
+
+/// Guards against logs that show how much a member owes wrongly: each of its messages settles all
+/// earlier queries.
+#[test]
+fn unanswered_queries_count_since_the_last_message() {
+    let pool = pool(2);
+    assert_eq!(pool.unanswered_time(instance(1), at(10)), None);
+    pool.record_query(instance(1), at(10));
+    pool.record_offer(instance(1), at(400));
+    assert_eq!(pool.unanswered_time(instance(1), at(500)), Some(Span::from_millis(490)));
+    let member = pool.get(instance(1)).unwrap();
+    assert_eq!((member.unanswered_queries(), member.unanswered_since()), (2, Some(at(10))));
+    let counts = ReachabilityCounts { good: 1, suspect: 1, lost: 0 };
+    assert_eq!(pool.count_by_reachability(at(500)), counts);
+    pool.record_load(entry(1, 1, 1).agent_id, load(0, 20), at(600));
+    let member = pool.get(instance(1)).unwrap();
+    assert_eq!((member.unanswered_queries(), member.unanswered_since()), (0, None));
+    assert_eq!(pool.unanswered_time(instance(9), at(600)), None);
+}
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -10,7 +10,7 @@
 
 use {
     super::chain::{self, AgentState, ReceivedSegment},
-    crate::{flow_log::FlowLog, host::Socket},
+    crate::{flow_log::FlowLog, host::Socket, traffic::Traffic},
     std::{
         net::SocketAddrV4,
         sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64},
@@ -54,6 +54,8 @@
     pub clock: Clock,
     /// The rate-limited log of flow events.
     pub flow_log: FlowLog,
+    /// The messages since the last update of the metrics.
+    traffic: Traffic,
     /// The balancers and the times of their last messages.
     balancers: Shards<SocketAddrV4, Moment>,
     /// The version of the entry in the store, and when it was written or last found there.
@@ -80,6 +82,7 @@
             entry_unlisted: Notify::new(),
             clock,
             flow_log,
+            traffic: Traffic::default(),
             balancers: Shards::with_shards(1),
             written_entry: Mutex::default(),
             config_version: AtomicU64::new(0),
--- a/yuccacroft-segment/src/agent/relay/backlog.rs
+++ b/yuccacroft-segment/src/agent/relay/backlog.rs
@@ -11,7 +11,6 @@
         route::TrafficClass,
         segment::{Format, Segment},
         time::Moment,
-        upstream::ConnectResult,
     },
     yuccacroft_wire::relay::Body,
 };
@@ -71,9 +70,7 @@
 
     pub(super) fn forward(&self, datagram: &[u8], now: Moment) {
         self.state.monitor().record_data(now);
-        if !self.setup.upstream.send_connected(datagram) {
-            self.apply_port_check(ConnectResult::Refused, now);
-        }
+        self.send_to_upstream(datagram, now);
     }
 
     pub(super) fn log_released(&self, datagrams: &[Box<[u8]>], now: Moment) {
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -5,7 +5,10 @@
         super::chain::{Context, ReceivedSegment},
         DECISIONS_METRIC, Relay,
     },
-    crate::host::Socket,
+    crate::{
+        host::Socket,
+        traffic::{Direction, Kind},
+    },
     slog::info,
     std::net::SocketAddrV4,
     yuccacroft_core::{
@@ -26,6 +29,8 @@
             Ok(message) => message,
             Err(error) => return self.log_junk("messages", &error, now),
         };
+        let kind = Kind::of_request(&request, false);
+        self.traffic.record(Direction::Received, kind, datagram.len());
         let context = match request {
             Request::Ping { listed, version } => return self.send_pong(from, listed, version, now),
             Request::Offer { target, origin, rest, hops } => {
@@ -124,12 +129,7 @@
             Action::Confirm { flow, origin } => {
                 self.reply(origin, Body::Owns(flow.key()), &[], now);
             }
-            Action::Expire { flow, accepted } => {
-                metrics::counter!(DECISIONS_METRIC, "outcome" => "expire").increment(1);
-                if let Some(log) = self.flow_log.failure(now) {
-                    info!(log, "accepted flow expired"; "flow" => %flow, "accepted" => %accepted);
-                }
-            }
+            Action::Expire { flow, accepted } => self.log_expired(flow, accepted, now),
         }
     }
 
@@ -144,6 +144,11 @@
                 _ => {}
             }
         }
+        self.send_to_upstream(datagram, now);
+    }
+
+    pub(super) fn send_to_upstream(&self, datagram: &[u8], now: Moment) {
+        self.traffic.record(Direction::Sent, Kind::Upstream, datagram.len());
         if !self.setup.upstream.send_connected(datagram) {
             self.apply_port_check(ConnectResult::Refused, now);
         }
@@ -166,7 +171,7 @@
         }
         let target = target.unwrap_or(self.state.target);
         let Offer { origin, rest, hops } = offer;
-        self.send(to, &Request::Offer { target, origin, rest, hops }, datagram);
+        self.send(Kind::Offer, to, &Request::Offer { target, origin, rest, hops }, datagram);
     }
 
     pub(super) fn refuse(&self, flow: Flow, origin: SocketAddrV4, datagram: &[u8], now: Moment) {
--- a/yuccacroft-segment/src/agent/relay/log.rs
+++ b/yuccacroft-segment/src/agent/relay/log.rs
@@ -14,6 +14,8 @@
 
 /// Metric: number of undecodable datagrams and socket errors, labelled with the source.
 const JUNK_METRIC: &str = "yuccacroft_agent_junk_total";
+/// Metric: number of accepted flows whose callers sent no segment to this agent.
+const EXPIRED_FLOWS_METRIC: &str = "yuccacroft_agent_expired_flows_total";
 
 impl<F: Format, S: Socket> Relay<F, S> {
     /// Logs an event of a request with its id and its flow.
@@ -52,8 +54,8 @@
         }
     }
 
-    /// Logs the denial of a flow that was offered to this agent. The caller has accepted it
-    /// elsewhere, unless the acknowledged sequence number follows the accepted one.
+    /// Logs the denial of a flow that was offered to this agent. The caller has acknowledged
+    /// another upstream, unless `acknowledged` is one above `accepted`.
     pub(super) fn log_offered_denial(
         &self,
         key: FlowKey,
@@ -69,6 +71,15 @@
         }
     }
 
+    /// Logs that a flow was removed whose caller has sent no segment to this agent since the
+    /// upstream accepted it.
+    pub(super) fn log_expired(&self, flow: Flow, accepted: Sequence, now: Moment) {
+        metrics::counter!(EXPIRED_FLOWS_METRIC).increment(1);
+        if let Some(log) = self.flow_log.failure(now) {
+            info!(log, "accepted flow expired"; "flow" => %flow, "accepted" => accepted.get());
+        }
+    }
+
     pub(super) fn log_junk(
         &self,
         source: &'static str,
--- a/yuccacroft-segment/src/agent/relay/outbound.rs
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -2,7 +2,10 @@
 
 use {
     super::Relay,
-    crate::host::Socket,
+    crate::{
+        host::Socket,
+        traffic::{Direction, Kind},
+    },
     slog::info,
     std::net::SocketAddrV4,
     yuccacroft_core::{
@@ -22,6 +25,7 @@
 impl<F: Format, S: Socket> Relay<F, S> {
     pub(super) fn handle_outbound(&self, datagram: &mut [u8]) {
         let now = self.clock.now();
+        self.traffic.record(Direction::Received, Kind::Upstream, datagram.len());
         match self.format.parse_outbound(datagram) {
             Ok(Outbound::Reply(segment)) => {
                 self.record_activity(now);
@@ -35,7 +39,7 @@
                         self.log_request("slow answer", &segment, datagram, Some(time), now);
                     }
                 }
-                self.send_to_caller(segment.flow, datagram);
+                self.send_to_caller(Kind::Caller, segment.flow, datagram);
                 self.release_waiting(now);
             }
             Ok(Outbound::Bounced(segment)) => {
@@ -79,7 +83,8 @@
         }
     }
 
-    pub(super) fn send_to_caller(&self, flow: Flow, datagram: &[u8]) {
+    pub(super) fn send_to_caller(&self, kind: Kind, flow: Flow, datagram: &[u8]) {
+        self.traffic.record(Direction::Sent, kind, datagram.len());
         let caller = SocketAddrV4::new(*flow.caller.ip(), self.setup.caller_port);
         self.setup.messages.send(datagram, caller);
     }
--- a/yuccacroft-segment/src/agent/relay/reply.rs
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -2,7 +2,10 @@
 
 use {
     super::Relay,
-    crate::host::Socket,
+    crate::{
+        host::Socket,
+        traffic::{Direction, Kind},
+    },
     slog::info,
     std::{net::SocketAddrV4, sync::atomic::Ordering},
     yuccacroft_core::{
@@ -67,12 +70,21 @@
         let version = ConfigVersion::new(self.config_version.load(Ordering::Relaxed));
         let age = self.state.age(now);
         let reply = Reply { from: self.setup.agent_id, load: self.load(now), age, version, body };
-        self.send(to, &reply, segment);
+        self.send(Kind::of_reply(&reply.body), to, &reply, segment);
     }
 
-    pub(super) fn send<T: serde::Serialize>(&self, to: SocketAddrV4, message: &T, segment: &[u8]) {
+    pub(super) fn send<T: serde::Serialize>(
+        &self,
+        kind: Kind,
+        to: SocketAddrV4,
+        message: &T,
+        segment: &[u8],
+    ) {
         match relay::encode(message, segment) {
-            Ok(datagram) => self.setup.messages.send(&datagram, to),
+            Ok(datagram) => {
+                self.traffic.record(Direction::Sent, kind, datagram.len());
+                self.setup.messages.send(&datagram, to);
+            }
             Err(error) => {
                 info!(self.flow_log.log(), "message not encoded"; "cause" => %error);
             }
--- a/yuccacroft-segment/src/agent/relay/reset.rs
+++ b/yuccacroft-segment/src/agent/relay/reset.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Relay,
-    crate::host::Socket,
+    crate::{host::Socket, traffic::Kind},
     slog::info,
     yuccacroft_core::{
         handshake::LostFlow,
@@ -56,6 +56,6 @@
     pub(super) fn reset(&self, flow: Flow, sequence: Sequence, cause: &'static str, now: Moment) {
         self.log_not_delivered(flow, "reset", cause, now);
         let datagram = self.format.encode_reset(flow, sequence);
-        self.send_to_caller(flow, &datagram);
+        self.send_to_caller(Kind::Reset, flow, &datagram);
     }
 }
--- a/yuccacroft-segment/src/agent/relay/status.rs
+++ b/yuccacroft-segment/src/agent/relay/status.rs
@@ -13,6 +13,10 @@
 const ACTIVE_REQUESTS_METRIC: &str = "yuccacroft_agent_active_requests";
 /// Metric: number of requests that wait for the upstream.
 const WAITING_REQUESTS_METRIC: &str = "yuccacroft_agent_waiting_requests";
+/// Metric: number of datagrams, labelled with direction and kind.
+const MESSAGES_METRIC: &str = "yuccacroft_agent_messages_total";
+/// Metric: bytes of datagrams without the headers of IP and UDP, labelled with direction and kind.
+const MESSAGE_BYTES_METRIC: &str = "yuccacroft_agent_message_bytes_total";
 
 impl<F: Format, S: Socket> Relay<F, S> {
     /// Returns a dump of the agent's state.
@@ -46,10 +50,11 @@
         }
     }
 
-    /// Updates the gauges.
-    pub fn update_gauges(&self) {
+    /// Updates the gauges and the counters of messages.
+    pub fn update_metrics(&self) {
         metrics::gauge!(OPEN_FLOWS_METRIC).set(f64::from(self.state.table.open_flows().get()));
         metrics::gauge!(ACTIVE_REQUESTS_METRIC).set(f64::from(self.state.table.active_requests()));
         metrics::gauge!(WAITING_REQUESTS_METRIC).set(self.state.backlog().len() as f64);
+        self.traffic.take(MESSAGES_METRIC, MESSAGE_BYTES_METRIC);
     }
 }
