--- a/yuccacroft-core/src/lib.rs
+++ b/yuccacroft-core/src/lib.rs
@@ -10,6 +10,7 @@
 mod derive;
 
 pub mod admission;
+pub mod arrival;
 pub mod backlog;
 pub mod capacity;
 pub mod contract;
@@ -27,6 +28,7 @@
 pub mod key;
 pub mod lease;
 pub mod member;
+pub mod opening;
 pub mod ownership;
 pub mod placement;
 pub mod pool;
--- a/yuccacroft-core/src/segment.rs
+++ b/yuccacroft-core/src/segment.rs
@@ -50,7 +50,8 @@
     pub control: Control,
     /// The position of the first data byte.
     pub sequence: Sequence,
-    /// The position up to which the sender has received the stream of the other end.
+    /// The position up to which the sender has received the stream of the other end. For an opening
+    /// segment, see [`Segment::copy_number`].
     pub acknowledged: Sequence,
     /// The number of data bytes.
     pub length: u16,
@@ -95,6 +96,14 @@
     fn encode_reset(&self, flow: Flow, sequence: Sequence) -> Vec<u8>;
 }
 
+impl Segment {
+    /// Returns how many copies of an opening segment its caller sent before this one. An opening
+    /// segment acknowledges nothing, so this field carries the count.
+    pub const fn copy_number(&self) -> u32 {
+        self.acknowledged.get()
+    }
+}
+
 impl Flow {
     /// Returns the key of the flow, which is the same in all processes.
     pub fn key(&self) -> FlowKey {
--- a/yuccacroft-segment/src/balancer/chain.rs
+++ b/yuccacroft-segment/src/balancer/chain.rs
@@ -27,6 +27,8 @@
     pub segment: Segment,
     /// The key of its flow.
     pub key: FlowKey,
+    /// The earliest time at which the segment may have arrived.
+    pub arrived_at: Moment,
     /// The time of the decision.
     pub now: Moment,
     /// The service of the flow, chosen by the route of its address; `None` until the chain has
@@ -83,7 +85,14 @@
     /// Creates the input of the chain for a segment.
     pub fn new(segment: Segment, now: Moment) -> Self {
         let key = segment.flow.key();
-        Self { segment, key, now, target: None, preferred: None, avoided: None }
+        let arrived_at = now;
+        Self { segment, key, arrived_at, now, target: None, preferred: None, avoided: None }
+    }
+
+    /// Sets the earliest time at which the segment may have arrived, if that is before the
+    /// decision.
+    pub fn with_arrival(self, arrived_at: Moment) -> Self {
+        Self { arrived_at, ..self }
     }
 
     fn is_opening(&self) -> bool {
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -128,6 +128,7 @@
                 self.relay.pool.restart_timeouts(now);
             }
             last_tick = now;
+            self.relay.arrivals.tick(now);
             ticks += 1;
             self.relay.retry_pending(now);
             self.relay.tick_searches(now);
@@ -225,6 +226,7 @@
             let idle_timeout = chain::current_routes(&self.relay.current_routes)
                 .and_then(|routes| routes.idle_timeout);
             self.relay.table.expire(idle_timeout, now);
+            self.relay.openings.expire(now);
             self.relay.searches.expire(now);
             self.update_gauges();
         }
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -17,9 +17,11 @@
     },
     tokio::sync::Notify,
     yuccacroft_core::{
+        arrival::ArrivalEstimator,
         filter::FilterChain,
         flow::FlowKey,
         ids::{Domain, Instance},
+        opening::OpeningTable,
         pool::Pool,
         route::{ConfigVersion, TrafficClass},
         search::QueryAnswer,
@@ -58,6 +60,8 @@
     chain: FilterChain<ReceivedSegment, Decision>,
     /// The known flows.
     pub table: Arc<SteeringTable>,
+    /// The opening segments that were offered to agents.
+    pub openings: OpeningTable,
     /// The known agents.
     pub pool: Arc<Pool>,
     /// The configuration in force.
@@ -71,6 +75,8 @@
     pub config_outdated: Notify,
     /// The clock that all decisions use.
     pub clock: Clock,
+    /// Estimates when the segments arrived that are read now.
+    pub arrivals: ArrivalEstimator,
     /// The rate-limited log of flow events.
     pub flow_log: FlowLog,
     /// The time of the last segment from a caller, in microseconds.
@@ -95,12 +101,14 @@
             setup,
             chain,
             table,
+            openings: OpeningTable::new(),
             pool,
             current_routes,
             searches: Searches::default(),
             pending: PendingSegments::default(),
             config_outdated: Notify::new(),
             clock,
+            arrivals: ArrivalEstimator::new(),
             flow_log,
             last_segment: AtomicU64::new(0),
             agents_complete_at: AtomicU64::new(u64::MAX),
@@ -176,7 +184,7 @@
             }
         };
         self.last_segment.store(now.get(), Ordering::Relaxed);
-        self.process(segment, datagram, now, now);
+        self.process(segment, datagram, self.arrivals.earliest_arrival(now), now);
     }
 
     /// Runs the filter chain again for all waiting segments. Expired ones are dropped.
@@ -192,14 +200,14 @@
         }
     }
 
-    /// Runs the filter chain for a segment that was received at `received_at`.
-    fn process(&self, segment: Segment, datagram: &[u8], received_at: Moment, now: Moment) {
-        let mut received = ReceivedSegment::new(segment, now);
+    /// Runs the filter chain for a segment that arrived at `arrived_at` at the earliest.
+    fn process(&self, segment: Segment, datagram: &[u8], arrived_at: Moment, now: Moment) {
+        let mut received = ReceivedSegment::new(segment, now).with_arrival(arrived_at);
         let decision = self.chain.run(&mut received).unwrap_or(Decision::Search);
         let Decision::Wait(cause) = decision else {
             return self.apply_decision(&received, decision, datagram, now);
         };
-        if !self.pending.add(&segment, datagram, cause, received_at) {
+        if !self.pending.add(&segment, datagram, cause, arrived_at) {
             self.log_not_forwarded(&segment, "drop", cause, now);
         }
     }
@@ -221,6 +229,8 @@
                 metrics::counter!(DECISIONS_METRIC, "outcome" => "offer").increment(1);
                 let (first, rest) = (candidates[0], candidates[1..].into());
                 self.table.record_offer(received.key, first, now);
+                let copy = segment.copy_number();
+                self.openings.record_offer(received.key, copy, received.arrived_at, now);
                 self.pool.record_offer(first, now);
                 self.log_offer(segment, first, now);
                 let origin = self.setup.origin;
@@ -323,13 +333,15 @@
         }
     }
 
-    /// Handles an opening segment that no agent took and that was sent back.
+    /// Handles an opening segment that no agent took and that was sent back. The flow is reset only
+    /// if no agent can have taken another copy of the segment; otherwise the caller repeats it.
     fn handle_refused(&self, datagram: &[u8], now: Moment) {
         let Ok(segment) = self.format.parse_inbound(datagram) else {
             metrics::counter!(JUNK_METRIC, "source" => "agents").increment(1);
             return;
         };
         let key = segment.flow.key();
+        let is_proof = self.openings.record_refusal(key, segment.copy_number(), now);
         if matches!(self.table.get(key), Some(CachedFlow::Owned { .. })) {
             return;
         }
@@ -338,6 +350,10 @@
             self.log_not_forwarded(&segment, "drop", "agents not known yet", now);
             return;
         }
+        if !is_proof {
+            self.log_not_forwarded(&segment, "drop", "another copy may be taken", now);
+            return;
+        }
         self.reset(&segment, "no agent took the flow", now);
     }
 
--- a/yuccacroft/tests/platform/losses.rs
+++ b/yuccacroft/tests/platform/losses.rs
@@ -9,6 +9,8 @@
 };
 
 const BOARDS: usize = 6;
+/// Time after the last message of a balancer until agents send it their load no longer.
+const LOAD_SUBSCRIPTION_TIME: Duration = Duration::from_millis(3_300);
 
 /// Opens flows and sends a first request on each.
 async fn open_boards(deployment: &Deployment) -> Vec<Connection> {
@@ -142,3 +144,35 @@
     assert!(started_at.elapsed() < Duration::from_millis(2_500), "{:?}", started_at.elapsed());
     deployment.request("a new flow").await;
 }
+
+/// Guards against a balancer that was suspended and then resets an open flow: the first copy of an
+/// opening packet waited in its socket and no agent that it knows takes it, while another balancer
+/// got the second copy and found an agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_balancer_that_was_suspended_resets_no_flow_of_another_balancer() {
+    let mut deployment = Deployment::start("suspended", 2, 1).await;
+    let machines: Vec<_> = deployment.balancers.iter().map(|node| node.machine).collect();
+    deployment.balancers[0].signal("STOP");
+    // The agent sends its load to no balancer that has been silent for so long, so that the
+    // suspended one does not learn that the agent no longer takes flows.
+    tokio::time::sleep(LOAD_SUBSCRIPTION_TIME).await;
+    let agent = deployment.start_agent(1, BOOKING_SERVICE).await;
+    deployment.agents.push(agent);
+    let knows_new_agent =
+        |d: &Deployment| d.balancers[1].log().matches("change=Joined").count() == 2;
+    deployment.wait_until("the new agent", || knows_new_agent(&deployment)).await;
+    assert!(deployment.upstream(0).drain().await, "the drain was not confirmed");
+    deployment.callers.set_balancers(&machines[..1]);
+    let switch = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        deployment.callers.set_balancers(&machines[1..]);
+    };
+    let (board, ()) = tokio::join!(deployment.callers.open(booking_address()), switch);
+    let mut board = board.expect("the second copy opens the flow");
+    deployment.balancers[0].signal("CONT");
+    let has_handled_copy = |d: &Deployment| d.balancers[0].log().contains("control=Open");
+    deployment.wait_until("the first copy", || has_handled_copy(&deployment)).await;
+    if let Err(failure) = board.request("board", REQUEST_TIMEOUT).await {
+        panic!("{failure:?}\n{}", deployment.logs());
+    }
+}
