--- a/yuccacroft/tests/platform/deployment.rs
+++ b/yuccacroft/tests/platform/deployment.rs
@@ -246,8 +246,15 @@
     }
 }
 
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
+        // No process may write to the folder while it is removed.
         self.balancers.iter_mut().for_each(Node::kill);
         self.agents.iter_mut().for_each(|agent| agent.node.kill());
         // The logs can be removed, since the message of a failed test contains them.
