--- a/yuccacroft-fakes/src/lib.rs
+++ b/yuccacroft-fakes/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod request_simulation;
 pub mod store;
 pub mod tcp_proxy;
+pub mod udp_relay;
 pub mod upstream;
--- a/yuccacroft/tests/platform/deployment.rs
+++ b/yuccacroft/tests/platform/deployment.rs
@@ -133,6 +133,16 @@
         AgentWithUpstream { node, upstream: Some(upstream) }
     }
 
+    /// Returns the machine with this number.
+    pub fn machine(&self, number: u8) -> Machine {
+        self.network.machine(number)
+    }
+
+    /// Starts another, empty store on a machine.
+    pub async fn start_store(&self, number: u8) -> Store {
+        Store::start(&SystemHost, self.machine(number).store()).await.unwrap()
+    }
+
     /// Records that an unplanned fault affects the machine of an agent.
     pub fn record_disturbance(&self, index: usize) {
         self.invariants.record_disturbance(self.agents[index].node.machine.ip());
--- a/yuccacroft/tests/platform/main.rs
+++ b/yuccacroft/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod deployment;
 mod fault_free;
+mod late_answers;
 mod logs;
 mod losses;
 mod soak;
