--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -51,7 +51,7 @@
     Draining,
 }
 
-/// A status report of an upstream.
+/// A report of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamReport {
     /// The id of the upstream.
--- a/yuccacroft-segment/src/platform.rs
+++ b/yuccacroft-segment/src/platform.rs
@@ -67,7 +67,7 @@
     fn is_ready(&self) -> bool;
 }
 
-/// Receives the status reports of upstreams. A call is processed when the method returns.
+/// Receives the reports of upstreams. A call is processed when the method returns.
 pub trait ReportHandler: Send + Sync {
     /// Handles a report.
     fn handle_report(&self, report: UpstreamReport);
--- a/yuccacroft/tests/platform/deployment.rs
+++ b/yuccacroft/tests/platform/deployment.rs
@@ -134,8 +134,8 @@
     }
 
     /// Records that an unplanned fault affects the machine of an agent.
-    pub fn record_disturbance(&self, index: usize) {
-        self.invariants.record_disturbance(self.agents[index].node.machine.ip());
+    pub fn record_disruption(&self, index: usize) {
+        self.invariants.record_disruption(self.agents[index].node.machine.ip());
     }
 
     /// Starts an upstream with the given id on a machine.
--- a/yuccacroft/tests/platform/soak.rs
+++ b/yuccacroft/tests/platform/soak.rs
@@ -121,7 +121,7 @@
             }
             1 => {
                 let index = self.pick_agent()?;
-                self.deployment.record_disturbance(index);
+                self.deployment.record_disruption(index);
                 self.deployment.agents[index].node.kill();
                 self.schedule(200, 1_500, Recovery::StartAgent(index));
             }
@@ -132,7 +132,7 @@
             }
             3 => {
                 let index = self.pick_agent()?;
-                self.deployment.record_disturbance(index);
+                self.deployment.record_disruption(index);
                 self.deployment.agents[index].node.signal("STOP");
                 self.schedule(100, 2_500, Recovery::ResumeAgent(index));
             }
@@ -190,12 +190,12 @@
                 Recovery::StartBalancer(index) => self.deployment.balancers[index].restart(),
                 Recovery::StartAgent(index) => {
                     self.deployment.agents[index].node.restart();
-                    self.deployment.record_disturbance(index);
+                    self.deployment.record_disruption(index);
                 }
                 Recovery::ResumeBalancer(index) => self.deployment.balancers[index].signal("CONT"),
                 Recovery::ResumeAgent(index) => {
                     self.deployment.agents[index].node.signal("CONT");
-                    self.deployment.record_disturbance(index);
+                    self.deployment.record_disruption(index);
                 }
                 Recovery::RepairStore => self.deployment.store.set_fault(Fault::None),
                 Recovery::StartUpstream(index) => self.start_upstream(index).await,
