--- a/yuccacroft-segment/src/agent.rs
+++ b/yuccacroft-segment/src/agent.rs
@@ -7,4 +7,4 @@
 pub mod process;
 pub mod relay;
 
-pub use self::process::{Process, Settings};
+pub use {self::process::Settings, crate::process::Process};
--- a/yuccacroft-segment/src/agent/controllers.rs
+++ b/yuccacroft-segment/src/agent/controllers.rs
@@ -5,10 +5,11 @@
     crate::{
         host::Host,
         platform::{Platform, Readiness, ReportHandler, Socket},
+        ticker::Ticker,
     },
     slog::{info, warn},
     std::{net::SocketAddrV4, sync::Arc, time::Duration},
-    tokio::{sync::Notify, time::MissedTickBehavior},
+    tokio::sync::Notify,
     yuccacroft_core::{
         ids::Incarnation,
         time::Span,
@@ -22,8 +23,6 @@
 const GAUGE_TICKS: u64 = 50;
 /// Ticks between load messages to balancers.
 const LOAD_TICKS: u64 = 10;
-/// Time between ticks from which on the process counts as stalled.
-const STALL_THRESHOLD: Span = Span::from_millis(400);
 
 /// The controllers of one agent.
 pub struct Controllers<P: Platform> {
@@ -46,28 +45,21 @@
 
     /// Runs the timers of the agent. It does not return.
     pub async fn run_timers(&self) {
-        let mut interval = tokio::time::interval(TICK_INTERVAL);
-        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut last_tick = self.relay.clock.now();
+        let mut ticker = Ticker::new(TICK_INTERVAL, self.relay.clock);
         let mut sent_load = None;
-        let mut ticks: u64 = 0;
         loop {
-            interval.tick().await;
-            let now = self.relay.clock.now();
-            if now.since(last_tick) >= STALL_THRESHOLD {
-                warn!(self.relay.flow_log.log(), "process stood still";
-                    "for" => %now.since(last_tick));
+            let tick = ticker.tick(self.relay.flow_log.log()).await;
+            let now = tick.now;
+            if tick.is_stalled {
                 self.relay.state.monitor().restart_timeouts(now);
             }
-            last_tick = now;
-            ticks += 1;
             self.relay.tick(now);
-            if ticks.is_multiple_of(GAUGE_TICKS) {
+            if tick.is_every(GAUGE_TICKS) {
                 self.relay.update_gauges();
             }
             self.update_silence();
             let load = self.relay.load(now);
-            if ticks.is_multiple_of(LOAD_TICKS) && sent_load != Some(load) {
+            if tick.is_every(LOAD_TICKS) && sent_load != Some(load) {
                 sent_load = Some(load);
                 self.relay.send_load(now);
             }
--- a/yuccacroft-segment/src/agent/process.rs
+++ b/yuccacroft-segment/src/agent/process.rs
@@ -13,6 +13,7 @@
         flow_log::FlowLog,
         host::{Host, Server},
         platform::{Platform, Socket},
+        process::{Draining, Process, Starting},
     },
     axum::Router,
     slog::{Logger, info},
@@ -67,13 +68,6 @@
     pub grace: Span,
 }
 
-/// The state before the sockets are bound.
-pub struct Starting<P: Platform> {
-    platform: P,
-    settings: Settings,
-    log: Logger,
-}
-
 /// The state in which the process accepts flows.
 pub struct Serving<P: Platform> {
     relay: Arc<Relay<P::Format, Socket<P>>>,
@@ -85,22 +79,7 @@
     log: Logger,
 }
 
-/// The state in which the process accepts no new flows and still forwards segments of open flows.
-pub struct Draining<P: Platform> {
-    serving: Serving<P>,
-}
-
-/// An agent process in the life-cycle state `S`.
-pub struct Process<S> {
-    state: S,
-}
-
-impl<P: Platform> Process<Starting<P>> {
-    /// Creates a process that is not serving yet.
-    pub fn new(platform: P, settings: Settings, log: Logger) -> Self {
-        Self { state: Starting { platform, settings, log } }
-    }
-
+impl<P: Platform> Process<Starting<P, Settings>> {
     /// Binds the sockets and starts all tasks.
     pub async fn serve(self) -> Result<Process<Serving<P>>> {
         let Starting { platform, settings, log } = self.state;
@@ -158,8 +137,8 @@
         dump::routes(move || relay.dump())
     }
 
-    /// Starts the shutdown.
-    pub fn drain(self) -> Process<Draining<P>> {
+    /// Starts the shutdown: the process accepts no new flows.
+    pub fn drain(self) -> Process<Draining<Serving<P>>> {
         let serving = self.state;
         info!(serving.log, "stopping"; "flows" => %serving.relay.state.table.open_flows());
         serving.relay.stop();
@@ -167,7 +146,7 @@
     }
 }
 
-impl<P: Platform> Process<Draining<P>> {
+impl<P: Platform> Process<Draining<Serving<P>>> {
     /// Forwards segments until the upstream has exited or the grace period is nearly over.
     pub async fn stop(self) {
         let Serving { relay, announcer, announcer_task, mut tasks, servers, grace, log } =
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -8,6 +8,7 @@
         host::Host,
         platform::{ParsedConfig, Platform, Readiness, Socket},
         prefix_watcher::{PrefixWatcher, WatchHandler},
+        ticker::Ticker,
     },
     slog::{info, warn},
     std::{
@@ -18,7 +19,7 @@
         },
         time::Duration,
     },
-    tokio::{sync::Notify, time::MissedTickBehavior},
+    tokio::sync::Notify,
     yuccacroft_core::{
         ids::Instance,
         pool::{AgentEntry, Reachability, UpsertResult},
@@ -48,8 +49,6 @@
 const CHECK_TICKS: u64 = 4;
 /// Ticks between pings of every member.
 const PING_TICKS: u64 = 40;
-/// Time between ticks from which on the process counts as stalled.
-const STALL_THRESHOLD: Span = Span::from_millis(400);
 /// Time after the first listing from which on the list of agents counts as complete: agents write
 /// expired entries again within about two seconds.
 const COMPLETION_DELAY: Span = Span::from_millis(2_000);
@@ -115,24 +114,17 @@
 
     /// Runs the timers of searches, waiting segments and members. It does not return.
     pub async fn run_timers(&self) {
-        let mut interval = tokio::time::interval(TICK_INTERVAL);
-        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut last_tick = self.relay.clock.now();
-        let mut ticks: u64 = 0;
+        let mut ticker = Ticker::new(TICK_INTERVAL, self.relay.clock);
         loop {
-            interval.tick().await;
-            let now = self.relay.clock.now();
-            if now.since(last_tick) >= STALL_THRESHOLD {
-                warn!(self.relay.flow_log.log(), "process stood still";
-                    "for" => %now.since(last_tick));
+            let tick = ticker.tick(self.relay.flow_log.log()).await;
+            let now = tick.now;
+            if tick.is_stalled {
                 self.relay.pool.restart_timeouts(now);
             }
-            last_tick = now;
-            ticks += 1;
             self.relay.retry_pending(now);
             self.relay.tick_searches(now);
-            if ticks.is_multiple_of(CHECK_TICKS) {
-                self.check_members(ticks.is_multiple_of(PING_TICKS), now);
+            if tick.is_every(CHECK_TICKS) {
+                self.check_members(tick.is_every(PING_TICKS), now);
             }
         }
     }
--- a/yuccacroft-segment/src/balancer/process.rs
+++ b/yuccacroft-segment/src/balancer/process.rs
@@ -11,6 +11,7 @@
         flow_log::FlowLog,
         host::{Host, Server},
         platform::{Platform, Socket},
+        process::{Draining, Process, Starting},
     },
     axum::Router,
     slog::{Logger, info},
@@ -50,13 +51,6 @@
     pub grace: Span,
 }
 
-/// The state before the sockets are bound.
-pub struct Starting<P: Platform> {
-    platform: P,
-    settings: Settings,
-    log: Logger,
-}
-
 /// The state in which the process forwards segments.
 pub struct Serving<P: Platform> {
     controllers: Arc<Controllers<P>>,
@@ -67,22 +61,7 @@
     log: Logger,
 }
 
-/// The state in which the process still forwards segments and tells routers that it is not ready.
-pub struct Draining<P: Platform> {
-    serving: Serving<P>,
-}
-
-/// A balancer process in the life-cycle state `S`.
-pub struct Process<S> {
-    state: S,
-}
-
-impl<P: Platform> Process<Starting<P>> {
-    /// Creates a process that is not serving yet.
-    pub fn new(platform: P, settings: Settings, log: Logger) -> Self {
-        Self { state: Starting { platform, settings, log } }
-    }
-
+impl<P: Platform> Process<Starting<P, Settings>> {
     /// Binds the sockets and starts all tasks.
     pub async fn serve(self) -> Result<Process<Serving<P>>> {
         let Starting { platform, settings, log } = self.state;
@@ -126,8 +105,8 @@
         dump::routes(move || controllers.dump())
     }
 
-    /// Starts the shutdown.
-    pub fn drain(self) -> Process<Draining<P>> {
+    /// Starts the shutdown: routers are told that the process is not ready.
+    pub fn drain(self) -> Process<Draining<Serving<P>>> {
         let serving = self.state;
         info!(serving.log, "stopping"; "flows" => serving.relay.table.len());
         serving.controllers.stop();
@@ -135,7 +114,7 @@
     }
 }
 
-impl<P: Platform> Process<Draining<P>> {
+impl<P: Platform> Process<Draining<Serving<P>>> {
     /// Forwards segments until routers send no more, or the grace period is nearly over.
     pub async fn stop(self) {
         let Serving { relay, mut tasks, servers, grace, log, .. } = self.state.serving;
--- a/yuccacroft-segment/src/lib.rs
+++ b/yuccacroft-segment/src/lib.rs
@@ -15,4 +15,6 @@
 pub mod host;
 pub mod platform;
 pub mod prefix_watcher;
+pub mod process;
 pub mod socket;
+pub mod ticker;
