--- a/yuccacroft-segment/src/balancer.rs
+++ b/yuccacroft-segment/src/balancer.rs
@@ -10,4 +10,4 @@
 pub mod response_times;
 pub mod searches;
 
-pub use self::process::{Process, Settings};
+pub use {self::process::Settings, crate::process::Process};
--- a/yuccacroft-segment/src/lib.rs
+++ b/yuccacroft-segment/src/lib.rs
@@ -15,5 +15,7 @@
 pub mod host;
 pub mod platform;
 pub mod prefix_watcher;
+pub mod process;
 pub mod socket;
+pub mod ticker;
 pub mod traffic;
