--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -4,7 +4,16 @@
 //! anyway. A member that disappears from the listing stays while it answers, so that an outage of
 //! the store does not empty the pool.
 
+mod path;
+mod ring;
+
+pub use path::AnswerCounts;
+
 use {
+    self::{
+        path::{Answer, Path},
+        ring::Ring,
+    },
     crate::{
         flow::{AgentId, FlowKey},
         ids::{Domain, Incarnation, Instance},
@@ -41,9 +50,12 @@
 /// Maximum number of pending offers that are tracked per member. A member with more is avoided
 /// anyway.
 const MAX_PENDING_OFFERS: usize = 256;
-/// Maximum number of members that one choice compares, so that its cost does not grow with the size
-/// of the service.
-const MAX_COMPARED_MEMBERS: usize = 16;
+/// Number of members that one choice compares, so that its cost does not grow with the size of the
+/// service.
+const PLACEMENT_WINDOW: usize = 16;
+/// Number of members that a search queries first: those that the flow may have been placed at, and
+/// some that have joined since.
+const SEARCH_WINDOW: usize = 20;
 /// Cost of a member in another failure domain, in percent of a member in the balancer's own domain.
 const REMOTE_DOMAIN_COST_PERCENT: u64 = 115;
 /// Cost of a member whose upstream is warming up, in percent of one whose upstream is warm.
@@ -115,6 +127,8 @@
     /// The latest entry of the agent.
     pub entry: AgentEntry,
     load: Option<(AgentLoad, Moment)>,
+    /// The latest answer to a message of this process.
+    answer: Option<Answer>,
     /// The times of offers whose requests the reported load does not include yet.
     pending_offers: VecDeque<Moment>,
     unanswered_since: Option<Moment>,
@@ -163,8 +177,9 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     members: Shards<Instance, Member>,
-    /// The members of each service, sorted by address.
-    members_by_service: RwLock<HashMap<Target, Vec<Instance>>>,
+    /// The members of each service.
+    members_by_service: RwLock<HashMap<Target, Ring>>,
+    path: Path,
 }
 
 impl Member {
@@ -174,6 +189,7 @@
         Self {
             entry,
             load: None,
+            answer: None,
             pending_offers: VecDeque::new(),
             unanswered_since: None,
             unanswered_queries: 0,
@@ -192,7 +208,8 @@
         }
     }
 
-    /// Returns true if the flows of the member count as lost, so that their callers get a reset.
+    /// Returns true if the member has been silent for so long that its flows count as lost. This is
+    /// evidence only while [`Pool::is_silence_conclusive`].
     pub fn is_lost(&self, now: Moment) -> bool {
         let may_restart = self.stopped_at.is_some_and(|at| now.since(at) < RESTART_GRACE_PERIOD);
         match self.entry.phase {
@@ -354,9 +371,25 @@
         });
     }
 
-    /// Records a message of a member and the load that it carries. Returns false if the member is
-    /// not in the pool.
+    /// Records a message that a member sent on its own and the load that it carries. Returns false
+    /// if the member is not in the pool.
     pub fn record_load(&self, agent_id: AgentId, load: AgentLoad, now: Moment) -> bool {
+        self.record_message(agent_id, load, false, now)
+    }
+
+    /// Records an answer of a member to a message of this process, and the load that it carries.
+    /// Its delay tells the state of the path. Returns false if the member is not in the pool.
+    pub fn record_answer(&self, agent_id: AgentId, load: AgentLoad, now: Moment) -> bool {
+        self.record_message(agent_id, load, true, now)
+    }
+
+    fn record_message(
+        &self,
+        agent_id: AgentId,
+        load: AgentLoad,
+        is_answer: bool,
+        now: Moment,
+    ) -> bool {
         let was_lost = |member: Option<&Member>| {
             member.is_some_and(|member| member.reachability(now) == Reachability::Lost)
         };
@@ -370,6 +403,9 @@
             if agent_id.incarnation < member.entry.agent_id.incarnation {
                 return true;
             }
+            if is_answer && let Some(since) = member.unanswered_since {
+                member.answer = Some(Answer { at: now, delay: now.since(since) });
+            }
             member.unanswered_since = None;
             member.unanswered_queries = 0;
             member.restarted |= agent_id.incarnation > member.entry.agent_id.incarnation;
@@ -391,13 +427,36 @@
         });
     }
 
-    /// Removes and returns the members that are neither listed nor answering.
+    /// Returns the numbers of members by the delay of their latest answer.
+    pub fn answer_counts(&self, now: Moment) -> AnswerCounts {
+        self.members.fold(AnswerCounts::default(), |mut counts, _, member| {
+            counts.add(member.answer, now);
+            counts
+        })
+    }
+
+    /// Records whether answers arrive in time. It is called several times a second.
+    pub fn check_path(&self, now: Moment) {
+        self.path.record(self.answer_counts(now), now);
+    }
+
+    /// Returns true if the silence of a member is evidence against that member. It is not while the
+    /// link of this process is congested or cut: then the silence of a running member is as likely
+    /// as that of one that has failed.
+    pub fn is_silence_conclusive(&self, now: Moment) -> bool {
+        self.path.is_sound(self.answer_counts(now), now)
+    }
+
+    /// Removes and returns the members that are neither listed nor answering. A member stays while
+    /// its silence is not conclusive, since searches rely on the pool to know every possible owner.
     pub fn expire(&self, now: Moment) -> Vec<AgentId> {
         let mut removed = Vec::new();
+        let is_conclusive = self.is_silence_conclusive(now);
         self.members.retain(|_, member| {
             let is_unlisted =
                 member.unlisted_since.is_some_and(|at| now.since(at) >= UNLISTED_GRACE_PERIOD);
-            let is_kept = !is_unlisted || member.reachability(now) == Reachability::Good;
+            let is_kept =
+                !is_unlisted || !is_conclusive || member.reachability(now) != Reachability::Lost;
             if !is_kept {
                 removed.push(member.entry.agent_id);
             }
@@ -406,9 +465,7 @@
         let mut members_by_service =
             self.members_by_service.write().unwrap_or_else(PoisonError::into_inner);
         for agent_id in &removed {
-            members_by_service
-                .values_mut()
-                .for_each(|list| list.retain(|member| *member != agent_id.instance));
+            members_by_service.values_mut().for_each(|ring| ring.remove(agent_id.instance));
         }
         removed
     }
@@ -423,7 +480,7 @@
         count: usize,
         now: Moment,
     ) -> Vec<Instance> {
-        let candidates = self.sample(target, key);
+        let candidates = self.window(target, key, PLACEMENT_WINDOW);
         let mut costs: Vec<_> = candidates
             .into_iter()
             .filter_map(|instance| {
@@ -493,25 +550,25 @@
         });
     }
 
-    /// Returns the members of a service that the choice for this flow compares.
-    fn sample(&self, target: Target, key: FlowKey) -> Vec<Instance> {
+    /// Returns the members of a service that own the flow of this key if none of them has joined or
+    /// left lately.
+    pub fn likely_owners(&self, target: Target, key: FlowKey) -> Vec<Instance> {
+        self.window(target, key, SEARCH_WINDOW)
+    }
+
+    fn window(&self, target: Target, key: FlowKey, count: usize) -> Vec<Instance> {
         let members_by_service =
             self.members_by_service.read().unwrap_or_else(PoisonError::into_inner);
-        let Some(members) = members_by_service.get(&target) else { return Vec::new() };
-        let start = key.get() as usize % members.len().max(1);
-        let (before, after) = members.split_at(start);
-        after.iter().chain(before).take(MAX_COMPARED_MEMBERS).copied().collect()
+        let ring = members_by_service.get(&target);
+        ring.map_or_else(Vec::new, |ring| ring.window(key, count).collect())
     }
 
-    /// Adds a member to the list of its service. A member that served another service before stays
-    /// in that list, where `choose` skips it.
+    /// Adds a member to the ring of its service. A member that served another service before stays
+    /// in that ring, where `choose` skips it.
     fn index_by_service(&self, target: Target, instance: Instance) {
         let mut members_by_service =
             self.members_by_service.write().unwrap_or_else(PoisonError::into_inner);
-        let members = members_by_service.entry(target).or_default();
-        if let Err(position) = members.binary_search(&instance) {
-            members.insert(position, instance);
-        }
+        members_by_service.entry(target).or_default().insert(instance);
     }
 }
 
--- a/yuccacroft-core/tests/evidence.rs
+++ b/yuccacroft-core/tests/evidence.rs
@@ -6,7 +6,9 @@
         controller::Controller,
         flow::AgentId,
         ids::{Incarnation, Instance},
-        search::{Action, AgentFinding, Event, Finding, QueryAnswer, Search, SearchCandidate},
+        search::{
+            Action, AgentFinding, Event, Finding, QueryAnswer, Search, SearchCandidate, Wave,
+        },
         time::{Moment, Span},
     },
 };
@@ -29,7 +31,7 @@
         lost: false,
         absent: false,
         restarted: true,
-        preferred: true,
+        wave: Wave::Likely,
         unanswered_since: None,
     }
 }
@@ -55,7 +57,7 @@
 #[test]
 fn each_agent_has_its_own_finding() {
     let silent = SearchCandidate { lost: true, unanswered_since: Some(at(0)), ..candidate(3) };
-    let other_service = SearchCandidate { preferred: false, ..candidate(5) };
+    let other_service = SearchCandidate { wave: Wave::Other, ..candidate(5) };
     let mut search = Search::new(START, START);
     let all: Vec<_> = (0..5).map(candidate).chain([other_service]).collect();
     tick(&mut search, &all, 0);
@@ -163,7 +165,7 @@
 /// waits for them, although they may own the flow.
 #[test]
 fn an_agent_that_leaves_the_list_is_shown_unless_it_has_denied() {
-    let other_service = SearchCandidate { preferred: false, ..candidate(2) };
+    let other_service = SearchCandidate { wave: Wave::Other, ..candidate(2) };
     let mut search = Search::new(START, START);
     tick(&mut search, &[candidate(0), candidate(1), other_service], 0);
     deny(&mut search, 0, 10);
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -214,6 +214,7 @@
                 "reach" => ?reachability);
         }
         to_ping.into_iter().for_each(|instance| self.relay.ping(instance, now));
+        self.relay.pool.check_path(now);
         for agent_id in self.relay.pool.expire(now) {
             self.last_reachability
                 .lock()
@@ -228,7 +229,7 @@
             self.relay.table.expire(idle_timeout, now);
             self.relay.searches.expire(now);
             self.update_gauges();
-            self.relay.log_traffic();
+            self.relay.log_traffic(now);
         }
         let isolated = self.relay.pool.is_isolated(now);
         if self.isolated.swap(isolated, Ordering::Relaxed) != isolated {
--- a/yuccacroft-segment/src/balancer/grounds.rs
+++ b/yuccacroft-segment/src/balancer/grounds.rs
@@ -5,7 +5,7 @@
     std::fmt::{Display, Formatter},
     yuccacroft_core::{
         ids::Instance,
-        pool::{AgentPhase, Pool, ReachabilityCounts},
+        pool::{AgentPhase, AnswerCounts, Pool, ReachabilityCounts},
         search::{Evidence, Finding},
         steering::CachedFlow,
         time::{Moment, Span},
@@ -57,9 +57,13 @@
     },
 }
 
-/// The numbers of members by reachability, for logs.
+/// The state of all members, which tells a lost member from a congested link, for logs.
 #[derive(Clone, Copy, Debug)]
-pub struct Members(pub ReachabilityCounts);
+pub struct Members {
+    reachability: ReachabilityCounts,
+    answers: AnswerCounts,
+    is_silence_conclusive: bool,
+}
 
 /// The addresses of the agents with one finding.
 struct Names<'a> {
@@ -90,6 +94,17 @@
     }
 }
 
+impl Members {
+    /// Returns the present state of the members of a pool.
+    pub fn new(pool: &Pool, now: Moment) -> Self {
+        Self {
+            reachability: pool.count_by_reachability(now),
+            answers: pool.answer_counts(now),
+            is_silence_conclusive: pool.is_silence_conclusive(now),
+        }
+    }
+}
+
 impl KV for Grounds {
     fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
         match self {
@@ -115,11 +130,16 @@
 
 impl KV for Members {
     fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
-        let ReachabilityCounts { good, suspect, lost } = self.0;
+        let ReachabilityCounts { good, suspect, lost } = self.reachability;
+        let AnswerCounts { prompt, late, silent } = self.answers;
         serializer.emit_usize("agents", good + suspect + lost)?;
         serializer.emit_usize("good", good)?;
         serializer.emit_usize("suspect", suspect)?;
-        serializer.emit_usize("lost", lost)
+        serializer.emit_usize("lost", lost)?;
+        serializer.emit_usize("prompt", prompt)?;
+        serializer.emit_usize("late", late)?;
+        serializer.emit_usize("silent", silent)?;
+        serializer.emit_bool("silence_conclusive", self.is_silence_conclusive)
     }
 }
 
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -7,7 +7,7 @@
         grounds::{Grounds, Members},
         pending::PendingSegments,
         response_times::ResponseTimes,
-        searches::{Query, SearchParams, Searches, Step},
+        searches::{Query, QueryKind, SearchParams, Searches, Step},
     },
     crate::{
         flow_log::FlowLog,
@@ -275,16 +275,15 @@
     fn perform(&self, key: FlowKey, steps: Vec<Step>, now: Moment) {
         for step in steps {
             match step {
-                Step::Query(query) => self.query(&query, Request::Search(query.class), now),
-                Step::Probe(query) => self.query(&query, Request::Probe(query.class), now),
-                Step::Found(owner, class, rest) => {
+                Step::Query(query) => self.query(key, query, now),
+                Step::Found(owner, class, datagrams) => {
                     metrics::counter!(DECISIONS_METRIC, "outcome" => "found").increment(1);
                     self.table.set_owner(key, owner, now);
                     if let Some(log) = self.flow_log.normal(now) {
                         info!(log, "owner found"; "key" => %key, "owner" => %owner.instance,
                             "incarnation" => %owner.incarnation);
                     }
-                    for datagram in rest {
+                    for datagram in datagrams {
                         self.send(owner.instance, &Request::Carry(class), &datagram);
                     }
                 }
@@ -299,10 +298,16 @@
         }
     }
 
-    fn query(&self, query: &Query, request: Request, now: Moment) {
-        let to = query.to.instance;
-        self.pool.record_query(to, now);
-        self.send_as(Kind::of_request(&request, query.retry), to, &request, &query.datagram);
+    fn query(&self, key: FlowKey, query: Query, now: Moment) {
+        let Query { to, kind, retry } = query;
+        let (request, datagram) = match kind {
+            QueryKind::Ownership(acknowledged) => {
+                (Request::Search { key, acknowledged }, Box::default())
+            }
+            QueryKind::Probe(class, datagram) => (Request::Probe(class), datagram),
+        };
+        self.pool.record_query(to.instance, now);
+        self.send_as(Kind::of_request(&request, retry), to.instance, &request, &datagram);
     }
 
     fn handle_message(&self, datagram: &[u8]) {
@@ -321,12 +326,15 @@
         if let Some(time) = self.pool.unanswered_time(reply.from.instance, now) {
             self.response_times.record(time);
         }
-        self.pool.record_load(reply.from, reply.load, now);
+        match reply.body {
+            Body::Load => self.pool.record_load(reply.from, reply.load, now),
+            _ => self.pool.record_answer(reply.from, reply.load, now),
+        };
         if reply.version > self.version() {
             self.config_outdated.notify_one();
         }
         match reply.body {
-            Body::Load => {}
+            Body::Load | Body::Pong => {}
             Body::Took(key) => self.table.record_taken(key, reply.from.instance, now),
             Body::Refused => self.handle_refused(segment, now),
             Body::Owns(key) => {
@@ -463,7 +471,7 @@
         if let Some(log) = self.flow_log.failure(now) {
             info!(log, "not forwarded"; "flow" => %segment.flow, "key" => %segment.flow.key(),
                 "outcome" => outcome, "cause" => cause, "control" => ?segment.control,
-                "version" => %self.version(), Members(self.pool.count_by_reachability(now)),
+                "version" => %self.version(), Members::new(&self.pool, now),
                 self.freshness.ages(now), grounds);
         }
     }
@@ -479,7 +487,7 @@
     }
 
     /// Logs the messages since the last call, if any were sent, and adds them to the metrics.
-    pub fn log_traffic(&self) {
+    pub fn log_traffic(&self, now: Moment) {
         let report = self.traffic.take(MESSAGES_METRIC, MESSAGE_BYTES_METRIC);
         let (times, skipped_ticks) =
             (self.response_times.take(), self.searches.take_skipped_ticks());
@@ -488,7 +496,7 @@
             return;
         }
         info!(self.flow_log.log(), "traffic"; report, "searches" => self.searches.len(),
-            "skipped_ticks" => skipped_ticks, times);
+            "skipped_ticks" => skipped_ticks, times, Members::new(&self.pool, now));
     }
 
     fn log_socket_error(&self, name: &'static str, error: &std::io::Error) {
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -14,12 +14,13 @@
         ids::{Incarnation, Instance},
         pool::AgentLoad,
         route::{ConfigVersion, Target, TrafficClass},
+        segment::Sequence,
         time::Span,
     },
 };
 
 /// The first byte of a message.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Upper bound of a header in bytes. The header with the largest number of candidates is shorter.
 const MAX_HEADER_BYTES: usize = 255;
 const HEADER_START: usize = 2;
@@ -40,8 +41,14 @@
     },
     /// The receiver is believed to own the segment's flow.
     Carry(TrafficClass),
-    /// The sender searches for the owner of the segment's flow.
-    Search(TrafficClass),
+    /// The sender searches for the owner of a flow.
+    Search {
+        /// The flow.
+        key: FlowKey,
+        /// The position that the waiting segment of the caller acknowledges, which tells whether
+        /// the caller accepted the answer of the receiver's upstream.
+        acknowledged: Sequence,
+    },
     /// All other agents have denied that they own the segment's flow.
     Probe(TrafficClass),
     /// The sender asks for the state of the receiver.
@@ -71,8 +78,10 @@
 /// The content of a message of an agent, besides its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
-    /// Only the load.
+    /// The load, which the sender reports on its own.
     Load,
+    /// The answer to a ping.
+    Pong,
     /// The sender accepted the flow.
     Took(FlowKey),
     /// Neither the sender nor any agent before it accepts the flow; the opening segment is
