--- a/yuccacroft-segment/src/balancer/grounds.rs
+++ b/yuccacroft-segment/src/balancer/grounds.rs
@@ -14,16 +14,6 @@
 
 /// Limit of agents that one field names.
 const MAX_NAMED_AGENTS: usize = 16;
-/// The findings whose agents are named. The others have denied or are not reached by the search
-/// yet.
-const NAMED_FINDINGS: [Finding; 6] = [
-    Finding::Unsure,
-    Finding::UnsureLost,
-    Finding::Lost,
-    Finding::Absent,
-    Finding::Unanswered,
-    Finding::Removed,
-];
 
 /// What the outcome of a segment rests on, besides its cause.
 #[derive(Clone, Debug)]
@@ -168,10 +158,9 @@
     for finding in Finding::ALL {
         serializer.emit_usize(finding.name(), evidence.count(finding))?;
     }
-    for finding in NAMED_FINDINGS {
-        if evidence.count(finding) > 0 {
-            let names = Names { evidence, finding };
-            serializer.emit_arguments(names_key(finding), &format_args!("{names}"))?;
+    for finding in Finding::ALL.into_iter().filter(|finding| evidence.count(*finding) > 0) {
+        if let Some(key) = names_key(finding) {
+            serializer.emit_arguments(key, &format_args!("{}", Names { evidence, finding }))?;
         }
     }
     emit_span(serializer, "oldest_denial", evidence.oldest_denial())?;
@@ -184,17 +173,17 @@
     serializer.emit_str("last_agent_finding", finding)
 }
 
-/// Returns the key of the field with the addresses of the agents with this finding.
-fn names_key(finding: Finding) -> &'static str {
+/// Returns the key of the field with the addresses of the agents with this finding. Agents that
+/// have denied or that were not queried yet are not named.
+fn names_key(finding: Finding) -> Option<&'static str> {
     match finding {
-        Finding::Denied => "denied_agents",
-        Finding::Unsure => "unsure_agents",
-        Finding::UnsureLost => "unsure_lost_agents",
-        Finding::Lost => "lost_agents",
-        Finding::Absent => "absent_agents",
-        Finding::Unanswered => "unanswered_agents",
-        Finding::Deferred => "deferred_agents",
-        Finding::Removed => "removed_agents",
+        Finding::Denied | Finding::Deferred => None,
+        Finding::Unsure => Some("unsure_agents"),
+        Finding::UnsureLost => Some("unsure_lost_agents"),
+        Finding::Lost => Some("lost_agents"),
+        Finding::Absent => Some("absent_agents"),
+        Finding::Unanswered => Some("unanswered_agents"),
+        Finding::Removed => Some("removed_agents"),
     }
 }
 
