--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -435,14 +435,10 @@
         })
     }
 
-    /// Records whether answers arrive in time. It is called several times a second.
-    pub fn check_path(&self, now: Moment) {
-        self.path.record(self.answer_counts(now), now);
-    }
-
     /// Returns true if the silence of a member is evidence against that member. It is not while the
     /// link of this process is congested or cut: then the silence of a running member is as likely
-    /// as that of one that has failed.
+    /// as that of one that has failed. It is called several times a second, since it also keeps the
+    /// history of the path.
     pub fn is_silence_conclusive(&self, now: Moment) -> bool {
         self.path.is_sound(self.answer_counts(now), now)
     }
--- a/yuccacroft-core/src/pool/path.rs
+++ b/yuccacroft-core/src/pool/path.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::time::{Moment, Span},
-    std::sync::atomic::{AtomicU64, Ordering},
+    std::sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 /// Delay up to which an answer is prompt: one lost message and its repetition, and many round trips
@@ -14,8 +14,8 @@
 const MAX_PROMPT_DELAY: Span = Span::from_millis(150);
 /// Age up to which an answer tells the state of the path. All members are pinged every second.
 const MAX_ANSWER_AGE: Span = Span::from_millis(1_500);
-/// Time after the last sign of congestion from which on silence is conclusive again: the silence
-/// that makes a member count as lost must lie after it.
+/// Time after the last sign of congestion or of a cut from which on silence is conclusive again: the
+/// silence that makes a member count as lost must lie after it.
 const RECOVERY_TIME: Span = Span::from_millis(1_000);
 /// A quarter of the members must have answered promptly. The rest may have failed together.
 const MIN_PROMPT_FRACTION: usize = 4;
@@ -45,8 +45,10 @@
 /// The history of the path.
 #[derive(Debug, Default)]
 pub(super) struct Path {
-    /// The time at which the path was last congested, in microseconds; 0 for never.
-    congested_at: AtomicU64,
+    /// Whether the path has been sound. Before the first answers a process knows nothing about it.
+    was_sound: AtomicBool,
+    /// The time at which the path was last congested or cut, in microseconds; 0 for never.
+    impaired_at: AtomicU64,
 }
 
 impl AnswerCounts {
@@ -71,18 +73,19 @@
 }
 
 impl Path {
-    /// Records the present answers. It is called several times a second.
-    pub fn record(&self, counts: AnswerCounts, now: Moment) {
-        if counts.shows_congestion() {
-            self.congested_at.fetch_max(now.get(), Ordering::Relaxed);
-        }
-    }
-
-    /// Returns true if the path has carried answers in time for as long as a silence has to last.
+    /// Records the present answers, and returns true if the path has carried answers in time for as
+    /// long as a silence has to last. It is called several times a second, so that no impairment
+    /// stays unnoticed.
     pub fn is_sound(&self, counts: AnswerCounts, now: Moment) -> bool {
-        let congested_at = self.congested_at.load(Ordering::Relaxed);
+        let is_sound = counts.shows_sound_path() && !counts.shows_congestion();
+        if is_sound {
+            self.was_sound.store(true, Ordering::Relaxed);
+        } else if counts.shows_congestion() || self.was_sound.load(Ordering::Relaxed) {
+            self.impaired_at.fetch_max(now.get(), Ordering::Relaxed);
+        }
+        let impaired_at = self.impaired_at.load(Ordering::Relaxed);
         let has_recovered =
-            congested_at == 0 || now.since(Moment::new(congested_at)) >= RECOVERY_TIME;
-        has_recovered && counts.shows_sound_path() && !counts.shows_congestion()
+            impaired_at == 0 || now.since(Moment::new(impaired_at)) >= RECOVERY_TIME;
+        is_sound && has_recovered
     }
 }
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -138,7 +138,6 @@
     pool.record_query(instance(4), at(100));
     assert!(pool.is_silence_conclusive(at(1_200)), "the others answer in time");
     answer(&pool, 1..=3, 1_000, 400);
-    pool.check_path(at(1_400));
     assert!(!pool.is_silence_conclusive(at(1_400)));
     // Answers in time do not excuse the silence before them.
     answer(&pool, 1..=3, 1_500, 2);
@@ -162,6 +161,27 @@
     assert!(!pool.is_silence_conclusive(at(1_100)));
 }
 
+/// Guards against resets in the first milliseconds after a cut of several seconds: the first answers
+/// arrive while most members are still silent (issue 20: 62 of 63 agents counted as lost, and the
+/// denial of the newest one decided).
+#[test]
+fn silence_proves_nothing_right_after_a_cut() {
+    let pool = pool(8);
+    answer(&pool, 1..=8, 0, 2);
+    assert!(pool.is_silence_conclusive(at(100)));
+    for number in 1..=8 {
+        pool.record_query(instance(number), at(200));
+    }
+    assert!(!pool.is_silence_conclusive(at(4_200)));
+    for number in 1..=4 {
+        pool.record_answer(entry(number, 1, 1).agent_id, load(0, 20), at(4_300));
+        pool.record_query(instance(number), at(4_301));
+        pool.record_answer(entry(number, 1, 1).agent_id, load(0, 20), at(4_302));
+    }
+    assert!(!pool.is_silence_conclusive(at(4_303)), "the path has only just recovered");
+    assert!(pool.is_silence_conclusive(at(5_303)), "the others had time to answer");
+}
+
 /// Guards against callers that wait for flows of machines that have failed together while the others
 /// answer.
 #[test]
@@ -183,7 +203,6 @@
     pool.sync_listing(|listed| listed != instance(3), START);
     pool.record_query(instance(3), at(2_000));
     answer(&pool, 1..=2, 3_000, 600);
-    pool.check_path(at(3_600));
     assert!(pool.expire(at(3_600)).is_empty());
     answer(&pool, 1..=2, 4_600, 2);
     assert_eq!(pool.expire(at(4_700)), [entry(3, 1, 1).agent_id]);
--- a/yuccacroft-segment/tests/traffic.rs
+++ b/yuccacroft-segment/tests/traffic.rs
@@ -54,6 +54,7 @@
 #[test]
 fn each_message_has_a_kind_of_its_own() {
     let class = TrafficClass::default();
+    let search = Request::Search { key: FlowKey::new(7), acknowledged: Sequence::new(1) };
     let offer = Request::Offer {
         target: Target::new(1),
         origin: address(),
