--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -222,7 +222,7 @@
             self.relay.openings.expire(now);
             self.relay.searches.expire(now);
             self.update_gauges();
-            self.relay.log_traffic();
+            self.relay.log_traffic(now);
         }
         let isolated = self.relay.pool.is_isolated(now);
         if self.isolated.swap(isolated, Ordering::Relaxed) != isolated {
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -487,7 +487,7 @@
         if let Some(log) = self.flow_log.failure(now) {
             info!(log, "not forwarded"; "flow" => %segment.flow, "key" => %segment.flow.key(),
                 "outcome" => outcome, "cause" => cause, "control" => ?segment.control,
-                "version" => %self.version(), Members(self.pool.count_by_reachability(now)),
+                "version" => %self.version(), Members::new(&self.pool, now),
                 self.freshness.ages(now), grounds);
         }
     }
@@ -503,7 +503,7 @@
     }
 
     /// Logs the messages since the last call, if any were sent, and adds them to the metrics.
-    pub fn log_traffic(&self) {
+    pub fn log_traffic(&self, now: Moment) {
         let report = self.traffic.take(MESSAGES_METRIC, MESSAGE_BYTES_METRIC);
         let (times, skipped_ticks) =
             (self.response_times.take(), self.searches.take_skipped_ticks());
@@ -512,7 +512,7 @@
             return;
         }
         info!(self.flow_log.log(), "traffic"; report, "searches" => self.searches.len(),
-            "skipped_ticks" => skipped_ticks, times);
+            "skipped_ticks" => skipped_ticks, times, Members::new(&self.pool, now));
     }
 
     fn log_socket_error(&self, name: &'static str, error: &std::io::Error) {
--- a/yuccacroft-segment/src/traffic.rs
+++ b/yuccacroft-segment/src/traffic.rs
@@ -26,8 +26,10 @@
     Probe,
     /// A repeated probe of a search.
     ProbeRetry,
-    /// The load of an agent.
+    /// The load of an agent, which it reports on its own.
     Load,
+    /// The answer to a ping.
+    Pong,
     /// A flow was taken.
     Took,
     /// A flow was refused.
@@ -87,7 +89,7 @@
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Ping,
         Self::Offer,
         Self::Carry,
@@ -96,6 +98,7 @@
         Self::Probe,
         Self::ProbeRetry,
         Self::Load,
+        Self::Pong,
         Self::Took,
         Self::Refused,
         Self::Owns,
@@ -121,7 +124,8 @@
     /// Returns the kind of a message to a balancer.
     pub fn of_reply(body: &Body) -> Self {
         match body {
-            Body::Load | Body::Pong => Self::Load,
+            Body::Load => Self::Load,
+            Body::Pong => Self::Pong,
             Body::Took(_) => Self::Took,
             Body::Refused => Self::Refused,
             Body::Owns(_) => Self::Owns,
@@ -140,6 +144,7 @@
             Self::Probe => "probe",
             Self::ProbeRetry => "probe_retry",
             Self::Load => "load",
+            Self::Pong => "pong",
             Self::Took => "took",
             Self::Refused => "refused",
             Self::Owns => "owns",
--- a/yuccacroft-segment/tests/grounds.rs
+++ b/yuccacroft-segment/tests/grounds.rs
@@ -163,12 +163,16 @@
     assert_eq!(owner["owner_last_message"], "1150 ms");
     assert_eq!(owner["owner_unanswered"], "3");
     assert_eq!(owner["owner_silence"], "1050 ms");
-    let members = fields(Members(pool.count_by_reachability(at(1_250))));
+    let members = fields(Members::new(&pool, at(1_250)));
     let count = |key: &str| &*members[key];
-    assert_eq!(
-        [count("agents"), count("good"), count("suspect"), count("lost")],
-        ["3", "1", "1", "1"]
-    );
+    let reachability = ["agents", "good", "suspect", "lost"].map(count);
+    assert_eq!(reachability, ["3", "1", "1", "1"]);
+    assert_eq!(["prompt", "late", "silent"].map(count), ["0", "0", "3"]);
+    assert_eq!(count("silence_conclusive"), "false");
+    pool.record_query(instance(3), at(1_200));
+    pool.record_answer(agent_id(3), AgentLoad::default(), at(1_210));
+    let members = fields(Members::new(&pool, at(1_250)));
+    assert_eq!((&*members["prompt"], &*members["silence_conclusive"]), ("1", "true"));
 }
 
 /// Guards against repeated resets of a lost flow whose lines hide the age of the verdict.
--- a/yuccacroft-segment/tests/traffic.rs
+++ b/yuccacroft-segment/tests/traffic.rs
@@ -37,7 +37,7 @@
     let denies = Volume { messages: 1, bytes: 40 };
     assert_eq!(report.volume(Direction::Received, Kind::Denies), denies);
     assert_eq!(report.total(Direction::Received), denies);
-    assert_eq!(report.total(Direction::Sent), Volume { messages: 120, bytes: 12_000 });
+    assert_eq!(report.total(Direction::Sent), Volume { messages: 136, bytes: 13_600 });
 }
 
 /// Guards against reports that repeat the messages of earlier seconds.
@@ -63,6 +63,7 @@
     };
     let ping = Request::Ping { listed: None, version: Default::default() };
     let key = FlowKey::new(1);
+    let search = Request::Search { key, acknowledged: Sequence::new(7) };
     let kinds = [
         Kind::of_request(&ping, false),
         Kind::of_request(&offer, false),
@@ -72,6 +73,7 @@
         Kind::of_request(&Request::Probe(class), false),
         Kind::of_request(&Request::Probe(class), true),
         Kind::of_reply(&Body::Load),
+        Kind::of_reply(&Body::Pong),
         Kind::of_reply(&Body::Took(key)),
         Kind::of_reply(&Body::Refused),
         Kind::of_reply(&Body::Owns(key)),
--- a/yuccacroft/tests/platform/logs.rs
+++ b/yuccacroft/tests/platform/logs.rs
@@ -202,7 +202,9 @@
     let line = &lines(&deployment.logs(), &texts)[0];
     assert_eq!(field(line, "outcome"), "drop");
     assert_eq!(field(line, "denied"), "0", "{line}");
-    assert_eq!(field(line, "lost_agents"), address, "{line}");
+    // An answer of no agent at all says nothing about a single one.
+    assert_eq!(field(line, "silence_conclusive"), "false", "{line}");
+    assert_eq!(field(line, "unanswered_agents"), address, "{line}");
     assert!(micros(line, "search_time") >= 3_000_000, "{line}");
 }
 
