--- a/yuccacroft-core/src/gossip/exchange.rs
+++ b/yuccacroft-core/src/gossip/exchange.rs
@@ -37,12 +37,8 @@
 const MAX_PAGE_BYTES: usize = 256 << 10;
 /// Maximum size of the entries in a repair response.
 const MAX_DELTA_BYTES: usize = 32 << 10;
-/// Number of peers from which a joining balancer requests a snapshot in each round.
+/// Number of peers from which a joining balancer requests a snapshot.
 const SNAPSHOT_PEERS: usize = 3;
-/// Time after which a joining balancer that received a single snapshot starts another round.
-const SNAPSHOT_RETRY_DELAY: Span = Span::from_millis(500);
-/// Number of rounds after which a single snapshot is sufficient.
-const MAX_SNAPSHOT_ROUNDS: u32 = 3;
 
 /// The parameters of gossip.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,7 +103,7 @@
     Learned(GossipEntry),
     /// Update the live balancers; the list includes this one.
     Peers(Vec<(NodeId, Domain)>),
-    /// The initial snapshots are complete, or no other balancer was found.
+    /// One snapshot is complete, all requests for one have failed, or no other balancer was found.
     Joined,
 }
 
@@ -128,11 +124,12 @@
 }
 
 /// The progress of the initial snapshots. Until the balancer has joined, it does not apply
-/// contracts of its peers: a single peer may be outdated, and a restarted process must not put an
-/// older contract in force than before.
+/// contracts of its peers: a single entry may be outdated, and a restarted process must not put an
+/// older contract in force than before. The first complete snapshot ends the join, even if its
+/// sender is outdated; the contracts of the other snapshots are applied as they arrive.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Join {
-    Syncing { pending: BTreeSet<NodeId>, received: usize, rounds: u32, retry_at: Moment },
+    Syncing { pending: BTreeSet<NodeId> },
     Joined,
 }
 
@@ -175,12 +172,7 @@
             next_repair: Moment::default() + Span::from_micros(first),
             next_failed_retry: Moment::default(),
             repairs: 0,
-            join: Join::Syncing {
-                pending: BTreeSet::new(),
-                received: 0,
-                rounds: 0,
-                retry_at: Moment::default(),
-            },
+            join: Join::Syncing { pending: BTreeSet::new() },
         }
     }
 
@@ -411,28 +403,12 @@
         }
     }
 
-    /// Records the end of a snapshot and completes the join when the round has ended, unless a
-    /// further round is needed because only one snapshot has been received so far.
-    fn end_snapshot(
-        &mut self,
-        from: NodeId,
-        succeeded: bool,
-        now: Moment,
-        actions: &mut Vec<Action>,
-    ) {
-        let Join::Syncing { pending, received, rounds, retry_at } = &mut self.join else { return };
-        if !pending.remove(&from) {
-            return;
-        }
-        *received += usize::from(succeeded);
-        if !pending.is_empty() {
-            return;
-        }
-        if *received == 1 && *rounds < MAX_SNAPSHOT_ROUNDS && self.view.target_count() > 1 {
-            *retry_at = now + SNAPSHOT_RETRY_DELAY;
-            return;
+    /// Records that the request for a snapshot has failed, and completes the join when all have.
+    fn record_failed_snapshot(&mut self, to: NodeId, actions: &mut Vec<Action>) {
+        let Join::Syncing { pending } = &mut self.join else { return };
+        if pending.remove(&to) && pending.is_empty() {
+            self.complete_join(actions);
         }
-        self.complete_join(actions);
     }
 
     fn complete_join(&mut self, actions: &mut Vec<Action>) {
@@ -445,7 +421,7 @@
     fn handle_failure(&mut self, to: NodeId, message: &GossipMessage, now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
         if matches!(message, GossipMessage::Snapshot { .. }) {
-            self.end_snapshot(to, false, now, &mut actions);
+            self.record_failed_snapshot(to, &mut actions);
         }
         // A failed push does not count as a failure, since other copies are in flight.
         if matches!(message, GossipMessage::Digest(_))
@@ -474,7 +450,7 @@
             let retries = self.view.take_retries();
             retries.into_iter().for_each(|to| actions.push(self.digest_request(to)));
         }
-        self.request_snapshots(now, &mut actions);
+        self.request_snapshots(&mut actions);
         actions
     }
 
@@ -510,13 +486,12 @@
         Action::Send { to, message: GossipMessage::Digest(self.table.groups().to_vec()) }
     }
 
-    fn request_snapshots(&mut self, now: Moment, actions: &mut Vec<Action>) {
-        let Join::Syncing { pending, rounds, retry_at, .. } = &mut self.join else { return };
-        if !pending.is_empty() || now < *retry_at {
+    fn request_snapshots(&mut self, actions: &mut Vec<Action>) {
+        let Join::Syncing { pending } = &mut self.join else { return };
+        if !pending.is_empty() {
             return;
         }
         let peers = self.view.pick(SNAPSHOT_PEERS, &mut self.rng);
-        *rounds += 1;
         pending.extend(&peers);
         if peers.is_empty() {
             self.complete_join(actions);
--- a/yuccacroft-core/src/gossip/exchange/view.rs
+++ b/yuccacroft-core/src/gossip/exchange/view.rs
@@ -139,11 +139,6 @@
         live.map(|peer| (peer.node, peer.domain.clone())).collect()
     }
 
-    /// Returns the number of peers that [`View::pick`] chooses from.
-    pub fn target_count(&self) -> usize {
-        self.targets.len()
-    }
-
     /// Picks up to `count` distinct random peers.
     pub fn pick(&self, count: usize, rng: &mut StdRng) -> Vec<NodeId> {
         let count = count.min(self.targets.len());
