--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -430,7 +430,8 @@
     /// Returns the numbers of members by the delay of their latest answer.
     pub fn answer_counts(&self, now: Moment) -> AnswerCounts {
         self.members.fold(AnswerCounts::default(), |mut counts, _, member| {
-            counts.add(member.answer, now);
+            let unanswered = member.unanswered_since.map(|since| now.since(since));
+            counts.add(member.answer, unanswered, now);
             counts
         })
     }
--- a/yuccacroft-core/src/pool/path.rs
+++ b/yuccacroft-core/src/pool/path.rs
@@ -38,7 +38,7 @@
     pub prompt: usize,
     /// Members whose recent answer was late.
     pub late: usize,
-    /// Members without a recent answer.
+    /// Members without a recent answer, or whose next answer is overdue.
     pub silent: usize,
 }
 
@@ -52,12 +52,14 @@
 }
 
 impl AnswerCounts {
-    /// Adds a member with its latest answer.
-    pub(super) fn add(&mut self, answer: Option<Answer>, now: Moment) {
+    /// Adds a member with its latest answer and the time for which it has owed the next one.
+    pub(super) fn add(&mut self, answer: Option<Answer>, unanswered: Option<Span>, now: Moment) {
+        // An earlier answer says nothing about the path since the member has become silent.
+        let is_overdue = unanswered.is_some_and(|time| time > MAX_PROMPT_DELAY);
         match answer.filter(|answer| now.since(answer.at) < MAX_ANSWER_AGE) {
-            Some(answer) if answer.delay <= MAX_PROMPT_DELAY => self.prompt += 1,
-            Some(_) => self.late += 1,
-            None => self.silent += 1,
+            Some(answer) if answer.delay > MAX_PROMPT_DELAY => self.late += 1,
+            Some(_) if !is_overdue => self.prompt += 1,
+            _ => self.silent += 1,
         }
     }
 
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -148,6 +148,21 @@
     assert!(!pool.is_silence_conclusive(at(4_000)));
 }
 
+/// Guards against resets of living flows in the first half second after the link of a balancer has
+/// failed: all members count as lost while their last answers are still recent (issue 20).
+#[test]
+fn an_overdue_answer_is_no_sign_of_a_sound_path() {
+    let pool = pool(8);
+    answer(&pool, 1..=8, 0, 2);
+    for number in 1..=8 {
+        pool.record_query(instance(number), at(10));
+    }
+    assert!(pool.is_silence_conclusive(at(100)), "the answers are not overdue");
+    assert!(!pool.is_silence_conclusive(at(1_050)));
+    let counts = pool.answer_counts(at(1_050));
+    assert_eq!((counts.prompt, counts.late, counts.silent), (0, 0, 8));
+}
+
 /// Guards against a path that counts as sound because agents report their load unasked, while the
 /// questions of this balancer get lost.
 #[test]
