--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -351,10 +351,11 @@
                 })
                 .collect();
         }
-        // Without any answer this balancer itself may be isolated.
-        let has_answer = self.queries.values().any(|query| query.answer.is_some());
+        // Silence alone is no evidence, since this balancer itself may be isolated.
+        let has_denial =
+            self.queries.values().any(|query| query.answer.is_some_and(QueryAnswer::is_denial));
         let is_certain = now >= self.list_complete_at || all_fresh;
-        if has_answer && is_certain { vec![Action::NotFound] } else { Vec::new() }
+        if has_denial && is_certain { vec![Action::NotFound] } else { Vec::new() }
     }
 
     /// Records that a tick was skipped because the query budget was used up.
--- a/yuccacroft-core/tests/search.rs
+++ b/yuccacroft-core/tests/search.rs
@@ -127,6 +127,18 @@
     assert_eq!(search.step(candidates(0..2, &[0, 1]), at(3_100)), [Action::TimedOut]);
 }
 
+/// Guards against a reset that no denial supports: the agents that are unsure may own the flow, and
+/// all of them have become silent.
+#[test]
+fn silent_agents_that_were_unsure_are_no_denial() {
+    let mut search = Search::new(START, START);
+    search.step(candidates(0..2, &[]), START);
+    search.step(Event::Answered(agent_id(0), UNSURE), at(1));
+    search.step(Event::Answered(agent_id(1), UNSURE), at(1));
+    assert!(!search.step(candidates(0..2, &[0, 1]), at(1_100)).contains(&Action::NotFound));
+    assert_eq!(search.step(candidates(0..2, &[0, 1]), at(3_100)), [Action::TimedOut]);
+}
+
 /// Guards against a reset right after a network partition: the first denial shows that the balancer
 /// itself was isolated, so the other agents get time to answer (day 1219 of the emulator).
 #[test]
