--- a/yuccacroft-segment/tests/grounds.rs
+++ b/yuccacroft-segment/tests/grounds.rs
@@ -169,10 +169,12 @@
     assert_eq!(reachability, ["3", "1", "1", "1"]);
     assert_eq!(["prompt", "late", "silent"].map(count), ["0", "0", "3"]);
     assert_eq!(count("silence_conclusive"), "false");
+    assert!(!members.contains_key("loss_timeout"));
     pool.record_query(instance(3), at(1_200));
     pool.record_answer(agent_id(3), AgentLoad::default(), at(1_210));
     let members = fields(Members::new(&pool, at(1_250)));
     assert_eq!((&*members["prompt"], &*members["silence_conclusive"]), ("1", "true"));
+    assert_eq!(members["loss_timeout"], "2 s");
 }
 
 /// Guards against repeated resets of a lost flow whose lines hide the age of the verdict.
