--- a/yuccacroft/tests/platform/deployment.rs
+++ b/yuccacroft/tests/platform/deployment.rs
@@ -2,6 +2,7 @@
 //! around them.
 
 use {
+    crate::processes,
     std::{
         fs::{self, File},
         net::SocketAddrV4,
@@ -87,6 +88,8 @@
         let folder =
             std::env::temp_dir().join(format!("yuccacroft-platform-{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
+        // An earlier test of the process may have used the same network.
+        processes::wait_for_starts();
         let store = Store::start(&SystemHost, network.machine(1).store()).await.unwrap();
         let store_proxy = TcpProxy::start(network.machine(1).store().into()).await.unwrap();
         let balancer_machines: Vec<Machine> =
@@ -155,6 +158,7 @@
         id: &str,
         behaviour: Behaviour,
     ) -> Upstream {
+        processes::wait_for_starts();
         Upstream::start(&SystemHost, machine, id, behaviour, self.invariants.clone()).await.unwrap()
     }
 
@@ -275,10 +279,10 @@
 impl Node {
     /// Starts the process with its settings file.
     pub fn start(&mut self, output: Stdio) {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_yuccacroft"));
-        command.arg(self.role).env(SETTINGS_VARIABLE, &self.settings);
-        command.stdin(Stdio::null()).stdout(output).stderr(Stdio::inherit());
-        self.child = Some(command.spawn().unwrap());
+        self.child = Some(processes::spawn(env!("CARGO_BIN_EXE_yuccacroft"), |command| {
+            command.arg(self.role).env(SETTINGS_VARIABLE, &self.settings);
+            command.stdout(output).stderr(Stdio::inherit());
+        }));
     }
 
     /// Replaces the text of the settings file by the result of `change`.
@@ -306,7 +310,7 @@
     /// Sends a signal such as `TERM`, `STOP`, `CONT` or `HUP`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.as_ref().unwrap().id().to_string();
-        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+        assert!(processes::run(Command::new("kill").args(["-s", name, &pid])).success());
     }
 
     /// Returns `None` while the process runs, and then whether it exited successfully.
--- a/yuccacroft/tests/platform/losses.rs
+++ b/yuccacroft/tests/platform/losses.rs
@@ -9,6 +9,8 @@
 };
 
 const BOARDS: usize = 6;
+/// Number of times that a process is started while upstreams are replaced.
+const PROCESS_STARTS: usize = 200;
 /// Time after the last message of a balancer until agents send it their load no longer.
 const LOAD_SUBSCRIPTION_TIME: Duration = Duration::from_millis(3_300);
 
@@ -107,6 +109,31 @@
     deployment.request("a new flow").await;
 }
 
+/// Guards against an upstream that cannot bind the address of its predecessor, because a process that
+/// the test starts at the same time still has copies of the sockets which it inherited.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstreams_are_replaced_while_processes_start() {
+    let mut deployment = Deployment::start("inherited", 1, 1).await;
+    let mut node = deployment.balancers.pop().unwrap();
+    let machine = deployment.agents[0].node.machine;
+    let restarts = tokio::task::spawn_blocking(move || {
+        for _ in 0..PROCESS_STARTS {
+            node.restart();
+        }
+    });
+    let mut replacements = 0;
+    while !restarts.is_finished() {
+        deployment.crash_upstream(0).await;
+        let upstream = deployment
+            .start_upstream(machine, "upstream-0", default_behaviour(BOOKING_SERVICE))
+            .await;
+        deployment.agents[0].upstream = Some(upstream);
+        replacements += 1;
+    }
+    restarts.await.unwrap();
+    assert!(replacements > 0, "no upstream was replaced");
+}
+
 /// Guards against flows that reach an upstream of another service after their address was reused.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_reused_address_serves_its_new_service_only() {
--- a/yuccacroft/tests/platform/main.rs
+++ b/yuccacroft/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod late_answers;
 mod logs;
 mod losses;
+mod processes;
 mod soak;
 mod stops;
 mod store;
