--- a/yuccacroft-agent/src/assembly.rs
+++ b/yuccacroft-agent/src/assembly.rs
@@ -21,12 +21,11 @@
         updater::StateUpdater,
         upstream::UpstreamClient,
     },
-    axum::Router,
     rand::{SeedableRng, rngs::StdRng},
     slog::{Logger, error},
     std::{
         fmt::{Debug, Formatter},
-        net::{SocketAddr, SocketAddrV4},
+        net::SocketAddrV4,
         sync::Arc,
     },
     tokio::{
@@ -45,7 +44,7 @@
         tag::Owner,
         units::Slots,
     },
-    yuccacroft_rpc::{admin::Access, clock::Clock},
+    yuccacroft_rpc::{admin::Access, clock::Clock, errors::SocketError, server},
     yuccacroft_wire::{admin::ActiveContract, capsule::MacKey, handoff::KEY_PURPOSE},
 };
 
@@ -124,12 +123,10 @@
 impl Sockets {
     /// Binds all sockets. The control server listens on TCP at the address of the capsules.
     pub async fn open(own: SocketAddrV4, admin: Option<&Access>) -> Result<Self> {
-        let capsules = UdpSocket::bind(own)
-            .await
-            .map_err(|cause| Error::Socket { name: "capsules", cause })?;
-        let control = listen("control", own.into()).await?;
+        let capsules = UdpSocket::bind(own).await.map_err(SocketError::with_name("capsules"))?;
+        let control = server::bind("control", own.into()).await?;
         let admin = match admin {
-            Some(access) => Some((listen("admin", access.listen).await?, access.clone())),
+            Some(access) => Some((server::bind("admin", access.listen).await?, access.clone())),
             None => None,
         };
         Ok(Self { capsules, control, admin })
@@ -193,11 +190,11 @@
     let mut tasks = JoinSet::new();
     spawn_socket_tasks(&mut tasks, &socket, &log);
     let router = server.router().merge(operator.router());
-    spawn_server(&mut tasks, sockets.control, router);
+    tasks.spawn(server::serve(sockets.control, router));
     if let Some((listener, access)) = sockets.admin {
         let (name, domain) = (settings.name, settings.domain);
         let admin = Admin::new(name, domain, clock, operator, in_force_receiver.clone());
-        spawn_server(&mut tasks, listener, admin.router(&access));
+        tasks.spawn(server::serve(listener, admin.router(&access)));
     }
     let timer = request_path.limiter.clone();
     tasks.spawn(async move { timer.run().await });
@@ -284,13 +281,13 @@
     certificate: endpoint::Certificate,
 ) -> Result<quinn::Endpoint> {
     let owner = Owner { instance: own.instance, incarnation: own.incarnation };
-    quinn::Endpoint::new_with_abstract_socket(
+    let endpoint = quinn::Endpoint::new_with_abstract_socket(
         endpoint::endpoint_config(owner, tag, reset),
         Some(endpoint::server_config(certificate)?),
         socket,
         Arc::new(quinn::TokioRuntime),
-    )
-    .map_err(|cause| Error::Socket { name: "quic", cause })
+    );
+    Ok(endpoint.map_err(SocketError::with_name("quic"))?)
 }
 
 fn spawn_socket_tasks(tasks: &mut JoinSet<()>, socket: &Arc<CapsuleSocket>, log: &Logger) {
@@ -305,14 +302,3 @@
     let claims = socket.clone();
     tasks.spawn(async move { claims.run_claims().await });
 }
-
-async fn listen(name: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|cause| Error::Socket { name, cause })
-}
-
-fn spawn_server(tasks: &mut JoinSet<()>, listener: TcpListener, router: Router) {
-    tasks.spawn(async move {
-        // The server ends with the process; it fails only when the listener does.
-        let _ = axum::serve(listener, router).await;
-    });
-}
--- a/yuccacroft-agent/src/errors.rs
+++ b/yuccacroft-agent/src/errors.rs
@@ -1,8 +1,8 @@
 //! Errors that stop an agent process from starting.
 
-use std::{
-    fmt::{Display, Formatter},
-    io,
+use {
+    std::fmt::{Display, Formatter},
+    yuccacroft_rpc::errors::SocketError,
 };
 
 /// Result of starting an agent.
@@ -12,12 +12,7 @@
 #[derive(Debug)]
 pub enum Error {
     /// A socket could not be opened or used.
-    Socket {
-        /// Name of the socket, as in the settings.
-        name: &'static str,
-        /// The I/O error.
-        cause: io::Error,
-    },
+    Socket(SocketError),
     /// The certificate or its private key is invalid.
     Certificate(Box<str>),
     /// No balancer returned a contract with the agent's service in time.
@@ -27,7 +22,7 @@
 impl Display for Error {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Socket { name, cause } => write!(f, "socket {name}: {cause}"),
+            Self::Socket(error) => write!(f, "{error}"),
             Self::Certificate(cause) => write!(f, "certificate: {cause}"),
             Self::Contract => {
                 f.write_str("no configured balancer returned a contract with this service")
@@ -37,3 +32,9 @@
 }
 
 impl std::error::Error for Error {}
+
+impl From<SocketError> for Error {
+    fn from(error: SocketError) -> Self {
+        Self::Socket(error)
+    }
+}
--- a/yuccacroft-balancer/src/errors.rs
+++ b/yuccacroft-balancer/src/errors.rs
@@ -1,8 +1,8 @@
 //! Errors of a balancer process.
 
-use std::{
-    fmt::{Display, Formatter},
-    io,
+use {
+    std::fmt::{Display, Formatter},
+    yuccacroft_rpc::errors::SocketError,
 };
 
 /// The result of starting or running a balancer.
@@ -12,20 +12,21 @@
 #[derive(Debug)]
 pub enum Error {
     /// A socket could not be opened or used.
-    Socket {
-        /// The name of the socket in the settings.
-        name: &'static str,
-        /// The cause.
-        cause: io::Error,
-    },
+    Socket(SocketError),
 }
 
 impl Display for Error {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Socket { name, cause } => write!(f, "socket {name}: {cause}"),
+            Self::Socket(error) => write!(f, "{error}"),
         }
     }
 }
 
 impl std::error::Error for Error {}
+
+impl From<SocketError> for Error {
+    fn from(error: SocketError) -> Self {
+        Self::Socket(error)
+    }
+}
--- a/yuccacroft-balancer/src/process.rs
+++ b/yuccacroft-balancer/src/process.rs
@@ -5,7 +5,7 @@
         admin::Admin,
         capacity::CapacityServer,
         controllers::{Controllers, Mesh, Setup},
-        errors::{Error, Result},
+        errors::Result,
         relay::Relay,
         service::ServiceTable,
         socket::BatchedSocket,
@@ -16,12 +16,9 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::{
-        net::TcpListener,
-        task::{JoinHandle, JoinSet},
-    },
+    tokio::task::{JoinHandle, JoinSet},
     yuccacroft_core::ids::{Domain, Process as Name},
-    yuccacroft_rpc::{admin::Access, clock::Clock},
+    yuccacroft_rpc::{admin::Access, clock::Clock, server},
     yuccacroft_store::etcd::EtcdClient,
 };
 
@@ -106,9 +103,7 @@
         let packets = BatchedSocket::bind("packets", settings.packets)?;
         let capsules = BatchedSocket::bind("capsules", settings.capsules.into())?;
         let relay = Arc::new(Relay::new(packets, capsules, settings.capsules, services));
-        let listener = TcpListener::bind(settings.control)
-            .await
-            .map_err(|cause| Error::Socket { name: "control", cause })?;
+        let listener = server::bind("control", settings.control).await?;
         let mut tasks = JoinSet::new();
         for _ in 0..settings.threads.max(1) {
             spawn_relay(&mut tasks, &relay, &log);
@@ -123,10 +118,7 @@
         let updates = controllers.clone();
         tasks.spawn(async move { updates.run_table_updates().await });
         let router = controllers.router().merge(capacity_server.router());
-        let server = tokio::spawn(async move {
-            // The server runs until the process ends; it fails only if the listener does.
-            let _ = axum::serve(listener, router).await;
-        });
+        let server = tokio::spawn(server::serve(listener, router));
         if let Some(access) = admin {
             let (name, domain) = (settings.name.clone(), settings.domain.clone());
             let store = EtcdClient::new(settings.store, STORE_TIMEOUT);
@@ -176,14 +168,9 @@
     admin: Admin<EtcdClient>,
     access: Access,
 ) -> Result<()> {
-    let listener = TcpListener::bind(access.listen)
-        .await
-        .map_err(|cause| Error::Socket { name: "admin", cause })?;
+    let listener = server::bind("admin", access.listen).await?;
     let router = admin.router(&access);
-    tasks.spawn(async move {
-        // The server runs until the process ends; it fails only if the listener does.
-        let _ = axum::serve(listener, router).await;
-    });
+    tasks.spawn(server::serve(listener, router));
     Ok(())
 }
 
--- a/yuccacroft-balancer/src/relay.rs
+++ b/yuccacroft-balancer/src/relay.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        errors::{Error, Result},
+        errors::Result,
         packet::{self, Decision, PacketInfo},
         send_queue::SendQueue,
         service::{ServiceTable, TableSnapshot},
@@ -17,6 +17,7 @@
         time::{Duration, Instant},
     },
     yuccacroft_core::filter::FilterChain,
+    yuccacroft_rpc::errors::SocketError,
     yuccacroft_wire::{
         capsule::{self, CapsuleKind},
         invariant::InvariantHeader,
@@ -100,18 +101,16 @@
     pub async fn forward(&self) -> Result<()> {
         let mut worker = ForwardWorker::new(self);
         let batch = |batch: Batch<'_>| worker.handle_batch(batch);
-        receive_batches(&self.packets, batch)
-            .await
-            .map_err(|cause| Error::Socket { name: "packets", cause })
+        let outcome = receive_batches(&self.packets, batch).await;
+        Ok(outcome.map_err(SocketError::with_name("packets"))?)
     }
 
     /// Returns packets from agents to callers until the socket fails.
     pub async fn return_replies(&self) -> Result<()> {
         let mut worker = ReturnWorker::new(self);
         let batch = |batch: Batch<'_>| worker.handle_batch(batch);
-        receive_batches(&self.capsules, batch)
-            .await
-            .map_err(|cause| Error::Socket { name: "capsules", cause })
+        let outcome = receive_batches(&self.capsules, batch).await;
+        Ok(outcome.map_err(SocketError::with_name("capsules"))?)
     }
 }
 
--- a/yuccacroft-balancer/src/socket.rs
+++ b/yuccacroft-balancer/src/socket.rs
@@ -1,7 +1,7 @@
 //! UDP sockets that are read and written in batches.
 
 use {
-    crate::errors::{Error, Result},
+    crate::errors::Result,
     quinn_udp::{BATCH_SIZE, RecvMeta, Transmit, UdpSockRef, UdpSocketState},
     socket2::{Domain, Protocol, Socket as RawSocket, Type},
     std::{
@@ -9,6 +9,7 @@
         net::SocketAddr,
     },
     tokio::{io::Interest, net::UdpSocket},
+    yuccacroft_rpc::errors::SocketError,
 };
 
 /// Length of the receive buffer of one batch slot; the kernel may join datagrams of one sender in
@@ -27,7 +28,7 @@
 impl BatchedSocket {
     /// Binds a socket to an address. It must be called within a tokio runtime.
     pub fn bind(name: &'static str, address: SocketAddr) -> Result<Self> {
-        Self::try_bind(address).map_err(|cause| Error::Socket { name, cause })
+        Ok(Self::try_bind(address).map_err(SocketError::with_name(name))?)
     }
 
     fn try_bind(address: SocketAddr) -> io::Result<Self> {
--- a/yuccacroft-rpc/src/errors.rs
+++ b/yuccacroft-rpc/src/errors.rs
@@ -1,8 +1,11 @@
-//! Errors of calls between processes.
+//! Errors of calls between processes and of the sockets that a process opens.
 
 use {
     http::StatusCode,
-    std::fmt::{Display, Formatter},
+    std::{
+        fmt::{Display, Formatter},
+        io,
+    },
 };
 
 /// The result of a call.
@@ -21,6 +24,31 @@
     Wire(yuccacroft_wire::errors::Error),
 }
 
+/// A socket that could not be opened or used.
+#[derive(Debug)]
+pub struct SocketError {
+    /// The name of the socket in the settings.
+    pub name: &'static str,
+    /// The I/O error.
+    pub cause: io::Error,
+}
+
+impl SocketError {
+    /// Returns a function that adds the socket's name to an I/O error.
+    pub fn with_name(name: &'static str) -> impl FnOnce(io::Error) -> Self {
+        move |cause| Self { name, cause }
+    }
+}
+
+impl Display for SocketError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        let Self { name, cause } = self;
+        write!(f, "socket {name}: {cause}")
+    }
+}
+
+impl std::error::Error for SocketError {}
+
 impl Display for Error {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         match self {
--- a/yuccacroft-rpc/src/lib.rs
+++ b/yuccacroft-rpc/src/lib.rs
@@ -1,5 +1,6 @@
 //! Calls between processes over HTTP with authenticated rmp-serde bodies, the shared parts of the
-//! administration interfaces, and the clocks that are passed to `yuccacroft_core`.
+//! administration interfaces, errors of sockets, and the clocks that are passed to
+//! `yuccacroft_core`.
 
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
--- a/yuccacroft-segment/src/errors.rs
+++ b/yuccacroft-segment/src/errors.rs
@@ -1,8 +1,11 @@
 //! Errors of the segment front end.
 
-use std::{
-    fmt::{Display, Formatter},
-    io,
+use {
+    std::{
+        fmt::{Display, Formatter},
+        io,
+    },
+    yuccacroft_rpc::errors::SocketError,
 };
 
 /// The result of starting a process.
@@ -12,25 +15,20 @@
 #[derive(Debug)]
 pub enum Error {
     /// A socket could not be opened.
-    Socket {
-        /// The name of the socket in the settings.
-        name: &'static str,
-        /// The cause.
-        cause: io::Error,
-    },
+    Socket(SocketError),
 }
 
 impl Error {
     /// Returns a function that adds the socket's name to an I/O error.
     pub fn socket(name: &'static str) -> impl FnOnce(io::Error) -> Self {
-        move |cause| Self::Socket { name, cause }
+        move |cause| Self::Socket(SocketError { name, cause })
     }
 }
 
 impl Display for Error {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Socket { name, cause } => write!(f, "socket {name}: {cause}"),
+            Self::Socket(error) => write!(f, "{error}"),
         }
     }
 }
