--- a/yuccacroft-segment/src/socket.rs
+++ b/yuccacroft-segment/src/socket.rs
@@ -8,6 +8,7 @@
     std::{
         io,
         net::{SocketAddr, SocketAddrV4},
+        time::Duration,
     },
     tokio::net::UdpSocket,
 };
@@ -16,6 +17,8 @@
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 /// Datagrams that are received before the task yields to other tasks.
 const BATCH_SIZE: usize = 64;
+/// Time without receiving after the wait for datagrams has failed, since such an error can last.
+pub const ERROR_BACKOFF: Duration = Duration::from_millis(100);
 /// Kernel receive buffer of a socket. It holds the datagrams of a burst while the process is not
 /// scheduled.
 const RECEIVE_BUFFER_BYTES: usize = 1 << 20;
@@ -71,6 +74,7 @@
         loop {
             if let Err(error) = self.socket.readable().await {
                 on_error(error);
+                tokio::time::sleep(ERROR_BACKOFF).await;
                 continue;
             }
             for _ in 0..BATCH_SIZE {
