--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -197,13 +197,7 @@
         self.traffic.record(Direction::Received, Kind::Caller, datagram.len());
         let segment = match self.format.parse_inbound(datagram) {
             Ok(segment) => segment,
-            Err(error) => {
-                metrics::counter!(JUNK_METRIC, "source" => "callers").increment(1);
-                if let Some(log) = self.flow_log.failure(now) {
-                    info!(log, "junk dropped"; "cause" => %error, "bytes" => datagram.len());
-                }
-                return;
-            }
+            Err(error) => return self.log_junk("callers", &error, datagram, now),
         };
         self.last_segment.store(now.get(), Ordering::Relaxed);
         self.process(segment, datagram, self.arrivals.earliest_arrival(now), now);
@@ -324,13 +318,7 @@
         let now = self.clock.now();
         let (reply, segment) = match relay::decode::<Reply>(datagram) {
             Ok(message) => message,
-            Err(error) => {
-                metrics::counter!(JUNK_METRIC, "source" => "agents").increment(1);
-                if let Some(log) = self.flow_log.failure(now) {
-                    info!(log, "junk dropped"; "cause" => %error, "bytes" => datagram.len());
-                }
-                return;
-            }
+            Err(error) => return self.log_junk("agents", &error, datagram, now),
         };
         self.traffic.record(Direction::Received, Kind::of_reply(&reply.body), datagram.len());
         if let Some(time) = self.pool.unanswered_time(reply.from.instance, now) {
@@ -374,9 +362,9 @@
     /// Handles an opening segment that no agent took and that was sent back. The flow is reset only
     /// if no agent can have taken another copy of the segment; otherwise the caller repeats it.
     fn handle_refused(&self, datagram: &[u8], now: Moment) {
-        let Ok(segment) = self.format.parse_inbound(datagram) else {
-            metrics::counter!(JUNK_METRIC, "source" => "agents").increment(1);
-            return;
+        let segment = match self.format.parse_inbound(datagram) {
+            Ok(segment) => segment,
+            Err(error) => return self.log_junk("agents", &error, datagram, now),
         };
         let key = segment.flow.key();
         let is_proof = self.openings.record_refusal(key, segment.copy_number(), now);
@@ -398,7 +386,10 @@
     /// Handles a segment that was sent back by an agent that does not own its flow. The segment
     /// goes to the known owner or into a new search.
     fn handle_returned(&self, key: FlowKey, from: Instance, datagram: &[u8], now: Moment) {
-        let Ok(segment) = self.format.parse_inbound(datagram) else { return };
+        let segment = match self.format.parse_inbound(datagram) {
+            Ok(segment) => segment,
+            Err(error) => return self.log_junk("agents", &error, datagram, now),
+        };
         let cached = self.table.get(key);
         match cached {
             Some(CachedFlow::Owned { owner, .. }) if owner.instance != from => {
@@ -515,6 +506,21 @@
             "skipped_ticks" => skipped_ticks, times, Members::new(&self.pool, now));
     }
 
+    /// Counts and logs a datagram that cannot be decoded.
+    fn log_junk(
+        &self,
+        source: &'static str,
+        cause: &dyn std::fmt::Display,
+        datagram: &[u8],
+        now: Moment,
+    ) {
+        metrics::counter!(JUNK_METRIC, "source" => source).increment(1);
+        if let Some(log) = self.flow_log.failure(now) {
+            info!(log, "junk dropped"; "source" => source, "cause" => %cause,
+                "bytes" => datagram.len());
+        }
+    }
+
     fn log_socket_error(&self, name: &'static str, error: &std::io::Error) {
         metrics::counter!(JUNK_METRIC, "source" => name).increment(1);
         if let Some(log) = self.flow_log.failure(self.clock.now()) {
--- a/yuccacroft-segment/tests/grounds.rs
+++ b/yuccacroft-segment/tests/grounds.rs
@@ -1,13 +1,11 @@
 //! Tests of the fields that explain the reset of a flow in the log.
 
+mod support;
+
 use {
-    slog::{Drain, KV, Logger, OwnedKVList, Record, Serializer, info, o},
-    std::{
-        collections::BTreeMap,
-        fmt::Arguments,
-        net::SocketAddrV4,
-        sync::{Arc, Mutex},
-    },
+    crate::support::{Capture, Fields},
+    slog::{KV, info},
+    std::net::SocketAddrV4,
     yuccacroft_core::{
         flow::AgentId,
         ids::{Domain, Incarnation, Instance, Revision},
@@ -26,40 +24,11 @@
 
 const START: Moment = Moment::new(1_000_000);
 
-type Fields = BTreeMap<String, String>;
-
-/// A drain that keeps the fields of its last line.
-#[derive(Clone, Debug, Default)]
-struct Capture(Arc<Mutex<Fields>>);
-
-struct FieldWriter<'a>(&'a mut Fields);
-
-impl Drain for Capture {
-    type Ok = ();
-    type Err = slog::Never;
-
-    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), slog::Never> {
-        let mut fields = self.0.lock().unwrap();
-        fields.clear();
-        record.kv().serialize(record, &mut FieldWriter(&mut fields)).unwrap();
-        Ok(())
-    }
-}
-
-impl Serializer for FieldWriter<'_> {
-    fn emit_arguments(&mut self, key: slog::Key, value: &Arguments<'_>) -> slog::Result {
-        let previous = self.0.insert(key.to_string(), value.to_string());
-        assert_eq!(previous, None, "{key} is written twice");
-        Ok(())
-    }
-}
-
 /// Returns the fields that these values add to a line.
 fn fields(values: impl KV) -> Fields {
     let capture = Capture::default();
-    info!(Logger::root(capture.clone(), o!()), "line"; values);
-    let mut fields = capture.0.lock().unwrap();
-    std::mem::take(&mut *fields)
+    info!(capture.logger(), "line"; values);
+    capture.take().pop().unwrap().fields
 }
 
 fn instance(number: u8) -> Instance {
