--- a/yuccacroft-segment/src/agent/controllers.rs
+++ b/yuccacroft-segment/src/agent/controllers.rs
@@ -19,7 +19,7 @@
 
 /// Time between ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// Ticks between updates of the metrics.
+/// Ticks between updates of the metrics and of the count of suppressed log lines.
 const METRICS_TICKS: u64 = 50;
 /// Ticks between load messages to balancers.
 const LOAD_TICKS: u64 = 10;
@@ -56,6 +56,7 @@
             self.relay.tick(now);
             if tick.is_every(METRICS_TICKS) {
                 self.relay.update_metrics();
+                self.relay.flow_log.flush(now);
             }
             self.update_silence();
             let load = self.relay.load(now);
--- a/yuccacroft-segment/src/flow_log.rs
+++ b/yuccacroft-segment/src/flow_log.rs
@@ -2,7 +2,10 @@
 
 use {
     slog::{Logger, info},
-    std::sync::{Mutex, PoisonError},
+    std::{
+        mem,
+        sync::{Mutex, MutexGuard, PoisonError},
+    },
     yuccacroft_core::time::{Moment, Span},
 };
 
@@ -60,17 +63,42 @@
         self.limited(now, |window| window.failures.try_take(MAX_FAILURES_PER_SECOND))
     }
 
+    /// Writes the number of lines that were left out in a second that is over. A periodic caller is
+    /// needed, since otherwise the number is written only before the next line.
+    pub fn flush(&self, now: Moment) {
+        let mut window = self.window();
+        if window.is_over(now) {
+            self.log_suppressed(&mut window);
+        }
+    }
+
     fn limited(&self, now: Moment, try_take: impl FnOnce(&mut Window) -> bool) -> Option<&Logger> {
-        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
-        if now.since(window.started) >= SECOND {
-            let (normal, failures) = (window.normal.suppressed, window.failures.suppressed);
-            if normal + failures > 0 {
-                info!(self.log, "lines left out"; "usual" => normal, "trouble" => failures);
-            }
+        let mut window = self.window();
+        if window.is_over(now) {
+            self.log_suppressed(&mut window);
             *window = Window { started: now, ..Window::default() };
         }
         try_take(&mut window).then_some(&self.log)
     }
+
+    /// Writes the counts of suppressed lines, if any, and resets them.
+    fn log_suppressed(&self, window: &mut Window) {
+        let normal = mem::take(&mut window.normal.suppressed);
+        let failures = mem::take(&mut window.failures.suppressed);
+        if normal + failures > 0 {
+            info!(self.log, "lines left out"; "usual" => normal, "trouble" => failures);
+        }
+    }
+
+    fn window(&self) -> MutexGuard<'_, Window> {
+        self.window.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Window {
+    fn is_over(&self, now: Moment) -> bool {
+        now.since(self.started) >= SECOND
+    }
 }
 
 impl LineCount {
