--- a/yuccacroft-store/src/etcd.rs
+++ b/yuccacroft-store/src/etcd.rs
@@ -148,8 +148,12 @@
         let response = response
             .map_err(|_| Error::Unreachable("timeout".into()))?
             .map_err(|error| Error::Unreachable(error.to_string().into()))?;
-        if !response.status().is_success() {
-            return Err(Error::Unreachable(response.status().to_string().into()));
+        let status = response.status();
+        if status.is_server_error() {
+            return Err(Error::Unreachable(status.to_string().into()));
+        }
+        if !status.is_success() {
+            return Err(Error::Protocol(status.to_string().into()));
         }
         Ok(Watch::new(watch::events(response.into_body())))
     }
--- a/yuccacroft-store/tests/watch.rs
+++ b/yuccacroft-store/tests/watch.rs
@@ -1,7 +1,9 @@
 //! Tests of the etcd client against the fake store, which loses answers, fails and stalls.
 
 use {
+    axum::{Router, http::StatusCode},
     std::time::Duration,
+    tokio::net::TcpListener,
     yuccacroft_core::{
         ids::Revision,
         lease::Lease,
@@ -81,6 +83,29 @@
     assert!(matches!(result, Err(Error::Unreachable(_))));
 }
 
+/// Guards against a rejected watch that is taken for an outage of the store: a retry does not help.
+/// A server error is an outage.
+#[tokio::test]
+async fn rejected_watch_is_not_reported_as_an_outage() {
+    for status in [StatusCode::BAD_REQUEST, StatusCode::UNAUTHORIZED, StatusCode::NOT_FOUND] {
+        let result = watch_answered_with(status).await;
+        assert!(matches!(result, Err(Error::Protocol(_))), "{status}: {:?}", result.err());
+    }
+    for status in [StatusCode::INTERNAL_SERVER_ERROR, StatusCode::SERVICE_UNAVAILABLE] {
+        let result = watch_answered_with(status).await;
+        assert!(matches!(result, Err(Error::Unreachable(_))), "{status}: {:?}", result.err());
+    }
+}
+
+/// Opens a watch at a server that answers every call with this status.
+async fn watch_answered_with(status: StatusCode) -> Result<Watch, Error> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = EtcdClient::new(listener.local_addr().unwrap(), Duration::from_secs(2));
+    let routes = Router::new().fallback(async move || status);
+    tokio::spawn(async move { axum::serve(listener, routes).await });
+    client.watch(PREFIX, Revision::new(1)).await
+}
+
 /// Guards against a lost answer that is reported as a failure although the write took effect.
 #[tokio::test]
 async fn lost_answer_is_uncertain_and_the_write_takes_effect() {
