--- a/yuccacroft-balancer/src/controllers/mesh.rs
+++ b/yuccacroft-balancer/src/controllers/mesh.rs
@@ -113,6 +113,7 @@
                 controllers.client.call_with_retry(to.address(), REPORTS_PATH, &key, &reports);
             let answer: Result<Reports, _> = call.await;
             if let Err(error) = answer {
+                metrics::counter!(FAILURES_METRIC).increment(1);
                 debug!(controllers.log, "report failed"; "error" => %error, "peer" => %to);
             }
         });
--- a/yuccacroft-balancer/tests/controllers.rs
+++ b/yuccacroft-balancer/tests/controllers.rs
@@ -2,10 +2,15 @@
 //! answers.
 
 use {
+    axum::{Router, http::StatusCode, routing::post},
+    metrics_exporter_prometheus::PrometheusBuilder,
     slog::{Discard, Logger, o},
     std::{
-        net::SocketAddr,
-        sync::Arc,
+        net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{net::TcpListener, task::JoinSet},
@@ -15,7 +20,7 @@
     },
     yuccacroft_core::{
         contract::{Checked, Contract, writer::WriteOutcome},
-        ids::{ChangeId, Customer, Incarnation, Revision},
+        ids::{ChangeId, Customer, Incarnation, Instance, Revision},
         key::Secret,
         member::{MemberEntry, MemberPhase},
         units::Weight,
@@ -23,7 +28,10 @@
     yuccacroft_fakes::store::{CallKind, Store},
     yuccacroft_rpc::{client::Client, clock::Clock},
     yuccacroft_store::etcd::EtcdClient,
-    yuccacroft_wire::message::{Announce, AnnounceReply},
+    yuccacroft_wire::{
+        exchange::REPORTS_PATH,
+        message::{Announce, AnnounceReply},
+    },
 };
 
 /// The bound of `docs/design.md`, section 1.2, at the current sizes.
@@ -41,6 +49,17 @@
 
 impl Balancer {
     async fn start(domain: &str, store: &Store, peers: &[SocketAddr], key: [u8; 32]) -> Self {
+        Self::start_with_routes(domain, store, peers, key, |routes| routes).await
+    }
+
+    /// Starts a balancer whose routes are changed by `change`.
+    async fn start_with_routes(
+        domain: &str,
+        store: &Store,
+        peers: &[SocketAddr],
+        key: [u8; 32],
+        change: impl FnOnce(Router) -> Router,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let mesh = Some(Mesh { key: Secret::new(key), peers: peers.into() });
@@ -49,7 +68,7 @@
         let services = Arc::new(ServiceTable::new());
         let controllers = Arc::new(Controllers::new(setup, services, Clock::new(), log));
         let mut tasks = JoinSet::new();
-        let router = controllers.router();
+        let router = change(controllers.router());
         tasks.spawn(async move {
             // The server runs until the test ends.
             let _ = axum::serve(listener, router).await;
@@ -213,19 +232,69 @@
     assert_eq!(announce(&balancers[0], 2_001).await.later, None);
 }
 
+/// Guards against reports that are lost without a trace: the metric of failed calls between
+/// balancers must count them like all others.
+#[tokio::test]
+async fn failed_reports_are_counted() {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let _guard = metrics::set_default_local_recorder(&recorder);
+    let store = Store::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let first = Balancer::start("gent", &store, &[], MESH_KEY).await;
+    let refusals = Arc::new(AtomicUsize::new(0));
+    let counted = refusals.clone();
+    let refuse_reports = |routes: Router| {
+        let refuse = move || async move {
+            counted.fetch_add(1, Ordering::Relaxed);
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        Router::new().route(REPORTS_PATH, post(refuse)).fallback_service(routes)
+    };
+    let peers = [first.address];
+    let second =
+        Balancer::start_with_routes("leuven", &store, &peers, MESH_KEY, refuse_reports).await;
+    let is_mesh_complete =
+        || [&first, &second].iter().all(|balancer| balancer.controllers.peers().len() == 2);
+    wait_until("balancers know each other", START_TIMEOUT, is_mesh_complete).await;
+    accept(&first, &store, 1).await;
+    // The members of a large failure domain announce themselves once and are then silent.
+    for port in 9_000..9_008 {
+        let instance = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+        announce_entry(
+            &first,
+            MemberEntry { instance: Instance::new(instance), ..entry("brugge", 1) },
+        )
+        .await;
+    }
+    let is_refused = || refusals.load(Ordering::Relaxed) > 0;
+    wait_until("the report about silent members", START_TIMEOUT, is_refused).await;
+    let is_counted = || {
+        let metrics = recorder.handle().render();
+        let mut lines = metrics.lines();
+        lines.any(|line| line.starts_with("yuccacroft_mesh_failures_total "))
+    };
+    wait_until("the failure of the report in the metric", IN_FORCE_TIMEOUT, is_counted).await;
+}
+
 async fn announce(balancer: &Balancer, incarnation: u64) -> AnnounceReply {
-    let entry = MemberEntry {
+    announce_entry(balancer, entry("gent", incarnation)).await
+}
+
+async fn announce_entry(balancer: &Balancer, entry: MemberEntry) -> AnnounceReply {
+    let message = Announce { entry, revision: Revision::default(), siblings: 0, balancers: 0 };
+    let client = Client::new(IN_FORCE_TIMEOUT);
+    let key = Secret::new([7; 32]);
+    client.call(balancer.address, ANNOUNCE_PATH, &key, &message).await.unwrap()
+}
+
+fn entry(domain: &str, incarnation: u64) -> MemberEntry {
+    MemberEntry {
         customer: customer(),
         service: "booking".parse().unwrap(),
         instance: "127.0.0.1:9000".parse().unwrap(),
         incarnation: Incarnation::new(incarnation),
         version: 0,
-        domain: "gent".parse().unwrap(),
+        domain: domain.parse().unwrap(),
         weight: Weight::new(100),
         phase: MemberPhase::Draining,
-    };
-    let message = Announce { entry, revision: Revision::default(), siblings: 0, balancers: 0 };
-    let client = Client::new(IN_FORCE_TIMEOUT);
-    let key = Secret::new([7; 32]);
-    client.call(balancer.address, ANNOUNCE_PATH, &key, &message).await.unwrap()
+    }
 }
