--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -223,6 +223,7 @@
             self.relay.searches.expire(now);
             self.update_gauges();
             self.relay.log_traffic(now);
+            self.relay.flow_log.flush(now);
         }
         let isolated = self.relay.pool.is_isolated(now);
         if self.isolated.swap(isolated, Ordering::Relaxed) != isolated {
