--- a/yuccacroft-core/src/arrival.rs
+++ b/yuccacroft-core/src/arrival.rs
@@ -30,7 +30,7 @@
         Self::default()
     }
 
-    /// Records that the timer of the process has fired.
+    /// Records that the timer of the process has fired, or that a suspension was detected otherwise.
     pub fn tick(&self, now: Moment) {
         let last_tick = Moment::new(self.last_tick.load(Ordering::Acquire));
         if now.since(last_tick) >= SUSPENSION_THRESHOLD {
@@ -41,6 +41,11 @@
         self.last_tick.store(now.get(), Ordering::Release);
     }
 
+    /// Returns the time since the timer of the process last fired.
+    pub fn time_since_tick(&self, now: Moment) -> Span {
+        now.since(Moment::new(self.last_tick.load(Ordering::Acquire)))
+    }
+
     /// Returns the earliest time at which a datagram that is read at `now` may have arrived.
     pub fn earliest_arrival(&self, now: Moment) -> Moment {
         let last_tick = Moment::new(self.last_tick.load(Ordering::Acquire));
--- a/yuccacroft-rpc/src/clock.rs
+++ b/yuccacroft-rpc/src/clock.rs
@@ -1,7 +1,8 @@
 //! The monotonic and the wall clock of a process.
 
 use {
-    std::time::{SystemTime, UNIX_EPOCH},
+    nix::time::{ClockId, clock_gettime},
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
     tokio::time::Instant,
     yuccacroft_core::{
         ids::Incarnation,
@@ -40,6 +41,20 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(Span::ZERO, Span::from)
 }
 
+/// Returns the time since the machine started, including the time for which it was suspended. Unlike
+/// the wall clock it never jumps.
+///
+/// # Panics
+///
+/// Panics if the system has no monotonic clock.
+pub fn boot_clock() -> Span {
+    // Linux before 2.6.39 has no such clock.
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME)
+        .or_else(|_| clock_gettime(ClockId::CLOCK_MONOTONIC))
+        .expect("the system has a monotonic clock");
+    Span::from(Duration::from(time))
+}
+
 /// Returns the incarnation of a process that starts now: the wall clock in milliseconds.
 pub fn new_incarnation() -> Incarnation {
     Incarnation::new(wall_clock().as_millis())
--- a/yuccacroft-segment/src/agent/controllers.rs
+++ b/yuccacroft-segment/src/agent/controllers.rs
@@ -45,7 +45,7 @@
 
     /// Runs the timers of the agent. It does not return.
     pub async fn run_timers(&self) {
-        let mut ticker = Ticker::new(TICK_INTERVAL, self.relay.clock);
+        let mut ticker = Ticker::new(TICK_INTERVAL, self.relay.clock.clone());
         let mut sent_load = None;
         loop {
             let tick = ticker.tick(self.relay.flow_log.log()).await;
--- a/yuccacroft-segment/src/agent/process.rs
+++ b/yuccacroft-segment/src/agent/process.rs
@@ -8,6 +8,7 @@
         relay::{Relay, Setup},
     },
     crate::{
+        clock::BootClock,
         dump,
         errors::Result,
         flow_log::FlowLog,
@@ -29,7 +30,6 @@
         time::Span,
         upstream::Monitor,
     },
-    yuccacroft_rpc::clock::Clock,
 };
 
 /// Time between checks for the upstream's exit during shutdown.
@@ -83,7 +83,8 @@
     /// Binds the sockets and starts all tasks.
     pub async fn serve(self) -> Result<Process<Serving<P>>> {
         let Starting { platform, settings, log } = self.state;
-        let (host, clock) = (platform.host(), Clock::new());
+        let host = platform.host();
+        let clock = BootClock::new(host.clone());
         let incarnation = host.incarnation();
         let agent_id = AgentId { instance: Instance::new(settings.messages), incarnation };
         let setup = Setup {
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -10,7 +10,7 @@
 
 use {
     super::chain::{self, AgentState, ReceivedSegment},
-    crate::{flow_log::FlowLog, host::Socket, traffic::Traffic},
+    crate::{clock::BootClock, flow_log::FlowLog, host::Socket, traffic::Traffic},
     std::{
         net::SocketAddrV4,
         sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64},
@@ -20,7 +20,6 @@
         filter::FilterChain, flow::AgentId, handshake::Decision, segment::Format, shards::Shards,
         time::Moment, upstream::ConnectResult,
     },
-    yuccacroft_rpc::clock::Clock,
 };
 
 /// Metric: number of decisions, labelled with outcome and cause.
@@ -51,7 +50,7 @@
     /// Notified when a balancer's listing lacks the agent's entry.
     pub entry_unlisted: Notify,
     /// The clock that all decisions use.
-    pub clock: Clock,
+    pub clock: BootClock,
     /// The rate-limited log of flow events.
     pub flow_log: FlowLog,
     /// The messages since the last update of the metrics.
@@ -70,7 +69,7 @@
         format: F,
         setup: Setup<S>,
         state: Arc<AgentState>,
-        clock: Clock,
+        clock: BootClock,
         flow_log: FlowLog,
     ) -> Self {
         let chain = chain::build_chain(&state);
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -114,13 +114,12 @@
 
     /// Runs the timers of searches, waiting segments and members. It does not return.
     pub async fn run_timers(&self) {
-        let mut ticker = Ticker::new(TICK_INTERVAL, self.relay.clock);
+        let mut ticker = Ticker::new(TICK_INTERVAL, self.relay.clock.clone());
         loop {
             let tick = ticker.tick(self.relay.flow_log.log()).await;
             let now = tick.now;
             if tick.is_stalled {
-                self.relay.pool.restart_timeouts(now);
-                self.relay.freshness.record_stall(now);
+                self.relay.resume(now);
             }
             self.relay.arrivals.tick(now);
             self.relay.retry_pending(now);
--- a/yuccacroft-segment/src/balancer/process.rs
+++ b/yuccacroft-segment/src/balancer/process.rs
@@ -6,6 +6,7 @@
         relay::{Relay, Setup},
     },
     crate::{
+        clock::BootClock,
         dump,
         errors::Result,
         flow_log::FlowLog,
@@ -21,7 +22,6 @@
         ids::{Domain, Process as Name},
         time::Span,
     },
-    yuccacroft_rpc::clock::Clock,
 };
 
 /// Time without a segment after which the routers no longer use this process: they query its
@@ -65,7 +65,8 @@
     /// Binds the sockets and starts all tasks.
     pub async fn serve(self) -> Result<Process<Serving<P>>> {
         let Starting { platform, settings, log } = self.state;
-        let (host, clock) = (platform.host(), Clock::new());
+        let host = platform.host();
+        let clock = BootClock::new(host.clone());
         let setup = Setup {
             callers: host.bind("segments", settings.segments)?,
             agents: host.bind("messages", settings.messages)?,
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -10,8 +10,10 @@
         searches::{Query, QueryKind, SearchParams, Searches, Step},
     },
     crate::{
+        clock::BootClock,
         flow_log::FlowLog,
         host::Socket,
+        ticker::STALL_THRESHOLD,
         traffic::{Direction, Kind, Traffic},
     },
     slog::info,
@@ -36,7 +38,6 @@
         steering::{CachedFlow, SteeringTable},
         time::{Moment, Span},
     },
-    yuccacroft_rpc::clock::Clock,
     yuccacroft_wire::relay::{self, Body, Reply, Request},
 };
 
@@ -87,7 +88,7 @@
     /// read again.
     pub config_outdated: Notify,
     /// The clock that all decisions use.
-    pub clock: Clock,
+    pub clock: BootClock,
     /// Estimates when the segments arrived that are read now.
     pub arrivals: ArrivalEstimator,
     /// The rate-limited log of flow events.
@@ -105,7 +106,7 @@
 
 impl<F: Format, S: Socket> Relay<F, S> {
     /// Creates a packet path without agents and without a configuration.
-    pub fn new(format: F, setup: Setup<S>, clock: Clock, flow_log: FlowLog) -> Self {
+    pub fn new(format: F, setup: Setup<S>, clock: BootClock, flow_log: FlowLog) -> Self {
         let (table, pool) = (Arc::new(SteeringTable::new()), Arc::new(Pool::new()));
         let current_routes = Arc::new(CurrentRoutes::default());
         let chain = chain::build_chain(
@@ -192,8 +193,25 @@
         }
     }
 
-    fn handle_segment(&self, datagram: &[u8]) {
+    /// Restarts all timeouts after a stall of the process.
+    pub fn resume(&self, now: Moment) {
+        self.pool.restart_timeouts(now);
+        self.freshness.record_stall(now);
+    }
+
+    /// Returns the time at which a datagram is read. After a suspension of the machine datagrams are
+    /// read before the timer fires, so the timeouts restart here if the process stood still.
+    fn reading_time(&self) -> Moment {
         let now = self.clock.now();
+        if self.arrivals.time_since_tick(now) >= STALL_THRESHOLD {
+            self.arrivals.tick(now);
+            self.resume(now);
+        }
+        now
+    }
+
+    fn handle_segment(&self, datagram: &[u8]) {
+        let now = self.reading_time();
         self.traffic.record(Direction::Received, Kind::Caller, datagram.len());
         let segment = match self.format.parse_inbound(datagram) {
             Ok(segment) => segment,
@@ -321,7 +339,7 @@
     }
 
     fn handle_message(&self, datagram: &[u8]) {
-        let now = self.clock.now();
+        let now = self.reading_time();
         let (reply, segment) = match relay::decode::<Reply>(datagram) {
             Ok(message) => message,
             Err(error) => {
--- a/yuccacroft-segment/src/host.rs
+++ b/yuccacroft-segment/src/host.rs
@@ -1,4 +1,4 @@
-//! The host that a process runs on: sockets, HTTP servers and the wall clock.
+//! The host that a process runs on: sockets, HTTP servers and clocks.
 //!
 //! The segment front end does all its input and output through these traits and the store client.
 //! The same processes therefore run on a real machine and in an emulation of many machines in
@@ -53,6 +53,10 @@
     /// Returns the Unix time of the wall clock, which may jump.
     fn wall_clock(&self) -> Span;
 
+    /// Returns the time since the machine started. It never jumps, and it includes the time for which
+    /// the machine was suspended, which the timers of the runtime do not count.
+    fn boot_clock(&self) -> Span;
+
     /// Returns a seed for a random number generator.
     fn seed(&self) -> u64;
 
@@ -163,6 +167,10 @@
         clock::wall_clock()
     }
 
+    fn boot_clock(&self) -> Span {
+        clock::boot_clock()
+    }
+
     fn seed(&self) -> u64 {
         rand::random()
     }
--- a/yuccacroft-segment/src/lib.rs
+++ b/yuccacroft-segment/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod agent;
 pub mod balancer;
+pub mod clock;
 pub mod dump;
 pub mod errors;
 pub mod flow_log;
