--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -129,6 +129,8 @@
 pub struct Search {
     started: Moment,
     list_complete_at: Moment,
+    /// The time of the last tick, which brought the present state of the agents.
+    updated_at: Moment,
     queries: BTreeMap<Instance, AgentQuery>,
     /// The wave that is being queried, and the time at which it started.
     wave: Wave,
@@ -212,6 +214,7 @@
         Self {
             started: now,
             list_complete_at,
+            updated_at: now,
             queries: BTreeMap::new(),
             wave: Wave::default(),
             wave_started: now,
@@ -250,6 +253,7 @@
         if now.since(self.started) >= SEARCH_TIMEOUT {
             return vec![Action::TimedOut];
         }
+        self.updated_at = now;
         // An agent that is no longer a member has no flows.
         self.remove_unlisted(candidates);
         let mut actions = Vec::new();
@@ -329,15 +333,21 @@
 
     fn conclude(&mut self, now: Moment) -> Vec<Action> {
         let all_fresh = self.are_all_fresh();
-        let is_excluded = |query: &AgentQuery| query.lost || (all_fresh && query.absent);
+        // A silent agent may have answered another message since the last tick.
+        let is_current = self.updated_at == now;
+        let is_excluded =
+            |query: &AgentQuery| is_current && (query.lost || (all_fresh && query.absent));
         if self.queries.values().any(|query| query.answer.is_none() && !is_excluded(query)) {
             return Vec::new();
         }
         if !self.deferred.is_empty() {
             return self.start_next_wave(now);
         }
-        let unsure: Vec<&mut AgentQuery> =
-            self.queries.values_mut().filter(|a| a.is_unsure() && !a.lost).collect();
+        let unsure: Vec<&mut AgentQuery> = self
+            .queries
+            .values_mut()
+            .filter(|query| query.is_unsure() && !(is_current && query.lost))
+            .collect();
         if !unsure.is_empty() {
             let unprobed = unsure.into_iter().filter(|query| !query.probed);
             let sent_queries = &mut self.sent_queries;
--- a/yuccacroft-core/tests/search.rs
+++ b/yuccacroft-core/tests/search.rs
@@ -127,6 +127,18 @@
     assert_eq!(search.step(candidates(0..2, &[0, 1]), at(3_100)), [Action::TimedOut]);
 }
 
+/// Guards against a reset on the silence of an agent that has answered another message since: ticks
+/// do not come while the budget of queries is used up, and the last denial ended the search.
+#[test]
+fn an_answer_ends_no_search_on_earlier_silence() {
+    let mut search = Search::new(START, START);
+    search.step(candidates(0..2, &[1]), START);
+    assert!(search.step(denial(0), at(1_500)).is_empty());
+    assert!(!search.step(candidates(0..2, &[]), at(1_525)).contains(&Action::NotFound));
+    let owns = search.step(Event::Answered(agent_id(1), QueryAnswer::Owns), at(1_526));
+    assert_eq!(owns, [Action::Found(agent_id(1))]);
+}
+
 /// Guards against a reset that no denial supports: the agents that are unsure may own the flow, and
 /// all of them have become silent.
 #[test]
