--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -187,7 +187,7 @@
 
     /// Runs the timers of all searches.
     pub fn tick_searches(&self, now: Moment) {
-        for key in self.searches.keys() {
+        for key in self.searches.start_round() {
             let steps = self.searches.tick(key, &self.pool, now);
             self.perform(key, steps, now);
         }
@@ -277,7 +277,7 @@
                 let (class, last_agent) = (self.class(segment), received.last_agent);
                 let params = SearchParams { target, class, agents_complete_at, last_agent };
                 if self.searches.add(key, *segment, datagram, params, now) {
-                    let steps = self.searches.tick(key, &self.pool, now);
+                    let steps = self.searches.begin(key, &self.pool, now);
                     self.perform(key, steps, now);
                 } else {
                     self.log_not_forwarded(segment, "drop", "no search now", now);
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -4,7 +4,7 @@
     super::grounds::Grounds,
     std::sync::{
         Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     yuccacroft_core::{
         controller::Controller,
@@ -31,6 +31,7 @@
 /// A running search for the owner of a flow.
 #[derive(Debug)]
 pub struct RunningSearch {
+    started: Moment,
     /// The latest segment of the flow.
     pub segment: Segment,
     /// The waiting segments, oldest first. Agents are sent the first one with a probe.
@@ -96,6 +97,8 @@
     budget: Mutex<QueryBudget>,
     /// The number of ticks that were skipped because the query budget was used up.
     skipped_ticks: AtomicU64,
+    /// Whether searches wait for the query budget.
+    has_backlog: AtomicBool,
 }
 
 impl Searches {
@@ -119,6 +122,7 @@
                 return false;
             }
             let running = slot.get_or_insert_with(|| RunningSearch {
+                started: now,
                 segment,
                 datagrams: Vec::new(),
                 acknowledged: segment.acknowledged,
@@ -145,6 +149,16 @@
         self.step(key, |_| Event::Answered(from, answer), now)
     }
 
+    /// Returns the first steps of a new search, unless older ones wait for the query budget: they
+    /// would end without a query if new searches used it up.
+    pub fn begin(&self, key: FlowKey, pool: &Pool, now: Moment) -> Vec<Step> {
+        if self.has_backlog.load(Ordering::Relaxed) {
+            self.record_skipped_tick(key);
+            return Vec::new();
+        }
+        self.tick(key, pool, now)
+    }
+
     /// Runs the timers of one search and returns its next steps, unless the query budget of all
     /// searches is used up.
     pub fn tick(&self, key: FlowKey, pool: &Pool, now: Moment) -> Vec<Step> {
@@ -168,6 +182,7 @@
 
     fn record_skipped_tick(&self, key: FlowKey) {
         self.skipped_ticks.fetch_add(1, Ordering::Relaxed);
+        self.has_backlog.store(true, Ordering::Relaxed);
         self.running.update(key, |slot| {
             if let Some(running) = slot {
                 running.search.record_skipped_tick();
@@ -179,12 +194,15 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the flow keys of all running searches.
-    pub fn keys(&self) -> Vec<FlowKey> {
-        self.running.fold(Vec::new(), |mut keys, key, _| {
-            keys.push(*key);
+    /// Returns the flow keys of all running searches, oldest first, for a round of ticks.
+    pub fn start_round(&self) -> Vec<FlowKey> {
+        self.has_backlog.store(false, Ordering::Relaxed);
+        let mut keys = self.running.fold(Vec::new(), |mut keys, key, running| {
+            keys.push((running.started, *key));
             keys
-        })
+        });
+        keys.sort_unstable();
+        keys.into_iter().map(|(_, key)| key).collect()
     }
 
     /// Returns the number of running searches.
--- /dev/null
+++ b/yuccacroft-segment/tests/searches.rs
@@ -0,0 +1,123 @@
+//! Tests of the running searches of a balancer and of their common budget of queries.
+
+use {
+    std::{collections::BTreeMap, net::SocketAddrV4},
+    yuccacroft_core::{
+        flow::{AgentId, FlowKey},
+        ids::{Domain, Incarnation, Instance},
+        pool::{AgentEntry, AgentPhase, Pool},
+        route::{ServiceName, Target, TrafficClass},
+        segment::{Control, Flow, Segment, Sequence},
+        time::{Moment, Span},
+        units::Slots,
+    },
+    yuccacroft_segment::balancer::searches::{SearchParams, Searches, Step},
+};
+
+const START: Moment = Moment::new(1_000_000);
+const AGENTS: u8 = 60;
+const TICK: Span = Span::from_millis(25);
+/// More searches than the burst of the budget covers.
+const INITIAL_SEARCHES: u16 = 200;
+/// New searches between two ticks: more than the rate of the budget covers.
+const SEARCHES_PER_TICK: u16 = 5;
+const TICKS: u64 = 40;
+
+fn target() -> Target {
+    ServiceName::new("booking").target()
+}
+
+fn pool() -> Pool {
+    let pool = Pool::new();
+    for number in 1..=AGENTS {
+        let instance = Instance::new(SocketAddrV4::new([10, 0, 0, number].into(), 7_000));
+        let entry = AgentEntry {
+            agent_id: AgentId { instance, incarnation: Incarnation::new(1) },
+            entry_version: 1,
+            target: target(),
+            domain: Domain::new("a").unwrap(),
+            slots: Slots::new(4),
+            phase: AgentPhase::Ready,
+            succeeds: false,
+        };
+        pool.upsert(entry, START);
+    }
+    pool
+}
+
+fn segment(number: u16) -> Segment {
+    Segment {
+        flow: Flow {
+            caller: SocketAddrV4::new([100, 64, 0, 1].into(), number),
+            address: SocketAddrV4::new([198, 18, 0, 1].into(), 443),
+        },
+        control: Control::Continue,
+        sequence: Sequence::new(1),
+        acknowledged: Sequence::new(1),
+        length: 0,
+    }
+}
+
+/// The searches, with the time at which each sent its first query.
+#[derive(Default)]
+struct Rounds {
+    searches: Searches,
+    started: u16,
+    first_queries: BTreeMap<u16, Moment>,
+    numbers: BTreeMap<FlowKey, u16>,
+}
+
+impl Rounds {
+    fn start(&mut self, pool: &Pool, now: Moment) {
+        self.started += 1;
+        let segment = segment(self.started);
+        let key = segment.flow.key();
+        self.numbers.insert(key, self.started);
+        let params = SearchParams {
+            target: Some(target()),
+            class: TrafficClass::default(),
+            agents_complete_at: START,
+            last_agent: None,
+        };
+        assert!(self.searches.add(key, segment, &[], params, now));
+        let steps = self.searches.begin(key, pool, now);
+        self.record(key, &steps, now);
+    }
+
+    fn tick(&mut self, pool: &Pool, now: Moment) {
+        for key in self.searches.start_round() {
+            let steps = self.searches.tick(key, pool, now);
+            self.record(key, &steps, now);
+        }
+    }
+
+    fn record(&mut self, key: FlowKey, steps: &[Step], now: Moment) {
+        if steps.iter().any(|step| matches!(step, Step::Query(_))) {
+            self.first_queries.entry(self.numbers[&key]).or_insert(now);
+        }
+    }
+}
+
+/// Guards against searches that end without a query because newer ones use up the budget (issue 20,
+/// trouble-1 of the grown site: 1,911 searches).
+#[test]
+fn older_searches_are_the_first_to_query() {
+    let (pool, mut rounds) = (pool(), Rounds::default());
+    for _ in 0..INITIAL_SEARCHES {
+        rounds.start(&pool, START);
+    }
+    for tick in 1..=TICKS {
+        let now = START + TICK.saturating_mul(tick);
+        for _ in 0..SEARCHES_PER_TICK {
+            rounds.start(&pool, now);
+        }
+        rounds.tick(&pool, now);
+    }
+    let numbers: Vec<u16> = rounds.first_queries.keys().copied().collect();
+    assert!(numbers.len() < usize::from(rounds.started), "the budget is never used up");
+    assert!(numbers.len() > usize::from(INITIAL_SEARCHES) / 4, "{numbers:?}");
+    // Searches that start at the same moment have no order, so the last group may be incomplete.
+    let (complete, last) = numbers.split_at(numbers.len().min(INITIAL_SEARCHES.into()));
+    assert!(complete.iter().all(|number| *number <= INITIAL_SEARCHES), "{complete:?}");
+    assert!(last.is_empty() || complete.len() == usize::from(INITIAL_SEARCHES), "{last:?}");
+}
