--- a/yuccacroft-segment/tests/junk.rs
+++ b/yuccacroft-segment/tests/junk.rs
@@ -14,12 +14,12 @@
         segment::{Flow, Format, Outbound, Segment, Sequence},
         time::Span,
     },
-    yuccacroft_rpc::clock::Clock,
     yuccacroft_segment::{
         balancer::relay::{Relay, Setup},
+        clock::BootClock,
         errors::Result as StartResult,
         flow_log::FlowLog,
-        host::Socket,
+        host::{Socket, SystemHost},
     },
     yuccacroft_wire::relay::{self, Body, Reply},
 };
@@ -103,7 +103,12 @@
         caller_port: 443,
         domain: Domain::new("a").unwrap(),
     };
-    let relay = Relay::new(InvalidFormat, setup, Clock::new(), FlowLog::new(capture.logger()));
+    let relay = Relay::new(
+        InvalidFormat,
+        setup,
+        BootClock::new(SystemHost),
+        FlowLog::new(capture.logger()),
+    );
     let recorder = PrometheusBuilder::new().build_recorder();
     let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
     metrics::with_local_recorder(&recorder, || {
