--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -212,10 +212,17 @@
     pub fn is_lost(&self, loss_timeout: Option<Span>, now: Moment) -> bool {
         let Some(loss_timeout) = loss_timeout else { return false };
         let may_restart = self.stopped_at.is_some_and(|at| now.since(at) < RESTART_GRACE_PERIOD);
-        match self.entry.phase {
-            AgentPhase::Ended => self.is_answer_overdue(SUSPICION_TIMEOUT, now),
-            _ => self.is_answer_overdue(loss_timeout, now) && !may_restart,
+        if self.has_ended() {
+            return self.is_answer_overdue(SUSPICION_TIMEOUT, now);
         }
+        self.is_answer_overdue(loss_timeout, now) && !may_restart
+    }
+
+    /// Returns true if the upstream of the member has announced its end. The load is newer than the
+    /// entry while the store is out of reach, and shows whether another upstream has started since.
+    fn has_ended(&self) -> bool {
+        let is_accepting = self.load.is_some_and(|(load, _)| load.accepting && !load.stopping);
+        self.entry.phase == AgentPhase::Ended && !is_accepting
     }
 
     /// Returns true if the member has never answered, although it would have by now if it had
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -243,6 +243,19 @@
     assert_eq!(most.loss_timeout(at(1_801)), None, "the answers were late");
 }
 
+/// Guards against resets of flows that a new upstream holds: the entry of its agent says that the
+/// upstream before it has ended, and a balancer cut off from the store reads no newer one.
+#[test]
+fn a_member_that_takes_flows_has_not_ended() {
+    let pool = pool(1);
+    pool.upsert(AgentEntry { phase: AgentPhase::Ended, ..entry(1, 1, 2) }, START);
+    pool.record_load(entry(1, 1, 1).agent_id, load(0, 20), at(100));
+    pool.record_query(instance(1), at(100));
+    let lost = |now| pool.get(instance(1)).unwrap().is_lost(ONE_SECOND, now);
+    assert!(!lost(at(500)));
+    assert!(lost(at(1_100)));
+}
+
 /// Guards against a member that a congested balancer forgets while the store has lost its entry: its
 /// flows would count as lost, since no search asks it.
 #[test]
