--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -225,6 +225,13 @@
         self.entry.phase == AgentPhase::Ended && !is_accepting
     }
 
+    /// Returns true if the silence of the member has an explanation besides the path: its upstream
+    /// has ended, or the store has not listed it for longer than an outage explains.
+    fn has_left(&self, now: Moment) -> bool {
+        let is_gone = self.unlisted_since.is_some_and(|at| now.since(at) >= UNLISTED_GRACE_PERIOD);
+        (self.has_ended() || is_gone) && self.is_answer_overdue(LOSS_TIMEOUT, now)
+    }
+
     /// Returns true if the member has never answered, although it would have by now if it had
     /// started together with the other members.
     pub fn is_absent(&self, now: Moment) -> bool {
@@ -434,9 +441,12 @@
         });
     }
 
-    /// Returns the numbers of members by the delay of their latest answer.
+    /// Returns the numbers of members by their latest answer, without those that have left.
     pub fn answer_counts(&self, now: Moment) -> AnswerCounts {
         self.members.fold(AnswerCounts::default(), |mut counts, _, member| {
+            if member.has_left(now) {
+                return counts;
+            }
             let unanswered = member.unanswered_since.map(|since| now.since(since));
             counts.add(member.answer, unanswered, now);
             counts
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -243,6 +243,27 @@
     assert_eq!(most.loss_timeout(at(1_801)), None, "the answers were late");
 }
 
+/// Guards against verdicts that never come again after most members have left: they stayed in the
+/// pool as silent ones, so that the path never counted as sound and none of them was removed.
+#[test]
+fn members_that_have_left_do_not_hide_the_path() {
+    let pool = pool(10);
+    answer(&pool, 1..=10, 0, 2);
+    assert!(is_conclusive(&pool, at(10)));
+    for number in 3..=10 {
+        pool.upsert(AgentEntry { phase: AgentPhase::Ended, ..entry(number, 1, 2) }, at(20));
+        pool.mark_unlisted(instance(number), at(30));
+        pool.record_query(instance(number), at(30));
+    }
+    let mut removed = 0;
+    for second in 1..=6 {
+        answer(&pool, 1..=2, second * 1_000, 2);
+        removed += pool.expire(at(second * 1_000 + 10)).len();
+    }
+    assert_eq!(removed, 8);
+    assert!(is_conclusive(&pool, at(6_020)));
+}
+
 /// Guards against resets of flows that a new upstream holds: the entry of its agent says that the
 /// upstream before it has ended, and a balancer cut off from the store reads no newer one.
 #[test]
