--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -4,6 +4,7 @@
 //! anyway. A member that disappears from the listing stays while it answers, so that an outage of
 //! the store does not empty the pool.
 
+mod listing;
 mod path;
 mod ring;
 
@@ -11,12 +12,13 @@
 
 use {
     self::{
+        listing::ListState,
         path::{Answer, LOSS_TIMEOUT, Path},
         ring::Ring,
     },
     crate::{
         flow::{AgentId, FlowKey},
-        ids::{Domain, Incarnation, Instance},
+        ids::{Domain, Incarnation, Instance, Revision},
         placement::pair_hash,
         route::Target,
         shards::Shards,
@@ -179,6 +181,7 @@
     /// The members of each service.
     members_by_service: RwLock<HashMap<Target, Ring>>,
     path: Path,
+    list_state: ListState,
 }
 
 impl Member {
@@ -369,6 +372,46 @@
         });
     }
 
+    /// Sets the time from which on the first listing counts as complete.
+    pub fn set_list_complete_at(&self, moment: Moment) {
+        self.list_state.set_complete_at(moment);
+    }
+
+    /// Returns the time from which on the first listing counts as complete.
+    pub fn list_complete_at(&self) -> Moment {
+        self.list_state.complete_at()
+    }
+
+    /// Records the revision up to which all entries of the store have been added.
+    pub fn record_list_revision(&self, revision: Revision) {
+        self.list_state.record_revision(revision);
+    }
+
+    /// Records the revision at which an entry of the store was created.
+    pub fn record_entry_created(&self, created: Revision) {
+        self.list_state.record_entry(created);
+    }
+
+    /// Returns the revision at which the newest entry was created that this process knows.
+    pub fn newest_entry(&self) -> Revision {
+        self.list_state.newest_entry()
+    }
+
+    /// Records the newest entry that a member has heard of, by the revision of its creation.
+    pub fn record_announced_entry(&self, created: Revision, now: Moment) {
+        self.list_state.record_announced(created, now);
+    }
+
+    /// Returns true if members have heard of an entry that this process does not know.
+    pub fn is_list_outdated(&self) -> bool {
+        self.list_state.is_outdated()
+    }
+
+    /// Returns the time for which members have known an entry that this process does not know.
+    pub fn list_outdated_time(&self, now: Moment) -> Option<Span> {
+        self.list_state.outdated_time(now)
+    }
+
     /// Records a message that a running member answers.
     pub fn record_query(&self, instance: Instance, now: Moment) {
         self.update_member(instance, |member| member.record_query(now));
--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -129,6 +129,8 @@
 pub struct Search {
     started: Moment,
     list_complete_at: Moment,
+    /// Whether some agent is missing from the list of agents.
+    list_outdated: bool,
     /// The time of the last tick, which brought the present state of the agents.
     updated_at: Moment,
     queries: BTreeMap<Instance, AgentQuery>,
@@ -214,6 +216,7 @@
         Self {
             started: now,
             list_complete_at,
+            list_outdated: false,
             updated_at: now,
             queries: BTreeMap::new(),
             wave: Wave::default(),
@@ -364,10 +367,16 @@
         // Silence alone is no evidence, since this balancer itself may be isolated.
         let has_denial =
             self.queries.values().any(|query| query.answer.is_some_and(QueryAnswer::is_denial));
-        let is_certain = now >= self.list_complete_at || all_fresh;
+        let is_certain = !self.list_outdated && (now >= self.list_complete_at || all_fresh);
         if has_denial && is_certain { vec![Action::NotFound] } else { Vec::new() }
     }
 
+    /// Sets whether some agent is missing from the list of agents. Until it is listed, denials do not
+    /// prove that the flow is lost.
+    pub fn set_list_outdated(&mut self, is_outdated: bool) {
+        self.list_outdated = is_outdated;
+    }
+
     /// Records that a tick was skipped because the query budget was used up.
     pub fn record_skipped_tick(&mut self) {
         self.skipped_ticks += 1;
@@ -406,6 +415,7 @@
             skipped_ticks: self.skipped_ticks,
             all_fresh,
             list_incomplete: now < self.list_complete_at,
+            list_outdated: self.list_outdated,
         }
     }
 
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -2,7 +2,7 @@
 
 use yuccacroft_core::{
     flow::{AgentId, FlowKey},
-    ids::{Domain, Incarnation, Instance},
+    ids::{Domain, Incarnation, Instance, Revision},
     pool::{
         AgentEntry, AgentLoad, AgentPhase, Pool, Reachability, ReachabilityCounts, UpsertResult,
     },
@@ -480,3 +480,25 @@
     assert_eq!((member.unanswered_queries(), member.unanswered_since()), (0, None));
     assert_eq!(pool.unanswered_time(instance(9), at(600)), None);
 }
+
+/// Guards against a balancer that takes its list of agents for complete while the agents have heard
+/// of one that it does not know, and against one that waits for an entry that is listed or gone.
+#[test]
+fn an_announced_entry_makes_the_list_outdated_until_it_is_read() {
+    let pool = Pool::new();
+    pool.record_entry_created(Revision::new(7));
+    pool.record_list_revision(Revision::new(9));
+    assert_eq!(pool.newest_entry(), Revision::new(7));
+    // Another balancer has read the list later, but no entry was created since.
+    pool.record_announced_entry(Revision::new(7), at(0));
+    assert!(!pool.is_list_outdated());
+    pool.record_announced_entry(Revision::new(12), at(100));
+    pool.record_announced_entry(Revision::new(11), at(200));
+    assert!(pool.is_list_outdated());
+    assert_eq!(pool.list_outdated_time(at(400)), Some(Span::from_millis(300)));
+    // The announced entry has been removed: the list is complete without it.
+    pool.record_list_revision(Revision::new(15));
+    assert!(!pool.is_list_outdated());
+    assert_eq!(pool.list_outdated_time(at(500)), None);
+    assert_eq!(pool.newest_entry(), Revision::new(7));
+}
--- a/yuccacroft-core/tests/search.rs
+++ b/yuccacroft-core/tests/search.rs
@@ -174,6 +174,23 @@
     assert_eq!(search.step(candidates(0..1, &[]), at(2_000)), [Action::NotFound]);
 }
 
+/// Guards against the reset of a flow of an agent that this balancer has not found in the store yet,
+/// while the agents that it knows have heard of that agent.
+#[test]
+fn denials_of_an_outdated_list_prove_nothing() {
+    let mut search = Search::new(START, START);
+    search.step(candidates(0..2, &[]), START);
+    search.set_list_outdated(true);
+    let fresh_denial =
+        |number| Event::Answered(agent_id(number), QueryAnswer::Denies { age: FRESH });
+    assert!(search.step(fresh_denial(0), at(1)).is_empty());
+    assert!(search.step(fresh_denial(1), at(1)).is_empty());
+    search.set_list_outdated(false);
+    assert_eq!(search.step(candidates(0..3, &[]), at(25)), [Action::Query(agent_id(2))]);
+    let owns = search.step(Event::Answered(agent_id(2), QueryAnswer::Owns), at(26));
+    assert_eq!(owns, [Action::Found(agent_id(2))]);
+}
+
 /// Guards against callers that wait for lost flows after a restart of the whole system: if all
 /// agents are fresh, no older agent can be missing from the listing.
 #[test]
--- a/yuccacroft-fakes/src/store/data.rs
+++ b/yuccacroft-fakes/src/store/data.rs
@@ -9,11 +9,13 @@
     },
 };
 
-/// The value of a key, the revision of its last change, and its lease; zero is no lease.
+/// The value of a key, the revisions of its last change and its creation, and its lease; zero is no
+/// lease.
 #[derive(Clone, Debug)]
 struct Item {
     value: Vec<u8>,
     revision: u64,
+    created: u64,
     lease: u64,
 }
 
@@ -23,6 +25,8 @@
     revision: u64,
     key: Vec<u8>,
     value: Option<Vec<u8>>,
+    /// The revision at which the key was created.
+    created: u64,
 }
 
 #[derive(Debug)]
@@ -124,7 +128,7 @@
         for key in keys {
             self.items.remove(&key);
             self.revision += 1;
-            self.history.push(Change { revision: self.revision, key, value: None });
+            self.history.push(Change { revision: self.revision, key, value: None, created: 0 });
         }
     }
 
@@ -139,9 +143,10 @@
         self.revision += 1;
         let (key, value) = (bytes(&query["key"]), bytes(&query["value"]));
         let lease = number(&query["lease"]);
-        let item = Item { value: value.clone(), revision: self.revision, lease };
-        self.items.insert(key.clone(), item);
-        self.history.push(Change { revision: self.revision, key, value: Some(value) });
+        let revision = self.revision;
+        let created = self.items.get(&key).map_or(revision, |item| item.created);
+        self.items.insert(key.clone(), Item { value: value.clone(), revision, created, lease });
+        self.history.push(Change { revision, key, value: Some(value), created });
     }
 
     fn is_satisfied(&self, compare: &Value) -> bool {
@@ -175,6 +180,7 @@
         "key": STANDARD.encode(key),
         "value": STANDARD.encode(&item.value),
         "mod_revision": item.revision.to_string(),
+        "create_revision": item.created.to_string(),
     })
 }
 
@@ -183,7 +189,10 @@
     let key = STANDARD.encode(&change.key);
     match &change.value {
         Some(value) => {
-            json!({"kv": {"key": key, "value": STANDARD.encode(value), "mod_revision": revision}})
+            let (value, created) = (STANDARD.encode(value), change.created.to_string());
+            json!({"kv": {
+                "key": key, "value": value, "mod_revision": revision, "create_revision": created,
+            }})
         }
         None => json!({"type": "DELETE", "kv": {"key": key, "mod_revision": revision}}),
     }
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -61,6 +61,8 @@
     written_entry: Mutex<(u32, Moment)>,
     /// The highest configuration version that a balancer has sent.
     config_version: AtomicU64,
+    /// The highest revision of a creation of an entry that a balancer has sent.
+    newest_entry: AtomicU64,
 }
 
 impl<F: Format, S: Socket> Relay<F, S> {
@@ -85,6 +87,7 @@
             balancers: Shards::with_shards(1),
             written_entry: Mutex::default(),
             config_version: AtomicU64::new(0),
+            newest_entry: AtomicU64::new(0),
         }
     }
 
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -10,7 +10,7 @@
         traffic::{Direction, Kind},
     },
     slog::info,
-    std::net::SocketAddrV4,
+    std::{net::SocketAddrV4, sync::atomic::Ordering},
     yuccacroft_core::{
         flow::FlowKey,
         handshake::{Action, Decision, ForwardReason, Offer, Ownership},
@@ -32,7 +32,11 @@
         let kind = Kind::of_request(&request, false);
         self.traffic.record(Direction::Received, kind, datagram.len());
         let context = match request {
-            Request::Ping { listed, version } => return self.send_pong(from, listed, version, now),
+            Request::Ping { listed, version, newest_entry } => {
+                self.config_version.fetch_max(version.get(), Ordering::Relaxed);
+                self.newest_entry.fetch_max(newest_entry.get(), Ordering::Relaxed);
+                return self.send_pong(from, listed, now);
+            }
             Request::Offer { target, origin, rest, hops } => {
                 self.balancers.insert(origin, now);
                 Context::NewFlow(target, Offer { origin, rest, hops }, bytes.into())
--- a/yuccacroft-segment/src/agent/relay/reply.rs
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -9,7 +9,7 @@
     slog::info,
     std::{net::SocketAddrV4, sync::atomic::Ordering},
     yuccacroft_core::{
-        ids::Incarnation,
+        ids::{Incarnation, Revision},
         pool::AgentLoad,
         route::ConfigVersion,
         segment::Format,
@@ -53,11 +53,9 @@
         &self,
         from: SocketAddrV4,
         listed: Option<(Incarnation, u32)>,
-        version: ConfigVersion,
         now: Moment,
     ) {
         self.balancers.insert(from, now);
-        self.config_version.fetch_max(version.get(), Ordering::Relaxed);
         let (entry_version, written) = *self.written_entry();
         let current = (self.setup.agent_id.incarnation, entry_version);
         if entry_version > 0 && listed != Some(current) && now.since(written) >= MAX_LISTING_DELAY {
@@ -68,8 +66,15 @@
 
     pub(super) fn reply(&self, to: SocketAddrV4, body: Body, segment: &[u8], now: Moment) {
         let version = ConfigVersion::new(self.config_version.load(Ordering::Relaxed));
-        let age = self.state.age(now);
-        let reply = Reply { from: self.setup.agent_id, load: self.load(now), age, version, body };
+        let newest_entry = Revision::new(self.newest_entry.load(Ordering::Relaxed));
+        let reply = Reply {
+            from: self.setup.agent_id,
+            load: self.load(now),
+            age: self.state.age(now),
+            version,
+            newest_entry,
+            body,
+        };
         self.send(Kind::of_reply(&reply.body), to, &reply, segment);
     }
 
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -52,6 +52,9 @@
 /// Time after the first listing from which on the list of agents counts as complete: agents write
 /// expired entries again within about two seconds.
 const COMPLETION_DELAY: Span = Span::from_millis(2_000);
+/// Time after which the list of agents is read again although its watch is open: a change takes less
+/// than a second to arrive while the watch works.
+const LIST_DELAY_TOLERANCE: Span = Span::from_millis(1_000);
 
 /// The controllers of one balancer.
 pub struct Controllers<P: Platform> {
@@ -101,11 +104,10 @@
     /// store is reachable.
     pub async fn watch_members(&self, store: &P::Store) {
         self.configured.notified().await;
-        let refresh = Notify::new();
         let watcher = PrefixWatcher {
             prefix: AGENT_KEY_PREFIX,
             batch_delay: MEMBERS_BATCH_DELAY,
-            refresh: &refresh,
+            refresh: &self.relay.list_outdated,
             seed: self.platform.host().seed(),
             log: self.relay.flow_log.log(),
         };
@@ -220,6 +222,7 @@
             self.relay.table.expire(idle_timeout, now);
             self.relay.openings.expire(now);
             self.relay.searches.expire(now);
+            self.check_list(now);
             self.update_gauges();
             self.relay.log_traffic(now);
             self.relay.flow_log.flush(now);
@@ -230,6 +233,15 @@
         }
     }
 
+    /// Requests a new listing if agents have known an agent for some time that is not listed here.
+    fn check_list(&self, now: Moment) {
+        let outdated_time = self.relay.pool.list_outdated_time(now);
+        let Some(time) = outdated_time.filter(|time| *time >= LIST_DELAY_TOLERANCE) else { return };
+        info!(self.relay.flow_log.log(), "agents not listed"; "time" => %time,
+            self.relay.freshness.ages(now));
+        self.relay.list_outdated.notify_one();
+    }
+
     fn apply_configuration(&self, item: &KeyValue, now: Moment) {
         let log = self.relay.flow_log.log();
         let ParsedConfig { routes: new_routes, route_errors } =
@@ -268,6 +280,7 @@
         };
         let (agent_id, phase, entry_version) = (entry.agent_id, entry.phase, entry.entry_version);
         let change = self.relay.pool.upsert(entry, now);
+        self.relay.pool.record_entry_created(item.created);
         if change != UpsertResult::None {
             info!(log, "member listed"; "agent" => %agent_id.instance, "change" => ?change,
                 "incarnation" => %agent_id.incarnation, "edition" => entry_version, "phase" => ?phase,
@@ -319,8 +332,9 @@
         let listed: HashSet<Instance> =
             entries.filter_map(|item| controllers.apply_entry(item, now)).collect();
         controllers.relay.pool.sync_listing(|instance| listed.contains(&instance), now);
+        controllers.relay.pool.record_list_revision(listing.revision);
         if !controllers.members_listed.swap(true, Ordering::Relaxed) {
-            controllers.relay.set_agents_complete_at(now + COMPLETION_DELAY);
+            controllers.relay.pool.set_list_complete_at(now + COMPLETION_DELAY);
         }
         controllers.relay.retry_pending(now);
     }
@@ -332,6 +346,7 @@
         for item in &changes.items {
             controllers.apply_entry(item, now);
         }
+        controllers.relay.pool.record_list_revision(changes.revision);
         for key in &changes.removed {
             let instance = key.strip_prefix(AGENT_KEY_PREFIX).and_then(|text| text.parse().ok());
             let Some(instance) = instance else { continue };
--- a/yuccacroft-segment/src/balancer/grounds.rs
+++ b/yuccacroft-segment/src/balancer/grounds.rs
@@ -168,6 +168,7 @@
     emit_span(serializer, "longest_silence", evidence.longest_silence())?;
     serializer.emit_bool("all_fresh", evidence.all_fresh)?;
     serializer.emit_bool("list_incomplete", evidence.list_incomplete)?;
+    serializer.emit_bool("list_outdated", evidence.list_outdated)?;
     let Some(last_agent) = last_agent else { return Ok(()) };
     serializer.emit_arguments("last_agent", &format_args!("{last_agent}"))?;
     let finding = evidence.finding(last_agent).map_or("unknown", Finding::name);
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -87,6 +87,9 @@
     /// Notified when an agent reports a newer configuration version, so that the configuration is
     /// read again.
     pub config_outdated: Notify,
+    /// Notified when agents keep reporting an agent that is not listed, so that the list is read
+    /// again.
+    pub list_outdated: Notify,
     /// The clock that all decisions use.
     pub clock: BootClock,
     /// Estimates when the segments arrived that are read now.
@@ -100,8 +103,6 @@
     response_times: ResponseTimes,
     /// The time of the last segment from a caller, in microseconds.
     last_segment: AtomicU64,
-    /// The time from which on the list of agents is complete, in microseconds.
-    agents_complete_at: AtomicU64,
 }
 
 impl<F: Format, S: Socket> Relay<F, S> {
@@ -126,6 +127,7 @@
             searches: Searches::default(),
             pending: PendingSegments::default(),
             config_outdated: Notify::new(),
+            list_outdated: Notify::new(),
             clock,
             arrivals: ArrivalEstimator::new(),
             flow_log,
@@ -133,7 +135,6 @@
             traffic: Traffic::default(),
             response_times: ResponseTimes::default(),
             last_segment: AtomicU64::new(0),
-            agents_complete_at: AtomicU64::new(u64::MAX),
         }
     }
 
@@ -155,11 +156,6 @@
             .await;
     }
 
-    /// Sets the time from which on the list of agents is complete.
-    pub fn set_agents_complete_at(&self, moment: Moment) {
-        self.agents_complete_at.store(moment.get(), Ordering::Relaxed);
-    }
-
     /// Returns the time since the last segment from a caller.
     pub fn idle_time(&self, now: Moment) -> Span {
         now.since(Moment::new(self.last_segment.load(Ordering::Relaxed)))
@@ -182,7 +178,8 @@
         let listed = listed_member
             .map(|member| (member.entry.agent_id.incarnation, member.entry.entry_version));
         self.pool.record_query(instance, now);
-        self.send(instance, &Request::Ping { listed, version: self.version() }, &[]);
+        let (version, newest_entry) = (self.version(), self.pool.newest_entry());
+        self.send(instance, &Request::Ping { listed, version, newest_entry }, &[]);
     }
 
     /// Runs the timers of all searches.
@@ -271,12 +268,10 @@
                 self.send(first, &Request::Offer { target, origin, rest, hops: 0 }, datagram);
             }
             Decision::Search => {
-                let agents_complete_at =
-                    Moment::new(self.agents_complete_at.load(Ordering::Relaxed));
                 let (key, target) = (received.key, received.target);
                 let (class, last_agent) = (self.class(segment), received.last_agent);
-                let params = SearchParams { target, class, agents_complete_at, last_agent };
-                if self.searches.add(key, *segment, datagram, params, now) {
+                let params = SearchParams { target, class, last_agent };
+                if self.searches.add(key, *segment, datagram, params, &self.pool, now) {
                     let steps = self.searches.begin(key, &self.pool, now);
                     self.perform(key, steps, now);
                 } else {
@@ -346,6 +341,7 @@
             Body::Load => self.pool.record_load(reply.from, reply.load, now),
             _ => self.pool.record_answer(reply.from, reply.load, now),
         };
+        self.pool.record_announced_entry(reply.newest_entry, now);
         if reply.version > self.version() {
             self.config_outdated.notify_one();
         }
@@ -354,7 +350,8 @@
             Body::Took(key) => self.table.record_taken(key, reply.from.instance, now),
             Body::Refused => self.handle_refused(segment, now),
             Body::Owns(key) => {
-                let steps = self.searches.apply_answer(key, reply.from, QueryAnswer::Owns, now);
+                let steps =
+                    self.searches.apply_answer(key, reply.from, QueryAnswer::Owns, &self.pool, now);
                 match steps {
                     Some(steps) => self.perform(key, steps, now),
                     None => {
@@ -367,7 +364,7 @@
                 let age = reply.age;
                 let answer =
                     if unsure { QueryAnswer::Unsure { age } } else { QueryAnswer::Denies { age } };
-                match self.searches.apply_answer(key, reply.from, answer, now) {
+                match self.searches.apply_answer(key, reply.from, answer, &self.pool, now) {
                     Some(steps) => self.perform(key, steps, now),
                     // A late answer to a search that has ended.
                     None if segment.is_empty() => {}
@@ -390,7 +387,7 @@
             return;
         }
         self.table.remove(key);
-        if now.get() < self.agents_complete_at.load(Ordering::Relaxed) {
+        if now < self.pool.list_complete_at() || self.pool.is_list_outdated() {
             self.log_not_forwarded(&segment, "drop", "agents not known yet", now);
             return;
         }
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -49,8 +49,6 @@
     pub target: Option<Target>,
     /// The class of the flow's requests.
     pub class: TrafficClass,
-    /// The time from which on the list of agents is complete.
-    pub agents_complete_at: Moment,
     /// The agent that was offered the flow or owned it before, if this balancer knew one.
     pub last_agent: Option<Instance>,
 }
@@ -111,6 +109,7 @@
         segment: Segment,
         datagram: &[u8],
         params: SearchParams,
+        pool: &Pool,
         now: Moment,
     ) -> bool {
         if self.unresolved.get(&key).is_some_and(|at| now.since(at) < RETRY_DELAY) {
@@ -127,7 +126,7 @@
                 datagrams: Vec::new(),
                 acknowledged: segment.acknowledged,
                 params,
-                search: Search::new(params.agents_complete_at, now),
+                search: Search::new(pool.list_complete_at(), now),
             });
             running.segment = segment;
             if running.datagrams.len() < MAX_SEGMENTS_PER_FLOW {
@@ -144,9 +143,10 @@
         key: FlowKey,
         from: AgentId,
         answer: QueryAnswer,
+        pool: &Pool,
         now: Moment,
     ) -> Option<Vec<Step>> {
-        self.step(key, |_| Event::Answered(from, answer), now)
+        self.step(key, Event::Answered(from, answer), pool, now)
     }
 
     /// Returns the first steps of a new search, unless older ones wait for the query budget: they
@@ -166,8 +166,11 @@
             self.record_skipped_tick(key);
             return Vec::new();
         }
-        let list_candidates = |target| list_candidates(pool, target, key, now);
-        self.step(key, |target| Event::Tick(list_candidates(target)), now).unwrap_or_default()
+        let Some(target) = self.running.read(&key, |running| Some(running?.params.target)) else {
+            return Vec::new();
+        };
+        let event = Event::Tick(list_candidates(pool, target, key, now));
+        self.step(key, event, pool, now).unwrap_or_default()
     }
 
     /// Removes the records of searches whose retry delay is over.
@@ -215,15 +218,17 @@
         self.running.is_empty()
     }
 
-    fn step(
-        &self,
-        key: FlowKey,
-        event: impl FnOnce(Option<Target>) -> Event,
-        now: Moment,
-    ) -> Option<Vec<Step>> {
+    fn step(&self, key: FlowKey, event: Event, pool: &Pool, now: Moment) -> Option<Vec<Step>> {
         self.running.update(key, |slot| {
             let running = slot.as_mut()?;
-            let actions = running.search.step(event(running.params.target), now);
+            running.search.set_list_outdated(pool.is_list_outdated());
+            let is_answer = matches!(event, Event::Answered(..));
+            let mut actions = running.search.step(event, now);
+            if is_answer && actions.contains(&Action::NotFound) {
+                // Agents may have joined since the last tick, so the result needs the present list.
+                let candidates = list_candidates(pool, running.params.target, key, now);
+                actions = running.search.step(Event::Tick(candidates), now);
+            }
             let class = running.params.class;
             let query =
                 |to: AgentId, kind| Query { to, kind, retry: running.search.is_retry(to.instance) };
--- a/yuccacroft-segment/tests/junk.rs
+++ b/yuccacroft-segment/tests/junk.rs
@@ -8,7 +8,7 @@
     std::{future, io, net::SocketAddrV4, sync::Arc},
     yuccacroft_core::{
         flow::{AgentId, FlowKey},
-        ids::{Domain, Incarnation, Instance},
+        ids::{Domain, Incarnation, Instance, Revision},
         pool::AgentLoad,
         route::ConfigVersion,
         segment::{Flow, Format, Outbound, Segment, Sequence},
@@ -89,7 +89,8 @@
 fn encode_reply(body: Body) -> Vec<u8> {
     let from = AgentId { instance: Instance::new(address()), incarnation: Incarnation::new(1) };
     let (load, age, version) = (AgentLoad::default(), Span::ZERO, ConfigVersion::default());
-    relay::encode(&Reply { from, load, age, version, body }, b"junk").unwrap()
+    let newest_entry = Revision::default();
+    relay::encode(&Reply { from, load, age, version, newest_entry, body }, b"junk").unwrap()
 }
 
 /// Lets a balancer receive one datagram from callers or from agents and returns the lines of the
--- a/yuccacroft-segment/tests/searches.rs
+++ b/yuccacroft-segment/tests/searches.rs
@@ -7,6 +7,7 @@
         ids::{Domain, Incarnation, Instance},
         pool::{AgentEntry, AgentPhase, Pool},
         route::{ServiceName, Target, TrafficClass},
+        search::QueryAnswer,
         segment::{Control, Flow, Segment, Sequence},
         time::{Moment, Span},
         units::Slots,
@@ -29,22 +30,30 @@
 
 fn pool() -> Pool {
     let pool = Pool::new();
+    pool.set_list_complete_at(START);
     for number in 1..=AGENTS {
-        let instance = Instance::new(SocketAddrV4::new([10, 0, 0, number].into(), 7_000));
-        let entry = AgentEntry {
-            agent_id: AgentId { instance, incarnation: Incarnation::new(1) },
-            entry_version: 1,
-            target: target(),
-            domain: Domain::new("a").unwrap(),
-            slots: Slots::new(4),
-            phase: AgentPhase::Ready,
-            succeeds: false,
-        };
-        pool.upsert(entry, START);
+        pool.upsert(entry(number), START);
     }
     pool
 }
 
+fn agent_id(number: u8) -> AgentId {
+    let instance = Instance::new(SocketAddrV4::new([10, 0, 0, number].into(), 7_000));
+    AgentId { instance, incarnation: Incarnation::new(1) }
+}
+
+fn entry(number: u8) -> AgentEntry {
+    AgentEntry {
+        agent_id: agent_id(number),
+        entry_version: 1,
+        target: target(),
+        domain: Domain::new("a").unwrap(),
+        slots: Slots::new(4),
+        phase: AgentPhase::Ready,
+        succeeds: false,
+    }
+}
+
 fn segment(number: u16) -> Segment {
     Segment {
         flow: Flow {
@@ -76,10 +85,9 @@
         let params = SearchParams {
             target: Some(target()),
             class: TrafficClass::default(),
-            agents_complete_at: START,
             last_agent: None,
         };
-        assert!(self.searches.add(key, segment, &[], params, now));
+        assert!(self.searches.add(key, segment, &[], params, pool, now));
         let steps = self.searches.begin(key, pool, now);
         self.record(key, &steps, now);
     }
@@ -121,3 +129,25 @@
     assert!(complete.iter().all(|number| *number <= INITIAL_SEARCHES), "{complete:?}");
     assert!(last.is_empty() || complete.len() == usize::from(INITIAL_SEARCHES), "{last:?}");
 }
+
+/// Guards against a reset on the denials of the agents of the last tick, although another agent has
+/// been listed since.
+#[test]
+fn the_last_denial_does_not_end_a_search_before_new_agents_are_queried() {
+    let (pool, mut rounds) = (pool(), Rounds::default());
+    rounds.start(&pool, START);
+    rounds.tick(&pool, START + TICK.saturating_mul(5));
+    let added = agent_id(AGENTS + 1);
+    pool.upsert(entry(AGENTS + 1), START);
+    let key = segment(1).flow.key();
+    let mut asked = false;
+    for number in 1..=AGENTS {
+        let denial = QueryAnswer::Denies { age: Span::from_secs(60) };
+        let now = START + TICK.saturating_mul(6);
+        let steps = rounds.searches.apply_answer(key, agent_id(number), denial, &pool, now);
+        let steps = steps.unwrap();
+        assert!(!steps.iter().any(|step| matches!(step, Step::NotFound(..))), "{steps:?}");
+        asked |= steps.iter().any(|step| matches!(step, Step::Query(query) if query.to == added));
+    }
+    assert!(asked, "the new agent was not queried");
+}
--- a/yuccacroft-segment/tests/traffic.rs
+++ b/yuccacroft-segment/tests/traffic.rs
@@ -60,7 +60,11 @@
         rest: [Instance::new(address())].into(),
         hops: 0,
     };
-    let ping = Request::Ping { listed: None, version: Default::default() };
+    let ping = Request::Ping {
+        listed: None,
+        version: Default::default(),
+        newest_entry: Default::default(),
+    };
     let key = FlowKey::new(1);
     let search = Request::Search { key, acknowledged: Sequence::new(7) };
     let kinds = [
--- a/yuccacroft-store/src/etcd/query.rs
+++ b/yuccacroft-store/src/etcd/query.rs
@@ -37,6 +37,9 @@
     #[serde(default)]
     pub value: Box<str>,
     pub mod_revision: Box<str>,
+    /// Missing in the event of a removal.
+    #[serde(default)]
+    pub create_revision: Option<Box<str>>,
 }
 
 #[derive(Serialize)]
@@ -126,6 +129,7 @@
         key: decode_text(&pair.key)?,
         value: decode_text(&pair.value)?,
         revision: parse_revision(&pair.mod_revision)?,
+        created: parse_revision(pair.create_revision.as_deref().unwrap_or("0"))?,
     })
 }
 
--- a/yuccacroft-store/src/store.rs
+++ b/yuccacroft-store/src/store.rs
@@ -26,6 +26,8 @@
     pub value: Box<str>,
     /// The revision of the last write to the key.
     pub revision: Revision,
+    /// The revision at which the key was created.
+    pub created: Revision,
 }
 
 /// All keys with a prefix at one revision.
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -11,7 +11,7 @@
     std::net::SocketAddrV4,
     yuccacroft_core::{
         flow::{AgentId, FlowKey},
-        ids::{Incarnation, Instance},
+        ids::{Incarnation, Instance, Revision},
         pool::AgentLoad,
         route::{ConfigVersion, Target, TrafficClass},
         segment::Sequence,
@@ -57,6 +57,8 @@
         listed: Option<(Incarnation, u32)>,
         /// The version of the configuration in force at the sender.
         version: ConfigVersion,
+        /// The revision at which the newest entry of an agent was created that the sender knows.
+        newest_entry: Revision,
     },
 }
 
@@ -71,6 +73,8 @@
     pub age: Span,
     /// The highest configuration version that the agent received from a balancer.
     pub version: ConfigVersion,
+    /// The highest revision of a creation of an entry that the agent received from a balancer.
+    pub newest_entry: Revision,
     /// The content of the message.
     pub body: Body,
 }
