--- a/yuccacroft-bench/src/segments.rs
+++ b/yuccacroft-bench/src/segments.rs
@@ -99,7 +99,8 @@
         mean_nanos(FLOW_COUNT, |number| table.set_owner(flow(number).key(), owner, NOW));
     let bytes = (memory::resident_bytes() - before) as f64 / f64::from(FLOW_COUNT);
     let lookup_nanos = mean_nanos(FLOW_COUNT, |number| {
-        black_box(table.touch(flow(number).key(), NOW));
+        let segment = segment(number, Control::Continue, 102);
+        black_box(table.touch(segment.flow.key(), &segment, NOW));
     });
     report.add("balancer", "learn_ns_per_flow", learn_nanos, Target::None);
     report.add("balancer", "lookup_ns_per_segment", lookup_nanos, Target::None);
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -26,7 +26,10 @@
     serde::{Deserialize, Serialize},
     std::{
         collections::{HashMap, VecDeque},
-        sync::{PoisonError, RwLock},
+        sync::{
+            PoisonError, RwLock,
+            atomic::{AtomicU64, Ordering},
+        },
     },
 };
 
@@ -64,6 +67,12 @@
 /// Service time that is assumed for a member that has not reported one.
 const DEFAULT_SERVICE_TIME: Span = Span::from_millis(20);
 
+newtype! {
+    /// A version of the evidence about lost flows. It increases with each event after which a flow
+    /// that no member owned may have an owner.
+    EvidenceVersion(u64), "an evidence version"
+}
+
 /// The entry of an agent in the store, which describes it and its upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentEntry {
@@ -179,6 +188,7 @@
     /// The members of each service.
     members_by_service: RwLock<HashMap<Target, Ring>>,
     path: Path,
+    evidence_version: AtomicU64,
 }
 
 impl Member {
@@ -269,6 +279,14 @@
         self.unanswered_queries
     }
 
+    /// Returns true if the member has been silent for so long that it may have been left out of the
+    /// verdict about a flow.
+    fn may_be_excluded(&self, now: Moment) -> bool {
+        let timeout =
+            if self.has_ended() || self.load.is_none() { SUSPICION_TIMEOUT } else { LOSS_TIMEOUT };
+        self.is_answer_overdue(timeout, now)
+    }
+
     fn record_query(&mut self, now: Moment) {
         self.unanswered_since.get_or_insert(now);
         self.unanswered_queries += 1;
@@ -346,6 +364,7 @@
         });
         if change == UpsertResult::Joined {
             self.index_by_service(target, instance);
+            self.record_new_evidence();
         }
         change
     }
@@ -417,6 +436,9 @@
             if agent_id.incarnation < member.entry.agent_id.incarnation {
                 return true;
             }
+            if member.may_be_excluded(now) {
+                self.record_new_evidence();
+            }
             if is_answer && let Some(since) = member.unanswered_since {
                 member.answer = Some(Answer { at: now, delay: now.since(since) });
             }
@@ -435,12 +457,24 @@
     /// Restarts the timeouts of all outstanding answers, after this process itself was suspended or
     /// isolated.
     pub fn restart_timeouts(&self, now: Moment) {
+        self.record_new_evidence();
         self.members.retain(|_, member| {
             member.unanswered_since = member.unanswered_since.map(|_| now);
             true
         });
     }
 
+    /// Returns the version of the evidence about lost flows. It increases when a member joins or
+    /// restarts, when one answers that may have been left out of a verdict for its silence, and when
+    /// this process itself was suspended or isolated.
+    pub fn evidence_version(&self) -> EvidenceVersion {
+        EvidenceVersion::new(self.evidence_version.load(Ordering::Relaxed))
+    }
+
+    fn record_new_evidence(&self) {
+        self.evidence_version.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Returns the numbers of members by their latest answer, without those that have left.
     pub fn answer_counts(&self, now: Moment) -> AnswerCounts {
         self.members.fold(AnswerCounts::default(), |mut counts, _, member| {
--- a/yuccacroft-core/src/segment.rs
+++ b/yuccacroft-core/src/segment.rs
@@ -128,6 +128,11 @@
         (self.0.wrapping_sub(other.0) as i32) > 0
     }
 
+    /// Returns the number of bytes between two positions, whichever comes first.
+    pub const fn distance(self, other: Self) -> u32 {
+        (self.0.wrapping_sub(other.0) as i32).unsigned_abs()
+    }
+
     /// Returns the later of two positions.
     pub const fn latest(self, other: Self) -> Self {
         if self.is_after(other) { self } else { other }
--- a/yuccacroft-core/src/steering.rs
+++ b/yuccacroft-core/src/steering.rs
@@ -7,6 +7,8 @@
     crate::{
         flow::{AgentId, FlowKey},
         ids::Instance,
+        pool::EvidenceVersion,
+        segment::{Control, Segment, Sequence},
         shards::Shards,
         time::{Moment, Span},
     },
@@ -17,10 +19,14 @@
 /// silent for longer are rare, and their owners are searched for again.
 const MAX_IDLE_TIME: Span = Span::from_secs(60);
 /// Time for which offered and lost flows are kept. The segments of a lost flow are answered with a
-/// reset during this time, which is longer than callers retry.
+/// reset during this time, which is longer than callers retry. They do not extend it, so that a
+/// wrong verdict ends while the flow is in use.
 const UNOWNED_TTL: Span = Span::from_secs(10);
 /// Maximum number of entries, which bounds the memory to 64 MB at 64 bytes per entry.
 const MAX_ENTRIES: usize = 1 << 20;
+/// Distance between two positions of one flow beyond which they belong to different flows: more
+/// than an upstream has in flight.
+const MAX_POSITION_DISTANCE: u32 = 1 << 16;
 
 /// The cached state of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,27 +46,59 @@
         owner: AgentId,
         /// The time of the last segment of the flow.
         at: Moment,
+        /// The position that the last segment of the flow acknowledged, if one has been seen.
+        acknowledged: Option<Sequence>,
     },
     /// The flow is lost: no reachable agent owns it.
-    Lost {
-        /// The time of the latest reset, from which the entry expires.
-        at: Moment,
-        /// The time at which the loss was detected.
-        detected_at: Moment,
-    },
+    Lost(LossVerdict),
+}
+
+/// The result of a search that found no owner. It holds for one flow and for as long as the evidence
+/// does not change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LossVerdict {
+    /// The time at which the loss was detected.
+    pub detected_at: Moment,
+    /// The position that the segments of the flow acknowledge. It tells the flow from a later one
+    /// with the same key, which a segment at another balancer has opened.
+    pub acknowledged: Sequence,
+    /// The version of the evidence that the search rests on.
+    pub evidence: EvidenceVersion,
 }
 
 impl CachedFlow {
+    /// Returns true if the flow is owned, and a segment with the same key belongs to another one.
+    pub fn is_other_flow(self, segment: &Segment) -> bool {
+        match self {
+            Self::Owned { acknowledged: Some(known), .. } => !is_same_flow(segment, known),
+            _ => false,
+        }
+    }
+
     /// Returns the agent that owns the flow or was offered it.
     pub fn agent(self) -> Option<Instance> {
         match self {
             Self::Offered { to, .. } => Some(to),
             Self::Owned { owner, .. } => Some(owner.instance),
-            Self::Lost { .. } => None,
+            Self::Lost(_) => None,
         }
     }
 }
 
+/// Returns true if a segment belongs to the flow whose segments acknowledged a position before, and
+/// not to another flow with the same key.
+fn is_same_flow(segment: &Segment, acknowledged: Sequence) -> bool {
+    segment.acknowledged.distance(acknowledged) < MAX_POSITION_DISTANCE
+}
+
+impl LossVerdict {
+    /// Returns true if the verdict holds for a segment, given the present version of the evidence.
+    /// If it does not, the owner of the segment's flow is searched for.
+    pub fn applies_to(&self, segment: &Segment, evidence: EvidenceVersion) -> bool {
+        self.evidence == evidence && is_same_flow(segment, self.acknowledged)
+    }
+}
+
 /// The flow cache of one balancer.
 #[derive(Debug, Default)]
 pub struct SteeringTable {
@@ -73,11 +111,15 @@
         Self::default()
     }
 
-    /// Returns the state of a flow and restarts its idle time.
-    pub fn touch(&self, key: FlowKey, now: Moment) -> Option<CachedFlow> {
+    /// Returns the state of the flow of a segment and restarts its idle time.
+    pub fn touch(&self, key: FlowKey, segment: &Segment, now: Moment) -> Option<CachedFlow> {
         self.records.update(key, |record| {
-            if let Some(CachedFlow::Owned { at, .. }) = record {
+            if let Some(CachedFlow::Owned { at, acknowledged, .. }) = record {
                 *at = now;
+                let is_opening = segment.control == Control::Open;
+                if !is_opening && acknowledged.is_none_or(|known| is_same_flow(segment, known)) {
+                    *acknowledged = Some(segment.acknowledged);
+                }
             }
             *record
         })
@@ -103,16 +145,21 @@
 
     /// Records the owner of a flow.
     pub fn set_owner(&self, key: FlowKey, owner: AgentId, now: Moment) {
-        self.insert(key, CachedFlow::Owned { owner, at: now });
+        self.insert(key, CachedFlow::Owned { owner, at: now, acknowledged: None });
     }
 
-    /// Records that a flow is lost. A flow that is lost already is kept for longer.
-    pub fn mark_lost(&self, key: FlowKey, now: Moment) {
-        let detected_at = match self.get(key) {
-            Some(CachedFlow::Lost { detected_at, .. }) => detected_at,
-            _ => now,
-        };
-        self.insert(key, CachedFlow::Lost { at: now, detected_at });
+    /// Records that a flow is lost. Returns false and changes nothing if an agent owns the flow or
+    /// was offered it since the search began: the verdict is about an earlier flow with this key.
+    pub fn mark_lost(&self, key: FlowKey, verdict: LossVerdict) -> bool {
+        let is_full = self.is_full(&key);
+        self.records.update(key, |record| match record {
+            Some(CachedFlow::Owned { .. } | CachedFlow::Offered { .. }) => false,
+            None if is_full => true,
+            None | Some(CachedFlow::Lost(_)) => {
+                *record = Some(CachedFlow::Lost(verdict));
+                true
+            }
+        })
     }
 
     /// Removes the entry of a flow.
@@ -126,9 +173,8 @@
         let idle_timeout = idle.map_or(MAX_IDLE_TIME, |idle| idle.min(MAX_IDLE_TIME));
         self.records.retain(|_, record| match *record {
             CachedFlow::Owned { at, .. } => now.since(at) < idle_timeout,
-            CachedFlow::Offered { at, .. } | CachedFlow::Lost { at, .. } => {
-                now.since(at) < UNOWNED_TTL
-            }
+            CachedFlow::Offered { at, .. } => now.since(at) < UNOWNED_TTL,
+            CachedFlow::Lost(verdict) => now.since(verdict.detected_at) < UNOWNED_TTL,
         });
     }
 
@@ -144,7 +190,7 @@
                 *owners.entry(*to).or_default() += 1;
                 (owners, lost)
             }
-            CachedFlow::Lost { .. } => (owners, lost + 1),
+            CachedFlow::Lost(_) => (owners, lost + 1),
         })
     }
 
@@ -161,11 +207,15 @@
     /// Inserts or replaces the entry of a flow. A full table takes no new flow: the owner of such a
     /// flow is searched for with each segment, which is slower but correct.
     fn insert(&self, key: FlowKey, new: CachedFlow) {
-        let is_full = self.records.shard_len(&key) >= MAX_ENTRIES / self.records.shard_count();
+        let is_full = self.is_full(&key);
         self.records.update(key, |record| {
             if record.is_some() || !is_full {
                 *record = Some(new);
             }
         });
     }
+
+    fn is_full(&self, key: &FlowKey) -> bool {
+        self.records.shard_len(key) >= MAX_ENTRIES / self.records.shard_count()
+    }
 }
--- a/yuccacroft-segment/src/balancer/chain.rs
+++ b/yuccacroft-segment/src/balancer/chain.rs
@@ -133,7 +133,8 @@
 
 impl FlowLookup {
     /// Returns the decision for a flow with a known owner. The flows of a lost agent are reset,
-    /// unless its silence may be due to the link of this balancer.
+    /// unless its silence may be due to the link of this balancer. The owner is checked again for
+    /// each segment, so that its flows are forwarded as soon as it answers.
     fn decide_owned(&self, owner: Instance, now: Moment) -> Decision {
         let Some(member) = self.pool.get(owner) else { return Decision::Carry(owner) };
         // The timeout depends on all members, so it is computed for a silent owner only.
@@ -153,7 +154,7 @@
     }
 
     fn apply(&self, received: &mut ReceivedSegment) -> Verdict<Decision> {
-        let record = self.table.touch(received.key, received.now);
+        let record = self.table.touch(received.key, &received.segment, received.now);
         if received.is_opening() {
             match record {
                 Some(CachedFlow::Offered { to, taken, at }) => {
@@ -164,17 +165,28 @@
                     }
                 }
                 Some(CachedFlow::Owned { owner, .. }) => received.preferred = Some(owner.instance),
-                Some(CachedFlow::Lost { .. }) | None => {}
+                Some(CachedFlow::Lost(_)) | None => {}
             }
             return Verdict::Continue;
         }
         match record {
-            Some(CachedFlow::Owned { owner, .. }) => {
-                Verdict::Done(self.decide_owned(owner.instance, received.now))
+            Some(flow @ CachedFlow::Owned { owner, .. }) => {
+                let decision = self.decide_owned(owner.instance, received.now);
+                if matches!(decision, Decision::Reset(_)) && flow.is_other_flow(&received.segment) {
+                    // The failed agent owned an earlier flow between the same addresses.
+                    self.table.remove(received.key);
+                    received.last_agent = Some(owner.instance);
+                    return Verdict::Continue;
+                }
+                Verdict::Done(decision)
             }
             Some(CachedFlow::Offered { to, .. }) => Verdict::Done(Decision::Carry(to)),
-            Some(CachedFlow::Lost { .. }) => Verdict::Done(Decision::Reset("flow lost")),
-            None => Verdict::Continue,
+            Some(CachedFlow::Lost(verdict))
+                if verdict.applies_to(&received.segment, self.pool.evidence_version()) =>
+            {
+                Verdict::Done(Decision::Reset("flow lost"))
+            }
+            Some(CachedFlow::Lost(_)) | None => Verdict::Continue,
         }
     }
 }
--- a/yuccacroft-segment/src/balancer/grounds.rs
+++ b/yuccacroft-segment/src/balancer/grounds.rs
@@ -76,8 +76,8 @@
                     silence: member.and_then(|m| m.unanswered_since()).map(|at| now.since(at)),
                 }
             }
-            Some(CachedFlow::Lost { detected_at, .. }) => {
-                Self::FlowLost { verdict_age: now.since(detected_at) }
+            Some(CachedFlow::Lost(verdict)) => {
+                Self::FlowLost { verdict_age: now.since(verdict.detected_at) }
             }
             Some(CachedFlow::Offered { .. }) | None => Self::None,
         }
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -35,7 +35,7 @@
         route::{ConfigVersion, TrafficClass},
         search::QueryAnswer,
         segment::{Control, Format, Segment},
-        steering::{CachedFlow, SteeringTable},
+        steering::{CachedFlow, LossVerdict, SteeringTable},
         time::{Moment, Span},
     },
     yuccacroft_wire::relay::{self, Body, Reply, Request},
@@ -285,7 +285,6 @@
             }
             Decision::Reset(cause) => {
                 let grounds = Grounds::of_cached(self.table.get(received.key), &self.pool, now);
-                self.table.mark_lost(received.key, now);
                 self.reset(segment, cause, &grounds, now);
             }
             Decision::Wait(cause) | Decision::Drop(cause) => {
@@ -300,6 +299,7 @@
                 Step::Query(query) => self.query(key, query, now),
                 Step::Found(owner, class, datagrams) => {
                     metrics::counter!(DECISIONS_METRIC, "outcome" => "found").increment(1);
+                    self.log_late_owner(key, owner, now);
                     self.table.set_owner(key, owner, now);
                     if let Some(log) = self.flow_log.normal(now) {
                         info!(log, "owner found"; "key" => %key, "owner" => %owner.instance,
@@ -309,9 +309,14 @@
                         self.send(owner.instance, &Request::Carry(class), &datagram);
                     }
                 }
-                Step::NotFound(segment, grounds) => {
-                    self.table.mark_lost(key, now);
-                    self.reset(&segment, "all agents denied", &grounds, now);
+                Step::NotFound(segment, evidence, grounds) => {
+                    let acknowledged = segment.acknowledged;
+                    let verdict = LossVerdict { detected_at: now, acknowledged, evidence };
+                    if self.table.mark_lost(key, verdict) {
+                        self.reset(&segment, "all agents denied", &grounds, now);
+                    } else {
+                        self.log_outcome(&segment, "drop", "opened again", &grounds, now);
+                    }
                 }
                 Step::TimedOut(segment, grounds) => {
                     self.log_outcome(&segment, "drop", "search without end", &grounds, now)
@@ -414,7 +419,7 @@
                 let class = self.class(&segment);
                 self.send(owner.instance, &Request::Carry(class), datagram);
             }
-            Some(CachedFlow::Lost { .. }) => {}
+            Some(CachedFlow::Lost(_)) => {}
             _ => {
                 self.table.remove(key);
                 let mut received = ReceivedSegment::new(segment, now);
@@ -503,11 +508,11 @@
 
     /// Logs that an agent owns a flow that was reset as lost.
     fn log_late_owner(&self, key: FlowKey, owner: AgentId, now: Moment) {
-        let Some(CachedFlow::Lost { detected_at, .. }) = self.table.get(key) else { return };
+        let Some(CachedFlow::Lost(verdict)) = self.table.get(key) else { return };
         metrics::counter!(DECISIONS_METRIC, "outcome" => "found late").increment(1);
         if let Some(log) = self.flow_log.failure(now) {
             info!(log, "owner found late"; "key" => %key, "owner" => %owner.instance,
-                "incarnation" => %owner.incarnation, "verdict_age" => %now.since(detected_at));
+                "incarnation" => %owner.incarnation, "verdict_age" => %now.since(verdict.detected_at));
         }
     }
 
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -10,7 +10,7 @@
         controller::Controller,
         flow::{AgentId, FlowKey},
         ids::Instance,
-        pool::Pool,
+        pool::{EvidenceVersion, Pool},
         route::{Target, TrafficClass},
         search::{Action, Event, QueryAnswer, QueryBudget, Search, SearchCandidate, Wave},
         segment::{Segment, Sequence},
@@ -40,6 +40,8 @@
     acknowledged: Sequence,
     params: SearchParams,
     search: Search,
+    /// The version of the evidence at the last tick, on which a verdict rests.
+    evidence: EvidenceVersion,
 }
 
 /// The parameters of a search, which are fixed at its start.
@@ -62,8 +64,8 @@
     Query(Query),
     /// The owner was found. Send it the waiting segments.
     Found(AgentId, TrafficClass, Vec<Box<[u8]>>),
-    /// No agent owns the flow. Reset it towards the caller.
-    NotFound(Segment, Grounds),
+    /// No agent owns the flow, by this version of the evidence. Reset it towards the caller.
+    NotFound(Segment, EvidenceVersion, Grounds),
     /// The search ended without a result. Drop the segment.
     TimedOut(Segment, Grounds),
 }
@@ -128,6 +130,7 @@
                 acknowledged: segment.acknowledged,
                 params,
                 search: Search::new(params.agents_complete_at, now),
+                evidence: EvidenceVersion::default(),
             });
             running.segment = segment;
             if running.datagrams.len() < MAX_SEGMENTS_PER_FLOW {
@@ -166,8 +169,12 @@
             self.record_skipped_tick(key);
             return Vec::new();
         }
-        let list_candidates = |target| list_candidates(pool, target, key, now);
-        self.step(key, |target| Event::Tick(list_candidates(target)), now).unwrap_or_default()
+        let tick = |running: &mut RunningSearch| {
+            // Read before the state of the members, so that no change between both is missed.
+            running.evidence = pool.evidence_version();
+            Event::Tick(list_candidates(pool, running.params.target, key, now))
+        };
+        self.step(key, tick, now).unwrap_or_default()
     }
 
     /// Removes the records of searches whose retry delay is over.
@@ -218,12 +225,13 @@
     fn step(
         &self,
         key: FlowKey,
-        event: impl FnOnce(Option<Target>) -> Event,
+        event: impl FnOnce(&mut RunningSearch) -> Event,
         now: Moment,
     ) -> Option<Vec<Step>> {
         self.running.update(key, |slot| {
             let running = slot.as_mut()?;
-            let actions = running.search.step(event(running.params.target), now);
+            let event = event(running);
+            let actions = running.search.step(event, now);
             let class = running.params.class;
             let query =
                 |to: AgentId, kind| Query { to, kind, retry: running.search.is_retry(to.instance) };
@@ -248,7 +256,7 @@
                         return Some(vec![Step::Found(agent_id, class, datagrams)]);
                     }
                     Action::NotFound => {
-                        let step = Step::NotFound(running.segment, grounds());
+                        let step = Step::NotFound(running.segment, running.evidence, grounds());
                         *slot = None;
                         return Some(vec![step]);
                     }
--- a/yuccacroft-segment/tests/grounds.rs
+++ b/yuccacroft-segment/tests/grounds.rs
@@ -9,10 +9,11 @@
     yuccacroft_core::{
         flow::AgentId,
         ids::{Domain, Incarnation, Instance, Revision},
-        pool::{AgentEntry, AgentLoad, AgentPhase, Pool},
+        pool::{AgentEntry, AgentLoad, AgentPhase, EvidenceVersion, Pool},
         route::ServiceName,
         search::{AgentFinding, Evidence, Finding},
-        steering::CachedFlow,
+        segment::Sequence,
+        steering::{CachedFlow, LossVerdict},
         time::{Moment, Span},
         units::Slots,
     },
@@ -125,7 +126,7 @@
         pool.record_query(instance(1), at(millis));
     }
     pool.record_query(instance(2), at(900));
-    let cached = CachedFlow::Owned { owner: agent_id(1), at: at(100) };
+    let cached = CachedFlow::Owned { owner: agent_id(1), at: at(100), acknowledged: None };
     let owner = fields(Grounds::of_cached(Some(cached), &pool, at(1_250)));
     assert_eq!(owner["owner"], "10.0.0.1:7000");
     assert_eq!(owner["owner_phase"], "Ready");
@@ -149,7 +150,11 @@
 /// Guards against repeated resets of a lost flow whose lines hide the age of the verdict.
 #[test]
 fn a_lost_flow_is_described_by_the_age_of_the_verdict() {
-    let cached = CachedFlow::Lost { at: at(900), detected_at: at(100) };
+    let cached = CachedFlow::Lost(LossVerdict {
+        detected_at: at(100),
+        acknowledged: Sequence::new(1),
+        evidence: EvidenceVersion::new(0),
+    });
     let fields = fields(Grounds::of_cached(Some(cached), &pool(1), at(1_000)));
     assert_eq!(fields["verdict_age"], "900 ms");
 }
--- /dev/null
+++ b/yuccacroft-segment/tests/support/balancer.rs
@@ -0,0 +1,378 @@
+//! The packet path of a balancer on a virtual clock, among agents that answer at once.
+
+#![allow(dead_code, reason = "each test file uses a part of the module")]
+
+use {
+    super::Capture,
+    axum::Router,
+    slog::Logger,
+    std::{
+        collections::{HashMap, VecDeque},
+        io,
+        net::SocketAddrV4,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+    },
+    yuccacroft_core::{
+        flow::{AgentId, FlowKey},
+        ids::{Domain, Incarnation, Instance},
+        pool::{AgentEntry, AgentLoad, AgentPhase},
+        route::{ConfigVersion, Route, RouteShare, RoutingTable, ServiceName, TrafficClass},
+        segment::{Control, Flow, Format, Outbound, Segment, Sequence},
+        time::{Moment, Span},
+        units::Slots,
+        upstream::ConnectResult,
+    },
+    yuccacroft_segment::{
+        balancer::relay::{Relay, Setup},
+        clock::BootClock,
+        errors::Result as StartResult,
+        flow_log::FlowLog,
+        host::{Host, Server, Socket},
+    },
+    yuccacroft_wire::relay::{self, Body, Reply, Request},
+};
+
+/// Time between two ticks of the controllers of a balancer.
+const TICK: Span = Span::from_millis(25);
+/// Ticks between the checks for overdue answers.
+const CHECK_TICKS: u64 = 4;
+/// Ticks between pings of all members.
+const PING_TICKS: u64 = 40;
+
+/// A format whose datagrams are the header of a segment in little-endian bytes.
+#[derive(Clone, Debug)]
+pub struct PlainFormat;
+
+/// A host that has nothing but a clock, which the test advances.
+#[derive(Clone, Debug, Default)]
+struct ClockHost(Arc<AtomicU64>);
+
+/// A datagram and its receiver.
+type Sent = (SocketAddrV4, Vec<u8>);
+
+/// A socket with queues of received and sent datagrams.
+#[derive(Clone, Debug, Default)]
+struct QueueSocket {
+    received: Arc<Mutex<VecDeque<Vec<u8>>>>,
+    sent: Arc<Mutex<Vec<Sent>>>,
+}
+
+/// An agent that answers each message at once while it runs.
+#[derive(Debug)]
+pub struct Agent {
+    pub id: AgentId,
+    pub running: bool,
+    /// The positions that the callers of its flows acknowledge.
+    pub flows: HashMap<FlowKey, Sequence>,
+}
+
+/// A balancer and its agents.
+pub struct Balancer {
+    relay: Relay<PlainFormat, QueueSocket>,
+    callers: QueueSocket,
+    messages: QueueSocket,
+    clock: ClockHost,
+    ticks: u64,
+    pub agents: Vec<Agent>,
+    /// The number of queries that the agents were sent.
+    pub queries: usize,
+    /// The carried segments, with the agents that they were sent to.
+    pub carried: Vec<(Instance, Segment)>,
+    pub log: Capture,
+}
+
+pub fn address() -> SocketAddrV4 {
+    SocketAddrV4::new([198, 18, 0, 1].into(), 443)
+}
+
+pub fn instance(number: u8) -> Instance {
+    Instance::new(SocketAddrV4::new([10, 0, 0, number].into(), 7_000))
+}
+
+/// Returns a segment of a flow that acknowledges a position.
+pub fn segment(caller: u16, acknowledged: u32) -> Segment {
+    Segment {
+        flow: Flow {
+            caller: SocketAddrV4::new([100, 64, 0, 1].into(), caller),
+            address: address(),
+        },
+        control: Control::Continue,
+        sequence: Sequence::new(1),
+        acknowledged: Sequence::new(acknowledged),
+        length: 0,
+    }
+}
+
+/// Returns the first copy of the segment that opens a flow.
+pub fn opening(caller: u16) -> Segment {
+    Segment { control: Control::Open, ..segment(caller, 0) }
+}
+
+impl Format for PlainFormat {
+    type Error = &'static str;
+
+    fn parse_inbound(&self, datagram: &[u8]) -> Result<Segment, Self::Error> {
+        let [control, a, b, acknowledged @ ..] = datagram else { return Err("too short") };
+        let acknowledged = acknowledged.try_into().map_err(|_| "wrong length")?;
+        let found = segment(u16::from_le_bytes([*a, *b]), u32::from_le_bytes(acknowledged));
+        let control = if *control == 0 { Control::Open } else { Control::Continue };
+        Ok(Segment { control, ..found })
+    }
+
+    fn parse_outbound(&self, _: &[u8]) -> Result<Outbound, Self::Error> {
+        Err("not sent by upstreams")
+    }
+
+    fn request_id<'a>(&self, _: &'a [u8]) -> Option<&'a str> {
+        None
+    }
+
+    fn requests_in_progress(&self, _: &[u8]) -> Option<u32> {
+        None
+    }
+
+    fn restore_bounced(&self, _: &mut [u8]) {}
+
+    fn encode_reset(&self, flow: Flow, _: Sequence) -> Vec<u8> {
+        flow.caller.port().to_le_bytes().into()
+    }
+}
+
+fn encode(segment: &Segment) -> Vec<u8> {
+    let mut datagram = vec![u8::from(segment.control != Control::Open)];
+    datagram.extend(segment.flow.caller.port().to_le_bytes());
+    datagram.extend(segment.acknowledged.get().to_le_bytes());
+    datagram
+}
+
+impl Host for ClockHost {
+    type Socket = QueueSocket;
+
+    fn bind(&self, _: &'static str, _: SocketAddrV4) -> StartResult<QueueSocket> {
+        Ok(QueueSocket::default())
+    }
+
+    async fn serve(
+        &self,
+        _: &'static str,
+        _: SocketAddrV4,
+        _: Router,
+        _: &Logger,
+    ) -> StartResult<Server> {
+        Ok(Server::new(tokio::spawn(std::future::pending())))
+    }
+
+    async fn check_port(&self, _: SocketAddrV4) -> ConnectResult {
+        ConnectResult::Connected
+    }
+
+    fn wall_clock(&self) -> Span {
+        self.boot_clock()
+    }
+
+    fn boot_clock(&self) -> Span {
+        Span::from_micros(self.0.load(Ordering::Relaxed))
+    }
+
+    fn seed(&self) -> u64 {
+        0
+    }
+}
+
+impl Socket for QueueSocket {
+    async fn connect(self, _: SocketAddrV4) -> StartResult<Self> {
+        Ok(self)
+    }
+
+    /// Returns when all queued datagrams are received, so that a test can go on.
+    async fn receive(
+        &self,
+        mut on_datagram: impl FnMut(&mut [u8], SocketAddrV4) + Send,
+        _: impl FnMut(io::Error) + Send,
+    ) {
+        while let Some(mut datagram) = self.next_received() {
+            on_datagram(&mut datagram, address());
+        }
+    }
+
+    fn send(&self, datagram: &[u8], to: SocketAddrV4) {
+        self.sent.lock().unwrap().push((to, datagram.into()));
+    }
+
+    fn send_connected(&self, _: &[u8]) -> bool {
+        true
+    }
+}
+
+impl QueueSocket {
+    fn next_received(&self) -> Option<Vec<u8>> {
+        self.received.lock().unwrap().pop_front()
+    }
+
+    fn take_sent(&self) -> Vec<Sent> {
+        std::mem::take(&mut *self.sent.lock().unwrap())
+    }
+}
+
+impl Agent {
+    fn answer(&mut self, request: &Request, datagram: &[u8]) -> Option<(Body, Vec<u8>)> {
+        let segment = PlainFormat.parse_inbound(datagram).ok();
+        let key = segment.map(|segment| segment.flow.key());
+        let denial = |key| Body::Denies { key, unsure: false };
+        Some(match request {
+            Request::Ping { .. } => (Body::Pong, Vec::new()),
+            Request::Offer { .. } => (Body::Took(key?), Vec::new()),
+            Request::Search { key, acknowledged } => {
+                let owns = self.flows.get(key) == Some(acknowledged);
+                (if owns { Body::Owns(*key) } else { denial(*key) }, Vec::new())
+            }
+            Request::Carry(_) if self.flows.contains_key(&key?) => return None,
+            Request::Carry(_) | Request::Probe(_) => (denial(key?), datagram.to_vec()),
+        })
+    }
+}
+
+impl Balancer {
+    /// Creates a balancer with agents that have answered it, and a complete list of them.
+    pub fn new(agents: u8) -> Self {
+        let (callers, messages) = (QueueSocket::default(), QueueSocket::default());
+        let (clock, log) = (ClockHost::default(), Capture::default());
+        let setup = Setup {
+            callers: callers.clone(),
+            agents: messages.clone(),
+            origin: address(),
+            caller_port: 443,
+            domain: Domain::new("a").unwrap(),
+        };
+        let boot_clock = BootClock::new(clock.clone());
+        let relay = Relay::new(PlainFormat, setup, boot_clock, FlowLog::new(log.logger()));
+        relay.set_agents_complete_at(Moment::default());
+        let share = RouteShare { target: ServiceName::new("booking").target(), weight: 1 };
+        let route = Route { shares: [share].into(), class: TrafficClass::default() };
+        let routes = RoutingTable::new(ConfigVersion::default(), [(address(), route)].into());
+        *relay.current_routes.write().unwrap() = Some(Arc::new(routes));
+        let agents = (1..=agents).map(|number| Agent {
+            id: AgentId { instance: instance(number), incarnation: Incarnation::new(1) },
+            running: true,
+            flows: HashMap::new(),
+        });
+        let mut balancer = Self {
+            relay,
+            callers,
+            messages,
+            clock,
+            ticks: 0,
+            agents: agents.collect(),
+            queries: 0,
+            carried: Vec::new(),
+            log,
+        };
+        for number in 0..balancer.agents.len() {
+            balancer.list(number);
+        }
+        balancer.advance(Span::from_millis(1_200));
+        balancer
+    }
+
+    pub fn now(&self) -> Moment {
+        self.relay.clock.now()
+    }
+
+    /// Lists the entry of an agent.
+    pub fn list(&self, number: usize) {
+        let entry = AgentEntry {
+            agent_id: self.agents[number].id,
+            entry_version: 1,
+            target: ServiceName::new("booking").target(),
+            domain: Domain::new("a").unwrap(),
+            slots: Slots::new(4),
+            phase: AgentPhase::Ready,
+            succeeds: false,
+        };
+        self.relay.pool.upsert(entry, self.now());
+    }
+
+    /// Lets time pass, in ticks of the controllers.
+    pub fn advance(&mut self, span: Span) {
+        for _ in 0..span.as_micros() / TICK.as_micros() {
+            self.clock.0.fetch_add(TICK.as_micros(), Ordering::Relaxed);
+            let now = self.now();
+            self.ticks += 1;
+            self.relay.arrivals.tick(now);
+            self.relay.tick_searches(now);
+            if self.ticks.is_multiple_of(CHECK_TICKS) {
+                self.check_members(now);
+            }
+            self.exchange_messages();
+        }
+    }
+
+    fn check_members(&self, now: Moment) {
+        let ping_all = self.ticks.is_multiple_of(PING_TICKS);
+        let max_wait = TICK.saturating_mul(CHECK_TICKS);
+        for agent in &self.agents {
+            let instance = agent.id.instance;
+            let is_overdue =
+                self.relay.pool.get(instance).is_some_and(|m| m.is_answer_overdue(max_wait, now));
+            if ping_all || is_overdue {
+                self.relay.ping(instance, now);
+            }
+        }
+        self.relay.pool.expire(now);
+        self.relay.table.expire(None, now);
+        self.relay.searches.expire(now);
+    }
+
+    /// Lets the balancer receive a segment and returns true if it resets its flow before time
+    /// passes.
+    pub fn receive(&mut self, segment: &Segment) -> bool {
+        self.callers.received.lock().unwrap().push_back(encode(segment));
+        run(self.relay.receive_segments());
+        self.exchange_messages();
+        self.has_reset()
+    }
+
+    /// Returns true if the balancer has sent a reset since the last call.
+    pub fn has_reset(&self) -> bool {
+        !self.callers.take_sent().is_empty()
+    }
+
+    /// Delivers messages between the balancer and its agents until there are none.
+    fn exchange_messages(&mut self) {
+        loop {
+            let sent = self.messages.take_sent();
+            if sent.is_empty() {
+                return;
+            }
+            sent.iter().for_each(|(to, datagram)| self.deliver(Instance::new(*to), datagram));
+            run(self.relay.receive_messages());
+        }
+    }
+
+    fn deliver(&mut self, to: Instance, datagram: &[u8]) {
+        let (request, segment) = relay::decode::<Request>(datagram).unwrap();
+        match &request {
+            Request::Search { .. } => self.queries += 1,
+            Request::Carry(_) => {
+                self.carried.push((to, PlainFormat.parse_inbound(segment).unwrap()));
+            }
+            _ => {}
+        }
+        let agent = self.agents.iter_mut().find(|a| a.id.instance == to && a.running);
+        let Some(agent) = agent else { return };
+        if let Some((body, returned)) = agent.answer(&request, segment) {
+            let load = AgentLoad { accepting: true, ..AgentLoad::default() };
+            let (from, age, version) = (agent.id, Span::from_secs(60), ConfigVersion::default());
+            let reply = Reply { from, load, age, version, body };
+            let datagram = relay::encode(&reply, &returned).unwrap();
+            self.messages.received.lock().unwrap().push_back(datagram);
+        }
+    }
+}
+
+fn run(future: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(future);
+}
--- a/yuccacroft-segment/tests/support/mod.rs
+++ b/yuccacroft-segment/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the module")]
 
+pub mod balancer;
+
 use {
     slog::{Drain, KV, Key, Logger, Never, OwnedKVList, Record, Serializer, o},
     std::{
