--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -10,9 +10,13 @@
 //! looks like a moved flow. A flow is lost once every agent has denied it or is known to have failed.
 //! It is not lost while its owner may merely be unreachable.
 
+pub mod candidates;
 pub mod evidence;
 
-pub use self::evidence::{AgentFinding, Evidence, Finding};
+pub use self::{
+    candidates::list_candidates,
+    evidence::{AgentFinding, Evidence, Finding},
+};
 
 use {
     crate::{
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -12,7 +12,7 @@
         ids::Instance,
         pool::{EvidenceVersion, Pool},
         route::{Target, TrafficClass},
-        search::{Action, Event, QueryAnswer, QueryBudget, Search, SearchCandidate, Wave},
+        search::{self, Action, Event, QueryAnswer, QueryBudget, Search},
         segment::{Segment, Sequence},
         shards::Shards,
         time::{Moment, Span},
@@ -172,7 +172,7 @@
         let tick = |running: &mut RunningSearch| {
             // Read before the state of the members, so that no change between both is missed.
             running.evidence = pool.evidence_version();
-            Event::Tick(list_candidates(pool, running.params.target, key, now))
+            Event::Tick(search::list_candidates(pool, running.params.target, key, now))
         };
         self.step(key, tick, now).unwrap_or_default()
     }
@@ -273,32 +273,3 @@
         })
     }
 }
-
-/// Returns the members of the pool as candidates for the owner of a flow.
-fn list_candidates(
-    pool: &Pool,
-    target: Option<Target>,
-    key: FlowKey,
-    now: Moment,
-) -> Box<[SearchCandidate]> {
-    let likely = target.map_or_else(Vec::new, |target| pool.likely_owners(target, key));
-    let loss_timeout = pool.loss_timeout(now);
-    let mut candidates = Vec::with_capacity(pool.len());
-    pool.for_each(|member| {
-        let agent_id = member.entry.agent_id;
-        let wave = match target {
-            Some(_) if likely.contains(&agent_id.instance) => Wave::Likely,
-            Some(target) if member.entry.target != target => Wave::Other,
-            _ => Wave::Service,
-        };
-        candidates.push(SearchCandidate {
-            agent_id,
-            lost: member.is_lost(loss_timeout, now),
-            absent: loss_timeout.is_some() && member.is_absent(now),
-            restarted: member.has_restarted(),
-            wave,
-            unanswered_since: member.unanswered_since(),
-        });
-    });
-    candidates.into()
-}
