--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -73,6 +73,8 @@
     Answered(AgentId, QueryAnswer),
     /// Time has passed. Carries the current list of agents.
     Tick(Box<[SearchCandidate]>),
+    /// Time has passed, but the query budget has no tokens for this search.
+    SkippedTick,
 }
 
 /// An agent that may own the flow.
@@ -254,7 +256,7 @@
     }
 
     fn tick(&mut self, candidates: &[SearchCandidate], now: Moment) -> Vec<Action> {
-        if now.since(self.started) >= SEARCH_TIMEOUT {
+        if self.has_timed_out(now) {
             return vec![Action::TimedOut];
         }
         self.updated_at = now;
@@ -372,9 +374,13 @@
         if has_denial && is_certain { vec![Action::NotFound] } else { Vec::new() }
     }
 
-    /// Records that a tick was skipped because the query budget was used up.
-    pub fn record_skipped_tick(&mut self) {
+    fn skip_tick(&mut self, now: Moment) -> Vec<Action> {
         self.skipped_ticks += 1;
+        if self.has_timed_out(now) { vec![Action::TimedOut] } else { Vec::new() }
+    }
+
+    fn has_timed_out(&self, now: Moment) -> bool {
+        now.since(self.started) >= SEARCH_TIMEOUT
     }
 
     /// Returns true if the last query or probe to this agent was a retry.
@@ -463,6 +469,7 @@
         match event {
             Event::Answered(from, answer) => self.handle_answer(from, answer, now),
             Event::Tick(candidates) => self.tick(&candidates, now),
+            Event::SkippedTick => self.skip_tick(now),
         }
     }
 }
--- a/yuccacroft-core/tests/evidence.rs
+++ b/yuccacroft-core/tests/evidence.rs
@@ -151,7 +151,7 @@
     tick(&mut search, &all, 0);
     assert!(!search.is_retry(instance(1)));
     deny(&mut search, 0, 10);
-    search.record_skipped_tick();
+    assert!(search.step(Event::SkippedTick, at(20)).is_empty());
     assert_eq!(tick(&mut search, &all, 70), [Action::Query(agent_id(1))]);
     assert!(search.is_retry(instance(1)));
     assert!(!search.is_retry(instance(0)));
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -156,18 +156,16 @@
     /// would end without a query if new searches used it up.
     pub fn begin(&self, key: FlowKey, pool: &Pool, now: Moment) -> Vec<Step> {
         if self.has_backlog.load(Ordering::Relaxed) {
-            self.record_skipped_tick(key);
-            return Vec::new();
+            return self.skip_tick(key, now);
         }
         self.tick(key, pool, now)
     }
 
-    /// Runs the timers of one search and returns its next steps, unless the query budget of all
-    /// searches is used up.
+    /// Runs the timers of one search and returns its next steps. While the query budget of all
+    /// searches is used up, it only ends a search that has reached its time limit.
     pub fn tick(&self, key: FlowKey, pool: &Pool, now: Moment) -> Vec<Step> {
         if !self.budget().has_tokens(now) {
-            self.record_skipped_tick(key);
-            return Vec::new();
+            return self.skip_tick(key, now);
         }
         let tick = |running: &mut RunningSearch| {
             // Read before the state of the members, so that no change between both is missed.
@@ -187,14 +185,10 @@
         self.skipped_ticks.swap(0, Ordering::Relaxed)
     }
 
-    fn record_skipped_tick(&self, key: FlowKey) {
+    fn skip_tick(&self, key: FlowKey, now: Moment) -> Vec<Step> {
         self.skipped_ticks.fetch_add(1, Ordering::Relaxed);
         self.has_backlog.store(true, Ordering::Relaxed);
-        self.running.update(key, |slot| {
-            if let Some(running) = slot {
-                running.search.record_skipped_tick();
-            }
-        });
+        self.step(key, |_| Event::SkippedTick, now).unwrap_or_default()
     }
 
     fn budget(&self) -> MutexGuard<'_, QueryBudget> {
--- a/yuccacroft-segment/tests/searches.rs
+++ b/yuccacroft-segment/tests/searches.rs
@@ -15,22 +15,27 @@
 };
 
 const START: Moment = Moment::new(1_000_000);
-const AGENTS: u8 = 60;
+const AGENTS: u16 = 60;
+/// So many agents that the queries of one search use up the budget for most of a second.
+const MANY_AGENTS: u16 = 2_000;
 const TICK: Span = Span::from_millis(25);
 /// More searches than the burst of the budget covers.
 const INITIAL_SEARCHES: u16 = 200;
 /// New searches between two ticks: more than the rate of the budget covers.
 const SEARCHES_PER_TICK: u16 = 5;
 const TICKS: u64 = 40;
+/// The time limit of searches, and one tick.
+const MAX_SEARCH_TIME: Span = Span::from_millis(3_025);
 
 fn target() -> Target {
     ServiceName::new("booking").target()
 }
 
-fn pool() -> Pool {
+fn pool(agents: u16) -> Pool {
     let pool = Pool::new();
-    for number in 1..=AGENTS {
-        let instance = Instance::new(SocketAddrV4::new([10, 0, 0, number].into(), 7_000));
+    for number in 1..=agents {
+        let [high, low] = number.to_be_bytes();
+        let instance = Instance::new(SocketAddrV4::new([10, 0, high, low].into(), 7_000));
         let entry = AgentEntry {
             agent_id: AgentId { instance, incarnation: Incarnation::new(1) },
             entry_version: 1,
@@ -98,11 +103,27 @@
     }
 }
 
+/// Guards against searches that outlast their time limit because they get no query tokens: their
+/// segments wait although their callers have repeated them, and their places are taken.
+#[test]
+fn searches_without_tokens_end_in_time() {
+    let (pool, mut rounds) = (pool(MANY_AGENTS), Rounds::default());
+    for _ in 0..INITIAL_SEARCHES {
+        rounds.start(&pool, START);
+    }
+    for tick in 1..=MAX_SEARCH_TIME.as_micros() / TICK.as_micros() {
+        rounds.tick(&pool, START + TICK.saturating_mul(tick));
+    }
+    let is_queried = |number: &u16| rounds.first_queries.contains_key(number);
+    assert!(!rounds.numbers.values().all(is_queried), "the budget is never used up");
+    assert_eq!(rounds.searches.len(), 0);
+}
+
 /// Guards against searches that end without a query because newer ones use up the budget (issue 20,
 /// trouble-1 of the grown site: 1,911 searches).
 #[test]
 fn older_searches_are_the_first_to_query() {
-    let (pool, mut rounds) = (pool(), Rounds::default());
+    let (pool, mut rounds) = (pool(AGENTS), Rounds::default());
     for _ in 0..INITIAL_SEARCHES {
         rounds.start(&pool, START);
     }
