--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -54,6 +54,9 @@
 /// Number of members that one choice compares, so that its cost does not grow with the size of the
 /// service.
 const PLACEMENT_WINDOW: usize = 16;
+/// Limit of members that one choice looks at to find those that take flows. It bounds the cost while
+/// nearly all members of a large service take none.
+const MAX_PLACEMENT_SCAN: usize = 1_024;
 /// Number of members that a search queries first: those that the flow may have been placed at, and
 /// some that have joined since.
 const SEARCH_WINDOW: usize = 20;
@@ -520,7 +523,8 @@
     }
 
     /// Returns up to `count` members of a service for a new flow, by ascending cost. Members that
-    /// may be unreachable come last.
+    /// may be unreachable come last. It compares the members that take flows and follow the key on
+    /// the ring of the service.
     pub fn choose(
         &self,
         target: Target,
@@ -529,10 +533,11 @@
         count: usize,
         now: Moment,
     ) -> Vec<Instance> {
-        let candidates = self.window(target, key, PLACEMENT_WINDOW);
-        let mut costs: Vec<_> = candidates
-            .into_iter()
-            .filter_map(|instance| {
+        let mut costs = Vec::with_capacity(PLACEMENT_WINDOW);
+        for skipped in (0..MAX_PLACEMENT_SCAN).step_by(PLACEMENT_WINDOW) {
+            let window = self.window(target, key, skipped, PLACEMENT_WINDOW);
+            let is_last = window.len() < PLACEMENT_WINDOW;
+            costs.extend(window.into_iter().filter_map(|instance| {
                 let cost = |member: &Member| member.cost(domain, key, now);
                 // The address may have been reused for another service.
                 let serves_target = |member: &&Member| member.entry.target == target;
@@ -540,8 +545,12 @@
                     self.members.read(&instance, |m| m.filter(serves_target).and_then(cost))?,
                     instance,
                 ))
-            })
-            .collect();
+            }));
+            if is_last || costs.len() >= PLACEMENT_WINDOW {
+                break;
+            }
+        }
+        costs.truncate(PLACEMENT_WINDOW);
         costs.sort_unstable();
         costs.into_iter().map(|(_, instance)| instance).take(count).collect()
     }
@@ -602,14 +611,16 @@
     /// Returns the members of a service that own the flow of this key if none of them has joined or
     /// left lately.
     pub fn likely_owners(&self, target: Target, key: FlowKey) -> Vec<Instance> {
-        self.window(target, key, SEARCH_WINDOW)
+        self.window(target, key, 0, SEARCH_WINDOW)
     }
 
-    fn window(&self, target: Target, key: FlowKey, count: usize) -> Vec<Instance> {
+    /// Returns up to `count` members of a service that follow the position of a key on its ring,
+    /// after the first `skipped` ones.
+    fn window(&self, target: Target, key: FlowKey, skipped: usize, count: usize) -> Vec<Instance> {
         let members_by_service =
             self.members_by_service.read().unwrap_or_else(PoisonError::into_inner);
         let ring = members_by_service.get(&target);
-        ring.map_or_else(Vec::new, |ring| ring.window(key, count).collect())
+        ring.map_or_else(Vec::new, |ring| ring.following(key).skip(skipped).take(count).collect())
     }
 
     /// Adds a member to the ring of its service. A member that served another service before stays
--- a/yuccacroft-core/src/pool/ring.rs
+++ b/yuccacroft-core/src/pool/ring.rs
@@ -26,12 +26,12 @@
         self.members.retain(|(_, member)| *member != instance);
     }
 
-    /// Returns up to `count` members that follow the position of a key.
-    pub fn window(&self, key: FlowKey, count: usize) -> impl Iterator<Item = Instance> + '_ {
+    /// Returns all members in the order in which they follow the position of a key.
+    pub fn following(&self, key: FlowKey) -> impl Iterator<Item = Instance> + '_ {
         // Flow keys of neighbouring flows may be close to each other.
         let position = digest(&key.get());
         let start = self.members.partition_point(|(member, _)| *member < position);
         let (before, after) = self.members.split_at(start);
-        after.iter().chain(before).take(count).map(|(_, instance)| *instance)
+        after.iter().chain(before).map(|(_, instance)| *instance)
     }
 }
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -308,6 +308,28 @@
     }
 }
 
+/// Guards against opening segments that wait for an agent while some take flows: nearly all members
+/// drain, and those after the key on the ring are among them.
+#[test]
+fn members_that_take_no_flow_do_not_fill_the_window() {
+    let pool = pool(200);
+    for number in 4..=200 {
+        if number % 2 == 0 {
+            let draining = AgentEntry { phase: AgentPhase::Draining, ..entry(number, 1, 2) };
+            pool.upsert(draining, START);
+        } else {
+            let full = AgentLoad { accepting: false, ..load(0, 20) };
+            pool.record_load(entry(number, 1, 1).agent_id, full, START);
+        }
+    }
+    for number in 0u64..500 {
+        let key = FlowKey::new(number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let mut chosen = pool.choose(target(), &domain("a"), key, 8, START);
+        chosen.sort_unstable();
+        assert_eq!(chosen, [instance(1), instance(2), instance(3)]);
+    }
+}
+
 /// Guards against resets of flows while their agent restarts and its upstream keeps running.
 #[test]
 fn a_member_listed_as_stopping_is_not_lost() {
