--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -28,7 +28,10 @@
     serde::{Deserialize, Serialize},
     std::{
         collections::{HashMap, VecDeque},
-        sync::{PoisonError, RwLock},
+        sync::{
+            PoisonError, RwLock,
+            atomic::{AtomicU64, Ordering},
+        },
     },
 };
 
@@ -53,6 +56,9 @@
 /// Number of members that one choice compares, so that its cost does not grow with the size of the
 /// service.
 const PLACEMENT_WINDOW: usize = 16;
+/// Limit of members that one choice looks at to find those that take flows. It bounds the cost while
+/// nearly all members of a large service take none.
+const MAX_PLACEMENT_SCAN: usize = 1_024;
 /// Number of members that a search queries first: those that the flow may have been placed at, and
 /// some that have joined since.
 const SEARCH_WINDOW: usize = 20;
@@ -66,6 +72,12 @@
 /// Service time that is assumed for a member that has not reported one.
 const DEFAULT_SERVICE_TIME: Span = Span::from_millis(20);
 
+newtype! {
+    /// A version of the evidence about lost flows. It increases with each event after which a flow
+    /// that no member owned may have an owner.
+    EvidenceVersion(u64), "an evidence version"
+}
+
 /// The entry of an agent in the store, which describes it and its upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentEntry {
@@ -182,6 +194,7 @@
     members_by_service: RwLock<HashMap<Target, Ring>>,
     path: Path,
     list_state: ListState,
+    evidence_version: AtomicU64,
 }
 
 impl Member {
@@ -272,6 +285,14 @@
         self.unanswered_queries
     }
 
+    /// Returns true if the member has been silent for so long that it may have been left out of the
+    /// verdict about a flow.
+    fn may_be_excluded(&self, now: Moment) -> bool {
+        let timeout =
+            if self.has_ended() || self.load.is_none() { SUSPICION_TIMEOUT } else { LOSS_TIMEOUT };
+        self.is_answer_overdue(timeout, now)
+    }
+
     fn record_query(&mut self, now: Moment) {
         self.unanswered_since.get_or_insert(now);
         self.unanswered_queries += 1;
@@ -349,6 +370,7 @@
         });
         if change == UpsertResult::Joined {
             self.index_by_service(target, instance);
+            self.record_new_evidence();
         }
         change
     }
@@ -460,6 +482,9 @@
             if agent_id.incarnation < member.entry.agent_id.incarnation {
                 return true;
             }
+            if member.may_be_excluded(now) {
+                self.record_new_evidence();
+            }
             if is_answer && let Some(since) = member.unanswered_since {
                 member.answer = Some(Answer { at: now, delay: now.since(since) });
             }
@@ -478,12 +503,24 @@
     /// Restarts the timeouts of all outstanding answers, after this process itself was suspended or
     /// isolated.
     pub fn restart_timeouts(&self, now: Moment) {
+        self.record_new_evidence();
         self.members.retain(|_, member| {
             member.unanswered_since = member.unanswered_since.map(|_| now);
             true
         });
     }
 
+    /// Returns the version of the evidence about lost flows. It increases when a member joins or
+    /// restarts, when one answers that may have been left out of a verdict for its silence, and when
+    /// this process itself was suspended or isolated.
+    pub fn evidence_version(&self) -> EvidenceVersion {
+        EvidenceVersion::new(self.evidence_version.load(Ordering::Relaxed))
+    }
+
+    fn record_new_evidence(&self) {
+        self.evidence_version.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Returns the numbers of members by their latest answer, without those that have left.
     pub fn answer_counts(&self, now: Moment) -> AnswerCounts {
         self.members.fold(AnswerCounts::default(), |mut counts, _, member| {
@@ -529,7 +566,8 @@
     }
 
     /// Returns up to `count` members of a service for a new flow, by ascending cost. Members that
-    /// may be unreachable come last.
+    /// may be unreachable come last. It compares the members that take flows and follow the key on
+    /// the ring of the service.
     pub fn choose(
         &self,
         target: Target,
@@ -538,10 +576,11 @@
         count: usize,
         now: Moment,
     ) -> Vec<Instance> {
-        let candidates = self.window(target, key, PLACEMENT_WINDOW);
-        let mut costs: Vec<_> = candidates
-            .into_iter()
-            .filter_map(|instance| {
+        let mut costs = Vec::with_capacity(PLACEMENT_WINDOW);
+        for skipped in (0..MAX_PLACEMENT_SCAN).step_by(PLACEMENT_WINDOW) {
+            let window = self.window(target, key, skipped, PLACEMENT_WINDOW);
+            let is_last = window.len() < PLACEMENT_WINDOW;
+            costs.extend(window.into_iter().filter_map(|instance| {
                 let cost = |member: &Member| member.cost(domain, key, now);
                 // The address may have been reused for another service.
                 let serves_target = |member: &&Member| member.entry.target == target;
@@ -549,8 +588,12 @@
                     self.members.read(&instance, |m| m.filter(serves_target).and_then(cost))?,
                     instance,
                 ))
-            })
-            .collect();
+            }));
+            if is_last || costs.len() >= PLACEMENT_WINDOW {
+                break;
+            }
+        }
+        costs.truncate(PLACEMENT_WINDOW);
         costs.sort_unstable();
         costs.into_iter().map(|(_, instance)| instance).take(count).collect()
     }
@@ -611,14 +654,16 @@
     /// Returns the members of a service that own the flow of this key if none of them has joined or
     /// left lately.
     pub fn likely_owners(&self, target: Target, key: FlowKey) -> Vec<Instance> {
-        self.window(target, key, SEARCH_WINDOW)
+        self.window(target, key, 0, SEARCH_WINDOW)
     }
 
-    fn window(&self, target: Target, key: FlowKey, count: usize) -> Vec<Instance> {
+    /// Returns up to `count` members of a service that follow the position of a key on its ring,
+    /// after the first `skipped` ones.
+    fn window(&self, target: Target, key: FlowKey, skipped: usize, count: usize) -> Vec<Instance> {
         let members_by_service =
             self.members_by_service.read().unwrap_or_else(PoisonError::into_inner);
         let ring = members_by_service.get(&target);
-        ring.map_or_else(Vec::new, |ring| ring.window(key, count).collect())
+        ring.map_or_else(Vec::new, |ring| ring.following(key).skip(skipped).take(count).collect())
     }
 
     /// Adds a member to the ring of its service. A member that served another service before stays
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -10,9 +10,9 @@
         controller::Controller,
         flow::{AgentId, FlowKey},
         ids::Instance,
-        pool::Pool,
+        pool::{EvidenceVersion, Pool},
         route::{Target, TrafficClass},
-        search::{Action, Event, QueryAnswer, QueryBudget, Search, SearchCandidate, Wave},
+        search::{self, Action, Event, QueryAnswer, QueryBudget, Search},
         segment::{Segment, Sequence},
         shards::Shards,
         time::{Moment, Span},
@@ -40,6 +40,8 @@
     acknowledged: Sequence,
     params: SearchParams,
     search: Search,
+    /// The version of the evidence at the last tick, on which a verdict rests.
+    evidence: EvidenceVersion,
 }
 
 /// The parameters of a search, which are fixed at its start.
@@ -60,8 +62,8 @@
     Query(Query),
     /// The owner was found. Send it the waiting segments.
     Found(AgentId, TrafficClass, Vec<Box<[u8]>>),
-    /// No agent owns the flow. Reset it towards the caller.
-    NotFound(Segment, Grounds),
+    /// No agent owns the flow, by this version of the evidence. Reset it towards the caller.
+    NotFound(Segment, EvidenceVersion, Grounds),
     /// The search ended without a result. Drop the segment.
     TimedOut(Segment, Grounds),
 }
@@ -99,6 +101,15 @@
     has_backlog: AtomicBool,
 }
 
+impl RunningSearch {
+    /// Returns the event of a tick with the present list of agents.
+    fn tick(&mut self, key: FlowKey, pool: &Pool, now: Moment) -> Event {
+        // Read before the state of the members, so that no change between both is missed.
+        self.evidence = pool.evidence_version();
+        Event::Tick(search::list_candidates(pool, self.params.target, key, now))
+    }
+}
+
 impl Searches {
     /// Starts a search for the owner of a segment's flow, or adds the segment to the running one.
     /// Returns false if there are too many searches, or when a search for this flow has recently
@@ -127,6 +138,7 @@
                 acknowledged: segment.acknowledged,
                 params,
                 search: Search::new(pool.list_complete_at(), now),
+                evidence: EvidenceVersion::default(),
             });
             running.segment = segment;
             if running.datagrams.len() < MAX_SEGMENTS_PER_FLOW {
@@ -146,31 +158,25 @@
         pool: &Pool,
         now: Moment,
     ) -> Option<Vec<Step>> {
-        self.step(key, Event::Answered(from, answer), pool, now)
+        self.step(key, |_| Event::Answered(from, answer), pool, now)
     }
 
     /// Returns the first steps of a new search, unless older ones wait for the query budget: they
     /// would end without a query if new searches used it up.
     pub fn begin(&self, key: FlowKey, pool: &Pool, now: Moment) -> Vec<Step> {
         if self.has_backlog.load(Ordering::Relaxed) {
-            self.record_skipped_tick(key);
-            return Vec::new();
+            return self.skip_tick(key, pool, now);
         }
         self.tick(key, pool, now)
     }
 
-    /// Runs the timers of one search and returns its next steps, unless the query budget of all
-    /// searches is used up.
+    /// Runs the timers of one search and returns its next steps. While the query budget of all
+    /// searches is used up, it only ends a search that has reached its time limit.
     pub fn tick(&self, key: FlowKey, pool: &Pool, now: Moment) -> Vec<Step> {
         if !self.budget().has_tokens(now) {
-            self.record_skipped_tick(key);
-            return Vec::new();
+            return self.skip_tick(key, pool, now);
         }
-        let Some(target) = self.running.read(&key, |running| Some(running?.params.target)) else {
-            return Vec::new();
-        };
-        let event = Event::Tick(list_candidates(pool, target, key, now));
-        self.step(key, event, pool, now).unwrap_or_default()
+        self.step(key, |running| running.tick(key, pool, now), pool, now).unwrap_or_default()
     }
 
     /// Removes the records of searches whose retry delay is over.
@@ -183,14 +189,10 @@
         self.skipped_ticks.swap(0, Ordering::Relaxed)
     }
 
-    fn record_skipped_tick(&self, key: FlowKey) {
+    fn skip_tick(&self, key: FlowKey, pool: &Pool, now: Moment) -> Vec<Step> {
         self.skipped_ticks.fetch_add(1, Ordering::Relaxed);
         self.has_backlog.store(true, Ordering::Relaxed);
-        self.running.update(key, |slot| {
-            if let Some(running) = slot {
-                running.search.record_skipped_tick();
-            }
-        });
+        self.step(key, |_| Event::SkippedTick, pool, now).unwrap_or_default()
     }
 
     fn budget(&self) -> MutexGuard<'_, QueryBudget> {
@@ -218,16 +220,23 @@
         self.running.is_empty()
     }
 
-    fn step(&self, key: FlowKey, event: Event, pool: &Pool, now: Moment) -> Option<Vec<Step>> {
+    fn step(
+        &self,
+        key: FlowKey,
+        event: impl FnOnce(&mut RunningSearch) -> Event,
+        pool: &Pool,
+        now: Moment,
+    ) -> Option<Vec<Step>> {
         self.running.update(key, |slot| {
             let running = slot.as_mut()?;
             running.search.set_list_outdated(pool.is_list_outdated());
+            let event = event(running);
             let is_answer = matches!(event, Event::Answered(..));
             let mut actions = running.search.step(event, now);
             if is_answer && actions.contains(&Action::NotFound) {
                 // Agents may have joined since the last tick, so the result needs the present list.
-                let candidates = list_candidates(pool, running.params.target, key, now);
-                actions = running.search.step(Event::Tick(candidates), now);
+                let tick = running.tick(key, pool, now);
+                actions = running.search.step(tick, now);
             }
             let class = running.params.class;
             let query =
@@ -253,7 +262,7 @@
                         return Some(vec![Step::Found(agent_id, class, datagrams)]);
                     }
                     Action::NotFound => {
-                        let step = Step::NotFound(running.segment, grounds());
+                        let step = Step::NotFound(running.segment, running.evidence, grounds());
                         *slot = None;
                         return Some(vec![step]);
                     }
@@ -270,32 +279,3 @@
         })
     }
 }
-
-/// Returns the members of the pool as candidates for the owner of a flow.
-fn list_candidates(
-    pool: &Pool,
-    target: Option<Target>,
-    key: FlowKey,
-    now: Moment,
-) -> Box<[SearchCandidate]> {
-    let likely = target.map_or_else(Vec::new, |target| pool.likely_owners(target, key));
-    let loss_timeout = pool.loss_timeout(now);
-    let mut candidates = Vec::with_capacity(pool.len());
-    pool.for_each(|member| {
-        let agent_id = member.entry.agent_id;
-        let wave = match target {
-            Some(_) if likely.contains(&agent_id.instance) => Wave::Likely,
-            Some(target) if member.entry.target != target => Wave::Other,
-            _ => Wave::Service,
-        };
-        candidates.push(SearchCandidate {
-            agent_id,
-            lost: member.is_lost(loss_timeout, now),
-            absent: loss_timeout.is_some() && member.is_absent(now),
-            restarted: member.has_restarted(),
-            wave,
-            unanswered_since: member.unanswered_since(),
-        });
-    });
-    candidates.into()
-}
