--- a/yuccacroft-core/src/ids.rs
+++ b/yuccacroft-core/src/ids.rs
@@ -35,7 +35,8 @@
 
 newtype! {
     /// Distinguishes successive processes at the same address: the start time in milliseconds since
-    /// the Unix epoch. A later process has a higher number. It fits in 48 bits.
+    /// the Unix epoch. A later process has a higher number, see [`Incarnation::succeeding`]. It fits
+    /// in 48 bits.
     Incarnation(u64), "an incarnation number"
 }
 
@@ -55,6 +56,14 @@
     RequestId
 }
 
+impl Incarnation {
+    /// Returns the incarnation of a process at the address of an earlier one: its own, or the next
+    /// higher one if its wall clock is behind that of the earlier process.
+    pub fn succeeding(self, earlier: Self) -> Self {
+        if earlier > self { Self::new(earlier.get().saturating_add(1)) } else { self }
+    }
+}
+
 /// The address of an agent, which also serves as its identity together with an [`Incarnation`].
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
--- a/yuccacroft-segment/src/agent/announcer.rs
+++ b/yuccacroft-segment/src/agent/announcer.rs
@@ -199,12 +199,18 @@
         Ok(present)
     }
 
-    /// Reads the stored entry for the address of the agent. Returns `None` for one that cannot be
-    /// decoded, which the next write replaces.
+    /// Reads the stored entry for the address of the agent, and raises the agent's incarnation above
+    /// that of an earlier process. Returns `None` for an entry that cannot be decoded, which the next
+    /// write replaces.
     async fn read_entry(&self) -> Result<Option<AgentEntry>> {
         let key = format!("{AGENT_KEY_PREFIX}{}", self.relay.agent_id().instance);
         let found = self.store.get(&key).await?;
-        Ok(found.and_then(|item| serde_json::from_str(&item.value).ok()))
+        let entry: Option<AgentEntry> =
+            found.and_then(|item| serde_json::from_str(&item.value).ok());
+        if let Some(entry) = &entry {
+            self.relay.succeed(entry.incarnation());
+        }
+        Ok(entry)
     }
 
     /// Renews the lease. Returns false if it has expired.
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -11,14 +11,18 @@
 use {
     super::chain::{self, AgentState, ReceivedSegment},
     crate::{clock::BootClock, flow_log::FlowLog, host::Socket, traffic::Traffic},
+    slog::info,
     std::{
         net::SocketAddrV4,
-        sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
     },
     tokio::sync::Notify,
     yuccacroft_core::{
-        filter::FilterChain, flow::AgentId, handshake::Decision, segment::Format, shards::Shards,
-        time::Moment, upstream::ConnectResult,
+        filter::FilterChain, flow::AgentId, handshake::Decision, ids::Incarnation, segment::Format,
+        shards::Shards, time::Moment, upstream::ConnectResult,
     },
 };
 
@@ -36,7 +40,7 @@
     pub upstream: S,
     /// The port of all callers.
     pub caller_port: u16,
-    /// The address and incarnation of the agent.
+    /// The address of the agent, and its incarnation by the wall clock.
     pub agent_id: AgentId,
 }
 
@@ -57,6 +61,8 @@
     traffic: Traffic,
     /// The balancers and the times of their last messages.
     balancers: Shards<SocketAddrV4, Moment>,
+    /// The incarnation of the agent, which is above those of earlier processes as far as it knows.
+    incarnation: AtomicU64,
     /// The version of the entry in the store, and when it was written or last found there.
     written_entry: Mutex<(u32, Moment)>,
     /// The highest configuration version that a balancer has sent.
@@ -73,6 +79,7 @@
         flow_log: FlowLog,
     ) -> Self {
         let chain = chain::build_chain(&state);
+        let incarnation = AtomicU64::new(setup.agent_id.incarnation.get());
         Self {
             format,
             setup,
@@ -83,6 +90,7 @@
             flow_log,
             traffic: Traffic::default(),
             balancers: Shards::with_shards(1),
+            incarnation,
             written_entry: Mutex::default(),
             config_version: AtomicU64::new(0),
         }
@@ -119,7 +127,22 @@
 
     /// Returns the address and incarnation of the agent.
     pub fn agent_id(&self) -> AgentId {
-        self.setup.agent_id
+        let incarnation = Incarnation::new(self.incarnation.load(Ordering::Relaxed));
+        AgentId { incarnation, ..self.setup.agent_id }
+    }
+
+    /// Raises the incarnation above that of an earlier process at the same address, which an entry
+    /// or a balancer names. Balancers ignore the messages of a lower incarnation.
+    pub fn succeed(&self, earlier: Incarnation) {
+        let raise = |own| {
+            let raised = Incarnation::new(own).succeeding(earlier).get();
+            (raised > own).then_some(raised)
+        };
+        let raised = self.incarnation.fetch_update(Ordering::Relaxed, Ordering::Relaxed, raise);
+        let Ok(before) = raised else { return };
+        info!(self.flow_log.log(), "incarnation raised"; "before" => before,
+            "incarnation" => %self.agent_id().incarnation, "earlier" => %earlier);
+        self.entry_unlisted.notify_one();
     }
 
     /// Records the version of the entry that is in the store now.
--- a/yuccacroft-segment/src/agent/relay/reply.rs
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -58,8 +58,11 @@
     ) {
         self.balancers.insert(from, now);
         self.config_version.fetch_max(version.get(), Ordering::Relaxed);
+        if let Some((incarnation, _)) = listed {
+            self.succeed(incarnation);
+        }
         let (entry_version, written) = *self.written_entry();
-        let current = (self.setup.agent_id.incarnation, entry_version);
+        let current = (self.agent_id().incarnation, entry_version);
         if entry_version > 0 && listed != Some(current) && now.since(written) >= MAX_LISTING_DELAY {
             self.entry_unlisted.notify_one();
         }
@@ -69,7 +72,7 @@
     pub(super) fn reply(&self, to: SocketAddrV4, body: Body, segment: &[u8], now: Moment) {
         let version = ConfigVersion::new(self.config_version.load(Ordering::Relaxed));
         let age = self.state.age(now);
-        let reply = Reply { from: self.setup.agent_id, load: self.load(now), age, version, body };
+        let reply = Reply { from: self.agent_id(), load: self.load(now), age, version, body };
         self.send(Kind::of_reply(&reply.body), to, &reply, segment);
     }
 
--- a/yuccacroft-segment/src/agent/relay/status.rs
+++ b/yuccacroft-segment/src/agent/relay/status.rs
@@ -36,7 +36,7 @@
             })
         };
         dump::Agent {
-            incarnation: self.setup.agent_id.incarnation,
+            incarnation: self.agent_id().incarnation,
             uptime: now.since(Moment::default()),
             stopping: self.state.is_stopping(),
             accepting: self.state.is_accepting(),
--- a/yuccacroft-segment/src/host.rs
+++ b/yuccacroft-segment/src/host.rs
@@ -60,7 +60,8 @@
     /// Returns a seed for a random number generator.
     fn seed(&self) -> u64;
 
-    /// Returns the incarnation of a process that starts now: the wall clock in milliseconds.
+    /// Returns the incarnation of a process that starts now: the wall clock in milliseconds. It is
+    /// below that of an earlier process if the clock was set back in between.
     fn incarnation(&self) -> Incarnation {
         Incarnation::new(self.wall_clock().as_millis())
     }
