--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -26,6 +26,11 @@
 /// Minimum time between a confirmed report and the next one, in percent of the report interval. It
 /// is below 100 because the interval is approximate.
 const MIN_CONFIRMED_INTERVAL_PERCENT: u64 = 75;
+/// The number of the first report of a run.
+const FIRST_REPORT: ReportNumber = ReportNumber::new(1);
+/// Maximum time from one report to the next, in report intervals: one until the report is due, and
+/// one until the upstream stops waiting for its confirmation.
+const MAX_REPORT_GAP_INTERVALS: u64 = 2;
 /// Age that is assumed for an upstream whose start time cannot be derived from the wall clock: too
 /// old to count as fresh.
 const UNKNOWN_AGE: Span = Span::from_secs(3_600);
@@ -107,7 +112,7 @@
     Silent,
 }
 
-/// Monitors the upstream of one agent.
+/// Monitors the upstream of one agent. Moments are counted from the start of the agent.
 #[derive(Debug)]
 pub struct Monitor {
     target: Target,
@@ -125,10 +130,16 @@
 struct Run {
     report: UpstreamReport,
     departed: bool,
+    /// The time of the last report, or of the end of a suspension of the agent since.
     reported_at: Moment,
+    /// The time of the last report, when the run had not ended.
+    alive_at: Moment,
     /// The age of the upstream at its first report to this agent.
     age: Span,
     first_seen: Moment,
+    /// A time before which the run cannot have begun: zero, the start of the agent, if it may be
+    /// older than the agent.
+    begun_after: Moment,
     /// Whether no earlier incarnation of the agent can have served this run of the upstream.
     had_no_earlier_agent: bool,
 }
@@ -192,6 +203,7 @@
         let has_changed = report.phase != known.phase || report.slots != known.slots;
         run.report = report;
         run.reported_at = now;
+        run.alive_at = now;
         self.record_reply(now);
         if has_changed { ReportOutcome::Changed } else { ReportOutcome::Unchanged }
     }
@@ -314,31 +326,55 @@
         self.run.as_ref().map_or(Span::ZERO, |run| run.age + now.since(run.first_seen))
     }
 
+    /// Returns a time before which the current run of the upstream cannot have begun, so that
+    /// earlier flows belong to a previous run. It is zero if the run may be older than this agent.
+    pub fn begun_after(&self) -> Moment {
+        self.run.as_ref().map_or(Moment::default(), |run| run.begun_after)
+    }
+
     /// Returns true if the upstream may hold flows that an earlier incarnation of this agent took.
-    /// `incarnation` is the agent's current one. Before the first report the answer is always true.
-    pub fn may_hold_unknown_flows(&self, incarnation: Incarnation) -> bool {
-        let may_hold =
-            |run: &Run| run.report.incarnation < incarnation && !run.had_no_earlier_agent;
-        self.run.as_ref().is_none_or(may_hold)
+    /// Before the first report the answer is always true.
+    pub fn may_hold_unknown_flows(&self) -> bool {
+        let is_younger_than_agent = self.begun_after() > Moment::default();
+        !is_younger_than_agent && !self.run.as_ref().is_some_and(|run| run.had_no_earlier_agent)
     }
 
     fn begin_run(&mut self, report: UpstreamReport, age: Option<Span>, now: Moment) {
-        // An upstream sends the next report one interval after a confirmed one. If it reports
-        // sooner than that after its start, no earlier report was confirmed, so no agent served it
-        // before.
+        let begun_after = self.earliest_begin(report.number, age, now);
+        // No earlier agent has confirmed a report before the first one, and the age shows that this
+        // one is not late. The age alone proves nothing, since the wall clock may have been set back.
         let min_confirmed_interval =
             Span::from_micros(self.interval.as_micros() * MIN_CONFIRMED_INTERVAL_PERCENT / 100);
         let had_no_earlier_agent = report.phase == UpstreamPhase::Ready
+            && report.number <= FIRST_REPORT
             && age.is_some_and(|age| age < min_confirmed_interval);
         let age = age.unwrap_or(UNKNOWN_AGE);
         self.run = Some(Run {
             report,
             departed: false,
             reported_at: now,
+            alive_at: now,
             age,
             first_seen: now,
+            begun_after,
             had_no_earlier_agent,
         });
         self.record_reply(now);
     }
+
+    /// Returns a time before which a run cannot have begun whose first report arrives now.
+    ///
+    /// The wall clock may have been set back since the run began, so its age is not evidence that it
+    /// is young. The number of the report limits its age, unless a partition has delayed the report.
+    /// Without an earlier run both have to agree that the run is younger than the agent.
+    fn earliest_begin(&self, number: ReportNumber, age: Option<Span>, now: Moment) -> Moment {
+        let max_gap = self.interval.saturating_mul(MAX_REPORT_GAP_INTERVALS);
+        let max_age =
+            max_gap.saturating_mul(number.max(FIRST_REPORT).get()).max(age.unwrap_or_default());
+        match (&self.run, age) {
+            (Some(previous), _) => previous.alive_at.min(now - max_age),
+            (None, Some(_)) => now - max_age,
+            (None, None) => Moment::default(),
+        }
+    }
 }
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -12,7 +12,6 @@
         backlog::Backlog,
         filter::{Filter, FilterChain, Verdict},
         handshake::{self, Decision, FlowTable, ForwardReason, Offer},
-        ids::Incarnation,
         route::{Target, TrafficClass},
         segment::Segment,
         time::{Moment, Span},
@@ -57,8 +56,6 @@
 pub struct AgentState {
     /// The service of the upstream.
     pub target: Target,
-    /// The incarnation of the agent.
-    pub incarnation: Incarnation,
     /// The open flows.
     pub table: FlowTable,
     monitor: Mutex<Monitor>,
@@ -81,10 +78,9 @@
 
 impl AgentState {
     /// Creates the state of an agent without flows.
-    pub fn new(target: Target, incarnation: Incarnation, monitor: Monitor) -> Self {
+    pub fn new(target: Target, monitor: Monitor) -> Self {
         Self {
             target,
-            incarnation,
             table: FlowTable::new(),
             monitor: Mutex::new(monitor),
             backlog: Mutex::default(),
@@ -159,8 +155,9 @@
     /// opened before the agent started.
     pub fn may_hold_unknown_flows(&self, now: Moment) -> bool {
         let monitor = self.monitor();
-        let is_older = monitor.may_hold_unknown_flows(self.incarnation);
-        is_older && !monitor.is_gone() && now.since(Moment::default()) < MAX_FLOW_LIFETIME
+        monitor.may_hold_unknown_flows()
+            && !monitor.is_gone()
+            && now.since(Moment::default()) < MAX_FLOW_LIFETIME
     }
 }
 
--- a/yuccacroft-segment/src/agent/process.rs
+++ b/yuccacroft-segment/src/agent/process.rs
@@ -96,7 +96,7 @@
         };
         let target = settings.service.target();
         let monitor = Monitor::new(target, settings.report_interval);
-        let state = Arc::new(AgentState::new(target, incarnation, monitor));
+        let state = Arc::new(AgentState::new(target, monitor));
         let flow_log = FlowLog::new(log.clone());
         let relay = Arc::new(Relay::new(platform.format(), setup, state, clock, flow_log));
         let controllers =
