--- a/yuccacroft-core/tests/upstream.rs
+++ b/yuccacroft-core/tests/upstream.rs
@@ -226,3 +226,19 @@
     monitor.handle_report(report(30, 1, UpstreamPhase::Ready), None, at(9_000));
     assert!(!monitor.may_hold_unknown_flows());
 }
+
+/// Guards against resets of flows that a new run took before its first report, when the wall clock
+/// gives no age or one that is too short: only flows that are older than the last report of the
+/// previous run, and too old for the number of reports, certainly belong to that one.
+#[test]
+fn a_new_run_keeps_the_flows_since_the_last_report_of_the_previous_one() {
+    for age in [None, Some(Span::ZERO), Some(Span::from_millis(700))] {
+        let mut monitor = monitor();
+        monitor.handle_report(report(10, 2, UpstreamPhase::Ready), None, at(6_000));
+        monitor.restart_timeouts(at(6_500));
+        monitor.handle_report(report(20, 1, UpstreamPhase::Ready), age, at(9_000));
+        assert_eq!(monitor.begun_after(), at(6_000), "{age:?}");
+        monitor.handle_report(report(30, 2, UpstreamPhase::Ready), age, at(9_500));
+        assert_eq!(monitor.begun_after(), at(5_500), "the report at 9 s may have been late");
+    }
+}
--- a/yuccacroft-segment/src/agent/controllers.rs
+++ b/yuccacroft-segment/src/agent/controllers.rs
@@ -101,10 +101,10 @@
         // Both times are from the machine's wall clock, which may have been set back in between.
         let (wall_clock, started) = (self.host.wall_clock(), Span::from_millis(incarnation.get()));
         let age = (wall_clock >= started).then(|| wall_clock - started);
-        let (outcome, before) = {
+        let (outcome, before, begun_after) = {
             let mut monitor = self.relay.state.monitor();
             let before = monitor.silence();
-            (monitor.handle_report(report, age, now), before)
+            (monitor.handle_report(report, age, now), before, monitor.begun_after())
         };
         if outcome == ReportOutcome::Unchanged && before == Silence::None {
             return;
@@ -119,13 +119,9 @@
                 self.entry_changed.notify_one();
             }
             ReportOutcome::Reborn => {
-                // If the wall clock has jumped, some flows of the previous incarnation stay. The
-                // new one bounces their next segment, which ends them.
-                self.relay.reset_lost_flows(
-                    "upstream restarted",
-                    now - age.unwrap_or_default(),
-                    now,
-                );
+                // Flows of which it is unknown to which incarnation they belong stay. If the new one
+                // does not hold them, it bounces their next segment, which ends them.
+                self.relay.reset_lost_flows("upstream restarted", begun_after, now);
                 self.relay.send_load(now);
                 self.entry_changed.notify_one();
             }
