--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -247,8 +247,12 @@
         }
     }
 
-    /// Records the result of a check of the upstream's port.
-    pub fn record_check(&mut self, result: ConnectResult, now: Moment) {
+    /// Records the result of a check of the upstream's port that was started at `started_at`. It is
+    /// ignored if the upstream has answered or reported since, maybe as a new run.
+    pub fn record_check(&mut self, started_at: Moment, result: ConnectResult, now: Moment) {
+        if self.last_heard > started_at {
+            return;
+        }
         match result {
             ConnectResult::Connected => self.record_reply(now),
             ConnectResult::Refused => self.silence = Silence::Dead,
--- a/yuccacroft-core/tests/upstream.rs
+++ b/yuccacroft-core/tests/upstream.rs
@@ -119,7 +119,7 @@
     assert_eq!(monitor.silence(), Silence::Doubtful);
     assert!(!monitor.is_accepting());
     assert!(!monitor.update_silence(at(200)), "one check at a time");
-    monitor.record_check(ConnectResult::Refused, at(201));
+    monitor.record_check(at(80), ConnectResult::Refused, at(201));
     assert!(monitor.is_gone());
 }
 
@@ -131,7 +131,7 @@
     monitor.record_data(at(10));
     assert!(!monitor.update_silence(at(200)));
     assert!(monitor.update_silence(at(400)));
-    monitor.record_check(ConnectResult::Connected, at(401));
+    monitor.record_check(at(400), ConnectResult::Connected, at(401));
     assert_eq!(monitor.silence(), Silence::None);
     assert!(monitor.is_accepting());
 }
@@ -142,9 +142,9 @@
     let mut monitor = monitor();
     monitor.record_opening(at(10));
     monitor.update_silence(at(100));
-    monitor.record_check(ConnectResult::Silent, at(400));
+    monitor.record_check(at(100), ConnectResult::Silent, at(400));
     assert_eq!(monitor.silence(), Silence::Doubtful);
-    monitor.record_check(ConnectResult::Silent, at(700));
+    monitor.record_check(at(400), ConnectResult::Silent, at(700));
     assert_eq!(monitor.silence(), Silence::Dead);
     monitor.record_reply(at(701));
     assert_eq!(monitor.silence(), Silence::None);
@@ -242,3 +242,17 @@
         assert_eq!(monitor.begun_after(), at(5_500), "the report at 9 s may have been late");
     }
 }
+
+/// Guards against resets of the flows of a restarted upstream by the refusal that its predecessor's
+/// port gave: a check proves nothing against a later answer.
+#[test]
+fn a_check_that_began_before_the_last_answer_proves_nothing() {
+    for result in [ConnectResult::Refused, ConnectResult::Silent] {
+        let mut monitor = monitor();
+        monitor.record_opening(at(10));
+        assert!(monitor.update_silence(at(80)));
+        monitor.handle_report(report(20, 1, UpstreamPhase::Ready), None, at(100));
+        monitor.record_check(at(80), result, at(800));
+        assert_eq!(monitor.silence(), Silence::None, "{result:?}");
+    }
+}
--- a/yuccacroft-segment/src/agent/controllers.rs
+++ b/yuccacroft-segment/src/agent/controllers.rs
@@ -87,7 +87,7 @@
             let (host, relay, upstream) = (self.host.clone(), self.relay.clone(), self.upstream);
             tokio::spawn(async move {
                 let result = host.check_port(upstream).await;
-                relay.apply_port_check(result, relay.clock.now());
+                relay.apply_port_check(now, result, relay.clock.now());
             });
         }
     }
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -61,6 +61,8 @@
     traffic: Traffic,
     /// The balancers and the times of their last messages.
     balancers: Shards<SocketAddrV4, Moment>,
+    /// The time of the last datagram to the upstream.
+    sent_to_upstream: AtomicU64,
     /// The incarnation of the agent, which is above those of earlier processes as far as it knows.
     incarnation: AtomicU64,
     /// The version of the entry in the store, and when it was written or last found there.
@@ -90,6 +92,7 @@
             flow_log,
             traffic: Traffic::default(),
             balancers: Shards::with_shards(1),
+            sent_to_upstream: AtomicU64::new(0),
             incarnation,
             written_entry: Mutex::default(),
             config_version: AtomicU64::new(0),
@@ -119,7 +122,8 @@
     pub async fn receive_port_errors(&self) {
         let on_error = |error: std::io::Error| {
             if error.kind() == std::io::ErrorKind::ConnectionRefused {
-                self.apply_port_check(ConnectResult::Refused, self.clock.now());
+                let sent = Moment::new(self.sent_to_upstream.load(Ordering::Relaxed));
+                self.apply_port_check(sent, ConnectResult::Refused, self.clock.now());
             }
         };
         self.setup.upstream.receive(|_, _| {}, on_error).await;
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -10,7 +10,7 @@
         traffic::{Direction, Kind},
     },
     slog::info,
-    std::net::SocketAddrV4,
+    std::{net::SocketAddrV4, sync::atomic::Ordering},
     yuccacroft_core::{
         flow::FlowKey,
         handshake::{Action, Decision, ForwardReason, Offer, Ownership},
@@ -149,8 +149,10 @@
 
     pub(super) fn send_to_upstream(&self, datagram: &[u8], now: Moment) {
         self.traffic.record(Direction::Sent, Kind::Upstream, datagram.len());
+        let previous = Moment::new(self.sent_to_upstream.swap(now.get(), Ordering::Relaxed));
         if !self.setup.upstream.send_connected(datagram) {
-            self.apply_port_check(ConnectResult::Refused, now);
+            // The system reports the refusal of an earlier datagram.
+            self.apply_port_check(previous, ConnectResult::Refused, now);
         }
     }
 
--- a/yuccacroft-segment/src/agent/relay/reset.rs
+++ b/yuccacroft-segment/src/agent/relay/reset.rs
@@ -20,12 +20,13 @@
         }
     }
 
-    /// Applies the result of a check of the upstream's port. A dead upstream loses its flows.
-    pub fn apply_port_check(&self, result: ConnectResult, now: Moment) {
+    /// Applies the result of a check of the upstream's port that was started at `started_at`. A dead
+    /// upstream loses the flows that are older than the check.
+    pub fn apply_port_check(&self, started_at: Moment, result: ConnectResult, now: Moment) {
         let (before, after) = {
             let mut monitor = self.state.monitor();
             let before = monitor.silence();
-            monitor.record_check(result, now);
+            monitor.record_check(started_at, result, now);
             (before, monitor.silence())
         };
         if before != after {
@@ -34,7 +35,7 @@
         }
         if after == Silence::Dead && before != Silence::Dead {
             self.pass_on_unaccepted(now);
-            self.reset_lost_flows("upstream dead", now, now);
+            self.reset_lost_flows("upstream dead", started_at, now);
             self.send_load(now);
         }
     }
