--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -10,7 +10,8 @@
     crate::time::{Moment, Span},
 };
 
-/// Time within which a running upstream accepts or returns an opening segment.
+/// Time within which a running upstream usually accepts or returns an opening segment. Then the
+/// flow is offered to the next agent as well; a later answer of the upstream still counts.
 const ACCEPT_TIMEOUT: Span = Span::from_millis(60);
 /// Time for which an accepted flow is kept without a segment of its caller. Callers give up after
 /// 1.4 s.
@@ -41,14 +42,14 @@
         self.entries.retain(|_, entry| {
             let flow = entry.flow;
             match &mut entry.state {
-                State::Offered { accepted: Some(accepted), changed_at, .. } => {
+                State::Accepted { sequence, changed_at } => {
                     let is_kept = now.since(*changed_at) < FIRST_SEGMENT_TIMEOUT;
                     if !is_kept {
-                        actions.push(Action::Expire { flow, accepted: *accepted });
+                        actions.push(Action::Expire { flow, accepted: *sequence });
                     }
                     is_kept
                 }
-                State::Offered { offer, datagram, changed_at, .. } => {
+                State::Offered { offer, datagram, changed_at } => {
                     if now.since(*changed_at) < ACCEPT_TIMEOUT {
                         return true;
                     }
@@ -81,7 +82,7 @@
     pub fn release_unaccepted(&self) -> Vec<Action> {
         let mut actions = Vec::new();
         self.entries.retain(|_, entry| {
-            let State::Offered { offer, datagram, accepted: None, .. } = &entry.state else {
+            let State::Offered { offer, datagram, .. } = &entry.state else {
                 return true;
             };
             actions.push(Action::pass_or_refuse(entry.flow, offer, datagram));
@@ -103,7 +104,7 @@
                 open.end(&self.counts);
                 false
             }
-            State::Offered { accepted: Some(_), changed_at, .. } => *changed_at >= before,
+            State::Accepted { changed_at, .. } => *changed_at >= before,
             State::Offered { .. } | State::Open(_) => true,
             State::Probed { .. } | State::Absent { .. } => false,
         });
--- a/yuccacroft-core/src/handshake/observation.rs
+++ b/yuccacroft-core/src/handshake/observation.rs
@@ -25,8 +25,11 @@
     /// Returns the state of a flow that is offered and not open, or `None` in any other state.
     pub fn offered_flow(&self, key: FlowKey, now: Moment) -> Option<OfferedFlow> {
         self.entries.read(&key, |entry| match entry {
-            Some(Entry { state: State::Offered { accepted, changed_at, .. }, .. }) => {
-                Some(OfferedFlow { accepted: *accepted, age: now.since(*changed_at) })
+            Some(Entry { state: State::Offered { changed_at, .. }, .. }) => {
+                Some(OfferedFlow { accepted: None, age: now.since(*changed_at) })
+            }
+            Some(Entry { state: State::Accepted { sequence, changed_at }, .. }) => {
+                Some(OfferedFlow { accepted: Some(*sequence), age: now.since(*changed_at) })
             }
             _ => None,
         })
--- a/yuccacroft-core/src/handshake/table.rs
+++ b/yuccacroft-core/src/handshake/table.rs
@@ -44,18 +44,17 @@
         now: Moment,
     ) -> Decision {
         self.entries.update(segment.flow.key(), |slot| {
-            if matches!(slot, Some(Entry { state: State::Open(_), .. })) {
-                return Decision::Deliver;
-            }
-            if !accepting {
-                return offer::pass_or_refuse(offer);
+            match slot.as_mut().map(|entry| &mut entry.state) {
+                Some(State::Open(_)) => return Decision::Deliver,
+                // A refusal would end a flow whose caller may be about to answer the upstream.
+                Some(State::Accepted { changed_at, .. }) => {
+                    *changed_at = now;
+                    return Decision::Confirm;
+                }
+                _ if !accepting => return offer::pass_or_refuse(offer),
+                _ => {}
             }
-            let accepted = match slot {
-                Some(Entry { state: State::Offered { accepted, .. }, .. }) => *accepted,
-                _ => None,
-            };
-            let datagram = datagram.into();
-            let state = State::Offered { offer, datagram, changed_at: now, accepted };
+            let state = State::Offered { offer, datagram: datagram.into(), changed_at: now };
             *slot = Some(Entry { flow: segment.flow, state });
             Decision::Confirm
         })
@@ -85,8 +84,8 @@
                         Decision::Hold
                     }
                 }
-                Some(State::Offered { accepted: Some(accepted), changed_at, .. })
-                    if segment.acknowledged == accepted.next() =>
+                Some(State::Accepted { sequence, changed_at })
+                    if segment.acknowledged == sequence.next() =>
                 {
                     let mut open =
                         OpenFlow::new(Some(segment.acknowledged), true, *changed_at, &self.counts);
@@ -95,7 +94,7 @@
                     *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
                     if deliver { delivered } else { Decision::Hold }
                 }
-                Some(State::Offered { .. }) => deny(false),
+                Some(State::Offered { .. } | State::Accepted { .. }) => deny(false),
                 Some(State::Probed { changed_at, .. })
                     if now.since(*changed_at) >= BOUNCE_TIMEOUT =>
                 {
@@ -132,12 +131,10 @@
     ) -> Ownership {
         self.entries.update(key, |slot| match slot.as_mut().map(|entry| &mut entry.state) {
             Some(State::Open(_)) => Ownership::Owns,
-            Some(State::Offered { accepted: Some(accepted), .. })
-                if acknowledged == accepted.next() =>
-            {
+            Some(State::Accepted { sequence, .. }) if acknowledged == sequence.next() => {
                 Ownership::Owns
             }
-            Some(State::Offered { .. }) => Ownership::Denies,
+            Some(State::Offered { .. } | State::Accepted { .. }) => Ownership::Denies,
             Some(State::Probed { .. }) => Ownership::Pending,
             Some(State::Absent { changed_at }) => {
                 *changed_at = now;
@@ -160,11 +157,24 @@
         self.entries.update(segment.flow.key(), |slot| {
             let state = slot.as_mut().map(|entry| &mut entry.state);
             match (segment.control, state) {
-                (Control::Accept, Some(State::Offered { accepted, .. })) => {
-                    *accepted = Some(segment.sequence);
+                (Control::Accept, Some(State::Open(_))) => None,
+                (Control::Accept, state) => {
+                    // The opening segment may have been passed on since, or an earlier incarnation of
+                    // the agent delivered it. The caller may acknowledge the answer nevertheless.
+                    let changed_at = match state {
+                        Some(State::Offered { changed_at, .. })
+                        | Some(State::Accepted { changed_at, .. }) => *changed_at,
+                        _ => now,
+                    };
+                    let state = State::Accepted { sequence: segment.sequence, changed_at };
+                    *slot = Some(Entry { flow: segment.flow, state });
+                    None
+                }
+                (control, Some(State::Offered { .. } | State::Accepted { .. }))
+                    if control != Control::Reset && segment.length == 0 =>
+                {
                     None
                 }
-                (Control::Accept, _) | (_, Some(State::Offered { .. })) => None,
                 (Control::Reset, Some(State::Open(open))) => {
                     open.end(&self.counts);
                     *slot = None;
@@ -202,10 +212,12 @@
                     *slot = Some(absent_entry);
                     Decision::Deny { origin, unsure: false, returned }
                 }
-                State::Open(open) if segment.control == Control::Open => {
+                state @ (State::Open(_) | State::Accepted { .. })
+                    if segment.control == Control::Open =>
+                {
                     // The bounce of a delayed duplicate of the opening segment does not prove that
                     // the upstream lacks the flow.
-                    *slot = Some(Entry { flow: entry.flow, state: State::Open(open) });
+                    *slot = Some(Entry { flow: entry.flow, state });
                     Decision::Drop("late copy")
                 }
                 State::Open(mut open) => {
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -117,6 +117,55 @@
     assert!(table.tick(at(160)).is_empty());
 }
 
+/// Guards against the reset of a flow that is about to open at an upstream which accepted it only
+/// after its opening segment was passed on: the caller acknowledges that answer if it comes first.
+#[test]
+fn an_upstream_that_accepts_late_owns_the_flow() {
+    let accept = segment(1, Control::Accept, 500, 101, 0);
+    let acknowledging = segment(1, Control::Continue, 101, 501, 0);
+    for rest in [vec![other()], vec![]] {
+        let table = FlowTable::new();
+        table.handle_opening(&opening(1), b"open", offer(&rest), true, START);
+        assert_eq!(table.tick(at(60)).len(), 1);
+        table.handle_reply(&accept, at(70));
+        let key = flow(1).key();
+        let other_answer = Sequence::new(901);
+        assert_eq!(table.ownership(key, other_answer, false, at(71)), Ownership::Denies);
+        assert_eq!(table.ownership(key, Sequence::new(501), false, at(71)), Ownership::Owns);
+        assert_eq!(deliver(&table, &acknowledging, at(72)), Decision::Deliver);
+    }
+    let doubted = FlowTable::new();
+    doubted.handle_opening(&opening(1), b"open", offer(&[]), true, START);
+    assert_eq!(doubted.release_unaccepted().len(), 1);
+    doubted.handle_reply(&accept, at(1));
+    assert_eq!(deliver(&doubted, &acknowledging, at(2)), Decision::Deliver);
+}
+
+/// Guards against the refusal or loss of an accepted flow because of another copy of its opening
+/// segment, which arrives while the upstream takes no new flows or is returned by it.
+#[test]
+fn a_copy_of_the_opening_segment_does_not_end_an_accepted_flow() {
+    let table = FlowTable::new();
+    table.handle_opening(&opening(1), b"open", offer(&[]), true, START);
+    table.handle_reply(&segment(1, Control::Accept, 500, 101, 0), START);
+    let copy = table.handle_opening(&opening(1), b"open", offer(&[]), false, at(200));
+    assert_eq!(copy, Decision::Confirm);
+    assert_eq!(table.handle_bounce(&opening(1), at(201)), Decision::Drop("late copy"));
+    let acknowledging = segment(1, Control::Continue, 101, 501, 0);
+    assert_eq!(deliver(&table, &acknowledging, at(202)), Decision::Deliver);
+}
+
+/// Guards against the denial of an open flow whose opening segment arrives once more at an agent that
+/// has just restarted: data of the upstream proves that it holds the flow.
+#[test]
+fn data_of_the_upstream_proves_an_offered_flow() {
+    let table = FlowTable::new();
+    table.handle_opening(&opening(1), b"open", offer(&[]), true, START);
+    table.handle_reply(&answer(1), at(1));
+    let later_segment = segment(1, Control::Continue, 7_000, 9_000, 0);
+    assert_eq!(deliver(&table, &later_segment, at(2)), Decision::Deliver);
+}
+
 /// Guards against a second offer of a flow that an upstream has accepted already: it stays until
 /// the caller answers.
 #[test]
