--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -20,7 +20,7 @@
 pub use self::{
     action::{Action, LostFlow},
     decision::{Decision, ForwardReason, Ownership},
-    observation::OfferedFlow,
+    observation::{EndCause, OfferedFlow, UpstreamEnd},
     offer::{MAX_HOPS, Offer, pass_or_refuse},
     table::FlowTable,
 };
--- a/yuccacroft-core/src/handshake/action.rs
+++ b/yuccacroft-core/src/handshake/action.rs
@@ -8,6 +8,7 @@
     crate::{
         ids::Instance,
         segment::{Flow, Sequence},
+        time::Moment,
     },
     std::net::SocketAddrV4,
 };
@@ -60,6 +61,8 @@
     pub acknowledged: Sequence,
     /// Whether a request was in progress.
     pub busy: bool,
+    /// The time of its opening segment, or that at which the agent discovered it.
+    pub started_at: Moment,
 }
 
 impl Action {
--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -100,7 +100,8 @@
                 // Without a segment of the caller no position is known, so any will do.
                 let acknowledged = open.acknowledged.unwrap_or_default();
                 let busy = open.request.is_some();
-                lost.push(LostFlow { flow: entry.flow, acknowledged, busy });
+                let (flow, started_at) = (entry.flow, open.started_at);
+                lost.push(LostFlow { flow, acknowledged, busy, started_at });
                 open.end(&self.counts);
                 false
             }
--- a/yuccacroft-core/src/handshake/observation.rs
+++ b/yuccacroft-core/src/handshake/observation.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         flow::FlowKey,
-        segment::Sequence,
+        segment::{Control, Segment, Sequence},
         time::{Moment, Span},
     },
 };
@@ -21,7 +21,72 @@
     pub age: Span,
 }
 
+/// The end of a flow by its upstream, on which the agent has no influence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpstreamEnd {
+    /// What the upstream did.
+    pub cause: EndCause,
+    /// The time since the opening segment, or since the agent discovered the flow; `None` for a flow
+    /// that it does not know.
+    pub age: Option<Span>,
+    /// Whether a request was in progress.
+    pub busy: bool,
+}
+
+/// What an upstream did to end a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndCause {
+    /// It answered the opening segment with a reset.
+    Refused,
+    /// It reset an open flow.
+    Reset,
+    /// It sent its last byte before its caller did.
+    Closed,
+    /// It reset a flow that the agent does not know.
+    UnknownFlow,
+}
+
+impl EndCause {
+    /// Returns the cause as text for logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "opening refused",
+            Self::Reset => "reset",
+            Self::Closed => "closed",
+            Self::UnknownFlow => "reset of an unknown flow",
+        }
+    }
+}
+
 impl FlowTable {
+    /// Returns how a segment of the upstream ends its flow, or `None` if it does not or if the flow
+    /// has ended before. It is called before [`FlowTable::handle_reply`].
+    pub fn upstream_end(&self, segment: &Segment, now: Moment) -> Option<UpstreamEnd> {
+        let end = |cause, since: Option<Moment>, busy| {
+            Some(UpstreamEnd { cause, age: since.map(|since| now.since(since)), busy })
+        };
+        if !matches!(segment.control, Control::Reset | Control::Finish) {
+            return None;
+        }
+        self.entries.read(&segment.flow.key(), |entry| {
+            match (segment.control, entry.map(|entry| &entry.state)) {
+                (_, Some(State::Open(open))) if open.is_finished => None,
+                (Control::Reset, Some(State::Open(open))) => {
+                    end(EndCause::Reset, Some(open.started_at), open.request.is_some())
+                }
+                (Control::Finish, Some(State::Open(open))) => {
+                    end(EndCause::Closed, Some(open.started_at), open.request.is_some())
+                }
+                (
+                    Control::Reset,
+                    Some(State::Offered { changed_at, .. } | State::Accepted { changed_at, .. }),
+                ) => end(EndCause::Refused, Some(*changed_at), false),
+                (Control::Reset, _) => end(EndCause::UnknownFlow, None, false),
+                _ => None,
+            }
+        })
+    }
+
     /// Returns the state of a flow that is offered and not open, or `None` in any other state.
     pub fn offered_flow(&self, key: FlowKey, now: Moment) -> Option<OfferedFlow> {
         self.entries.read(&key, |entry| match entry {
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -5,7 +5,8 @@
     std::net::SocketAddrV4,
     yuccacroft_core::{
         handshake::{
-            Action, Decision, FlowTable, ForwardReason, MAX_HOPS, Offer, OfferedFlow, Ownership,
+            Action, Decision, EndCause, FlowTable, ForwardReason, MAX_HOPS, Offer, OfferedFlow,
+            Ownership, UpstreamEnd,
         },
         ids::Instance,
         segment::{Control, Flow, Segment, Sequence},
@@ -166,6 +167,28 @@
     assert_eq!(deliver(&table, &later_segment, at(2)), Decision::Deliver);
 }
 
+/// Guards against a flow that its upstream has ended and whose end the log does not tell from a wrong
+/// reset.
+#[test]
+fn the_end_of_a_flow_by_its_upstream_can_be_inspected() {
+    let table = FlowTable::new();
+    let reset = |port| segment(port, Control::Reset, 501, 101, 0);
+    let finish = segment(2, Control::Finish, 501, 151, 0);
+    let end =
+        |cause, age, busy| Some(UpstreamEnd { cause, age: Some(Span::from_millis(age)), busy });
+    let unknown = UpstreamEnd { cause: EndCause::UnknownFlow, age: None, busy: false };
+    assert_eq!(table.upstream_end(&reset(1), at(1)), Some(unknown));
+    table.handle_opening(&opening(1), b"open", offer(&[]), true, START);
+    assert_eq!(table.upstream_end(&reset(1), at(5)), end(EndCause::Refused, 5, false));
+    open(&table, 2, START);
+    deliver(&table, &request(2), at(1));
+    assert_eq!(table.upstream_end(&reset(2), at(7)), end(EndCause::Reset, 7, true));
+    assert_eq!(table.upstream_end(&finish, at(8)), end(EndCause::Closed, 8, true));
+    assert_eq!(table.upstream_end(&answer(2), at(8)), None);
+    table.handle_reply(&finish, at(8));
+    assert_eq!(table.upstream_end(&finish, at(9)), None, "a copy");
+}
+
 /// Guards against a second offer of a flow that an upstream has accepted already: it stays until
 /// the caller answers.
 #[test]
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -113,7 +113,7 @@
                 self.reply(origin, Body::Denies { key, unsure }, datagram, now);
             }
             Decision::Reset(sequence) => {
-                self.reset(segment.flow, sequence, "returned by the upstream", now);
+                self.reset(segment.flow, sequence, "returned by the upstream", None, now);
             }
             Decision::Hold => {}
             Decision::Drop(cause) => self.log_not_delivered(segment.flow, "drop", cause, now),
--- a/yuccacroft-segment/src/agent/relay/log.rs
+++ b/yuccacroft-segment/src/agent/relay/log.rs
@@ -7,13 +7,18 @@
     std::net::SocketAddrV4,
     yuccacroft_core::{
         flow::FlowKey,
-        segment::{Flow, Format, Segment, Sequence},
+        handshake::{Decision, EndCause, UpstreamEnd},
+        segment::{Control, Flow, Format, Segment, Sequence},
         time::{Moment, Span},
     },
 };
 
 /// Metric: number of undecodable datagrams and socket errors, labelled with the source.
 const JUNK_METRIC: &str = "yuccacroft_agent_junk_total";
+/// Metric: number of flows that the upstream refused, reset or closed, labelled with the cause.
+const UPSTREAM_ENDS_METRIC: &str = "yuccacroft_agent_upstream_ends_total";
+/// The cause that counts opening segments that the upstream has returned.
+const RETURNED_OPENING: &str = "opening returned";
 /// Metric: number of accepted flows whose callers sent no segment to this agent.
 const EXPIRED_FLOWS_METRIC: &str = "yuccacroft_agent_expired_flows_total";
 
@@ -54,6 +59,50 @@
         }
     }
 
+    /// Logs a reset that the agent sends, since the upstream no longer holds the flow.
+    pub(super) fn log_reset(
+        &self,
+        flow: Flow,
+        cause: &'static str,
+        age: Option<Span>,
+        now: Moment,
+    ) {
+        metrics::counter!(DECISIONS_METRIC, "outcome" => "reset", "cause" => cause).increment(1);
+        if let Some(log) = self.flow_log.failure(now) {
+            info!(log, "not delivered"; "flow" => %flow, "key" => %flow.key(), "outcome" => "reset",
+                "cause" => cause, "sender" => "agent", "age" => %age_text(age));
+        }
+    }
+
+    /// Logs that the upstream ends a flow, so that its end is told from a reset by the agent or a
+    /// balancer.
+    pub(super) fn log_upstream_end(&self, flow: Flow, end: UpstreamEnd, now: Moment) {
+        let cause = end.cause.name();
+        metrics::counter!(UPSTREAM_ENDS_METRIC, "cause" => cause).increment(1);
+        let log = match end.cause {
+            EndCause::Closed => self.flow_log.normal(now),
+            EndCause::Refused | EndCause::Reset | EndCause::UnknownFlow => {
+                self.flow_log.failure(now)
+            }
+        };
+        if let Some(log) = log {
+            info!(log, "ended by the upstream"; "flow" => %flow, "key" => %flow.key(),
+                "cause" => cause, "sender" => "upstream", "age" => %age_text(end.age),
+                "busy" => end.busy);
+        }
+    }
+
+    /// Logs that the upstream has returned a segment, which it does not take.
+    pub(super) fn log_bounce(&self, segment: &Segment, decision: &Decision, now: Moment) {
+        if segment.control == Control::Open {
+            metrics::counter!(UPSTREAM_ENDS_METRIC, "cause" => RETURNED_OPENING).increment(1);
+        }
+        if let Some(log) = self.flow_log.failure(now) {
+            info!(log, "bounced"; "flow" => %segment.flow, "key" => %segment.flow.key(),
+                "control" => ?segment.control, "decision" => decision.name());
+        }
+    }
+
     /// Logs the denial of a flow that was offered to this agent. The caller has acknowledged
     /// another upstream, unless `acknowledged` is one above `accepted`.
     pub(super) fn log_offered_denial(
@@ -96,3 +145,7 @@
         self.log_junk(name, error, self.clock.now());
     }
 }
+
+fn age_text(age: Option<Span>) -> Box<str> {
+    age.map_or_else(|| "unknown".into(), |age| age.to_string().into())
+}
--- a/yuccacroft-segment/src/agent/relay/outbound.rs
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -32,6 +32,9 @@
                 if let Some(progress) = self.format.requests_in_progress(datagram) {
                     self.state.table.reconcile_active(progress);
                 }
+                if let Some(end) = self.state.table.upstream_end(&segment, now) {
+                    self.log_upstream_end(segment.flow, end, now);
+                }
                 if let Some(time) = self.state.table.handle_reply(&segment, now) {
                     metrics::histogram!(SERVICE_SECONDS_METRIC)
                         .record(std::time::Duration::from(time).as_secs_f64());
@@ -46,10 +49,7 @@
                 self.record_activity(now);
                 self.format.restore_bounced(datagram);
                 let decision = self.state.table.handle_bounce(&segment, now);
-                if let Some(log) = self.flow_log.failure(now) {
-                    info!(log, "bounced"; "flow" => %segment.flow, "control" => ?segment.control,
-                        "decision" => decision.name());
-                }
+                self.log_bounce(&segment, &decision, now);
                 self.apply_bounce_decision(&segment, decision, datagram, now);
             }
             Err(error) => self.log_junk("outbound", &error, now),
--- a/yuccacroft-segment/src/agent/relay/reset.rs
+++ b/yuccacroft-segment/src/agent/relay/reset.rs
@@ -7,7 +7,7 @@
     yuccacroft_core::{
         handshake::LostFlow,
         segment::{Flow, Format, Sequence},
-        time::Moment,
+        time::{Moment, Span},
         upstream::{ConnectResult, Silence},
     },
 };
@@ -48,14 +48,22 @@
             info!(self.flow_log.log(), "flows lost"; "count" => lost.len(), "cause" => cause,
                 "busy" => lost.iter().filter(|flow| flow.busy).count());
         }
-        for LostFlow { flow, acknowledged, .. } in lost {
+        for LostFlow { flow, acknowledged, started_at, .. } in lost {
             self.state.backlog().remove(flow.key());
-            self.reset(flow, acknowledged, cause, now);
+            self.reset(flow, acknowledged, cause, Some(now.since(started_at)), now);
         }
     }
 
-    pub(super) fn reset(&self, flow: Flow, sequence: Sequence, cause: &'static str, now: Moment) {
-        self.log_not_delivered(flow, "reset", cause, now);
+    /// Resets a flow. `age` is its age, if it is known.
+    pub(super) fn reset(
+        &self,
+        flow: Flow,
+        sequence: Sequence,
+        cause: &'static str,
+        age: Option<Span>,
+        now: Moment,
+    ) {
+        self.log_reset(flow, cause, age, now);
         let datagram = self.format.encode_reset(flow, sequence);
         self.send_to_caller(Kind::Reset, flow, &datagram);
     }
