--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -5,7 +5,8 @@
     std::net::SocketAddrV4,
     yuccacroft_core::{
         handshake::{
-            Action, Decision, FlowTable, ForwardReason, MAX_HOPS, Offer, OfferedFlow, Ownership,
+            Action, Decision, EndCause, FlowTable, ForwardReason, MAX_HOPS, Offer, OfferedFlow,
+            Ownership, UpstreamEnd,
         },
         ids::Instance,
         segment::{Control, Flow, Segment, Sequence},
@@ -117,6 +118,77 @@
     assert!(table.tick(at(160)).is_empty());
 }
 
+/// Guards against the reset of a flow that is about to open at an upstream which accepted it only
+/// after its opening segment was passed on: the caller acknowledges that answer if it comes first.
+#[test]
+fn an_upstream_that_accepts_late_owns_the_flow() {
+    let accept = segment(1, Control::Accept, 500, 101, 0);
+    let acknowledging = segment(1, Control::Continue, 101, 501, 0);
+    for rest in [vec![other()], vec![]] {
+        let table = FlowTable::new();
+        table.handle_opening(&opening(1), b"open", offer(&rest), true, START);
+        assert_eq!(table.tick(at(60)).len(), 1);
+        table.handle_reply(&accept, at(70));
+        let key = flow(1).key();
+        let other_answer = Sequence::new(901);
+        assert_eq!(table.ownership(key, other_answer, false, at(71)), Ownership::Denies);
+        assert_eq!(table.ownership(key, Sequence::new(501), false, at(71)), Ownership::Owns);
+        assert_eq!(deliver(&table, &acknowledging, at(72)), Decision::Deliver);
+    }
+    let doubted = FlowTable::new();
+    doubted.handle_opening(&opening(1), b"open", offer(&[]), true, START);
+    assert_eq!(doubted.release_unaccepted().len(), 1);
+    doubted.handle_reply(&accept, at(1));
+    assert_eq!(deliver(&doubted, &acknowledging, at(2)), Decision::Deliver);
+}
+
+/// Guards against the refusal or loss of an accepted flow because of another copy of its opening
+/// segment, which arrives while the upstream takes no new flows or is returned by it.
+#[test]
+fn a_copy_of_the_opening_segment_does_not_end_an_accepted_flow() {
+    let table = FlowTable::new();
+    table.handle_opening(&opening(1), b"open", offer(&[]), true, START);
+    table.handle_reply(&segment(1, Control::Accept, 500, 101, 0), START);
+    let copy = table.handle_opening(&opening(1), b"open", offer(&[]), false, at(200));
+    assert_eq!(copy, Decision::Confirm);
+    assert_eq!(table.handle_bounce(&opening(1), at(201)), Decision::Drop("late copy"));
+    let acknowledging = segment(1, Control::Continue, 101, 501, 0);
+    assert_eq!(deliver(&table, &acknowledging, at(202)), Decision::Deliver);
+}
+
+/// Guards against the denial of an open flow whose opening segment arrives once more at an agent that
+/// has just restarted: data of the upstream proves that it holds the flow.
+#[test]
+fn data_of_the_upstream_proves_an_offered_flow() {
+    let table = FlowTable::new();
+    table.handle_opening(&opening(1), b"open", offer(&[]), true, START);
+    table.handle_reply(&answer(1), at(1));
+    let later_segment = segment(1, Control::Continue, 7_000, 9_000, 0);
+    assert_eq!(deliver(&table, &later_segment, at(2)), Decision::Deliver);
+}
+
+/// Guards against a flow that its upstream has ended and whose end the log does not tell from a wrong
+/// reset.
+#[test]
+fn the_end_of_a_flow_by_its_upstream_can_be_inspected() {
+    let table = FlowTable::new();
+    let reset = |port| segment(port, Control::Reset, 501, 101, 0);
+    let finish = segment(2, Control::Finish, 501, 151, 0);
+    let end =
+        |cause, age, busy| Some(UpstreamEnd { cause, age: Some(Span::from_millis(age)), busy });
+    let unknown = UpstreamEnd { cause: EndCause::UnknownFlow, age: None, busy: false };
+    assert_eq!(table.upstream_end(&reset(1), at(1)), Some(unknown));
+    table.handle_opening(&opening(1), b"open", offer(&[]), true, START);
+    assert_eq!(table.upstream_end(&reset(1), at(5)), end(EndCause::Refused, 5, false));
+    open(&table, 2, START);
+    deliver(&table, &request(2), at(1));
+    assert_eq!(table.upstream_end(&reset(2), at(7)), end(EndCause::Reset, 7, true));
+    assert_eq!(table.upstream_end(&finish, at(8)), end(EndCause::Closed, 8, true));
+    assert_eq!(table.upstream_end(&answer(2), at(8)), None);
+    table.handle_reply(&finish, at(8));
+    assert_eq!(table.upstream_end(&finish, at(9)), None, "a copy");
+}
+
 /// Guards against a second offer of a flow that an upstream has accepted already: it stays until
 /// the caller answers.
 #[test]
--- a/yuccacroft-core/tests/upstream.rs
+++ b/yuccacroft-core/tests/upstream.rs
@@ -119,7 +119,7 @@
     assert_eq!(monitor.silence(), Silence::Doubtful);
     assert!(!monitor.is_accepting());
     assert!(!monitor.update_silence(at(200)), "one check at a time");
-    monitor.record_check(ConnectResult::Refused, at(201));
+    monitor.record_check(at(80), ConnectResult::Refused, at(201));
     assert!(monitor.is_gone());
 }
 
@@ -131,7 +131,7 @@
     monitor.record_data(at(10));
     assert!(!monitor.update_silence(at(200)));
     assert!(monitor.update_silence(at(400)));
-    monitor.record_check(ConnectResult::Connected, at(401));
+    monitor.record_check(at(400), ConnectResult::Connected, at(401));
     assert_eq!(monitor.silence(), Silence::None);
     assert!(monitor.is_accepting());
 }
@@ -142,9 +142,9 @@
     let mut monitor = monitor();
     monitor.record_opening(at(10));
     monitor.update_silence(at(100));
-    monitor.record_check(ConnectResult::Silent, at(400));
+    monitor.record_check(at(100), ConnectResult::Silent, at(400));
     assert_eq!(monitor.silence(), Silence::Doubtful);
-    monitor.record_check(ConnectResult::Silent, at(700));
+    monitor.record_check(at(400), ConnectResult::Silent, at(700));
     assert_eq!(monitor.silence(), Silence::Dead);
     monitor.record_reply(at(701));
     assert_eq!(monitor.silence(), Silence::None);
@@ -173,29 +173,86 @@
     assert_eq!(monitor.silence(), Silence::None);
 }
 
-/// Guards against probes of every upstream after a power loss: an upstream whose first report has
-/// not been confirmed yet holds no flow that an earlier incarnation of the agent accepted.
+/// Returns whether an upstream may hold unknown flows, whose first report to the agent has this
+/// number and age and arrives at `now`.
+fn may_hold(number: u64, phase: UpstreamPhase, age: Option<Span>, now: Moment) -> bool {
+    let mut monitor = Monitor::new(target(), INTERVAL);
+    assert!(monitor.may_hold_unknown_flows(), "without a report nothing is known");
+    monitor.handle_report(report(10, number, phase), age, now);
+    monitor.may_hold_unknown_flows()
+}
+
+/// Guards against probes of every upstream after a power loss: an upstream that has made no report
+/// before holds no flow that an earlier incarnation of the agent accepted.
 #[test]
 fn an_upstream_without_an_earlier_agent_holds_no_unknown_flow() {
-    let own = Incarnation::new(50);
-    let may_hold = |number, phase, age| {
-        let mut monitor = Monitor::new(target(), INTERVAL);
-        assert!(monitor.may_hold_unknown_flows(own), "without a report nothing is known");
-        monitor.handle_report(report(10, number, phase), age, START);
-        monitor.may_hold_unknown_flows(own)
-    };
-    let before_confirmation = Some(Span::from_millis(300));
-    assert!(!may_hold(3, UpstreamPhase::Ready, before_confirmation));
-    assert!(
-        may_hold(2, UpstreamPhase::Ready, Some(Span::from_millis(1_000))),
-        "the first one was confirmed"
-    );
+    let age = Some(Span::from_millis(300));
+    let soon_after_start = Moment::new(10_000);
+    assert!(!may_hold(1, UpstreamPhase::Ready, age, soon_after_start));
+    let late = Some(Span::from_millis(1_000));
+    assert!(may_hold(1, UpstreamPhase::Ready, late, soon_after_start), "the report is late");
     assert!(
-        may_hold(2, UpstreamPhase::Draining, before_confirmation),
+        may_hold(1, UpstreamPhase::Draining, age, soon_after_start),
         "a change is reported out of turn"
     );
-    assert!(may_hold(2, UpstreamPhase::Ready, None), "the wall clock was set back");
-    let mut later = Monitor::new(target(), INTERVAL);
-    later.handle_report(report(60, 1, UpstreamPhase::Ready), None, START);
-    assert!(!later.may_hold_unknown_flows(own));
+}
+
+/// Guards against a denial that rests on the wall clock: it can be set back between the start of an
+/// upstream and that of the agent, so that the upstream appears to be younger than it is.
+#[test]
+fn an_age_by_the_wall_clock_alone_proves_nothing() {
+    for age in [Span::ZERO, Span::from_millis(300), Span::from_millis(900)] {
+        assert!(may_hold(3, UpstreamPhase::Ready, Some(age), START), "{age}");
+    }
+    assert!(may_hold(1, UpstreamPhase::Ready, None, at(60_000)), "the wall clock was set back");
+}
+
+/// Guards against probes of an upstream that began while the agent was running: so few reports have
+/// been made that it cannot be older than the agent.
+#[test]
+fn an_upstream_that_is_younger_than_its_agent_holds_no_unknown_flow() {
+    let age = Some(Span::from_millis(3_500));
+    assert!(may_hold(3, UpstreamPhase::Ready, age, Moment::default() + INTERVAL.saturating_mul(6)));
+    assert!(!may_hold(
+        3,
+        UpstreamPhase::Ready,
+        age,
+        Moment::default() + INTERVAL.saturating_mul(7)
+    ));
+    let mut monitor = monitor();
+    assert!(monitor.may_hold_unknown_flows());
+    monitor.handle_report(report(20, 1, UpstreamPhase::Ready), None, at(500));
+    assert!(monitor.may_hold_unknown_flows(), "the first run's report may have been late");
+    monitor.handle_report(report(30, 1, UpstreamPhase::Ready), None, at(9_000));
+    assert!(!monitor.may_hold_unknown_flows());
+}
+
+/// Guards against resets of flows that a new run took before its first report, when the wall clock
+/// gives no age or one that is too short: only flows that are older than the last report of the
+/// previous run, and too old for the number of reports, certainly belong to that one.
+#[test]
+fn a_new_run_keeps_the_flows_since_the_last_report_of_the_previous_one() {
+    for age in [None, Some(Span::ZERO), Some(Span::from_millis(700))] {
+        let mut monitor = monitor();
+        monitor.handle_report(report(10, 2, UpstreamPhase::Ready), None, at(6_000));
+        monitor.restart_timeouts(at(6_500));
+        monitor.handle_report(report(20, 1, UpstreamPhase::Ready), age, at(9_000));
+        assert_eq!(monitor.begun_after(), at(6_000), "{age:?}");
+        monitor.handle_report(report(30, 2, UpstreamPhase::Ready), age, at(9_500));
+        assert_eq!(monitor.begun_after(), at(5_500), "the report at 9 s may have been late");
+    }
+}
+
+/// Guards against resets of the flows of a restarted upstream by the refusal that its predecessor's
+/// port gave: a check proves nothing against a later answer.
+#[test]
+fn a_check_that_began_before_the_last_answer_proves_nothing() {
+    for result in [ConnectResult::Refused, ConnectResult::Silent] {
+        let mut monitor = monitor();
+        monitor.record_opening(at(10));
+        assert!(monitor.update_silence(at(80)));
+        monitor.handle_report(report(20, 1, UpstreamPhase::Ready), None, at(100));
+        monitor.record_check(at(80), result, at(800));
+        assert_eq!(monitor.silence(), Silence::None, "{result:?}");
+    }
 }
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -117,7 +117,7 @@
                 self.reply(origin, Body::Denies { key, unsure }, datagram, now);
             }
             Decision::Reset(sequence) => {
-                self.reset(segment.flow, sequence, "returned by the upstream", now);
+                self.reset(segment.flow, sequence, "returned by the upstream", None, now);
             }
             Decision::Hold => {}
             Decision::Drop(cause) => self.log_not_delivered(segment.flow, "drop", cause, now),
@@ -153,8 +153,10 @@
 
     pub(super) fn send_to_upstream(&self, datagram: &[u8], now: Moment) {
         self.traffic.record(Direction::Sent, Kind::Upstream, datagram.len());
+        let previous = Moment::new(self.sent_to_upstream.swap(now.get(), Ordering::Relaxed));
         if !self.setup.upstream.send_connected(datagram) {
-            self.apply_port_check(ConnectResult::Refused, now);
+            // The system reports the refusal of an earlier datagram.
+            self.apply_port_check(previous, ConnectResult::Refused, now);
         }
     }
 
--- a/yuccacroft-segment/src/agent/relay/reply.rs
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -56,8 +56,11 @@
         now: Moment,
     ) {
         self.balancers.insert(from, now);
+        if let Some((incarnation, _)) = listed {
+            self.succeed(incarnation);
+        }
         let (entry_version, written) = *self.written_entry();
-        let current = (self.setup.agent_id.incarnation, entry_version);
+        let current = (self.agent_id().incarnation, entry_version);
         if entry_version > 0 && listed != Some(current) && now.since(written) >= MAX_LISTING_DELAY {
             self.entry_unlisted.notify_one();
         }
@@ -68,7 +71,7 @@
         let version = ConfigVersion::new(self.config_version.load(Ordering::Relaxed));
         let newest_entry = Revision::new(self.newest_entry.load(Ordering::Relaxed));
         let reply = Reply {
-            from: self.setup.agent_id,
+            from: self.agent_id(),
             load: self.load(now),
             age: self.state.age(now),
             version,
--- a/yuccacroft-segment/src/agent/relay/reset.rs
+++ b/yuccacroft-segment/src/agent/relay/reset.rs
@@ -7,7 +7,7 @@
     yuccacroft_core::{
         handshake::LostFlow,
         segment::{Flow, Format, Sequence},
-        time::Moment,
+        time::{Moment, Span},
         upstream::{ConnectResult, Silence},
     },
 };
@@ -20,12 +20,13 @@
         }
     }
 
-    /// Applies the result of a check of the upstream's port. A dead upstream loses its flows.
-    pub fn apply_port_check(&self, result: ConnectResult, now: Moment) {
+    /// Applies the result of a check of the upstream's port that was started at `started_at`. A dead
+    /// upstream loses the flows that are older than the check.
+    pub fn apply_port_check(&self, started_at: Moment, result: ConnectResult, now: Moment) {
         let (before, after) = {
             let mut monitor = self.state.monitor();
             let before = monitor.silence();
-            monitor.record_check(result, now);
+            monitor.record_check(started_at, result, now);
             (before, monitor.silence())
         };
         if before != after {
@@ -34,7 +35,7 @@
         }
         if after == Silence::Dead && before != Silence::Dead {
             self.pass_on_unaccepted(now);
-            self.reset_lost_flows("upstream dead", now, now);
+            self.reset_lost_flows("upstream dead", started_at, now);
             self.send_load(now);
         }
     }
@@ -47,14 +48,22 @@
             info!(self.flow_log.log(), "flows lost"; "count" => lost.len(), "cause" => cause,
                 "busy" => lost.iter().filter(|flow| flow.busy).count());
         }
-        for LostFlow { flow, acknowledged, .. } in lost {
+        for LostFlow { flow, acknowledged, started_at, .. } in lost {
             self.state.backlog().remove(flow.key());
-            self.reset(flow, acknowledged, cause, now);
+            self.reset(flow, acknowledged, cause, Some(now.since(started_at)), now);
         }
     }
 
-    pub(super) fn reset(&self, flow: Flow, sequence: Sequence, cause: &'static str, now: Moment) {
-        self.log_not_delivered(flow, "reset", cause, now);
+    /// Resets a flow. `age` is its age, if it is known.
+    pub(super) fn reset(
+        &self,
+        flow: Flow,
+        sequence: Sequence,
+        cause: &'static str,
+        age: Option<Span>,
+        now: Moment,
+    ) {
+        self.log_reset(flow, cause, age, now);
         let datagram = self.format.encode_reset(flow, sequence);
         self.send_to_caller(Kind::Reset, flow, &datagram);
     }
