--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -4,6 +4,7 @@
 //! anyway. A member that disappears from the listing stays while it answers, so that an outage of
 //! the store does not empty the pool.
 
+pub mod indirect;
 mod path;
 mod ring;
 
@@ -11,7 +12,8 @@
 
 use {
     self::{
-        path::{Answer, LOSS_TIMEOUT, Path},
+        indirect::{Condition, Contact, Limit, Ping, Relay, Report, Suspect},
+        path::{Answer, LOSS_TIMEOUT, Path, Timeliness},
         ring::Ring,
     },
     crate::{
@@ -132,6 +134,7 @@
     unanswered_since: Option<Moment>,
     /// The number of queries and offers since the last message of the member.
     unanswered_queries: u32,
+    contact: Contact,
     unlisted_since: Option<Moment>,
     stopped_at: Option<Moment>,
     /// Whether the listing showed an earlier incarnation than the current one.
@@ -179,6 +182,7 @@
     /// The members of each service.
     members_by_service: RwLock<HashMap<Target, Ring>>,
     path: Path,
+    indirect_limit: Limit,
 }
 
 impl Member {
@@ -192,6 +196,7 @@
             pending_offers: VecDeque::new(),
             unanswered_since: None,
             unanswered_queries: 0,
+            contact: Contact::default(),
             unlisted_since: None,
             stopped_at,
             restarted,
@@ -208,14 +213,37 @@
     }
 
     /// Returns true if the member has been silent for so long that its flows count as lost, given
-    /// the timeout of [`Pool::loss_timeout`]. Without a timeout silence proves nothing.
+    /// the timeout of [`Pool::loss_timeout`]. Without a timeout silence proves nothing, nor does it
+    /// if the member has answered through another one meanwhile.
     pub fn is_lost(&self, loss_timeout: Option<Span>, now: Moment) -> bool {
         let Some(loss_timeout) = loss_timeout else { return false };
         let may_restart = self.stopped_at.is_some_and(|at| now.since(at) < RESTART_GRACE_PERIOD);
         if self.has_ended() {
             return self.is_answer_overdue(SUSPICION_TIMEOUT, now);
         }
-        self.is_answer_overdue(loss_timeout, now) && !may_restart
+        self.is_silent_to_all(loss_timeout, now) && !may_restart
+    }
+
+    /// Returns true if the member has owed an answer for at least `span` and no other member has
+    /// reached it within that time.
+    fn is_silent_to_all(&self, span: Span, now: Moment) -> bool {
+        self.is_answer_overdue(span, now) && !self.contact.is_alive(span, now)
+    }
+
+    /// Returns true if an answer of the member is overdue and it has recently answered through
+    /// another member.
+    pub fn is_only_reached_by_others(&self, now: Moment) -> bool {
+        self.is_answer_overdue(SUSPICION_TIMEOUT, now) && self.contact.is_alive(LOSS_TIMEOUT, now)
+    }
+
+    /// Returns what the indirect pings have shown since the last message of the member.
+    pub fn indirect_report(&self, now: Moment) -> Report {
+        self.contact.report(now)
+    }
+
+    fn timeliness(&self, now: Moment) -> Timeliness {
+        let unanswered = self.unanswered_since.map(|since| now.since(since));
+        Timeliness::new(self.answer, unanswered, now)
     }
 
     /// Returns true if the upstream of the member has announced its end. The load is newer than the
@@ -229,13 +257,14 @@
     /// has ended, or the store has not listed it for longer than an outage explains.
     fn has_left(&self, now: Moment) -> bool {
         let is_gone = self.unlisted_since.is_some_and(|at| now.since(at) >= UNLISTED_GRACE_PERIOD);
-        (self.has_ended() || is_gone) && self.is_answer_overdue(LOSS_TIMEOUT, now)
+        (self.has_ended() || is_gone) && self.is_silent_to_all(LOSS_TIMEOUT, now)
     }
 
     /// Returns true if the member has never answered, although it would have by now if it had
     /// started together with the other members.
     pub fn is_absent(&self, now: Moment) -> bool {
-        self.load.is_none() && self.is_answer_overdue(ABSENCE_TIMEOUT, now)
+        let has_answered = self.load.is_some() || self.contact.has_answered();
+        !has_answered && self.is_answer_overdue(ABSENCE_TIMEOUT, now)
     }
 
     /// Returns true if the listing showed an earlier incarnation of the member than the current
@@ -422,6 +451,7 @@
             }
             member.unanswered_since = None;
             member.unanswered_queries = 0;
+            member.contact = Contact::default();
             member.restarted |= agent_id.incarnation > member.entry.agent_id.incarnation;
             member.load = Some((load, now));
             if load.stopping {
@@ -432,6 +462,55 @@
         })
     }
 
+    /// Returns the members to ask now whether they reach a member that does not answer, from a
+    /// process in this failure domain. It is called several times a second, and the number of pings
+    /// is limited whatever the number of silent members. Without a member that answers in time there
+    /// is none.
+    pub fn indirect_pings(&self, own_domain: &Domain, now: Moment) -> Vec<Ping> {
+        let limit = self.indirect_limit.take(now);
+        let suspects = self.members.fold(Vec::new(), |mut suspects, instance, member| {
+            // The flows of an ended member are gone, whether its agent answers or not.
+            if member.is_answer_overdue(SUSPICION_TIMEOUT, now) && !member.has_ended() {
+                suspects.push(Suspect { instance: *instance, contact: member.contact });
+            }
+            suspects
+        });
+        if suspects.is_empty() {
+            return Vec::new();
+        }
+        let relays = self.members.fold(Vec::new(), |mut relays, instance, member| {
+            if member.timeliness(now) == Timeliness::Prompt {
+                relays.push(Relay { instance: *instance, domain: member.entry.domain.clone() });
+            }
+            relays
+        });
+        let pings = indirect::choose(suspects, &relays, own_domain, limit, now);
+        for ping in &pings {
+            self.update_member(ping.suspect, |member| member.contact.record_ping(ping.via, now));
+        }
+        pings
+    }
+
+    /// Records the answer of a silent member through the member `via`.
+    pub fn record_indirect_answer(
+        &self,
+        agent_id: AgentId,
+        condition: Condition,
+        via: Instance,
+        now: Moment,
+    ) {
+        self.update_member(agent_id.instance, |member| {
+            if agent_id.incarnation < member.entry.agent_id.incarnation {
+                return;
+            }
+            member.contact.record_answer(via, condition, now);
+            member.restarted |= agent_id.incarnation > member.entry.agent_id.incarnation;
+            if condition == Condition::Stopping {
+                member.stopped_at = Some(now);
+            }
+        });
+    }
+
     /// Restarts the timeouts of all outstanding answers, after this process itself was suspended or
     /// isolated.
     pub fn restart_timeouts(&self, now: Moment) {
@@ -447,8 +526,7 @@
             if member.has_left(now) {
                 return counts;
             }
-            let unanswered = member.unanswered_since.map(|since| now.since(since));
-            counts.add(member.answer, unanswered, now);
+            counts.add(member.timeliness(now));
             counts
         })
     }
@@ -470,7 +548,7 @@
         self.members.retain(|_, member| {
             let is_unlisted =
                 member.unlisted_since.is_some_and(|at| now.since(at) >= UNLISTED_GRACE_PERIOD);
-            let is_silent = loss_timeout.is_some_and(|span| member.is_answer_overdue(span, now));
+            let is_silent = loss_timeout.is_some_and(|span| member.is_silent_to_all(span, now));
             let is_kept = !is_unlisted || !is_silent;
             if !is_kept {
                 removed.push(member.entry.agent_id);
--- a/yuccacroft-core/src/pool/path.rs
+++ b/yuccacroft-core/src/pool/path.rs
@@ -38,6 +38,17 @@
     pub delay: Span,
 }
 
+/// How a member answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Timeliness {
+    /// It has recently answered in time.
+    Prompt,
+    /// Its recent answer was late.
+    Late,
+    /// It has not answered recently, or its next answer is overdue.
+    Silent,
+}
+
 /// The numbers of members by their latest answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AnswerCounts {
@@ -58,15 +69,27 @@
     impaired_at: AtomicU64,
 }
 
-impl AnswerCounts {
-    /// Adds a member with its latest answer and the time for which it has owed the next one.
-    pub(super) fn add(&mut self, answer: Option<Answer>, unanswered: Option<Span>, now: Moment) {
+impl Timeliness {
+    /// Returns the timeliness of a member with its latest answer and the time for which it has owed
+    /// the next one.
+    pub fn new(answer: Option<Answer>, unanswered: Option<Span>, now: Moment) -> Self {
         // An earlier answer says nothing about the path since the member has become silent.
         let is_overdue = unanswered.is_some_and(|time| time > MAX_PROMPT_DELAY);
         match answer.filter(|answer| now.since(answer.at) < MAX_ANSWER_AGE) {
-            Some(answer) if answer.delay > MAX_PROMPT_DELAY => self.late += 1,
-            Some(_) if !is_overdue => self.prompt += 1,
-            _ => self.silent += 1,
+            Some(answer) if answer.delay > MAX_PROMPT_DELAY => Self::Late,
+            Some(_) if !is_overdue => Self::Prompt,
+            _ => Self::Silent,
+        }
+    }
+}
+
+impl AnswerCounts {
+    /// Adds a member.
+    pub(super) fn add(&mut self, timeliness: Timeliness) {
+        match timeliness {
+            Timeliness::Prompt => self.prompt += 1,
+            Timeliness::Late => self.late += 1,
+            Timeliness::Silent => self.silent += 1,
         }
     }
 
--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -19,6 +19,7 @@
         controller::Controller,
         flow::AgentId,
         ids::Instance,
+        pool::indirect::Report,
         time::{Moment, Span},
     },
     std::collections::BTreeMap,
@@ -384,7 +385,7 @@
         let describe = |instance, finding, answered_at: Option<Moment>, since: Option<Moment>| {
             let age = |at| now.since(at);
             let (answer_age, silence) = (answered_at.map(age), since.map(age));
-            AgentFinding { instance, finding, answer_age, silence }
+            AgentFinding { instance, finding, answer_age, silence, indirect: Report::default() }
         };
         let queried = self.queries.iter().map(|(instance, query)| {
             let finding = query.finding(all_fresh);
--- a/yuccacroft-core/src/search/evidence.rs
+++ b/yuccacroft-core/src/search/evidence.rs
@@ -3,7 +3,7 @@
 //! A reset of a flow can rest on answers or on silence. The evidence tells both apart and names the
 //! agents, so that a wrong result can be traced to the belief behind it.
 
-use crate::{ids::Instance, time::Span};
+use crate::{ids::Instance, pool::indirect::Report, time::Span};
 
 /// What a search knows about one agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -37,6 +37,8 @@
     pub answer_age: Option<Span>,
     /// The time for which the agent has owed an answer to any message of this balancer.
     pub silence: Option<Span>,
+    /// What other agents have reported about it during its silence.
+    pub indirect: Report,
 }
 
 /// The state of a search at its end or in between.
@@ -65,7 +67,7 @@
     }
 
     /// Returns the agents with this finding.
-    pub fn agents_with(&self, finding: Finding) -> impl Iterator<Item = Instance> + '_ {
+    pub fn agents_with(&self, finding: Finding) -> impl Iterator<Item = Instance> + Clone + '_ {
         self.agents.iter().filter(move |agent| agent.finding == finding).map(|agent| agent.instance)
     }
 
@@ -75,6 +77,33 @@
         agents.find(|agent| agent.instance == instance).map(|agent| agent.finding)
     }
 
+    /// Sets what other agents have reported about each agent. The search itself only knows whether
+    /// an agent counts as lost.
+    pub fn with_indirect_reports(mut self, report: impl Fn(Instance) -> Report) -> Self {
+        self.agents.iter_mut().for_each(|agent| agent.indirect = report(agent.instance));
+        self
+    }
+
+    /// Returns the smallest number of indirect pings among the agents that are excluded for their
+    /// silence, or `None` if there is no such agent.
+    pub fn fewest_indirect_pings(&self) -> Option<u32> {
+        let silent = self.agents.iter().filter(|agent| agent.finding.is_excluded_for_silence());
+        silent.map(|agent| agent.indirect.pings).min()
+    }
+
+    /// Returns the time since the last answer, through other agents, of an agent that is excluded
+    /// for its silence, or `None` if there was none.
+    pub fn latest_indirect_answer(&self) -> Option<Span> {
+        let silent = self.agents.iter().filter(|agent| agent.finding.is_excluded_for_silence());
+        silent.filter_map(|agent| agent.indirect.answer_age).min()
+    }
+
+    /// Returns the agents without a denial that have answered through other agents only.
+    pub fn only_reached_by_others(&self) -> impl Iterator<Item = Instance> + Clone + '_ {
+        let others = self.agents.iter().filter(|agent| agent.finding != Finding::Denied);
+        others.filter(|agent| agent.indirect.answers > 0).map(|agent| agent.instance)
+    }
+
     /// Returns the age of the oldest denial.
     pub fn oldest_denial(&self) -> Option<Span> {
         let denials = self.agents.iter().filter(|agent| agent.finding == Finding::Denied);
@@ -106,6 +135,11 @@
         matches!(self, Self::UnsureLost | Self::Lost | Self::Absent | Self::Removed)
     }
 
+    /// Returns true if the search no longer waits for the agent because it is silent.
+    pub fn is_excluded_for_silence(self) -> bool {
+        matches!(self, Self::UnsureLost | Self::Lost | Self::Absent)
+    }
+
     /// Returns a short name for logs.
     pub fn name(self) -> &'static str {
         match self {
--- a/yuccacroft-core/tests/evidence.rs
+++ b/yuccacroft-core/tests/evidence.rs
@@ -6,6 +6,7 @@
         controller::Controller,
         flow::AgentId,
         ids::{Incarnation, Instance},
+        pool::indirect::Report,
         search::{
             Action, AgentFinding, Event, Finding, QueryAnswer, Search, SearchCandidate, Wave,
         },
@@ -138,6 +139,7 @@
         finding: Finding::Denied,
         answer_age: Some(Span::from_millis(1_000)),
         silence: None,
+        indirect: Report::default(),
     };
     assert!(evidence.agents.contains(&denied), "{evidence:?}");
 }
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod inbound;
+mod indirect;
 mod log;
 mod outbound;
 mod reply;
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -40,6 +40,11 @@
             Request::Search { key, acknowledged } => {
                 return self.answer_search(key, acknowledged, from, now);
             }
+            Request::IndirectPing { suspect } => return self.relay_ping(suspect, from),
+            Request::RelayedPing { origin } => return self.answer_relayed_ping(origin, from),
+            Request::RelayedPong { origin, from, condition } => {
+                return self.relay_pong(from, condition, origin, now);
+            }
             Request::Carry(class) => Context::Established(from, ForwardReason::Owner, class),
             Request::Probe(class) => Context::Established(from, ForwardReason::Probe, class),
         };
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -22,7 +22,7 @@
     tokio::sync::Notify,
     yuccacroft_core::{
         ids::{Instance, Revision},
-        pool::{AgentEntry, Reachability, UpsertResult},
+        pool::{AgentEntry, Reachability, UpsertResult, indirect::Report},
         time::{Moment, Span},
     },
     yuccacroft_store::store::{Changes, KeyValue, Listing},
@@ -62,6 +62,8 @@
     members_listed: AtomicBool,
     configured: Notify,
     last_reachability: Mutex<std::collections::HashMap<Instance, Reachability>>,
+    /// The members that answer through other members only.
+    reached_by_others: Mutex<HashSet<Instance>>,
 }
 
 /// Applies changes of the configuration.
@@ -81,6 +83,7 @@
             members_listed: AtomicBool::new(false),
             configured: Notify::new(),
             last_reachability: Mutex::default(),
+            reached_by_others: Mutex::default(),
         }
     }
 
@@ -206,11 +209,17 @@
                 "reach" => ?reachability);
         }
         to_ping.into_iter().for_each(|instance| self.relay.ping(instance, now));
+        self.relay.ping_indirectly(now);
+        self.log_indirect_reach(now);
         for agent_id in self.relay.pool.expire(now) {
             self.last_reachability
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
                 .remove(&agent_id.instance);
+            self.reached_by_others
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .remove(&agent_id.instance);
             info!(self.relay.flow_log.log(), "agent gone"; "agent" => %agent_id.instance,
                 "incarnation" => %agent_id.incarnation);
         }
@@ -230,6 +239,30 @@
         }
     }
 
+    /// Logs which members have begun or ceased to answer through other members only.
+    fn log_indirect_reach(&self, now: Moment) {
+        let mut reached_by_others =
+            self.reached_by_others.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut changes = Vec::new();
+        self.relay.pool.for_each(|member| {
+            let instance = member.entry.agent_id.instance;
+            let is_reached = member.is_only_reached_by_others(now);
+            if reached_by_others.contains(&instance) != is_reached {
+                changes.push((instance, is_reached, member.indirect_report(now)));
+            }
+        });
+        for (instance, is_reached, Report { pings, answers, via, .. }) in changes {
+            if is_reached {
+                reached_by_others.insert(instance);
+            } else {
+                reached_by_others.remove(&instance);
+            }
+            info!(self.relay.flow_log.log(), "indirect reach changed"; "agent" => %instance,
+                "only_others_reach" => is_reached, "indirect_pings" => pings,
+                "indirect_answers" => answers, "via" => via.map(|via| via.to_string()));
+        }
+    }
+
     fn apply_configuration(&self, item: &KeyValue, now: Moment) {
         let log = self.relay.flow_log.log();
         let ParsedConfig { routes: new_routes, route_errors } =
--- a/yuccacroft-segment/src/balancer/grounds.rs
+++ b/yuccacroft-segment/src/balancer/grounds.rs
@@ -5,7 +5,7 @@
     std::fmt::{Display, Formatter},
     yuccacroft_core::{
         ids::Instance,
-        pool::{AgentPhase, AnswerCounts, Pool, ReachabilityCounts},
+        pool::{AgentPhase, AnswerCounts, Pool, ReachabilityCounts, indirect::Report},
         search::{Evidence, Finding},
         steering::CachedFlow,
         time::{Moment, Span},
@@ -39,6 +39,8 @@
         unanswered: u32,
         /// The time since the first of them.
         silence: Option<Span>,
+        /// What other agents have reported about it during its silence.
+        indirect: Report,
     },
     /// An earlier verdict about the flow.
     FlowLost {
@@ -55,11 +57,8 @@
     loss_timeout: Option<Span>,
 }
 
-/// The addresses of the agents with one finding.
-struct Names<'a> {
-    evidence: &'a Evidence,
-    finding: Finding,
-}
+/// The addresses of some agents.
+struct Names<I>(I);
 
 impl Grounds {
     /// Returns the grounds for the reset of a flow that is cached as `cached`.
@@ -74,6 +73,7 @@
                     last_message: member.and_then(|m| m.load(now)).map(|(_, age)| age),
                     unanswered: member.map_or(0, |m| m.unanswered_queries()),
                     silence: member.and_then(|m| m.unanswered_since()).map(|at| now.since(at)),
+                    indirect: member.map(|m| m.indirect_report(now)).unwrap_or_default(),
                 }
             }
             Some(CachedFlow::Lost { detected_at, .. }) => {
@@ -82,6 +82,15 @@
             Some(CachedFlow::Offered { .. }) | None => Self::None,
         }
     }
+
+    /// Adds to the evidence of a search what other agents have reported about silent ones.
+    pub fn with_indirect_reports(self, pool: &Pool, now: Moment) -> Self {
+        let Self::Search { evidence, last_agent } = self else { return self };
+        let report = |instance| pool.get(instance).map(|member| member.indirect_report(now));
+        let evidence =
+            evidence.with_indirect_reports(|instance| report(instance).unwrap_or_default());
+        Self::Search { evidence, last_agent }
+    }
 }
 
 impl Members {
@@ -102,14 +111,17 @@
             Self::Search { evidence, last_agent } => {
                 serialize_evidence(evidence, *last_agent, serializer)
             }
-            Self::OwnerLost { owner, phase, last_message, unanswered, silence } => {
+            Self::OwnerLost { owner, phase, last_message, unanswered, silence, indirect } => {
                 serializer.emit_arguments("owner", &format_args!("{owner}"))?;
                 if let Some(phase) = phase {
                     serializer.emit_arguments("owner_phase", &format_args!("{phase:?}"))?;
                 }
                 emit_span(serializer, "owner_last_message", *last_message)?;
                 serializer.emit_u32("owner_unanswered", *unanswered)?;
-                emit_span(serializer, "owner_silence", *silence)
+                emit_span(serializer, "owner_silence", *silence)?;
+                serializer.emit_u32("owner_indirect_pings", indirect.pings)?;
+                serializer.emit_u32("owner_indirect_answers", indirect.answers)?;
+                emit_span(serializer, "owner_indirect_answer", indirect.answer_age)
             }
             Self::FlowLost { verdict_age } => {
                 emit_span(serializer, "verdict_age", Some(*verdict_age))
@@ -134,9 +146,9 @@
     }
 }
 
-impl Display for Names<'_> {
+impl<I: Iterator<Item = Instance> + Clone> Display for Names<I> {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
-        for (position, instance) in self.evidence.agents_with(self.finding).enumerate() {
+        for (position, instance) in self.0.clone().enumerate() {
             match position {
                 0 => write!(f, "{instance}")?,
                 MAX_NAMED_AGENTS => return write!(f, ",..."),
@@ -161,9 +173,19 @@
     }
     for finding in Finding::ALL.into_iter().filter(|finding| evidence.count(*finding) > 0) {
         if let Some(key) = names_key(finding) {
-            serializer.emit_arguments(key, &format_args!("{}", Names { evidence, finding }))?;
+            let names = Names(evidence.agents_with(finding));
+            serializer.emit_arguments(key, &format_args!("{names}"))?;
         }
     }
+    if let Some(pings) = evidence.fewest_indirect_pings() {
+        serializer.emit_u32("fewest_indirect_pings", pings)?;
+    }
+    emit_span(serializer, "latest_indirect_answer", evidence.latest_indirect_answer())?;
+    let mut reached_by_others = evidence.only_reached_by_others().peekable();
+    if reached_by_others.peek().is_some() {
+        let names = Names(reached_by_others);
+        serializer.emit_arguments("reached_by_others", &format_args!("{names}"))?;
+    }
     emit_span(serializer, "oldest_denial", evidence.oldest_denial())?;
     emit_span(serializer, "longest_silence", evidence.longest_silence())?;
     serializer.emit_bool("all_fresh", evidence.all_fresh)?;
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -31,7 +31,7 @@
         flow::{AgentId, FlowKey},
         ids::{Domain, Instance},
         opening::OpeningTable,
-        pool::Pool,
+        pool::{Pool, indirect::Ping},
         route::{ConfigVersion, TrafficClass},
         search::QueryAnswer,
         segment::{Control, Format, Segment},
@@ -185,6 +185,14 @@
         self.send(instance, &Request::Ping { listed, version: self.version() }, &[]);
     }
 
+    /// Asks agents that answer in time to ping those that do not.
+    pub fn ping_indirectly(&self, now: Moment) {
+        for Ping { via, suspect } in self.pool.indirect_pings(&self.setup.domain, now) {
+            // The asked agent owes no answer, since the other one may be dead.
+            self.send(via, &Request::IndirectPing { suspect }, &[]);
+        }
+    }
+
     /// Runs the timers of all searches.
     pub fn tick_searches(&self, now: Moment) {
         for key in self.searches.start_round() {
@@ -310,10 +318,12 @@
                     }
                 }
                 Step::NotFound(segment, grounds) => {
+                    let grounds = grounds.with_indirect_reports(&self.pool, now);
                     self.table.mark_lost(key, now);
                     self.reset(&segment, "all agents denied", &grounds, now);
                 }
                 Step::TimedOut(segment, grounds) => {
+                    let grounds = grounds.with_indirect_reports(&self.pool, now);
                     self.log_outcome(&segment, "drop", "search without end", &grounds, now)
                 }
             }
@@ -351,6 +361,9 @@
         }
         match reply.body {
             Body::Load | Body::Pong => {}
+            Body::IndirectPong { agent_id, condition } => {
+                self.pool.record_indirect_answer(agent_id, condition, reply.from.instance, now);
+            }
             Body::Took(key) => self.table.record_taken(key, reply.from.instance, now),
             Body::Refused => self.handle_refused(segment, now),
             Body::Owns(key) => {
--- a/yuccacroft-segment/src/traffic.rs
+++ b/yuccacroft-segment/src/traffic.rs
@@ -44,6 +44,14 @@
     Upstream,
     /// A reset of a flow towards its caller.
     Reset,
+    /// A request of a balancer to ping another agent.
+    IndirectPing,
+    /// The ping of one agent to another for a balancer.
+    RelayedPing,
+    /// The answer to it.
+    RelayedPong,
+    /// The answer as the balancer is told it.
+    IndirectPong,
 }
 
 /// The direction of a datagram.
@@ -89,7 +97,7 @@
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 20] = [
         Self::Ping,
         Self::Offer,
         Self::Carry,
@@ -106,6 +114,10 @@
         Self::Caller,
         Self::Upstream,
         Self::Reset,
+        Self::IndirectPing,
+        Self::RelayedPing,
+        Self::RelayedPong,
+        Self::IndirectPong,
     ];
 
     /// Returns the kind of a message to an agent. `retry` is true if it repeats an earlier one.
@@ -118,6 +130,9 @@
             Request::Probe(_) if retry => Self::ProbeRetry,
             Request::Probe(_) => Self::Probe,
             Request::Ping { .. } => Self::Ping,
+            Request::IndirectPing { .. } => Self::IndirectPing,
+            Request::RelayedPing { .. } => Self::RelayedPing,
+            Request::RelayedPong { .. } => Self::RelayedPong,
         }
     }
 
@@ -130,6 +145,7 @@
             Body::Refused => Self::Refused,
             Body::Owns(_) => Self::Owns,
             Body::Denies { .. } => Self::Denies,
+            Body::IndirectPong { .. } => Self::IndirectPong,
         }
     }
 
@@ -152,6 +168,10 @@
             Self::Caller => "caller",
             Self::Upstream => "upstream",
             Self::Reset => "reset",
+            Self::IndirectPing => "indirect_ping",
+            Self::RelayedPing => "relayed_ping",
+            Self::RelayedPong => "relayed_pong",
+            Self::IndirectPong => "indirect_pong",
         }
     }
 }
--- a/yuccacroft-segment/tests/grounds.rs
+++ b/yuccacroft-segment/tests/grounds.rs
@@ -9,7 +9,10 @@
     yuccacroft_core::{
         flow::AgentId,
         ids::{Domain, Incarnation, Instance, Revision},
-        pool::{AgentEntry, AgentLoad, AgentPhase, Pool},
+        pool::{
+            AgentEntry, AgentLoad, AgentPhase, Pool,
+            indirect::{Condition, Report},
+        },
         route::ServiceName,
         search::{AgentFinding, Evidence, Finding},
         steering::CachedFlow,
@@ -67,6 +70,7 @@
         finding,
         answer_age: age(answer_age),
         silence: age(silence),
+        indirect: Report::default(),
     }
 }
 
@@ -104,6 +108,38 @@
     assert_eq!(value("last_agent_finding"), Some("excluded_lost"));
 }
 
+/// Guards against a verdict that does not tell whether other agents were asked about those that it
+/// excludes, and against a search without an end that hides which agents others reach.
+#[test]
+fn a_search_tells_what_other_agents_have_reported() {
+    let pool = pool(6);
+    for number in 1..=3 {
+        pool.record_query(instance(number), at(0));
+    }
+    for number in 4..=6 {
+        pool.record_query(instance(number), at(300));
+        pool.record_answer(agent_id(number), AgentLoad::default(), at(301));
+    }
+    // Three suspects are asked about at once: each at three agents.
+    assert_eq!(pool.indirect_pings(&Domain::new("a").unwrap(), at(320)).len(), 9);
+    for number in 2..=3 {
+        pool.record_indirect_answer(agent_id(number), Condition::Running, instance(6), at(330));
+    }
+    let agents = Box::new([
+        finding(1, Finding::Lost, 0, 1_500),
+        finding(2, Finding::Lost, 0, 1_500),
+        finding(3, Finding::Unanswered, 0, 1_500),
+        finding(4, Finding::Denied, 1_100, 0),
+    ]);
+    let evidence = Evidence { agents, ..Evidence::default() };
+    let grounds = Grounds::Search { evidence, last_agent: None };
+    let fields = fields(grounds.with_indirect_reports(&pool, at(1_530)));
+    let value = |key: &str| fields.get(key).map(String::as_str);
+    assert_eq!(value("fewest_indirect_pings"), Some("3"));
+    assert_eq!(value("latest_indirect_answer"), Some("1200 ms"));
+    assert_eq!(value("reached_by_others"), Some("10.0.0.2:7000,10.0.0.3:7000"));
+}
+
 /// Guards against lines that grow with the number of agents.
 #[test]
 fn the_number_of_named_agents_is_limited() {
@@ -132,6 +168,9 @@
     assert_eq!(owner["owner_last_message"], "1150 ms");
     assert_eq!(owner["owner_unanswered"], "3");
     assert_eq!(owner["owner_silence"], "1050 ms");
+    assert_eq!(owner["owner_indirect_pings"], "0");
+    assert_eq!(owner["owner_indirect_answers"], "0");
+    assert!(!owner.contains_key("owner_indirect_answer"));
     let members = fields(Members::new(&pool, at(1_250)));
     let count = |key: &str| &*members[key];
     let reachability = ["agents", "good", "suspect", "lost"].map(count);
--- a/yuccacroft-segment/tests/traffic.rs
+++ b/yuccacroft-segment/tests/traffic.rs
@@ -3,8 +3,9 @@
 use {
     std::net::SocketAddrV4,
     yuccacroft_core::{
-        flow::FlowKey,
-        ids::Instance,
+        flow::{AgentId, FlowKey},
+        ids::{Incarnation, Instance},
+        pool::indirect::Condition,
         route::{Target, TrafficClass},
         segment::Sequence,
         time::Span,
@@ -37,7 +38,7 @@
     let denies = Volume { messages: 1, bytes: 40 };
     assert_eq!(report.volume(Direction::Received, Kind::Denies), denies);
     assert_eq!(report.total(Direction::Received), denies);
-    assert_eq!(report.total(Direction::Sent), Volume { messages: 136, bytes: 13_600 });
+    assert_eq!(report.total(Direction::Sent), Volume { messages: 210, bytes: 21_000 });
 }
 
 /// Guards against reports that repeat the messages of earlier seconds.
@@ -63,6 +64,10 @@
     let ping = Request::Ping { listed: None, version: Default::default() };
     let key = FlowKey::new(1);
     let search = Request::Search { key, acknowledged: Sequence::new(7) };
+    let (suspect, origin) = (Instance::new(address()), address());
+    let agent_id = AgentId { instance: suspect, incarnation: Incarnation::new(1) };
+    let condition = Condition::Running;
+    let relayed_pong = Request::RelayedPong { origin, from: agent_id, condition };
     let kinds = [
         Kind::of_request(&ping, false),
         Kind::of_request(&offer, false),
@@ -80,6 +85,10 @@
         Kind::Caller,
         Kind::Upstream,
         Kind::Reset,
+        Kind::of_request(&Request::IndirectPing { suspect }, false),
+        Kind::of_request(&Request::RelayedPing { origin }, false),
+        Kind::of_request(&relayed_pong, false),
+        Kind::of_reply(&Body::IndirectPong { agent_id, condition }),
     ];
     assert_eq!(kinds, Kind::ALL);
     let mut names = Kind::ALL.map(Kind::name).to_vec();
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -4,6 +4,9 @@
 //! and the unchanged segment, if the message carries one. Messages have no authenticator: the
 //! agents accept them on an address that only machines of the system reach, and the platform
 //! provides no key.
+//!
+//! New kinds of messages come at the end of [`Request`] and [`Body`]: a process of an earlier release
+//! decodes all others and drops those as malformed.
 
 use {
     crate::errors::{Error, Result},
@@ -12,7 +15,7 @@
     yuccacroft_core::{
         flow::{AgentId, FlowKey},
         ids::{Incarnation, Instance},
-        pool::AgentLoad,
+        pool::{AgentLoad, indirect::Condition},
         route::{ConfigVersion, Target, TrafficClass},
         segment::Sequence,
         time::Span,
@@ -58,6 +61,25 @@
         /// The version of the configuration in force at the sender.
         version: ConfigVersion,
     },
+    /// The sender, a balancer, gets no answer from another agent, and asks the receiver to ping it.
+    IndirectPing {
+        /// The agent without an answer.
+        suspect: Instance,
+    },
+    /// The sender pings the receiver for a balancer.
+    RelayedPing {
+        /// The balancer.
+        origin: SocketAddrV4,
+    },
+    /// The answer to a relayed ping. The receiver tells the balancer.
+    RelayedPong {
+        /// The balancer.
+        origin: SocketAddrV4,
+        /// The agent that answers.
+        from: AgentId,
+        /// Its condition.
+        condition: Condition,
+    },
 }
 
 /// A message of an agent to a balancer.
@@ -96,6 +118,13 @@
         /// Whether the sender's upstream may know the flow nevertheless.
         unsure: bool,
     },
+    /// The sender has reached another agent, as the receiver has asked it to.
+    IndirectPong {
+        /// The other agent.
+        agent_id: AgentId,
+        /// Its condition.
+        condition: Condition,
+    },
 }
 
 /// Encodes a header and the segment after it.
--- /dev/null
+++ b/yuccacroft-wire/tests/relay.rs
@@ -0,0 +1,155 @@
+//! Messages between balancers and agents: their bytes, and those that an earlier release does not
+//! know.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddrV4,
+    yuccacroft_core::{
+        flow::{AgentId, FlowKey},
+        ids::{Incarnation, Instance},
+        pool::{AgentLoad, indirect::Condition},
+        route::{ConfigVersion, Target, TrafficClass},
+        segment::Sequence,
+        time::Span,
+    },
+    yuccacroft_wire::{
+        errors::Error,
+        relay::{self, Body, Reply, Request},
+    },
+};
+
+/// The kinds of messages to agents of the release before indirect pings.
+#[derive(Debug, Deserialize)]
+#[allow(dead_code)]
+enum EarlierRequest {
+    Offer { target: Target, origin: SocketAddrV4, rest: Box<[Instance]>, hops: u8 },
+    Carry(TrafficClass),
+    Search { key: FlowKey, acknowledged: Sequence },
+    Probe(TrafficClass),
+    Ping { listed: Option<(Incarnation, u32)>, version: ConfigVersion },
+}
+
+/// A message to a balancer of that release.
+#[derive(Debug, Deserialize)]
+#[allow(dead_code)]
+struct EarlierReply {
+    from: AgentId,
+    load: AgentLoad,
+    age: Span,
+    version: ConfigVersion,
+    body: EarlierBody,
+}
+
+/// The kinds of messages to balancers of that release.
+#[derive(Debug, Deserialize)]
+#[allow(dead_code)]
+enum EarlierBody {
+    Load,
+    Pong,
+    Took(FlowKey),
+    Refused,
+    Owns(FlowKey),
+    Denies { key: FlowKey, unsure: bool },
+}
+
+fn origin() -> SocketAddrV4 {
+    "10.0.0.9:21006".parse().unwrap()
+}
+
+fn agent_id() -> AgentId {
+    let instance = "10.0.0.1:21001".parse().unwrap();
+    AgentId { instance, incarnation: Incarnation::new(1_700_000_000_000) }
+}
+
+fn reply(body: Body) -> Reply {
+    let (load, age) = (AgentLoad::default(), Span::from_secs(1));
+    Reply { from: agent_id(), load, age, version: ConfigVersion::new(3), body }
+}
+
+fn earlier_requests() -> [Request; 5] {
+    let (key, class) = (FlowKey::new(5), TrafficClass::default());
+    let rest = [agent_id().instance].into();
+    [
+        Request::Offer { target: Target::new(1), origin: origin(), rest, hops: 0 },
+        Request::Carry(class),
+        Request::Search { key, acknowledged: Sequence::new(7) },
+        Request::Probe(class),
+        Request::Ping { listed: None, version: ConfigVersion::new(3) },
+    ]
+}
+
+fn earlier_bodies() -> [Body; 6] {
+    let key = FlowKey::new(5);
+    [
+        Body::Load,
+        Body::Pong,
+        Body::Took(key),
+        Body::Refused,
+        Body::Owns(key),
+        Body::Denies { key, unsure: true },
+    ]
+}
+
+fn indirect_requests() -> [Request; 3] {
+    let (origin, from) = (origin(), agent_id());
+    [
+        Request::IndirectPing { suspect: from.instance },
+        Request::RelayedPing { origin },
+        Request::RelayedPong { origin, from, condition: Condition::Stopping },
+    ]
+}
+
+fn indirect_pong() -> Reply {
+    let condition = Condition::Running;
+    reply(Body::IndirectPong { agent_id: agent_id(), condition })
+}
+
+/// Returns the place of a message's kind in its enum, which is the first byte of its header.
+fn kind<T: Serialize>(message: &T) -> u8 {
+    relay::encode(message, b"").unwrap()[2]
+}
+
+/// Guards against messages that lose a field, and against agents that pass on messages so long that
+/// they fill a slow link.
+#[test]
+fn messages_of_indirect_pings_round_trip() {
+    for request in indirect_requests() {
+        let datagram = relay::encode(&request, b"").unwrap();
+        assert_eq!(relay::decode::<Request>(&datagram), Ok((request, &b""[..])));
+        assert!(datagram.len() <= 32, "{}", datagram.len());
+    }
+    let datagram = relay::encode(&indirect_pong(), b"").unwrap();
+    assert_eq!(relay::decode::<Reply>(&datagram), Ok((indirect_pong(), &b""[..])));
+    assert!(datagram.len() <= 64, "{}", datagram.len());
+}
+
+/// Guards against a new kind between the earlier ones, which processes of the earlier release would
+/// take for another kind during a rolling update.
+#[test]
+fn an_earlier_release_decodes_all_earlier_kinds() {
+    for (number, request) in (0..).zip(earlier_requests()) {
+        assert_eq!(kind(&request), number, "{request:?}");
+        let datagram = relay::encode(&request, b"segment").unwrap();
+        let (decoded, segment) = relay::decode::<EarlierRequest>(&datagram).unwrap();
+        assert_eq!(segment, b"segment");
+        assert_eq!(format!("{decoded:?}"), format!("{request:?}"));
+    }
+    for body in earlier_bodies() {
+        let datagram = relay::encode(&reply(body), b"").unwrap();
+        let (decoded, _) = relay::decode::<EarlierReply>(&datagram).unwrap();
+        assert_eq!(format!("{:?}", decoded.body), format!("{body:?}"));
+    }
+}
+
+/// Guards against a process of the earlier release that acts on a message which it does not know: it
+/// must drop it as malformed.
+#[test]
+fn an_earlier_release_drops_indirect_pings() {
+    for request in indirect_requests() {
+        let datagram = relay::encode(&request, b"").unwrap();
+        let decoded = relay::decode::<EarlierRequest>(&datagram);
+        assert!(matches!(decoded, Err(Error::Malformed)), "{decoded:?}");
+    }
+    let datagram = relay::encode(&indirect_pong(), b"").unwrap();
+    assert!(matches!(relay::decode::<EarlierReply>(&datagram), Err(Error::Malformed)));
+}
--- a/yuccacroft/tests/platform/late_answers.rs
+++ b/yuccacroft/tests/platform/late_answers.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::deployment::{AGENT_KEY_PREFIX, Deployment, REQUEST_TIMEOUT, booking_address},
-    std::{net::SocketAddrV4, time::Duration},
+    std::{
+        net::{IpAddr, SocketAddrV4},
+        time::Duration,
+    },
     tokio::task::JoinSet,
     yuccacroft_core::ids::Instance,
     yuccacroft_emulator::{
@@ -10,7 +13,7 @@
         store::Store,
     },
     yuccacroft_fakes::udp_relay::UdpRelay,
-    yuccacroft_wire::relay::{self, Reply},
+    yuccacroft_wire::relay::{self, Reply, Request},
 };
 
 const AGENTS: u8 = 8;
@@ -23,19 +26,34 @@
 /// Time from the start of the delay until every late agent has been without an answer for more
 /// than one second, but for less than the delay.
 const SILENCE: Duration = Duration::from_millis(1_400);
+/// Delay of answers that arrive only after every agent without an answer counts as lost, however
+/// many there are.
+const LONG_ANSWER_DELAY: Duration = Duration::from_millis(6_000);
+/// Time from the start of the long delay until every late agent has been without an answer for
+/// longer than the loss timeout, which is at most 2.5 s.
+const LONG_SILENCE: Duration = Duration::from_millis(3_500);
 
 /// A balancer that reaches the agents through relays.
 struct RelayedBalancer {
+    machine: IpAddr,
     relays: Vec<UdpRelay>,
     /// The store of this balancer, in which the agents have the addresses of their relays.
     _store: Store,
 }
 
-/// Starts a relay in front of an agent. Answers name the relay as their sender.
+/// Starts a relay in front of an agent. Answers to the balancer and to other agents name the relay as
+/// their sender.
 async fn start_relay(address: SocketAddrV4, agent: SocketAddrV4) -> UdpRelay {
     let translate = move |datagram: &[u8]| {
+        let instance = Instance::new(address);
+        if let Ok((Request::RelayedPong { origin, mut from, condition }, _)) =
+            relay::decode(datagram)
+        {
+            from.instance = instance;
+            return relay::encode(&Request::RelayedPong { origin, from, condition }, &[]).ok();
+        }
         let (mut reply, segment) = relay::decode::<Reply>(datagram).ok()?;
-        reply.from.instance = Instance::new(address);
+        reply.from.instance = instance;
         relay::encode(&reply, segment).ok()
     };
     UdpRelay::start(address.into(), agent.into(), Box::new(translate)).await.unwrap()
@@ -72,7 +90,8 @@
     let knows_agents =
         || joined(deployment.balancers[0].log()) == joined_before + usize::from(AGENTS);
     deployment.wait_until("knowledge of all relays", knows_agents).await;
-    RelayedBalancer { relays, _store: store }
+    let machine = deployment.balancers[0].machine.ip().into();
+    RelayedBalancer { machine, relays, _store: store }
 }
 
 /// Sends a request on each flow at the same time. Returns the flows and the failures.
@@ -120,7 +139,8 @@
 
 impl RelayedBalancer {
     fn delay_answers(&self, delay: Duration) {
-        self.relays[PROMPT_AGENTS..].iter().for_each(|relay| relay.set_answer_delay(delay));
+        let late = self.relays[PROMPT_AGENTS..].iter();
+        late.for_each(|relay| relay.set_answer_delay(self.machine, delay));
     }
 }
 
@@ -128,18 +148,31 @@
 /// flows that it knows them to own.
 #[tokio::test(flavor = "multi_thread")]
 async fn late_answers_reset_no_known_flow() {
-    let (deployment, balancer) = start("late-known").await;
+    check_known_flows("late-known", ANSWER_DELAY, SILENCE).await;
+}
+
+/// Guards against a balancer that takes agents for lost whose answers it alone does not get, and
+/// resets the flows that it knows them to own.
+#[tokio::test(flavor = "multi_thread")]
+async fn missing_answers_reset_no_known_flow() {
+    check_known_flows("missing-known", LONG_ANSWER_DELAY, LONG_SILENCE).await;
+}
+
+/// Checks that flows known to be owned by late agents continue, with answers that are late by
+/// `delay`, after a silence of these agents.
+async fn check_known_flows(name: &str, delay: Duration, silence: Duration) {
+    let (deployment, balancer) = start(name).await;
     let mut flows = open_flows(&deployment).await;
     deployment.callers.set_balancers(&[deployment.balancers[0].machine]);
     let unknown = flows.split_off(FLOWS - 1);
     let (flows, failures) = request_on_all(flows, "moved").await;
     assert_eq!(failures, [], "before the delay\n{}", deployment.logs());
-    balancer.delay_answers(ANSWER_DELAY);
+    balancer.delay_answers(delay);
     // The search for a flow that the balancer does not know begins the silence of all late agents.
-    let _ = tokio::join!(request_on_all(unknown, "unknown"), tokio::time::sleep(SILENCE));
+    let _ = tokio::join!(request_on_all(unknown, "unknown"), tokio::time::sleep(silence));
     let (flows, mut failures) = request_on_all(flows, "silent").await;
     balancer.delay_answers(Duration::ZERO);
-    tokio::time::sleep(ANSWER_DELAY).await;
+    tokio::time::sleep(delay).await;
     failures.extend(request_on_all(flows, "recovered").await.1);
     assert_eq!(failures, [], "{}", deployment.balancers[0].log());
     deployment.assert_packets_intact();
