--- a/yuccacroft-segment/tests/support/balancer.rs
+++ b/yuccacroft-segment/tests/support/balancer.rs
@@ -229,6 +229,9 @@
                 let owns = self.flows.get(key) == Some(acknowledged);
                 (if owns { Body::Owns(*key) } else { denial(*key) }, Vec::new())
             }
+            Request::IndirectPing { .. }
+            | Request::RelayedPing { .. }
+            | Request::RelayedPong { .. } => return None,
             Request::Carry(_) if self.flows.contains_key(&key?) => return None,
             Request::Carry(_) | Request::Probe(_) => (denial(key?), datagram.to_vec()),
         })
