--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -48,6 +48,9 @@
 /// listing showed an earlier incarnation of each, the whole system has lost power, so no older
 /// agent can be missing from the listing.
 const MAX_FRESH_AGE: Span = Span::from_secs(10);
+/// Half of the known agents must have answered that they are fresh. Fewer may have restarted by
+/// themselves, while the others cannot be heard.
+const MIN_FRESH_FRACTION: usize = 2;
 
 /// The answer of an agent to a query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -419,15 +422,20 @@
         }
     }
 
-    /// Returns true if at least one agent has answered, and every agent that has is fresh and was
-    /// listed with an earlier incarnation.
+    /// Returns true if at least half of all agents that the search has known have answered, and every
+    /// agent that has is fresh and was listed with an earlier incarnation.
     fn are_all_fresh(&self) -> bool {
-        let mut answered = self.queries.values().filter(|query| query.answer.is_some()).peekable();
         let is_fresh = |query: &AgentQuery| {
             let age = query.answer.and_then(QueryAnswer::age);
             query.restarted && age.is_some_and(|age| age < MAX_FRESH_AGE)
         };
-        answered.peek().is_some() && answered.all(is_fresh)
+        let (mut answered, mut fresh) = (0, 0);
+        for query in self.queries.values().filter(|query| query.answer.is_some()) {
+            answered += 1;
+            fresh += usize::from(is_fresh(query));
+        }
+        let known = self.queries.len() + self.deferred.len() + self.removed.len();
+        fresh > 0 && fresh == answered && fresh * MIN_FRESH_FRACTION >= known
     }
 }
 
--- a/yuccacroft-core/tests/search.rs
+++ b/yuccacroft-core/tests/search.rs
@@ -214,6 +214,35 @@
     assert!(!alone.step(absent(), at(40)).contains(&Action::NotFound), "no agent has answered");
 }
 
+/// Guards against a reset on the answers of two agents that have just restarted, as in a rolling
+/// restart, while most agents have not been heard: these are no sign of a loss of power.
+#[test]
+fn a_few_fresh_agents_are_no_sign_of_a_power_loss() {
+    let candidates = |is_silent: fn(SearchCandidate) -> SearchCandidate, fresh| {
+        let all = (0..10).map(candidate);
+        Event::Tick(
+            all.map(|c| if c.agent_id < agent_id(fresh) { c } else { is_silent(c) }).collect(),
+        )
+    };
+    let is_lost = |is_silent, fresh, list_complete_at| {
+        let mut search = Search::new(list_complete_at, START);
+        search.step(candidates(is_silent, fresh), START);
+        for number in 0..fresh {
+            let answer = QueryAnswer::Denies { age: FRESH };
+            search.step(Event::Answered(agent_id(number), answer), at(1));
+        }
+        search.step(candidates(is_silent, fresh), at(600)).contains(&Action::NotFound)
+    };
+    let absent = |c| SearchCandidate { absent: true, ..c };
+    assert!(!is_lost(absent, 2, START));
+    assert!(!is_lost(absent, 4, START));
+    assert!(is_lost(absent, 5, START), "half of the agents have restarted");
+    let lost = |c| SearchCandidate { lost: true, ..c };
+    assert!(!is_lost(lost, 2, at(2_000)), "older agents may be missing from the list");
+    assert!(is_lost(lost, 5, at(2_000)));
+    assert!(is_lost(lost, 2, START));
+}
+
 /// Guards against a query to every agent for each unknown flow, and against the loss of a flow that
 /// began when its route named another service.
 #[test]
