--- a/yuccacroft-core/src/arrival.rs
+++ b/yuccacroft-core/src/arrival.rs
@@ -31,19 +31,22 @@
     }
 
     /// Records that the timer of the process has fired, or that a suspension was detected otherwise.
-    pub fn tick(&self, now: Moment) {
-        let last_tick = Moment::new(self.last_tick.load(Ordering::Acquire));
-        if now.since(last_tick) >= SUSPENSION_THRESHOLD {
-            self.suspended_at.store(last_tick.get(), Ordering::Release);
+    /// Returns the time since the tick before if the process was suspended in between.
+    pub fn tick(&self, now: Moment) -> Option<Span> {
+        let suspension = self.suspension(now);
+        if suspension.is_some() {
+            self.suspended_at.store(self.last_tick.load(Ordering::Acquire), Ordering::Release);
             self.resumed_at.store(now.get(), Ordering::Release);
         }
         // Stored last, so that a reader that sees this tick also sees the suspension before it.
         self.last_tick.store(now.get(), Ordering::Release);
+        suspension
     }
 
-    /// Returns the time since the timer of the process last fired.
-    pub fn time_since_tick(&self, now: Moment) -> Span {
-        now.since(Moment::new(self.last_tick.load(Ordering::Acquire)))
+    /// Returns the time since the last tick if the process has been suspended since.
+    pub fn suspension(&self, now: Moment) -> Option<Span> {
+        let time = now.since(Moment::new(self.last_tick.load(Ordering::Acquire)));
+        (time >= SUSPENSION_THRESHOLD).then_some(time)
     }
 
     /// Returns the earliest time at which a datagram that is read at `now` may have arrived.
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -467,6 +467,14 @@
         });
     }
 
+    /// Extends the timeouts of all outstanding answers by a time for which this process stood still.
+    pub fn extend_timeouts(&self, pause: Span, now: Moment) {
+        self.members.retain(|_, member| {
+            member.unanswered_since = member.unanswered_since.map(|at| now.min(at + pause));
+            true
+        });
+    }
+
     /// Returns the version of the evidence about lost flows. It increases when a member joins or
     /// restarts, when one answers that may have been left out of a verdict for its silence, and when
     /// this process itself was suspended or isolated.
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -406,6 +406,19 @@
     assert!(!absent(2, at(400)));
 }
 
+/// Guards against silence that is counted while this process stood still and asked nobody.
+#[test]
+fn pauses_of_this_process_are_no_silence() {
+    let pool = pool(1);
+    pool.record_query(instance(1), START);
+    pool.extend_timeouts(Span::from_millis(300), at(400));
+    let member = || pool.get(instance(1)).unwrap();
+    assert_eq!(member().unanswered_since(), Some(at(300)));
+    pool.extend_timeouts(Span::from_millis(300), at(500));
+    assert_eq!(member().unanswered_since(), Some(at(500)), "not later than now");
+    assert_eq!(member().unanswered_queries(), 1);
+}
+
 /// Guards against an isolated balancer that considers all members dead.
 #[test]
 fn a_balancer_that_reaches_no_member_is_isolated() {
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -44,7 +44,7 @@
 /// one call.
 const MEMBERS_BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Time between ticks.
-const TICK_INTERVAL: Duration = Duration::from_millis(25);
+pub const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Ticks between checks for members with overdue answers.
 const CHECK_TICKS: u64 = 4;
 /// Ticks between pings of every member.
@@ -118,10 +118,7 @@
         loop {
             let tick = ticker.tick(self.relay.flow_log.log()).await;
             let now = tick.now;
-            if tick.is_stalled {
-                self.relay.resume(now);
-            }
-            self.relay.arrivals.tick(now);
+            self.relay.record_running(now);
             self.relay.retry_pending(now);
             self.relay.tick_searches(now);
             if tick.is_every(CHECK_TICKS) {
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         chain::{self, CurrentRoutes, Decision, ReceivedSegment},
+        controllers::TICK_INTERVAL,
         freshness::Freshness,
         grounds::{Grounds, Members},
         pending::PendingSegments,
@@ -193,19 +194,25 @@
         }
     }
 
-    /// Restarts all timeouts after a stall of the process.
-    pub fn resume(&self, now: Moment) {
-        self.pool.restart_timeouts(now);
-        self.freshness.record_stall(now);
+    /// Records that the process runs. After a stall all timeouts start again. A shorter pause does
+    /// not count in the silence of agents, since they were asked nothing meanwhile: otherwise the
+    /// loss of one message makes an agent lost while the process stands still by turns.
+    pub fn record_running(&self, now: Moment) {
+        let Some(pause) = self.arrivals.tick(now) else { return };
+        if pause >= STALL_THRESHOLD {
+            self.pool.restart_timeouts(now);
+            self.freshness.record_stall(now);
+        } else {
+            self.pool.extend_timeouts(pause - Span::from(TICK_INTERVAL), now);
+        }
     }
 
-    /// Returns the time at which a datagram is read. After a suspension of the machine datagrams are
-    /// read before the timer fires, so the timeouts restart here if the process stood still.
+    /// Returns the time at which a datagram is read. After a pause of the process datagrams are read
+    /// before the timer fires, so the timeouts are corrected here.
     fn reading_time(&self) -> Moment {
         let now = self.clock.now();
-        if self.arrivals.time_since_tick(now) >= STALL_THRESHOLD {
-            self.arrivals.tick(now);
-            self.resume(now);
+        if self.arrivals.suspension(now).is_some() {
+            self.record_running(now);
         }
         now
     }
--- a/yuccacroft-segment/tests/support/balancer.rs
+++ b/yuccacroft-segment/tests/support/balancer.rs
@@ -301,7 +301,7 @@
             self.clock.0.fetch_add(TICK.as_micros(), Ordering::Relaxed);
             let now = self.now();
             self.ticks += 1;
-            self.relay.arrivals.tick(now);
+            self.relay.record_running(now);
             self.relay.tick_searches(now);
             if self.ticks.is_multiple_of(CHECK_TICKS) {
                 self.check_members(now);
@@ -310,6 +310,19 @@
         }
     }
 
+    /// Lets time pass while the balancer stands still.
+    pub fn stall(&self, span: Span) {
+        self.clock.0.fetch_add(span.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Sends a ping to an agent, which gets lost.
+    pub fn lose_ping(&mut self, number: usize) {
+        self.agents[number].running = false;
+        self.relay.ping(self.agents[number].id.instance, self.now());
+        self.exchange_messages();
+        self.agents[number].running = true;
+    }
+
     fn check_members(&self, now: Moment) {
         let ping_all = self.ticks.is_multiple_of(PING_TICKS);
         let max_wait = TICK.saturating_mul(CHECK_TICKS);
