--- a/yuccacroft-agent/src/claims.rs
+++ b/yuccacroft-agent/src/claims.rs
@@ -5,9 +5,9 @@
 use {
     metrics::counter,
     std::{
-        collections::{BTreeMap, BTreeSet, VecDeque},
+        collections::{BTreeSet, VecDeque},
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError, RwLock,
+            Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicUsize, Ordering},
         },
     },
@@ -18,10 +18,9 @@
         flow::{AgentId, FlowKey},
         ids::Instance,
         ownership::{FlowLoad, OwnershipTable},
-        placement::{Candidate, ChainPosition, Homes},
+        placement::ChainPosition,
         shards::Shards,
-        time::{Moment, Span},
-        units::Weight,
+        time::Moment,
     },
     yuccacroft_wire::{
         capsule::{CapsuleKind, Header},
@@ -35,14 +34,6 @@
 const MAX_HELD_PACKETS: usize = 512;
 /// Limit of held packets per claim: a handshake sends no more before its first answer.
 const MAX_HELD_PACKETS_PER_KEY: usize = 8;
-/// Time between two publications of the flows in use; a third of the time for which a home keeps an
-/// entry.
-const PUBLISH_INTERVAL: Span = Span::from_secs(20);
-/// Time without a listing after which a member counts as departed. A balancer that has just started
-/// lists only a part of the members for a few seconds.
-const ABSENCE_TIMEOUT: Span = Span::from_secs(15);
-/// Time for which an unlisted member is remembered.
-const LISTED_RETENTION: Span = Span::from_secs(120);
 
 /// A packet that waits for a claim to end.
 #[derive(Clone, Debug)]
@@ -66,6 +57,15 @@
     Forward(AgentId, Vec<HeldPacket>),
 }
 
+impl Output {
+    fn receiver(&self) -> Option<Instance> {
+        match self {
+            Self::Send(to, _) => Some(*to),
+            _ => None,
+        }
+    }
+}
+
 /// The claims of one agent.
 #[derive(Debug)]
 pub struct FlowClaims {
@@ -73,31 +73,15 @@
     controllers: [Mutex<ClaimController>; SHARD_COUNT],
     held: Shards<FlowKey, Vec<HeldPacket>>,
     held_count: AtomicUsize,
-    members: RwLock<Members>,
     claim_started: Notify,
 }
 
-#[derive(Debug, Default)]
-struct Members {
-    agent_ids: BTreeSet<AgentId>,
-    last_listed: BTreeMap<AgentId, Moment>,
-    homes: Arc<Homes>,
-    last_published: Moment,
-}
-
 impl FlowClaims {
     /// Creates the claims over the flow table of an agent.
     pub fn new(table: Arc<OwnershipTable>) -> Self {
         let controllers = std::array::from_fn(|_| Mutex::new(ClaimController::new(table.own_id())));
         let (held, held_count) = (Shards::new(), AtomicUsize::new(0));
-        Self {
-            table,
-            controllers,
-            held,
-            held_count,
-            members: RwLock::default(),
-            claim_started: Notify::new(),
-        }
+        Self { table, controllers, held, held_count, claim_started: Notify::new() }
     }
 
     /// Holds a packet and, when `is_new` is set, starts a claim at the homes of its key.
@@ -129,6 +113,7 @@
         body: ClaimBody,
         now: Moment,
     ) -> Vec<Output> {
+        self.table.record_message(from, now);
         self.table.record_load(from.instance, load, now);
         match body {
             ClaimBody::Claim(key) => {
@@ -143,6 +128,11 @@
             ClaimBody::Load => Vec::new(),
             ClaimBody::Relay(relay) => self.handle_relay(relay, now),
             ClaimBody::Publish(entries) => {
+                // The loser of a claim publishes the flow of another agent; its own flows follow
+                // at their time.
+                if entries.iter().all(|entry| entry.owner == from) {
+                    self.table.record_publication(from, now);
+                }
                 for OwnerEntry { key, owner } in entries {
                     self.table.record_entry(key, owner, from, now);
                 }
@@ -198,49 +188,16 @@
         self.claim_started.notified().await;
     }
 
-    /// Sets the agents of the service and returns the publications that new homes need. Flows in
-    /// use are published again every `PUBLISH_INTERVAL`.
+    /// Sets the agents of the service. Returns the publications that new homes need and, at regular
+    /// intervals, one to each sibling.
     pub fn set_members(&self, siblings: &[AgentId], now: Moment) -> Vec<Output> {
-        let mut agent_ids: BTreeSet<AgentId> = siblings.iter().copied().collect();
-        agent_ids.insert(self.table.own_id());
-        let (before, after, since) = self.replace_members(agent_ids, now);
-        let list = self.table.missing_entries(&before, &after, since);
-        self.table.expire(|owner| self.is_gone(owner, now), now);
-        publish_messages(list, self.table.own_id())
-    }
-
-    fn replace_members(
-        &self,
-        agent_ids: BTreeSet<AgentId>,
-        now: Moment,
-    ) -> (Arc<Homes>, Arc<Homes>, Moment) {
-        let mut members = self.members.write().unwrap_or_else(PoisonError::into_inner);
-        let before = members.homes.clone();
-        members.last_listed.extend(agent_ids.iter().map(|agent_id| (*agent_id, now)));
-        members.last_listed.retain(|_, last_listed| now.since(*last_listed) < LISTED_RETENTION);
-        if agent_ids != members.agent_ids {
-            let weight = Weight::new(1);
-            let list: Vec<_> =
-                agent_ids.iter().map(|&agent_id| Candidate { agent_id, weight }).collect();
-            members.homes = Arc::new(Homes::new(&list));
-            members.agent_ids = agent_ids;
-            return (before, members.homes.clone(), Moment::default());
+        let update = self.table.update_siblings(siblings, now);
+        let list = self.table.missing_entries(&update.before, &update.after, update.since);
+        let mut outputs = publish_messages(list, self.table.own_id());
+        if update.is_publication_due {
+            outputs.extend(empty_publications(siblings, &outputs));
         }
-        if now.since(members.last_published) < PUBLISH_INTERVAL {
-            return (before.clone(), before, now);
-        }
-        let since = members.last_published;
-        members.last_published = now;
-        (Arc::default(), before, since)
-    }
-
-    /// Returns true for a former member. An agent that was never listed may have just joined.
-    fn is_gone(&self, agent_id: AgentId, now: Moment) -> bool {
-        let members = self.members.read().unwrap_or_else(PoisonError::into_inner);
-        members
-            .last_listed
-            .get(&agent_id)
-            .is_some_and(|last_listed| now.since(*last_listed) > ABSENCE_TIMEOUT)
+        outputs
     }
 
     fn step_controller(&self, key: FlowKey, event: Event, now: Moment) -> Vec<Output> {
@@ -331,6 +288,14 @@
         .collect()
 }
 
+/// Builds publications without entries for the siblings that are not in `outputs`. They show that
+/// the sender has no flows for these homes.
+fn empty_publications(siblings: &[AgentId], outputs: &[Output]) -> Vec<Output> {
+    let receivers: BTreeSet<Instance> = outputs.iter().filter_map(Output::receiver).collect();
+    let others = siblings.iter().filter(|sibling| !receivers.contains(&sibling.instance));
+    others.map(|sibling| Output::Send(sibling.instance, ClaimBody::Publish(Vec::new()))).collect()
+}
+
 fn lock(controller: &Mutex<ClaimController>) -> MutexGuard<'_, ClaimController> {
     controller.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/yuccacroft-core/src/lib.rs
+++ b/yuccacroft-core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod search;
 pub mod segment;
 pub mod shards;
+pub mod siblings;
 pub mod steering;
 pub mod tag;
 pub mod time;
--- a/yuccacroft-core/src/ownership.rs
+++ b/yuccacroft-core/src/ownership.rs
@@ -7,13 +7,17 @@
         ids::{Incarnation, Instance},
         placement::{CandidateChain, ChainPosition, Homes},
         shards::Shards,
+        siblings::{Siblings, Update},
         time::{Moment, Span},
         units::{Connections, Weight},
     },
     serde::{Deserialize, Serialize},
     std::{
         cmp::Ordering as CmpOrdering,
-        sync::atomic::{AtomicBool, AtomicU32, Ordering},
+        sync::{
+            PoisonError, RwLock,
+            atomic::{AtomicBool, AtomicU32, Ordering},
+        },
     },
 };
 
@@ -70,7 +74,8 @@
     Wait,
     /// Pass the packet to another agent, which receives it in this role.
     Pass(AgentId, ChainPosition, Option<FlowLoad>),
-    /// Send a reset to the caller: no agent owns the flow.
+    /// Send a reset to the caller: the owner or all homes of the key know that no agent owns the
+    /// flow.
     Reset,
     /// Drop the packet for this cause. The caller retransmits it.
     Drop(&'static str),
@@ -88,6 +93,7 @@
     draining: AtomicBool,
     flows: Shards<FlowKey, Flow>,
     entries: Entries,
+    siblings: RwLock<Siblings>,
     loads: Shards<Instance, (FlowLoad, Moment)>,
     asked_at: Shards<Instance, Moment>,
 }
@@ -153,6 +159,7 @@
             draining: AtomicBool::new(false),
             flows: Shards::new(),
             entries: Entries::default(),
+            siblings: RwLock::new(Siblings::new(own)),
             loads: Shards::new(),
             asked_at: Shards::new(),
         }
@@ -211,6 +218,29 @@
         self.entries.record(key, owner, from, now);
     }
 
+    /// Sets the siblings that balancers list, and removes the entries of agents that are gone.
+    pub fn update_siblings(&self, siblings: &[AgentId], now: Moment) -> Update {
+        let update = self.write_siblings(|known| known.update(siblings, now));
+        let known = self.siblings.read().unwrap_or_else(PoisonError::into_inner);
+        self.expire(|owner| known.is_gone(owner, now), now);
+        update
+    }
+
+    /// Records a message of a sibling.
+    pub fn record_message(&self, from: AgentId, now: Moment) {
+        let known = self.siblings.read().unwrap_or_else(PoisonError::into_inner);
+        let needs_record = known.needs_record(from, now);
+        drop(known);
+        if needs_record {
+            self.write_siblings(|known| known.record_message(from, now));
+        }
+    }
+
+    /// Records that a sibling has published its flows to this home.
+    pub fn record_publication(&self, from: AgentId, now: Moment) {
+        self.write_siblings(|known| known.record_publication(from, now));
+    }
+
     /// Returns true while the claim of a key is pending.
     pub fn is_claiming(&self, key: FlowKey) -> bool {
         self.flows.read(&key, |flow| matches!(flow, Some(Flow::Claimed)))
@@ -348,7 +378,7 @@
                 _ => self.accept_or_pass(packet, own, 0),
             },
             ChainPosition::Settled | ChainPosition::Owner => self.accept_or_pass(packet, own, 0),
-            ChainPosition::Home(position) => {
+            ChainPosition::Home(position) | ChainPosition::UncertainHome(position) => {
                 self.accept_or_pass(packet, own, usize::from(position) + 1)
             }
         }
@@ -408,23 +438,46 @@
     }
 
     /// Passes a packet of an existing flow to its homes in turn until the owner is found. The first
-    /// home varies with the time, so that a dead home does not block every packet.
+    /// home varies with the time, so that a dead home does not block every packet. When no home
+    /// knows the owner, the flow is reset only if all of them would know it.
     fn search_homes(&self, packet: &UntaggedPacket<'_>, now: Moment) -> Decision {
-        let count = packet.chain.homes().count();
-        if packet.step == ChainPosition::Owner || count == 0 || usize::from(packet.hops) >= count {
-            return Decision::Reset;
-        }
-        let start = match packet.step {
-            ChainPosition::Home(position) => usize::from(position) + 1,
-            _ => now.get() as usize,
+        let end = |is_certain: bool| {
+            if is_certain { Decision::Reset } else { Decision::Drop("owner_unknown") }
+        };
+        let (start, is_certain) = match packet.step {
+            // The registered owner knows its own flows.
+            ChainPosition::Owner => return Decision::Reset,
+            ChainPosition::Home(at) => (usize::from(at) + 1, self.is_complete(packet.key, now)),
+            ChainPosition::UncertainHome(at) => (usize::from(at) + 1, false),
+            _ => (now.get() as usize, true),
         };
+        let count = packet.chain.homes().count();
         let mut positions = (start..start + count).map(|position| position % count);
         let is_other = |home: AgentId| home.instance != self.own.instance;
         let next = positions.find(|&at| packet.chain.home(at).is_some_and(is_other));
-        let home = next.and_then(|at| packet.chain.home(at).map(|home| (at, home)));
-        home.map_or(Decision::Reset, |(at, home)| {
-            Decision::Pass(home, ChainPosition::Home(at as u8), None)
-        })
+        let Some((at, home)) = next.and_then(|at| Some((at, packet.chain.home(at)?))) else {
+            // This agent is the only home, or balancers know none.
+            return end(count > 0 && is_certain && self.is_complete(packet.key, now));
+        };
+        if usize::from(packet.hops) >= count {
+            return end(is_certain);
+        }
+        let position = at as u8;
+        let step = if is_certain {
+            ChainPosition::Home(position)
+        } else {
+            ChainPosition::UncertainHome(position)
+        };
+        Decision::Pass(home, step, None)
+    }
+
+    /// Returns true if this home would know the owner of a key.
+    fn is_complete(&self, key: FlowKey, now: Moment) -> bool {
+        self.siblings.read().unwrap_or_else(PoisonError::into_inner).is_complete(key, now)
+    }
+
+    fn write_siblings<R>(&self, change: impl FnOnce(&mut Siblings) -> R) -> R {
+        change(&mut self.siblings.write().unwrap_or_else(PoisonError::into_inner))
     }
 
     fn pass_to_home(&self, chain: &CandidateChain, from: usize) -> Option<Decision> {
--- a/yuccacroft-core/src/placement.rs
+++ b/yuccacroft-core/src/placement.rs
@@ -6,8 +6,9 @@
 pub mod homes;
 pub mod ramp;
 pub mod table;
+pub mod tenure;
 
-pub use {history::History, homes::Homes, table::PlacementTable};
+pub use {history::History, homes::Homes, table::PlacementTable, tenure::Tenure};
 
 use {
     crate::{
@@ -58,6 +59,9 @@
     Home(u8),
     /// Another agent considers this agent the owner of the flow.
     Owner,
+    /// The agent is the home at this position, and a home that was asked before may lack entries:
+    /// if no home knows the owner, that is no evidence that the flow has none.
+    UncertainHome(u8),
 }
 
 impl CandidateChain {
--- a/yuccacroft-core/src/placement/homes.rs
+++ b/yuccacroft-core/src/placement/homes.rs
@@ -42,6 +42,16 @@
         Self { groups: self.groups.iter().map(|homes| homes.map(keep)).collect() }
     }
 
+    /// Returns true if no members are known.
+    pub fn is_empty(&self) -> bool {
+        self.groups.is_empty()
+    }
+
+    /// Returns the homes of each key group, by number of the group.
+    pub(super) fn groups(&self) -> impl Iterator<Item = &[Option<AgentId>]> {
+        self.groups.iter().map(<[_; HOMES_PER_KEY]>::as_slice)
+    }
+
     /// Returns the homes of a key in descending order of rank.
     pub fn of(&self, key: FlowKey) -> impl Iterator<Item = AgentId> + '_ {
         let homes = self.groups.get(key_group(key) as usize);
@@ -55,7 +65,7 @@
     mix(mix_instance(instance) ^ mix(key_group(key)))
 }
 
-fn key_group(key: FlowKey) -> u64 {
+pub(super) fn key_group(key: FlowKey) -> u64 {
     mix(key.get()) % KEY_GROUPS as u64
 }
 
--- a/yuccacroft-core/tests/ownership.rs
+++ b/yuccacroft-core/tests/ownership.rs
@@ -142,6 +142,7 @@
 #[test]
 fn unknown_middle_ends_in_a_reset() {
     let (mut fleet, view) = (Fleet::new(0..6), history(&members(0..6)));
+    fleet.settle(0..6);
     for key in keys(200) {
         assert_eq!(deliver(&mut fleet, &view, key), Delivery::Reset);
     }
@@ -151,6 +152,32 @@
     assert!(matches!(fleet.results[id], Delivery::Delivered(_)));
 }
 
+/// Guards against the reset of a live flow whose owner has not published it to a home yet. A single
+/// home that may lack entries suffices, at any place of the search.
+#[test]
+fn unknown_middle_is_dropped_while_a_home_may_lack_entries() {
+    let (mut fleet, view) = (Fleet::new(0..6), history(&members(0..6)));
+    fleet.settle(0..5);
+    let (mut dropped, mut reset) = (0, 0);
+    for key in keys(200) {
+        let includes_new = view.chain(key).homes().any(|home| home == agent_id(5));
+        let expected =
+            if includes_new { Delivery::Dropped("owner_unknown") } else { Delivery::Reset };
+        *(if includes_new { &mut dropped } else { &mut reset }) += 1;
+        assert_eq!(deliver(&mut fleet, &view, key), expected);
+    }
+    assert!(dropped > 0 && reset > 0, "{dropped} {reset}");
+}
+
+/// Guards against the reset of a flow for which balancers name no home that could know it.
+#[test]
+fn a_packet_without_homes_is_dropped() {
+    let table = OwnershipTable::new(agent_id(1), Connections::new(10), Weight::new(1));
+    let chain = CandidateChain::new(Some(agent_id(1)), Some(agent_id(2)));
+    let packet = packet(&chain, FlowKey::new(7), FlowPhase::Middle);
+    assert_eq!(table.decide(&packet, Moment::default()), Decision::Drop("owner_unknown"));
+}
+
 /// Guards against packets that loop between agents that consider each other the owner.
 #[test]
 fn hop_limit_ends_a_forwarding_loop() {
--- a/yuccacroft-core/tests/support/mod.rs
+++ b/yuccacroft-core/tests/support/mod.rs
@@ -15,6 +15,11 @@
     },
 };
 
+/// Time between two publications of an agent.
+const PUBLISH_INTERVAL: Span = Span::from_secs(20);
+/// Number of publications after which a home knows all flows, the first one included.
+const SETTLING_ROUNDS: u32 = 5;
+
 /// Returns the first incarnation of the agent with this number.
 pub fn agent_id(number: u64) -> AgentId {
     AgentId {
@@ -134,6 +139,23 @@
         self.deliver_all();
     }
 
+    /// Lets time pass in which the listed agents know each other as members and publish to each
+    /// other, so that they know the owners of all keys.
+    pub fn settle(&mut self, numbers: impl IntoIterator<Item = u64>) {
+        let agent_ids: Vec<_> = numbers.into_iter().map(agent_id).collect();
+        for round in 0..SETTLING_ROUNDS {
+            for own in &agent_ids {
+                let table = &self.agents[&own.instance].table;
+                table.update_siblings(&agent_ids, self.now);
+                let others = agent_ids.iter().filter(|other| *other != own);
+                others.for_each(|other| table.record_publication(*other, self.now));
+            }
+            if round + 1 < SETTLING_ROUNDS {
+                self.now = self.now + PUBLISH_INTERVAL;
+            }
+        }
+    }
+
     /// Removes an agent together with its state.
     pub fn remove_agent(&mut self, number: u64) {
         self.agents.remove(&agent_id(number).instance);
--- a/yuccacroft-wire/src/claim.rs
+++ b/yuccacroft-wire/src/claim.rs
@@ -56,7 +56,8 @@
     /// The sender accepted a flow that the receiver passed on; only the load in the message
     /// matters.
     Load,
-    /// The owners of keys that the sender knows.
+    /// The owners of keys that the sender knows. Without entries, it shows that the sender has none
+    /// for the receiver.
     Publish(Vec<OwnerEntry>),
 }
 
