--- a/yuccacroft-agent/src/claims.rs
+++ b/yuccacroft-agent/src/claims.rs
@@ -126,6 +126,7 @@
                 now,
             ),
             ClaimBody::Load => Vec::new(),
+            ClaimBody::Query => vec![Output::Send(from.instance, ClaimBody::Load)],
             ClaimBody::Relay(relay) => self.handle_relay(relay, now),
             ClaimBody::Publish(entries) => {
                 // The loser of a claim publishes the flow of another agent; its own flows follow
@@ -189,7 +190,7 @@
     }
 
     /// Sets the agents of the service. Returns the publications that new homes need and, at regular
-    /// intervals, one to each sibling.
+    /// intervals, one to each sibling, and queries to agents that are no longer listed.
     pub fn set_members(&self, siblings: &[AgentId], now: Moment) -> Vec<Output> {
         let update = self.table.update_siblings(siblings, now);
         let list = self.table.missing_entries(&update.before, &update.after, update.since);
@@ -197,6 +198,7 @@
         if update.is_publication_due {
             outputs.extend(empty_publications(siblings, &outputs));
         }
+        outputs.extend(update.queries.iter().map(|to| Output::Send(to.instance, ClaimBody::Query)));
         outputs
     }
 
--- a/yuccacroft-agent/tests/evidence.rs
+++ b/yuccacroft-agent/tests/evidence.rs
@@ -1,9 +1,10 @@
-//! What a home takes as evidence that a flow has no owner.
+//! What a home takes as evidence that a flow has no owner, and that an owner is gone.
 
 use {
     std::sync::Arc,
     yuccacroft_agent::claims::{FlowClaims, Output},
     yuccacroft_core::{
+        directory::ClaimOutcome,
         flow::{AgentId, FlowKey, FlowPhase},
         ids::{Incarnation, Instance},
         ownership::{Decision, FlowLoad, OwnershipTable, UntaggedPacket},
@@ -141,3 +142,52 @@
     // The owner that a home names is the last authority on its own flows.
     assert_eq!(home.decide_last(ChainPosition::Owner, 200), Decision::Reset);
 }
+
+/// Guards against a key that another agent can claim while its owner lives: balancers that do not
+/// hear from the owner for minutes are no evidence that it is gone.
+#[test]
+fn entries_of_an_unlisted_owner_that_answers_stay() {
+    let home = Home::new();
+    let entries = [OwnerEntry { key: KEY, owner: agent_id(2) }];
+    home.run((0, 20), &[2, 3], &[2], &entries);
+    home.run((20, 118), &[3], &[2, 3], &entries);
+    assert_eq!(home.table.answer_claim(KEY, agent_id(3), secs(118)), held_by(2));
+}
+
+/// Guards against a home that is itself cut off and takes the silence of all agents as evidence
+/// that an owner is gone.
+#[test]
+fn a_home_that_hears_from_no_agent_drops_no_entry() {
+    let home = Home::new();
+    let entries = [OwnerEntry { key: KEY, owner: agent_id(2) }];
+    home.run((0, 20), &[2, 3], &[2, 3], &entries);
+    home.run((20, 60), &[3], &[], &[]);
+    assert_eq!(home.table.answer_claim(KEY, agent_id(3), secs(60)), held_by(2));
+}
+
+/// Guards against a home that was cut off for a while and counts the queries of that time as
+/// evidence.
+#[test]
+fn queries_of_a_home_that_was_cut_off_do_not_count() {
+    let home = Home::new();
+    let entries = [OwnerEntry { key: KEY, owner: agent_id(2) }];
+    home.run((0, 20), &[2, 3], &[2, 3], &entries);
+    home.run((20, 54), &[3], &[], &[]);
+    home.run((54, 58), &[3], &[3], &[]);
+    assert_eq!(home.table.answer_claim(KEY, agent_id(3), secs(58)), held_by(2));
+}
+
+/// Guards against a key that stays blocked after its owner was lost: balancers do not list the
+/// owner, and it does not answer while others do.
+#[test]
+fn entries_of_an_unlisted_silent_owner_are_removed() {
+    let home = Home::new();
+    let entries = [OwnerEntry { key: KEY, owner: agent_id(2) }];
+    home.run((0, 20), &[2, 3], &[2, 3], &entries);
+    home.run((20, 50), &[3], &[3], &[]);
+    assert_eq!(home.table.answer_claim(KEY, agent_id(3), secs(50)), ClaimOutcome::Granted);
+}
+
+fn held_by(number: u64) -> ClaimOutcome {
+    ClaimOutcome::Held(agent_id(number))
+}
--- a/yuccacroft-core/src/siblings.rs
+++ b/yuccacroft-core/src/siblings.rs
@@ -35,9 +35,17 @@
 /// Age of the last recorded message up to which further ones need not be recorded, so that most
 /// messages need no write lock.
 const REFRESH_AGE: Span = Span::from_secs(1);
-/// Time without a listing after which an agent counts as gone. A balancer that
+/// Time without a listing after which an agent that does not answer counts as gone. A balancer that
 /// has just started lists only a part of the members for a few seconds.
 const ABSENCE_TIMEOUT: Span = Span::from_secs(15);
+/// Time between two queries to an unlisted agent.
+const QUERY_INTERVAL: Span = Span::from_secs(4);
+/// Number of consecutive unanswered queries after which an unlisted agent counts as silent. With
+/// fewer, packet loss would look like a dead agent.
+const MIN_QUERIES: u32 = 3;
+/// Number of listed siblings that are queried together with unlisted ones. More than one, since the
+/// first may just have died.
+const MAX_CONTROLS: usize = 2;
 /// Time for which an unlisted agent is remembered. It is longer than most outages of the network,
 /// after which the agent may return with its flows.
 const RETENTION: Span = Span::from_secs(600);
@@ -66,6 +74,8 @@
     pub since: Moment,
     /// True if a regular publication is due, which goes to every sibling.
     pub is_publication_due: bool,
+    /// Agents to query: unlisted ones, whose answer shows that they live, and a few others.
+    pub queries: Vec<AgentId>,
 }
 
 /// What is known of one sibling.
@@ -74,6 +84,7 @@
     last_listed: Moment,
     last_heard: Option<Moment>,
     publications: Option<Publications>,
+    queries: Queries,
 }
 
 /// An uninterrupted series of publications.
@@ -83,6 +94,13 @@
     last: Moment,
 }
 
+/// Consecutive queries to an unlisted agent since it was last heard.
+#[derive(Clone, Copy, Debug, Default)]
+struct Queries {
+    count: u32,
+    last: Moment,
+}
+
 impl Siblings {
     /// Creates the view of an agent that knows no siblings.
     pub fn new(own: AgentId) -> Self {
@@ -113,25 +131,28 @@
         }
         self.listed = listed;
         self.listed_at = Some(now);
+        let queries = self.due_queries(now);
         let is_publication_due = now.since(self.published_at) >= PUBLISH_INTERVAL;
         let since = if is_changed { Moment::default() } else { self.published_at };
         if is_publication_due {
             self.published_at = now;
         }
         let before = if is_publication_due { Arc::default() } else { before };
-        Update { before, after: self.homes.clone(), since, is_publication_due }
+        Update { before, after: self.homes.clone(), since, is_publication_due, queries }
     }
 
     /// Returns false if the last message of a sibling was recorded a short time ago.
     pub fn needs_record(&self, from: AgentId, now: Moment) -> bool {
         let last_heard = self.contacts.get(&from).and_then(|contact| contact.last_heard);
         let is_recent = last_heard.is_some_and(|at| now.since(at) < REFRESH_AGE);
-        !is_recent
+        !is_recent || self.contacts.get(&from).is_some_and(|contact| contact.queries.count > 0)
     }
 
     /// Records a message of a sibling.
     pub fn record_message(&mut self, from: AgentId, now: Moment) {
-        self.contact(from, now).last_heard = Some(now);
+        let contact = self.contact(from, now);
+        contact.last_heard = Some(now);
+        contact.queries = Queries::default();
     }
 
     /// Records a publication of a sibling.
@@ -161,10 +182,29 @@
                 .all(|(agent_id, contact)| self.is_replaced(*agent_id) || publishes(contact))
     }
 
-    /// Returns true for a former member. An agent that was never listed may have just joined.
+    /// Returns true for an agent that has ended: a later process runs at its address, or balancers
+    /// no longer list it and it leaves queries unanswered while another sibling is heard. Balancers
+    /// alone may merely be cut off from it.
     pub fn is_gone(&self, agent_id: AgentId, now: Moment) -> bool {
-        let contact = self.contacts.get(&agent_id);
-        contact.is_some_and(|contact| now.since(contact.last_listed) > ABSENCE_TIMEOUT)
+        if self.is_replaced(agent_id) {
+            return true;
+        }
+        // An agent that was never listed may have just joined.
+        let Some(contact) = self.contacts.get(&agent_id) else { return false };
+        let queries = contact.queries;
+        let is_silent = queries.count >= MIN_QUERIES
+            && now > queries.last
+            && self.hears_others_since(queries.last);
+        let is_unlisted = now.since(contact.last_listed) > ABSENCE_TIMEOUT;
+        is_unlisted && is_silent
+    }
+
+    /// Returns true if a listed sibling was heard at `since` or later, or if none is listed. Without
+    /// that, this agent may be the one that is cut off.
+    fn hears_others_since(&self, since: Moment) -> bool {
+        let mut contacts = self.listed.iter().filter_map(|agent_id| self.contacts.get(agent_id));
+        self.listed.is_empty()
+            || contacts.any(|contact| contact.last_heard.is_some_and(|at| at >= since))
     }
 
     fn contact(&mut self, agent_id: AgentId, now: Moment) -> &mut Contact {
@@ -172,6 +212,7 @@
             last_listed: now,
             last_heard: None,
             publications: None,
+            queries: Queries::default(),
         })
     }
 
@@ -189,6 +230,35 @@
         self.homes = Arc::new(Homes::new(&members));
         self.tenure.update(&self.homes, now);
     }
+
+    /// Returns the unlisted agents whose query is due. A few listed ones are queried with them:
+    /// their answer shows that this agent is not cut off itself.
+    fn due_queries(&mut self, now: Moment) -> Vec<AgentId> {
+        let unlisted = self.contacts.keys().copied();
+        let unlisted = unlisted
+            .filter(|agent_id| !self.listed.contains(agent_id) && !self.is_replaced(*agent_id));
+        let mut queries: Vec<_> = unlisted.collect();
+        queries.retain(|agent_id| self.start_query(*agent_id, now));
+        if !queries.is_empty() {
+            queries.extend(self.listed.iter().take(MAX_CONTROLS));
+        }
+        queries
+    }
+
+    /// Counts a query to an agent and returns true, if one is due. A query is no evidence if no
+    /// other agent was heard after it.
+    fn start_query(&mut self, agent_id: AgentId, now: Moment) -> bool {
+        let Some(queries) = self.contacts.get(&agent_id).map(|contact| contact.queries) else {
+            return false;
+        };
+        if queries.count > 0 && now.since(queries.last) < QUERY_INTERVAL {
+            return false;
+        }
+        let is_evident = queries.count > 0 && self.hears_others_since(queries.last);
+        let count = if is_evident { queries.count.saturating_add(1) } else { 1 };
+        self.contact(agent_id, now).queries = Queries { count, last: now };
+        true
+    }
 }
 
 impl Publications {
--- a/yuccacroft-wire/src/claim.rs
+++ b/yuccacroft-wire/src/claim.rs
@@ -59,6 +59,8 @@
     /// The owners of keys that the sender knows. Without entries, it shows that the sender has none
     /// for the receiver.
     Publish(Vec<OwnerEntry>),
+    /// The sender asks whether the receiver lives, which answers with [`ClaimBody::Load`].
+    Query,
 }
 
 /// A claim that is forwarded from home to home.
