--- a/yuccacroft-agent/src/packet.rs
+++ b/yuccacroft-agent/src/packet.rs
@@ -2,10 +2,11 @@
 
 use {
     std::{
+        cmp::Ordering,
         net::SocketAddr,
         sync::{
             Arc, PoisonError, RwLock,
-            atomic::{AtomicU64, Ordering},
+            atomic::{self, AtomicU64},
         },
     },
     yuccacroft_core::{
@@ -65,18 +66,18 @@
     /// Applies a contract that has the service.
     pub fn apply_contract(&self, contract: &Contract<Accepted>, terms: &Terms) {
         *self.addresses.write().unwrap_or_else(PoisonError::into_inner) = terms.addresses.clone();
-        self.revision.store(contract.revision().get(), Ordering::Release);
+        self.revision.store(contract.revision().get(), atomic::Ordering::Release);
     }
 
     /// Applies a contract that no longer has the service.
     pub fn remove_service(&self, contract: &Contract<Accepted>) {
         *self.addresses.write().unwrap_or_else(PoisonError::into_inner) = Box::new([]);
-        self.revision.store(contract.revision().get(), Ordering::Release);
+        self.revision.store(contract.revision().get(), atomic::Ordering::Release);
     }
 
     /// Returns the revision of the contract in force.
     pub fn revision(&self) -> Revision {
-        Revision::new(self.revision.load(Ordering::Acquire))
+        Revision::new(self.revision.load(atomic::Ordering::Acquire))
     }
 
     /// Returns the digest that identifies the service in capsules.
@@ -118,8 +119,8 @@
     Header { kind, incarnation: next.incarnation, ..*header }
 }
 
-/// Drops capsules of other services. Resets a tagged packet of an earlier process at this address;
-/// passes untagged packets on to the next filter, which starts no flow for an earlier incarnation.
+/// Drops capsules of other services. Resets a tagged packet of an earlier process at this address
+/// and drops one of a later process, which may serve its flow elsewhere by now; passes untagged packets on to the next filter, which starts no flow for an earlier incarnation.
 struct Identity {
     scope: Arc<ServiceScope>,
 }
@@ -148,11 +149,14 @@
         }
         match header.kind {
             CapsuleKind::Reply => Verdict::Done(Decision::Drop("kind")),
-            // The flow ended with the earlier process; a reset notifies its caller.
-            CapsuleKind::Tagged if header.incarnation != self.scope.own.incarnation => {
-                Verdict::Done(Decision::Reset)
+            CapsuleKind::Tagged => {
+                Verdict::Done(match header.incarnation.cmp(&self.scope.own.incarnation) {
+                    // The flow ended with the earlier process; a reset notifies its caller.
+                    Ordering::Less => Decision::Reset,
+                    Ordering::Equal => Decision::Deliver,
+                    Ordering::Greater => Decision::Drop("incarnation"),
+                })
             }
-            CapsuleKind::Tagged => Verdict::Done(Decision::Deliver),
             CapsuleKind::Untagged { .. } => Verdict::Continue,
         }
     }
--- a/yuccacroft-agent/tests/isolation.rs
+++ b/yuccacroft-agent/tests/isolation.rs
@@ -156,6 +156,25 @@
     assert_eq!(agent.decide(stale), Decision::Reset);
 }
 
+/// Guards against a reset of a live flow by a process that was replaced: the later process at this
+/// address may run on another machine, and this one gets a packet of its flow.
+#[test]
+fn tag_of_later_incarnation_is_dropped() {
+    let agent = Agent::new(&contract(3, BOOKING_ADDRESS, PACK_ADDRESS));
+    let incarnation = Incarnation::new(own().incarnation.get() + 1);
+    let later = Header { incarnation, ..header(CapsuleKind::Tagged) };
+    assert_eq!(agent.decide(later), Decision::Drop("incarnation"));
+    let CapsuleKind::Untagged { key, phase, chain, hops, load, .. } = untagged(FlowPhase::Middle)
+    else {
+        unreachable!("the kind was built as untagged");
+    };
+    let step = ChainPosition::Owner;
+    let kind = CapsuleKind::Untagged { key, phase, chain, step, hops, load };
+    assert_eq!(agent.decide(header(kind)), Decision::Reset);
+    let later = Header { incarnation, ..header(kind) };
+    assert_eq!(agent.decide(later), Decision::Drop("owner_unknown"));
+}
+
 /// Guards against a new flow that was placed by a stale member table: it is forwarded to an agent
 /// whose current incarnation the balancer knows.
 #[test]
--- a/yuccacroft-core/src/ownership.rs
+++ b/yuccacroft-core/src/ownership.rs
@@ -445,8 +445,9 @@
             if is_certain { Decision::Reset } else { Decision::Drop("owner_unknown") }
         };
         let (start, is_certain) = match packet.step {
-            // The registered owner knows its own flows.
-            ChainPosition::Owner => return Decision::Reset,
+            // The registered owner knows its own flows, and that those of earlier processes at its
+            // address have ended.
+            ChainPosition::Owner => return end(packet.expected <= self.own.incarnation),
             ChainPosition::Home(at) => (usize::from(at) + 1, self.is_complete(packet.key, now)),
             ChainPosition::UncertainHome(at) => (usize::from(at) + 1, false),
             _ => (now.get() as usize, true),
