--- a/yuccacroft-agent/src/claims.rs
+++ b/yuccacroft-agent/src/claims.rs
@@ -20,6 +20,7 @@
         ownership::{FlowLoad, OwnershipTable},
         placement::ChainPosition,
         shards::Shards,
+        siblings::Update,
         time::Moment,
     },
     yuccacroft_wire::{
@@ -192,12 +193,19 @@
     /// Sets the agents of the service. Returns the publications that new homes need and, at regular
     /// intervals, one to each sibling, and queries to agents that are no longer listed.
     pub fn set_members(&self, siblings: &[AgentId], now: Moment) -> Vec<Output> {
-        let update = self.table.update_siblings(siblings, now);
+        self.publications(&self.table.update_siblings(siblings, now))
+    }
+
+    /// Returns the publications that are due while no balancer answers. Without them the homes
+    /// would forget the flows of an agent that is cut off from balancers only.
+    pub fn keep_members(&self, now: Moment) -> Vec<Output> {
+        self.publications(&self.table.keep_siblings(now))
+    }
+
+    fn publications(&self, update: &Update) -> Vec<Output> {
         let list = self.table.missing_entries(&update.before, &update.after, update.since);
         let mut outputs = publish_messages(list, self.table.own_id());
-        if update.is_publication_due {
-            outputs.extend(empty_publications(siblings, &outputs));
-        }
+        outputs.extend(empty_publications(&update.publish_to, &outputs));
         outputs.extend(update.queries.iter().map(|to| Output::Send(to.instance, ClaimBody::Query)));
         outputs
     }
--- a/yuccacroft-agent/src/socket.rs
+++ b/yuccacroft-agent/src/socket.rs
@@ -131,6 +131,12 @@
         self.apply_outputs(outputs);
     }
 
+    /// Publishes owned flows while no balancer answers.
+    pub fn keep_siblings(&self) {
+        let outputs = self.claims.keep_members(self.clock.now());
+        self.apply_outputs(outputs);
+    }
+
     /// Waits for a capsule from a balancer with a newer contract than the one in force.
     pub async fn newer_contract(&self) {
         self.newer_revision.notified().await;
--- a/yuccacroft-agent/src/updater.rs
+++ b/yuccacroft-agent/src/updater.rs
@@ -137,8 +137,9 @@
         if let Some(contract) = &update.contract {
             self.apply_contract(contract);
         }
-        // When no balancer answers, the current siblings are kept.
-        if update.answered > 0 {
+        if update.answered == 0 {
+            self.socket.keep_siblings();
+        } else {
             let agent_id =
                 |s: &Sibling| AgentId { instance: s.instance, incarnation: s.incarnation };
             let agent_ids: Vec<_> = update.siblings.iter().map(agent_id).collect();
--- a/yuccacroft-agent/tests/evidence.rs
+++ b/yuccacroft-agent/tests/evidence.rs
@@ -132,6 +132,28 @@
     assert_eq!(publications.collect::<Vec<_>>(), [20, 40, 60]);
 }
 
+/// Guards against homes that forget the flows of an agent that only balancers cannot reach, and
+/// against a home that takes the last list of siblings for complete while no balancer answers.
+#[test]
+fn publications_go_on_while_no_balancer_answers() {
+    let home = Home::new();
+    home.run((0, 200), &[2, 3], &[2, 3], &[]);
+    let published = |at: &u64| {
+        let outputs = home.claims.keep_members(secs(*at));
+        let receivers = outputs.iter().filter_map(|output| match output {
+            Output::Send(to, ClaimBody::Publish(_)) => Some(*to),
+            _ => None,
+        });
+        let receivers: Vec<_> = receivers.collect();
+        assert!(receivers.is_empty() || receivers == [agent_id(2).instance, agent_id(3).instance]);
+        (2..4).for_each(|sibling| home.receive(sibling, ClaimBody::Publish(Vec::new()), *at));
+        !receivers.is_empty()
+    };
+    let publications: Vec<_> = (200..241).step_by(ANNOUNCE_SECS).filter(published).collect();
+    assert_eq!(publications, [200, 220, 240]);
+    assert!(matches!(home.decide_last(ChainPosition::Home(0), 240), Decision::Drop(_)));
+}
+
 /// Guards against callers that learn of a lost flow only by their own timeout: homes that hear
 /// from all agents of the service know that the flow has no owner.
 #[test]
--- a/yuccacroft-core/src/ownership.rs
+++ b/yuccacroft-core/src/ownership.rs
@@ -226,6 +226,11 @@
         update
     }
 
+    /// Keeps the siblings while no balancer answers, and returns the publications that are due.
+    pub fn keep_siblings(&self, now: Moment) -> Update {
+        self.write_siblings(|known| known.keep(now))
+    }
+
     /// Records a message of a sibling.
     pub fn record_message(&self, from: AgentId, now: Moment) {
         let known = self.siblings.read().unwrap_or_else(PoisonError::into_inner);
--- a/yuccacroft-core/src/siblings.rs
+++ b/yuccacroft-core/src/siblings.rs
@@ -72,8 +72,8 @@
     /// Flows that were used at this time or later are published to the homes of `after` that are
     /// not in `before`.
     pub since: Moment,
-    /// True if a regular publication is due, which goes to every sibling.
-    pub is_publication_due: bool,
+    /// The siblings that get the regular publication; none while it is not due.
+    pub publish_to: Vec<AgentId>,
     /// Agents to query: unlisted ones, whose answer shows that they live, and a few others.
     pub queries: Vec<AgentId>,
 }
@@ -132,13 +132,24 @@
         self.listed = listed;
         self.listed_at = Some(now);
         let queries = self.due_queries(now);
-        let is_publication_due = now.since(self.published_at) >= PUBLISH_INTERVAL;
+        Update { queries, ..self.publication(before, is_changed, now) }
+    }
+
+    /// Returns the publications that are due while no balancer answers. The present siblings stay,
+    /// and no agent is taken for gone.
+    pub fn keep(&mut self, now: Moment) -> Update {
+        self.publication(self.homes.clone(), false, now)
+    }
+
+    fn publication(&mut self, before: Arc<Homes>, is_changed: bool, now: Moment) -> Update {
+        let after = self.homes.clone();
         let since = if is_changed { Moment::default() } else { self.published_at };
-        if is_publication_due {
-            self.published_at = now;
+        if now.since(self.published_at) < PUBLISH_INTERVAL {
+            return Update { before, after, since, publish_to: Vec::new(), queries: Vec::new() };
         }
-        let before = if is_publication_due { Arc::default() } else { before };
-        Update { before, after: self.homes.clone(), since, is_publication_due, queries }
+        self.published_at = now;
+        let publish_to = self.listed.iter().copied().collect();
+        Update { before: Arc::default(), after, since, publish_to, queries: Vec::new() }
     }
 
     /// Returns false if the last message of a sibling was recorded a short time ago.
