--- a/yuccacroft-core/src/siblings.rs
+++ b/yuccacroft-core/src/siblings.rs
@@ -120,7 +120,9 @@
         let mut listed: BTreeSet<AgentId> = siblings.iter().copied().collect();
         listed.remove(&self.own);
         for &agent_id in &listed {
-            self.contact(agent_id, now).last_listed = now;
+            let contact = self.contact(agent_id, now);
+            contact.last_listed = now;
+            contact.queries = Queries::default();
         }
         self.contacts.retain(|_, contact| now.since(contact.last_listed) < RETENTION);
         let before = self.homes.clone();
