--- a/yuccacroft/tests/settings.rs
+++ b/yuccacroft/tests/settings.rs
@@ -244,18 +244,17 @@
 fn reports_all_faults_of_all_files_together() {
     let folder = SettingsFolder::new("all");
     let (first, second) = (folder.0.join("first.ini"), folder.0.join("second.ini"));
-    fs::write(
-        &first,
-        balancer_settings().replace("threads", "thread").replace("10.0.0.1:7000", "here"),
-    )
-    .unwrap();
+    let misspelt = balancer_settings().replace("domain = gent", "domain = gent\nthread = 2");
+    fs::write(&first, misspelt.replace("10.0.0.1:7000", "here")).unwrap();
     let faulty = contract_text().replace("slots = 4", "slots = 0\ncolour = red");
     fs::write(&second, faulty.replace("capacity = 40", "capacity = many")).unwrap();
     let output = run_check(&[&first, &second]);
     assert_eq!(output.status.code(), Some(1));
     let faults = String::from_utf8(output.stderr).unwrap();
     let lines: Vec<_> = faults.lines().collect();
-    assert_eq!(lines.len(), 4, "{faults}");
-    assert!(lines[0].contains("first.ini: [listen] packets: "), "{faults}");
-    assert!(lines[1..].iter().all(|line| line.contains("second.ini: [")), "{faults}");
+    assert_eq!(lines.len(), 5, "{faults}");
+    for fault in ["first.ini: [process] thread: unknown key", "first.ini: [listen] packets: "] {
+        assert!(lines[..2].iter().any(|line| line.contains(fault)), "{faults}");
+    }
+    assert!(lines[2..].iter().all(|line| line.contains("second.ini: [")), "{faults}");
 }
