--- a/yuccacroft/tests/faults/losses.rs
+++ b/yuccacroft/tests/faults/losses.rs
@@ -223,12 +223,16 @@
     wait_until("all processes run", || fleet.all_running()).await;
 }
 
-/// Builds malformed datagrams: random bytes with and without a capsule's version before them, and
-/// truncated PROXY headers.
+/// Builds malformed datagrams: random bytes with and without the version of a capsule or a claim
+/// message before them, truncated PROXY headers, and claim messages that are forged, truncated or
+/// damaged.
 fn malformed_datagrams(service: std::net::SocketAddr) -> Vec<Vec<u8>> {
     use {
         rand::{RngExt, SeedableRng, rngs::StdRng},
-        yuccacroft_wire::proxy::{self, AddressPair},
+        yuccacroft_wire::{
+            claim,
+            proxy::{self, AddressPair},
+        },
     };
     let mut random = StdRng::seed_from_u64(1);
     let mut datagrams = vec![Vec::new(), vec![0], vec![0xff; 1_472], vec![1; 9]];
@@ -236,7 +240,7 @@
         let mut bytes = vec![0; length];
         random.fill(&mut bytes[..]);
         // The first byte of a capsule is its version, a small number.
-        for first in [0, 1, 2, 3] {
+        for first in [0, 1, 2, 3, claim::VERSION] {
             let mut versioned = bytes.clone();
             versioned.insert(0, first);
             datagrams.push(versioned);
@@ -251,5 +255,41 @@
         datagrams.push(framed);
         datagrams.push(bytes);
     }
+    let forged = forged_claim();
+    for at in 0..forged.len() {
+        datagrams.push(forged[..at].to_vec());
+        let mut damaged = forged.clone();
+        damaged[at] ^= 0xff;
+        datagrams.push(damaged);
+    }
+    datagrams.push(forged);
     datagrams
 }
+
+/// Builds a claim message that is authenticated with a key of no service.
+fn forged_claim() -> Vec<u8> {
+    use {
+        yuccacroft_core::{
+            flow::{AgentId, FlowKey},
+            ids::{Customer, Incarnation, Instance, Service},
+            key::{Secret, ServiceDigest},
+            ownership::FlowLoad,
+        },
+        yuccacroft_wire::{
+            capsule::MacKey,
+            claim::{self, ClaimBody, ClaimMessage, OwnerEntry},
+        },
+    };
+    let to = Instance::from_bits(7 << 16 | 9_000);
+    let owner = AgentId { instance: to, incarnation: Incarnation::new(1) };
+    let customer: Customer = "kampvuur".parse().unwrap();
+    let service: Service = "booking".parse().unwrap();
+    let message = ClaimMessage {
+        digest: ServiceDigest::new(&customer, &service),
+        from: owner,
+        to,
+        load: FlowLoad::FULL,
+        body: ClaimBody::Publish(vec![OwnerEntry { key: FlowKey::new(7), owner }]),
+    };
+    claim::encode(&message, &MacKey::new(&Secret::new([9; 32]))).unwrap()
+}
