--- a/yuccacroft/tests/sessions.rs
+++ b/yuccacroft/tests/sessions.rs
@@ -133,6 +133,9 @@
     transcript.assert_golden("contract-conflict");
 }
 
+/// Number of callers that connect while an upstream drains.
+const NEW_CALLERS: u64 = 8;
+
 /// Guards against a drain that breaks an open board or sends new work to the draining upstream.
 #[tokio::test(flavor = "multi_thread")]
 async fn drain() {
@@ -153,15 +156,23 @@
     session.upstreams[draining].update_board(1);
     let line = board.next().await.unwrap().unwrap();
     transcript.add_message("caller receives", "a line", &http::HeaderMap::new(), &line);
-    for number in 0..8 {
+    let mut others = Vec::new();
+    for number in 0..NEW_CALLERS {
         let mut other = session.system.caller().await;
         if number == 0 {
             transcript.add_comment("New callers reach the other upstream.");
             let reserve = request(Method::POST, "/reserve", RESERVE);
             call(transcript, &mut other, reserve, b"two seats").await;
         }
+        others.push(other);
     }
-    let flows = session.operator.wait_for("/v1/flows", |flows| flows.is_array()).await;
+    // The reports are complete once they have the connections of all callers, which stay open.
+    let connections = |flows: &Value| {
+        let reports = flows.as_array().into_iter().flatten();
+        reports.filter_map(|flows| flows["report"]["connections"].as_u64()).sum::<u64>()
+    };
+    let is_complete = |flows: &Value| connections(flows) == NEW_CALLERS + 1;
+    let flows = session.operator.wait_for("/v1/flows", is_complete).await;
     let report = flows.as_array().unwrap().iter().find(|flows| flows["instance"] == agent);
     assert_eq!(report.unwrap()["report"]["connections"], 1, "{flows}");
     transcript.assert_golden("drain");
