--- a/yuccacroft-fakes/src/lib.rs
+++ b/yuccacroft-fakes/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod certificate;
 pub mod fabric;
 pub mod fleet;
+pub mod loopback;
 pub mod migrating_stream;
 pub mod request_simulation;
 pub mod store;
--- a/yuccacroft/tests/faults/fleet/files.rs
+++ b/yuccacroft/tests/faults/fleet/files.rs
@@ -3,10 +3,10 @@
 use {
     std::{
         fs::{self, OpenOptions},
-        net::{Ipv4Addr, SocketAddr},
+        net::SocketAddr,
         path::PathBuf,
         process::{Child, Command, Stdio},
-        sync::atomic::{AtomicU16, AtomicU32, Ordering},
+        sync::atomic::{AtomicU32, Ordering},
     },
     yuccacroft_core::key::Secret,
 };
@@ -14,10 +14,6 @@
 const CUSTOMER_KEY: [u8; 32] = [7; 32];
 const MESH_KEY: [u8; 32] = [8; 32];
 
-/// Below the range from which the operating system takes ports of outgoing connections.
-const FIRST_PORT: u16 = 20_000;
-
-static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
 static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
 
 /// A temporary folder for settings and logs; removed when dropped.
@@ -118,25 +114,3 @@
     let addresses: Vec<_> = addresses.iter().map(ToString::to_string).collect();
     addresses.join(", ")
 }
-
-/// Allocates the addresses of one fleet: successive ports of a loopback IP address that only this
-/// fleet uses. A port of a shared IP address could be taken by another process before it is bound.
-pub struct Addresses {
-    ip: Ipv4Addr,
-    next_port: AtomicU16,
-}
-
-impl Addresses {
-    pub fn new() -> Self {
-        let process = std::process::id();
-        let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
-        let [.., high, low] = process.to_be_bytes();
-        // Loopback networks below 127.64.0.0 are left to other programs.
-        let ip = Ipv4Addr::new(127, 64 | high, low, number as u8 + 1);
-        Self { ip, next_port: AtomicU16::new(FIRST_PORT) }
-    }
-
-    pub fn allocate(&self) -> SocketAddr {
-        (self.ip, self.next_port.fetch_add(1, Ordering::Relaxed)).into()
-    }
-}
--- a/yuccacroft/tests/faults/fleet/mod.rs
+++ b/yuccacroft/tests/faults/fleet/mod.rs
@@ -6,7 +6,7 @@
 pub use board::Board;
 use {
     bytes::Bytes,
-    files::{Addresses, Folder},
+    files::Folder,
     http::StatusCode,
     std::{
         future::Future,
@@ -20,6 +20,7 @@
         caller::{Answer, AnswerStream, Caller},
         certificate::Certificate,
         fabric::Fabric,
+        loopback::Addresses,
         migrating_stream::MigratingStream,
         store::Store,
         tcp_proxy::TcpProxy,
@@ -92,6 +93,7 @@
     pub is_unknown_allowed: bool,
     has_upstream_proxies: bool,
     certificate: Certificate,
+    addresses: Addresses,
     folder: Folder,
 }
 
@@ -116,7 +118,7 @@
     /// Starts all processes and waits until each balancer with a section `mesh` knows all agents.
     pub async fn start(options: FleetOptions) -> Self {
         let folder = Folder::new();
-        let addresses = Addresses::new();
+        let addresses = Addresses::new().unwrap();
         let (booking, packs) = (addresses.allocate(), addresses.allocate());
         let store = Store::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let store_client = EtcdClient::new(store.address(), Duration::from_secs(1));
@@ -147,14 +149,15 @@
             is_unknown_allowed: false,
             has_upstream_proxies: options.has_upstream_proxies,
             certificate,
+            addresses,
             folder,
         };
         let with_mesh = (0..BALANCERS).filter(|index| !options.without_mesh.contains(index));
         let control_addresses: Vec<_> =
             with_mesh.map(|index| fleet.balancers[index].control).collect();
         for index in 0..AGENTS {
-            let agent =
-                fleet.start_agent(index, "booking", addresses.allocate(), &control_addresses).await;
+            let instance = fleet.addresses.allocate();
+            let agent = fleet.start_agent(index, "booking", instance, &control_addresses).await;
             fleet.agents.push(agent);
         }
         for index in (0..BALANCERS).filter(|index| !options.without_mesh.contains(index)) {
--- a/yuccacroft/tests/support/mod.rs
+++ b/yuccacroft/tests/support/mod.rs
@@ -6,13 +6,17 @@
         net::SocketAddr,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
-        sync::atomic::{AtomicU16, AtomicU32, Ordering},
+        sync::{
+            LazyLock,
+            atomic::{AtomicU32, Ordering},
+        },
         time::{Duration, Instant},
     },
     yuccacroft_balancer::controllers::CONTRACT_KEY_PREFIX,
     yuccacroft_core::{ids::Revision, key::Secret},
     yuccacroft_fakes::{
-        caller::Caller, certificate::Certificate, fabric::Fabric, store::Store, upstream::Upstream,
+        caller::Caller, certificate::Certificate, fabric::Fabric, loopback::Addresses,
+        store::Store, upstream::Upstream,
     },
     yuccacroft_store::{etcd::EtcdClient, store::Store as _},
 };
@@ -27,7 +31,6 @@
 
 /// Number of the next folder, so that the systems of one test program do not share files.
 static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
-static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
 
 /// The token of all administration interfaces.
 pub const TOKEN: &str = "token-for-tests-only";
@@ -195,11 +198,8 @@
     )
 }
 
-/// Returns a loopback address that no other socket uses. The IP address is derived from the id of
-/// this test program and ports count up, since a port that was found free could be taken by another
-/// program before a process binds it.
+/// Returns a loopback address that no other socket uses.
 fn free_address() -> SocketAddr {
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-    SocketAddr::from(([127, 64 | high >> 2, high << 6 | low >> 2, 1 + (low & 3)], port))
+    static ADDRESSES: LazyLock<Addresses> = LazyLock::new(|| Addresses::new().unwrap());
+    ADDRESSES.allocate()
 }
