--- a/yuccacroft-store/src/etcd.rs
+++ b/yuccacroft-store/src/etcd.rs
@@ -14,11 +14,12 @@
     },
     crate::{
         errors::{Error, Result},
+        exchange::exchange,
         store::{KeyValue, Listing, Store, Watch, WriteResult},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::Bytes,
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
@@ -98,13 +99,7 @@
     }
 
     async fn send_request(&self, request: http::Request<Full<Bytes>>) -> Result<Bytes> {
-        let response = self.client.request(request).await.map_err(|error| {
-            let text = error.to_string().into();
-            if error.is_connect() { Error::Unreachable(text) } else { Error::Uncertain(text) }
-        })?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-        let bytes = body.map_err(|e| Error::Uncertain(e.to_string().into()))?.to_bytes();
+        let (status, bytes) = exchange(&self.client, request, MAX_ANSWER_BYTES).await?;
         if status.is_server_error() {
             return Err(Error::Uncertain(status.to_string().into()));
         }
--- a/yuccacroft-store/src/lib.rs
+++ b/yuccacroft-store/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod errors;
 pub mod etcd;
+pub mod exchange;
 pub mod store;
