--- a/yuccacroft-wire/src/claim.rs
+++ b/yuccacroft-wire/src/claim.rs
@@ -56,8 +56,11 @@
     /// The sender accepted a flow that the receiver passed on; only the load in the message
     /// matters.
     Load,
-    /// The owners of keys that the sender knows.
+    /// The owners of keys that the sender knows. Without entries, it shows that the sender has none
+    /// for the receiver.
     Publish(Vec<OwnerEntry>),
+    /// The sender asks whether the receiver lives, which answers with [`ClaimBody::Load`].
+    Query,
 }
 
 /// A claim that is forwarded from home to home.
