--- a/yuccacroft/tests/platform/deployment.rs
+++ b/yuccacroft/tests/platform/deployment.rs
@@ -53,7 +53,7 @@
 
 /// All processes and emulated parts of one test.
 pub struct Deployment {
-    pub store: Store,
+    pub store: Arc<Store>,
     pub balancers: Vec<Node>,
     pub agents: Vec<AgentWithUpstream>,
     /// The proxy through which all processes reach the store.
@@ -90,7 +90,7 @@
         fs::create_dir_all(&folder).unwrap();
         // An earlier test of the process may have used the same network.
         processes::wait_for_starts();
-        let store = Store::start(&SystemHost, network.machine(1).store()).await.unwrap();
+        let store = Arc::new(Store::start(&SystemHost, network.machine(1).store()).await.unwrap());
         let store_proxy = TcpProxy::start(network.machine(1).store().into()).await.unwrap();
         let balancer_machines: Vec<Machine> =
             (0..balancers).map(|n| network.machine(10 + n)).collect();
--- a/yuccacroft/tests/platform/late_answers.rs
+++ b/yuccacroft/tests/platform/late_answers.rs
@@ -1,16 +1,14 @@
 //! Agents whose answers to one balancer are late, as on a full link, while everything is alive.
 
 use {
-    crate::deployment::{AGENT_KEY_PREFIX, Deployment, REQUEST_TIMEOUT, booking_address},
-    std::{net::SocketAddrV4, time::Duration},
-    tokio::task::JoinSet,
-    yuccacroft_core::ids::Instance,
-    yuccacroft_emulator::{
-        caller::{Connection, Failure},
-        store::Store,
+    crate::{
+        deployment::{Deployment, REQUEST_TIMEOUT, booking_address},
+        relays::Relays,
     },
-    yuccacroft_fakes::udp_relay::UdpRelay,
-    yuccacroft_wire::relay::{self, Reply},
+    std::{ops::Range, time::Duration},
+    tokio::task::JoinSet,
+    yuccacroft_emulator::caller::{Connection, Failure},
+    yuccacroft_fakes::udp_relay::Fault,
 };
 
 const AGENTS: u8 = 8;
@@ -24,57 +22,6 @@
 /// than one second, but for less than the delay.
 const SILENCE: Duration = Duration::from_millis(1_400);
 
-/// A balancer that reaches the agents through relays.
-struct RelayedBalancer {
-    relays: Vec<UdpRelay>,
-    /// The store of this balancer, in which the agents have the addresses of their relays.
-    _store: Store,
-}
-
-/// Starts a relay in front of an agent. Answers name the relay as their sender.
-async fn start_relay(address: SocketAddrV4, agent: SocketAddrV4) -> UdpRelay {
-    let translate = move |datagram: &[u8]| {
-        let (mut reply, segment) = relay::decode::<Reply>(datagram).ok()?;
-        reply.from.instance = Instance::new(address);
-        relay::encode(&reply, segment).ok()
-    };
-    UdpRelay::start(address.into(), agent.into(), Box::new(translate)).await.unwrap()
-}
-
-/// Restarts the first balancer with a store of its own, in which each agent has the address of a
-/// relay.
-async fn insert_relays(deployment: &mut Deployment) -> RelayedBalancer {
-    let store = deployment.start_store(3).await;
-    let (mut relays, mut addresses) = (Vec::new(), Vec::new());
-    for (number, agent) in (0..).zip(&deployment.agents) {
-        let address = deployment.machine(200 + number).segments();
-        let agent = agent.node.machine.segments();
-        relays.push(start_relay(address, agent).await);
-        addresses.push((agent.to_string(), address.to_string()));
-    }
-    let translate = |text: &str| {
-        let replace = |text: String, (agent, relay): &(String, String)| text.replace(agent, relay);
-        addresses.iter().fold(text.to_owned(), replace)
-    };
-    let mut keys = deployment.store.keys(AGENT_KEY_PREFIX);
-    keys.extend(deployment.store.keys("op/"));
-    for key in keys {
-        let value = deployment.store.read(&key).unwrap();
-        store.write(&translate(&key), &translate(&value));
-    }
-    let (shared, own) = (deployment.store_proxy.address(), deployment.machine(3).store());
-    let balancer = &mut deployment.balancers[0];
-    balancer.edit_settings(|text| text.replace(&shared.to_string(), &own.to_string()));
-    let joined = |log: String| log.matches("change=Joined").count();
-    let joined_before = joined(balancer.log());
-    balancer.restart();
-    deployment.wait_for_readiness(0, true).await;
-    let knows_agents =
-        || joined(deployment.balancers[0].log()) == joined_before + usize::from(AGENTS);
-    deployment.wait_until("knowledge of all relays", knows_agents).await;
-    RelayedBalancer { relays, _store: store }
-}
-
 /// Sends a request on each flow at the same time. Returns the flows and the failures.
 async fn request_on_all(
     flows: Vec<Connection>,
@@ -109,18 +56,37 @@
     flows
 }
 
-/// Starts two balancers, of which the first reaches its agents through relays.
-async fn start(name: &str) -> (Deployment, RelayedBalancer) {
-    let mut deployment = Deployment::start(name, 2, AGENTS).await;
-    let balancer = insert_relays(&mut deployment).await;
-    // The first balancer searches for owners only when its list of agents counts as complete.
-    tokio::time::sleep(Duration::from_millis(2_200)).await;
-    (deployment, balancer)
+/// The paths between the first balancer and the agents.
+struct FirstBalancer {
+    deployment: Deployment,
+    relays: Relays,
 }
 
-impl RelayedBalancer {
-    fn delay_answers(&self, delay: Duration) {
-        self.relays[PROMPT_AGENTS..].iter().for_each(|relay| relay.set_answer_delay(delay));
+impl FirstBalancer {
+    /// Starts two balancers, which reach their agents through relays.
+    async fn start(name: &str) -> Self {
+        let mut deployment = Deployment::start(name, 2, AGENTS).await;
+        let relays = Relays::start(&mut deployment, 0).await;
+        Self { deployment, relays }
+    }
+
+    fn set_fault(&self, agents: Range<usize>, fault: Fault) {
+        let balancer = self.deployment.balancers[0].machine.ip();
+        agents.for_each(|agent| self.relays.set_fault(balancer, agent, fault));
+    }
+
+    fn delay_answers(&self, answer_delay: Duration) {
+        let fault = Fault { answer_delay, ..Fault::default() };
+        self.set_fault(PROMPT_AGENTS..AGENTS.into(), fault);
+    }
+
+    fn log(&self) -> String {
+        self.deployment.balancers[0].log()
+    }
+
+    /// Sends the packets of the callers to the first balancer.
+    fn select(&self) {
+        self.deployment.callers.set_balancers(&[self.deployment.balancers[0].machine]);
     }
 }
 
@@ -128,12 +94,12 @@
 /// flows that it knows them to own.
 #[tokio::test(flavor = "multi_thread")]
 async fn late_answers_reset_no_known_flow() {
-    let (deployment, balancer) = start("late-known").await;
-    let mut flows = open_flows(&deployment).await;
-    deployment.callers.set_balancers(&[deployment.balancers[0].machine]);
+    let balancer = FirstBalancer::start("late-known").await;
+    let mut flows = open_flows(&balancer.deployment).await;
+    balancer.select();
     let unknown = flows.split_off(FLOWS - 1);
     let (flows, failures) = request_on_all(flows, "moved").await;
-    assert_eq!(failures, [], "before the delay\n{}", deployment.logs());
+    assert_eq!(failures, [], "before the delay\n{}", balancer.deployment.logs());
     balancer.delay_answers(ANSWER_DELAY);
     // The search for a flow that the balancer does not know begins the silence of all late agents.
     let _ = tokio::join!(request_on_all(unknown, "unknown"), tokio::time::sleep(SILENCE));
@@ -141,18 +107,18 @@
     balancer.delay_answers(Duration::ZERO);
     tokio::time::sleep(ANSWER_DELAY).await;
     failures.extend(request_on_all(flows, "recovered").await.1);
-    assert_eq!(failures, [], "{}", deployment.balancers[0].log());
-    deployment.assert_packets_intact();
+    assert_eq!(failures, [], "{}", balancer.log());
+    balancer.deployment.assert_packets_intact();
 }
 
 /// Guards against a balancer that gives a verdict about a flow it searches for while the answer of
 /// the owner is late, because it takes the owner for lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn late_answers_reset_no_moved_flow() {
-    let (deployment, balancer) = start("late-moved").await;
-    let flows = open_flows(&deployment).await;
+    let balancer = FirstBalancer::start("late-moved").await;
+    let flows = open_flows(&balancer.deployment).await;
     balancer.delay_answers(ANSWER_DELAY);
-    deployment.callers.set_balancers(&[deployment.balancers[0].machine]);
+    balancer.select();
     let (flows, mut failures) = request_on_all(flows, "moved").await;
     tokio::time::sleep(SILENCE).await;
     let (flows, later_failures) = request_on_all(flows, "silent").await;
@@ -160,6 +126,6 @@
     balancer.delay_answers(Duration::ZERO);
     tokio::time::sleep(ANSWER_DELAY).await;
     failures.extend(request_on_all(flows, "recovered").await.1);
-    assert_eq!(failures, [], "{}", deployment.balancers[0].log());
-    deployment.assert_packets_intact();
+    assert_eq!(failures, [], "{}", balancer.log());
+    balancer.deployment.assert_packets_intact();
 }
--- a/yuccacroft/tests/platform/main.rs
+++ b/yuccacroft/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod logs;
 mod losses;
 mod processes;
+mod relays;
 mod soak;
 mod stops;
 mod store;
