--- a/yuccacroft/tests/platform/late_answers.rs
+++ b/yuccacroft/tests/platform/late_answers.rs
@@ -1,9 +1,10 @@
-//! Agents whose answers to one balancer are late, as on a full link, while everything is alive.
+//! Agents whose answers to one balancer are late, as on a full link, or do not arrive, while
+//! everything is alive.
 
 use {
     crate::{
         deployment::{Deployment, REQUEST_TIMEOUT, booking_address},
-        relays::Relays,
+        relays::{self, Relays},
     },
     std::{ops::Range, time::Duration},
     tokio::task::JoinSet,
@@ -21,6 +22,11 @@
 /// Time from the start of the delay until every late agent has been without an answer for more
 /// than one second, but for less than the delay.
 const SILENCE: Duration = Duration::from_millis(1_400);
+/// The agents, the first ones, that one balancer does not reach for a while; more than half of the
+/// agents answer it.
+const SEPARATED_AGENTS: usize = 3;
+/// Time for which the balancer does not reach them, shorter than [`REQUEST_TIMEOUT`].
+const SEPARATION_TIME: Duration = Duration::from_secs(5);
 
 /// Sends a request on each flow at the same time. Returns the flows and the failures.
 async fn request_on_all(
@@ -129,3 +135,47 @@
     assert_eq!(failures, [], "{}", balancer.log());
     balancer.deployment.assert_packets_intact();
 }
+
+/// Opens flows, moves all but one of them to the first balancer, and sends requests on all of them
+/// there while no datagram passes between it and some agents in the direction of `fault`.
+async fn request_without_path(name: &str, fault: Fault) {
+    let balancer = FirstBalancer::start(name).await;
+    let mut flows = open_flows(&balancer.deployment).await;
+    balancer.select();
+    let unknown = flows.split_off(FLOWS / 2);
+    let (known, failures) = request_on_all(flows, "moved").await;
+    assert_eq!(failures, [], "before the fault\n{}", balancer.deployment.logs());
+    balancer.set_fault(0..SEPARATED_AGENTS, fault);
+    let requests = async {
+        let (early, mut failures) = request_on_all(unknown, "search").await;
+        failures.extend(request_on_all(early, "recovered").await.1);
+        failures
+    };
+    let later_requests = async {
+        tokio::time::sleep(SEPARATION_TIME / 2).await;
+        request_on_all(known, "separated").await.1
+    };
+    let repair = async {
+        tokio::time::sleep(SEPARATION_TIME).await;
+        balancer.set_fault(0..SEPARATED_AGENTS, Fault::default());
+    };
+    let (mut failures, later_failures, ()) = tokio::join!(requests, later_requests, repair);
+    failures.extend(later_failures);
+    assert_eq!(failures, [], "{}", balancer.log());
+    balancer.deployment.assert_packets_intact();
+}
+
+/// Guards against a balancer that resets the flows of agents from which it alone gets no answers:
+/// the balancer beside it and the store still reach them. Requests wait until the path is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_balancer_without_a_path_to_some_agents_resets_no_flow() {
+    request_without_path("separated-requests", relays::silent_requests()).await;
+}
+
+/// Guards against the same as
+/// [`one_balancer_without_a_path_to_some_agents_resets_no_flow`] when agents get the messages of the
+/// balancer, but their answers are lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_balancer_without_answers_of_some_agents_resets_no_flow() {
+    request_without_path("separated-answers", relays::silent_answers()).await;
+}
--- a/yuccacroft/tests/platform/relays.rs
+++ b/yuccacroft/tests/platform/relays.rs
@@ -27,6 +27,8 @@
 /// Time after which the list of agents of a started balancer counts as complete, so that it searches
 /// for owners.
 const LISTING_TIME: Duration = Duration::from_millis(2_200);
+/// Loss of all datagrams.
+const ALL_LOST: u8 = 100;
 
 /// Relays in front of all agents. The balancers have a store of their own, a copy of that of the
 /// agents, in which each agent has the address of its relay.
@@ -95,6 +97,16 @@
     }
 }
 
+/// Returns the fault of a path on which no datagram reaches the agent.
+pub fn silent_requests() -> Fault {
+    Fault { lost_requests: ALL_LOST, ..Fault::default() }
+}
+
+/// Returns the fault of a path on which no datagram of the agent arrives.
+pub fn silent_answers() -> Fault {
+    Fault { lost_answers: ALL_LOST, ..Fault::default() }
+}
+
 /// Copies changes from one store to another and replaces the addresses of agents by those of their
 /// relays. It does not return.
 async fn copy_entries(from: Arc<Store>, to: Store, addresses: Vec<(String, String)>) {
