--- a/yuccacroft/tests/platform/relays.rs
+++ b/yuccacroft/tests/platform/relays.rs
@@ -9,7 +9,7 @@
         time::Duration,
     },
     tokio::task::JoinSet,
-    yuccacroft_emulator::store::Store,
+    yuccacroft_emulator::store::{Fault as StoreFault, Store},
     yuccacroft_fakes::{
         tcp_proxy::TcpProxy,
         udp_relay::{Fault, Paths, UdpRelay},
@@ -34,8 +34,9 @@
 /// agents, in which each agent has the address of its relay.
 pub struct Relays {
     /// The proxy through which the balancers reach their store.
-    store_proxy: TcpProxy,
+    pub store_proxy: TcpProxy,
     paths: Arc<Paths>,
+    store: Arc<Store>,
     agents: Vec<Ipv4Addr>,
     _relays: Vec<UdpRelay>,
     _copying: JoinSet<()>,
@@ -53,14 +54,15 @@
             relays.push(UdpRelay::start(relay, agent.segments(), paths.clone()).await.unwrap());
             addresses.push((agent.segments().to_string(), relay.to_string()));
         }
-        let store = deployment.start_store(STORE_MACHINE).await;
+        let store = Arc::new(deployment.start_store(STORE_MACHINE).await);
         let mut copying = JoinSet::new();
-        copying.spawn(copy_entries(deployment.store.clone(), store, addresses));
+        copying.spawn(copy_entries(deployment.store.clone(), store.clone(), addresses));
         let own = deployment.machine(STORE_MACHINE).store();
         let store_proxy = TcpProxy::start(own.into()).await.unwrap();
         let relays = Self {
             store_proxy,
             paths,
+            store,
             agents: agents.iter().map(|machine| machine.ip()).collect(),
             _relays: relays,
             _copying: copying,
@@ -95,6 +97,22 @@
     pub fn set_fault(&self, balancer: Ipv4Addr, agent: usize, fault: Fault) {
         self.paths.set_fault(IpAddr::V4(balancer), IpAddr::V4(self.agents[agent]), fault);
     }
+
+    /// Limits the rate of the link of a balancer to all agents.
+    pub fn set_rate(&self, balancer: Ipv4Addr, bytes_per_second: u32) {
+        self.paths.set_rate(IpAddr::V4(balancer), Some(bytes_per_second));
+    }
+
+    /// Ends all faults of the paths of a balancer.
+    pub fn repair(&self, balancer: Ipv4Addr) {
+        (0..self.agents.len()).for_each(|agent| self.set_fault(balancer, agent, Fault::default()));
+        self.paths.set_rate(IpAddr::V4(balancer), None);
+    }
+
+    /// Sets the fault of the store of the balancers.
+    pub fn set_store_fault(&self, fault: StoreFault) {
+        self.store.set_fault(fault);
+    }
 }
 
 /// Returns the fault of a path on which no datagram reaches the agent.
@@ -109,7 +127,7 @@
 
 /// Copies changes from one store to another and replaces the addresses of agents by those of their
 /// relays. It does not return.
-async fn copy_entries(from: Arc<Store>, to: Store, addresses: Vec<(String, String)>) {
+async fn copy_entries(from: Arc<Store>, to: Arc<Store>, addresses: Vec<(String, String)>) {
     let translate = |text: &str| {
         let replace = |text: String, (agent, relay): &(String, String)| text.replace(agent, relay);
         addresses.iter().fold(text.to_owned(), replace)
--- a/yuccacroft/tests/platform/soak.rs
+++ b/yuccacroft/tests/platform/soak.rs
@@ -2,17 +2,21 @@
 //!
 //! Processes are killed, paused and stopped by signals. The store refuses calls, does not answer or
 //! loses answers, and a proxy stalls connections to it. Upstreams crash, drain and are
-//! replaced. Meanwhile callers send requests, and what they and the upstreams observe is checked.
+//! replaced. In one of the two scenarios, the paths between balancers and agents have faults as
+//! well. Meanwhile callers send requests, and what they and the upstreams observe is checked.
+
+mod paths;
 
 use {
     crate::deployment::{Deployment, default_behaviour},
+    paths::PathFaults,
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
         },
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime},
     },
     yuccacroft_emulator::{
         machine::Machine,
@@ -30,8 +34,9 @@
 const CI_DURATION: Duration = Duration::from_secs(8);
 const CALLERS: u32 = 24;
 const BALANCERS: u8 = 3;
-/// The number of agents of each service.
-const AGENTS_PER_SERVICE: [u8; 2] = [3, 2];
+/// Probability of a machine fault in one step of a run with faults of paths. With more of them,
+/// hardly any agent would be without a disruption for long enough to be checked.
+const MACHINE_FAULT_PROBABILITY: f64 = 0.25;
 /// Time after the last fault within which requests must be served again.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
 /// Time after [`RECOVERY_TIME`] during which served requests are counted.
@@ -41,6 +46,15 @@
 /// Time from a confirmed drain to the end of the upstream.
 const DRAIN_TIME: Duration = Duration::from_secs(3);
 
+/// The faults that a run injects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scenario {
+    /// Faults of processes, upstreams and the store.
+    Machines,
+    /// The same, and faults of the paths between balancers and agents.
+    Paths,
+}
+
 /// Action that ends a fault.
 #[derive(Clone, Copy, Debug)]
 enum Recovery {
@@ -53,27 +67,60 @@
     ReplaceUpstream(usize),
 }
 
+impl Scenario {
+    /// Returns the seed of the run in CI.
+    fn ci_seed(self) -> u64 {
+        match self {
+            Self::Machines => 1,
+            Self::Paths => 2,
+        }
+    }
+
+    /// Returns the number of agents of each service.
+    fn agents_per_service(self) -> [u8; 2] {
+        match self {
+            Self::Machines => [3, 2],
+            Self::Paths => [6, 3],
+        }
+    }
+}
+
 /// A deployment under random faults.
 struct Soak {
+    scenario: Scenario,
     deployment: Deployment,
     random: StdRng,
     /// Faults that are in effect, with the time at which each of them ends.
     pending: Vec<(Instant, Recovery)>,
+    /// The faults of paths, which draw from random numbers of their own.
+    paths: Option<PathFaults>,
     started_upstreams: u32,
     added_routes: usize,
 }
 
 impl Soak {
-    async fn start(seed: u64) -> Self {
-        let mut deployment = Deployment::start("soak", BALANCERS, AGENTS_PER_SERVICE[0]).await;
+    async fn start(scenario: Scenario, seed: u64) -> Self {
+        let [booking_agents, pack_agents] = scenario.agents_per_service();
+        let mut deployment = Deployment::start("soak", BALANCERS, booking_agents).await;
         deployment
             .write_config(&[(service_address(0), SERVICES[0]), (service_address(1), SERVICES[1])]);
-        for number in 0..AGENTS_PER_SERVICE[1] {
-            let agent = deployment.start_agent(AGENTS_PER_SERVICE[0] + number, SERVICES[1]).await;
+        for number in 0..pack_agents {
+            let agent = deployment.start_agent(booking_agents + number, SERVICES[1]).await;
             deployment.agents.push(agent);
         }
-        let random = StdRng::seed_from_u64(seed);
-        Self { deployment, random, pending: Vec::new(), started_upstreams: 0, added_routes: 0 }
+        let paths = match scenario {
+            Scenario::Machines => None,
+            Scenario::Paths => Some(PathFaults::start(&mut deployment, seed).await),
+        };
+        Self {
+            scenario,
+            deployment,
+            random: StdRng::seed_from_u64(seed),
+            pending: Vec::new(),
+            paths,
+            started_upstreams: 0,
+            added_routes: 0,
+        }
     }
 
     /// Picks a random machine out of `count`; returns `None` if another fault affects it.
@@ -108,6 +155,7 @@
     /// Schedules the end of a fault after a random time.
     fn schedule(&mut self, min_ms: u64, max_ms: u64, recovery: Recovery) {
         let delay_ms = self.random.random_range(min_ms..max_ms);
+        print_event(&format!("{recovery:?} in {delay_ms} ms"));
         self.pending.push((Instant::now() + Duration::from_millis(delay_ms), recovery));
     }
 
@@ -150,10 +198,13 @@
             6 => {
                 let faults = [Fault::Refuse(503), Fault::Silent, Fault::LoseAnswers];
                 let fault = faults[self.random.random_range(0..faults.len())];
-                self.deployment.store.set_fault(fault);
+                self.set_store_fault(fault);
                 self.schedule(200, 3_000, Recovery::RepairStore);
             }
-            7 => self.deployment.store_proxy.stall_connections(),
+            7 => {
+                self.deployment.store_proxy.stall_connections();
+                self.paths.iter().for_each(PathFaults::stall_store_connections);
+            }
             8 => {
                 let index = self.pick_agent()?;
                 self.deployment.crash_upstream(index).await;
@@ -197,7 +248,7 @@
                     self.deployment.agents[index].node.signal("CONT");
                     self.deployment.record_disruption(index);
                 }
-                Recovery::RepairStore => self.deployment.store.set_fault(Fault::None),
+                Recovery::RepairStore => self.set_store_fault(Fault::None),
                 Recovery::StartUpstream(index) => self.start_upstream(index).await,
                 Recovery::ReplaceUpstream(index) => {
                     if let Some(upstream) = self.deployment.agents[index].upstream.take() {
@@ -209,11 +260,17 @@
         }
     }
 
+    fn set_store_fault(&self, fault: Fault) {
+        self.deployment.store.set_fault(fault);
+        self.paths.iter().for_each(|paths| paths.set_store_fault(fault));
+    }
+
     async fn start_upstream(&mut self, index: usize) {
         self.started_upstreams += 1;
         let machine = self.deployment.agents[index].node.machine;
         let id = format!("upstream-{index}-{}", self.started_upstreams);
-        let service = SERVICES[usize::from(index >= usize::from(AGENTS_PER_SERVICE[0]))];
+        let [booking_agents, _] = self.scenario.agents_per_service();
+        let service = SERVICES[usize::from(index >= usize::from(booking_agents))];
         let upstream =
             self.deployment.start_upstream(machine, &id, default_behaviour(service)).await;
         self.deployment.agents[index].upstream = Some(upstream);
@@ -241,9 +298,16 @@
     (flags.collect(), tasks)
 }
 
-/// Runs the soak test with one seed.
-async fn run_soak(seed: u64, duration: Duration) {
-    let mut soak = Soak::start(seed).await;
+/// Prints an event of a run with the time, in the form in which the logs of the processes have it.
+/// The harness shows it if the test fails.
+fn print_event(text: &str) {
+    let time = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    println!("time={:.3} {text}", time.as_secs_f64());
+}
+
+/// Runs one scenario of the soak test with one seed.
+async fn run_soak(scenario: Scenario, seed: u64, duration: Duration) {
+    let mut soak = Soak::start(scenario, seed).await;
     let machines: Vec<_> = soak.deployment.balancers.iter().map(|node| node.machine).collect();
     let (ready, _probes) = probe_readiness(&machines);
     let (callers, invariants) =
@@ -265,10 +329,15 @@
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         update_routers();
         soak.recover(false).await;
+        soak.paths.iter_mut().for_each(PathFaults::step);
+        if soak.scenario == Scenario::Paths && !soak.random.random_bool(MACHINE_FAULT_PROBABILITY) {
+            continue;
+        }
         // A fault is skipped if another one affects its machine.
         let _ = soak.inject_fault().await;
     }
     soak.recover(true).await;
+    soak.paths.iter_mut().for_each(PathFaults::repair_all);
     let recovered_at = started_at.elapsed() + RECOVERY_TIME;
     while started_at.elapsed() < recovered_at + MEASUREMENT_TIME {
         tokio::time::sleep(Duration::from_millis(100)).await;
@@ -288,10 +357,11 @@
     soak.deployment.assert_packets_intact();
 }
 
-/// Guards against broken flows, repeated requests and other violations under overlapping faults.
-#[tokio::test(flavor = "multi_thread")]
-async fn random_faults_violate_no_guarantee() {
-    let Ok(text) = std::env::var(SOAK_VARIABLE) else { return run_soak(1, CI_DURATION).await };
+/// Runs a scenario with the seeds and the duration of [`SOAK_VARIABLE`].
+async fn run_seeds(scenario: Scenario) {
+    let Ok(text) = std::env::var(SOAK_VARIABLE) else {
+        return run_soak(scenario, scenario.ci_seed(), CI_DURATION).await;
+    };
     let parsed = text.split_once(' ').and_then(|(seeds, seconds)| {
         let (from, to) = seeds.split_once("..")?;
         Some((from.parse::<u64>().ok()?..to.parse().ok()?, seconds.parse().ok()?))
@@ -301,6 +371,19 @@
     };
     for seed in seeds {
         println!("seed {seed}");
-        run_soak(seed, Duration::from_secs(seconds)).await;
+        run_soak(scenario, seed, Duration::from_secs(seconds)).await;
     }
 }
+
+/// Guards against broken flows, repeated requests and other violations under overlapping faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn random_faults_violate_no_guarantee() {
+    run_seeds(Scenario::Machines).await;
+}
+
+/// Guards against balancers that take agents for lost to which only their own path is disturbed,
+/// and reset open flows whose upstreams live, while other faults overlap.
+#[tokio::test(flavor = "multi_thread")]
+async fn path_faults_violate_no_guarantee() {
+    run_seeds(Scenario::Paths).await;
+}
