--- a/yuccacroft-fakes/src/udp_relay.rs
+++ b/yuccacroft-fakes/src/udp_relay.rs
@@ -18,10 +18,12 @@
         time::{Instant, sleep},
     },
     yuccacroft_core::ids::Instance,
-    yuccacroft_wire::relay::{self, Reply, Request},
+    yuccacroft_wire::relay::{self, Request},
 };
 
 const MAX_DATAGRAM_BYTES: usize = 2_048;
+/// Position of the header in a message, after the version and the length of the header.
+const HEADER_START: usize = 2;
 /// Time for which a datagram waits at most in the queue of a narrow link.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(500);
 
@@ -43,14 +45,20 @@
 #[derive(Debug)]
 struct State {
     random: StdRng,
-    /// The relay of each agent.
-    relays: HashMap<Instance, Instance>,
+    addresses: Vec<AddressPair>,
     /// Faults by the addresses of client and agent.
     faults: HashMap<(IpAddr, IpAddr), Fault>,
     /// The narrow links of clients.
     links: HashMap<IpAddr, Link>,
 }
 
+/// The addresses of an agent and of its relay, as headers of messages contain them.
+#[derive(Debug)]
+struct AddressPair {
+    agent: Box<[u8]>,
+    relay: Box<[u8]>,
+}
+
 /// A link with a limited rate and a queue in each direction.
 #[derive(Clone, Copy, Debug)]
 struct Link {
@@ -85,7 +93,7 @@
     pub fn new(seed: u64) -> Self {
         Self(Mutex::new(State {
             random: StdRng::seed_from_u64(seed),
-            relays: HashMap::new(),
+            addresses: Vec::new(),
             faults: HashMap::new(),
             links: HashMap::new(),
         }))
@@ -140,14 +148,34 @@
         }
     }
 
-    /// Gives an answer the address of the relay of its sender.
-    fn translate_answer(&self, datagram: &[u8]) -> Option<Vec<u8>> {
-        let (mut reply, segment) = relay::decode::<Reply>(datagram).ok()?;
-        reply.from.instance = *self.state().relays.get(&reply.from.instance)?;
-        relay::encode(&reply, segment).ok()
+    /// Replaces the addresses of agents in the header of a message by those of their relays. It does
+    /// so for any message, since agents send both answers and requests to other agents.
+    fn translate_answer(&self, datagram: &[u8]) -> Vec<u8> {
+        let mut translated = datagram.to_vec();
+        let Some((&mut [_, length], rest)) = translated.split_first_chunk_mut::<HEADER_START>()
+        else {
+            return translated;
+        };
+        let header_length = usize::from(length).min(rest.len());
+        let header = &mut rest[..header_length];
+        for AddressPair { agent, relay } in &self.state().addresses {
+            for start in 0..(header_length + 1).saturating_sub(agent.len()) {
+                let bytes = &mut header[start..start + agent.len()];
+                if *bytes == **agent {
+                    bytes.copy_from_slice(relay);
+                }
+            }
+        }
+        translated
     }
 }
 
+/// Returns the bytes of an address in the header of a message.
+fn encode_address(address: SocketAddrV4) -> io::Result<Box<[u8]>> {
+    let message = relay::encode(&Instance::new(address), &[]).map_err(io::Error::other)?;
+    Ok(message[HEADER_START..].into())
+}
+
 impl Link {
     /// Adds a datagram to the queue and returns the time until it has been sent; `None` if the queue
     /// is full.
@@ -174,7 +202,9 @@
         agent: SocketAddrV4,
         paths: Arc<Paths>,
     ) -> io::Result<Self> {
-        paths.state().relays.insert(Instance::new(agent), Instance::new(address));
+        let pair = AddressPair { agent: encode_address(agent)?, relay: encode_address(address)? };
+        assert_eq!(pair.agent.len(), pair.relay.len(), "the length of a header must not change");
+        paths.state().addresses.push(pair);
         let client_side = UdpSocket::bind(address).await?;
         let relay = Arc::new(Relay { paths, agent, client_side });
         let mut task = JoinSet::new();
@@ -233,7 +263,7 @@
         let mut delayed = JoinSet::new();
         loop {
             let Ok((length, agent)) = session.recv_from(&mut buffer).await else { continue };
-            let Some(answer) = self.paths.translate_answer(&buffer[..length]) else { continue };
+            let answer = self.paths.translate_answer(&buffer[..length]);
             let delay = self.paths.delay(client.ip(), agent.ip(), Direction::Answer, length);
             match delay {
                 None => {}
