--- a/yuccacroft/tests/platform/late_answers.rs
+++ b/yuccacroft/tests/platform/late_answers.rs
@@ -22,6 +22,12 @@
 /// Time from the start of the delay until every late agent has been without an answer for more
 /// than one second, but for less than the delay.
 const SILENCE: Duration = Duration::from_millis(1_400);
+/// Delay of answers that arrive only after every agent without an answer counts as lost, however
+/// many there are.
+const LONG_ANSWER_DELAY: Duration = Duration::from_millis(6_000);
+/// Time from the start of the long delay until every late agent has been without an answer for
+/// longer than the loss timeout, which is at most 2.5 s.
+const LONG_SILENCE: Duration = Duration::from_millis(3_500);
 /// The agents, the first ones, that one balancer does not reach for a while; more than half of the
 /// agents answer it.
 const SEPARATED_AGENTS: usize = 3;
@@ -100,18 +106,31 @@
 /// flows that it knows them to own.
 #[tokio::test(flavor = "multi_thread")]
 async fn late_answers_reset_no_known_flow() {
-    let balancer = FirstBalancer::start("late-known").await;
+    check_known_flows("late-known", ANSWER_DELAY, SILENCE).await;
+}
+
+/// Guards against a balancer that takes agents for lost whose answers it alone does not get, and
+/// resets the flows that it knows them to own.
+#[tokio::test(flavor = "multi_thread")]
+async fn missing_answers_reset_no_known_flow() {
+    check_known_flows("missing-known", LONG_ANSWER_DELAY, LONG_SILENCE).await;
+}
+
+/// Checks that flows known to be owned by late agents continue, with answers that are late by
+/// `delay`, after a silence of these agents.
+async fn check_known_flows(name: &str, delay: Duration, silence: Duration) {
+    let balancer = FirstBalancer::start(name).await;
     let mut flows = open_flows(&balancer.deployment).await;
     balancer.select();
     let unknown = flows.split_off(FLOWS - 1);
     let (flows, failures) = request_on_all(flows, "moved").await;
     assert_eq!(failures, [], "before the delay\n{}", balancer.deployment.logs());
-    balancer.delay_answers(ANSWER_DELAY);
+    balancer.delay_answers(delay);
     // The search for a flow that the balancer does not know begins the silence of all late agents.
-    let _ = tokio::join!(request_on_all(unknown, "unknown"), tokio::time::sleep(SILENCE));
+    let _ = tokio::join!(request_on_all(unknown, "unknown"), tokio::time::sleep(silence));
     let (flows, mut failures) = request_on_all(flows, "silent").await;
     balancer.delay_answers(Duration::ZERO);
-    tokio::time::sleep(ANSWER_DELAY).await;
+    tokio::time::sleep(delay).await;
     failures.extend(request_on_all(flows, "recovered").await.1);
     assert_eq!(failures, [], "{}", balancer.log());
     balancer.deployment.assert_packets_intact();
