--- a/yuccacroft/tests/platform/late_answers.rs
+++ b/yuccacroft/tests/platform/late_answers.rs
@@ -1,19 +1,15 @@
-//! Agents whose answers to one balancer are late, as on a full link, while everything is alive.
+//! Agents whose answers to one balancer are late, as on a full link, or do not arrive, while
+//! everything is alive.
 
 use {
-    crate::deployment::{AGENT_KEY_PREFIX, Deployment, REQUEST_TIMEOUT, booking_address},
-    std::{
-        net::{IpAddr, SocketAddrV4},
-        time::Duration,
+    crate::{
+        deployment::{Deployment, REQUEST_TIMEOUT, booking_address},
+        relays::{self, Relays},
     },
+    std::{ops::Range, time::Duration},
     tokio::task::JoinSet,
-    yuccacroft_core::ids::Instance,
-    yuccacroft_emulator::{
-        caller::{Connection, Failure},
-        store::Store,
-    },
-    yuccacroft_fakes::udp_relay::UdpRelay,
-    yuccacroft_wire::relay::{self, Reply, Request},
+    yuccacroft_emulator::caller::{Connection, Failure},
+    yuccacroft_fakes::udp_relay::Fault,
 };
 
 const AGENTS: u8 = 8;
@@ -32,67 +28,11 @@
 /// Time from the start of the long delay until every late agent has been without an answer for
 /// longer than the loss timeout, which is at most 2.5 s.
 const LONG_SILENCE: Duration = Duration::from_millis(3_500);
-
-/// A balancer that reaches the agents through relays.
-struct RelayedBalancer {
-    machine: IpAddr,
-    relays: Vec<UdpRelay>,
-    /// The store of this balancer, in which the agents have the addresses of their relays.
-    _store: Store,
-}
-
-/// Starts a relay in front of an agent. Answers to the balancer and to other agents name the relay as
-/// their sender.
-async fn start_relay(address: SocketAddrV4, agent: SocketAddrV4) -> UdpRelay {
-    let translate = move |datagram: &[u8]| {
-        let instance = Instance::new(address);
-        if let Ok((Request::RelayedPong { origin, mut from, condition }, _)) =
-            relay::decode(datagram)
-        {
-            from.instance = instance;
-            return relay::encode(&Request::RelayedPong { origin, from, condition }, &[]).ok();
-        }
-        let (mut reply, segment) = relay::decode::<Reply>(datagram).ok()?;
-        reply.from.instance = instance;
-        relay::encode(&reply, segment).ok()
-    };
-    UdpRelay::start(address.into(), agent.into(), Box::new(translate)).await.unwrap()
-}
-
-/// Restarts the first balancer with a store of its own, in which each agent has the address of a
-/// relay.
-async fn insert_relays(deployment: &mut Deployment) -> RelayedBalancer {
-    let store = deployment.start_store(3).await;
-    let (mut relays, mut addresses) = (Vec::new(), Vec::new());
-    for (number, agent) in (0..).zip(&deployment.agents) {
-        let address = deployment.machine(200 + number).segments();
-        let agent = agent.node.machine.segments();
-        relays.push(start_relay(address, agent).await);
-        addresses.push((agent.to_string(), address.to_string()));
-    }
-    let translate = |text: &str| {
-        let replace = |text: String, (agent, relay): &(String, String)| text.replace(agent, relay);
-        addresses.iter().fold(text.to_owned(), replace)
-    };
-    let mut keys = deployment.store.keys(AGENT_KEY_PREFIX);
-    keys.extend(deployment.store.keys("op/"));
-    for key in keys {
-        let value = deployment.store.read(&key).unwrap();
-        store.write(&translate(&key), &translate(&value));
-    }
-    let (shared, own) = (deployment.store_proxy.address(), deployment.machine(3).store());
-    let balancer = &mut deployment.balancers[0];
-    balancer.edit_settings(|text| text.replace(&shared.to_string(), &own.to_string()));
-    let joined = |log: String| log.matches("change=Joined").count();
-    let joined_before = joined(balancer.log());
-    balancer.restart();
-    deployment.wait_for_readiness(0, true).await;
-    let knows_agents =
-        || joined(deployment.balancers[0].log()) == joined_before + usize::from(AGENTS);
-    deployment.wait_until("knowledge of all relays", knows_agents).await;
-    let machine = deployment.balancers[0].machine.ip().into();
-    RelayedBalancer { machine, relays, _store: store }
-}
+/// The agents, the first ones, that one balancer does not reach for a while; more than half of the
+/// agents answer it.
+const SEPARATED_AGENTS: usize = 3;
+/// Time for which the balancer does not reach them, shorter than [`REQUEST_TIMEOUT`].
+const SEPARATION_TIME: Duration = Duration::from_secs(5);
 
 /// Sends a request on each flow at the same time. Returns the flows and the failures.
 async fn request_on_all(
@@ -128,19 +68,37 @@
     flows
 }
 
-/// Starts two balancers, of which the first reaches its agents through relays.
-async fn start(name: &str) -> (Deployment, RelayedBalancer) {
-    let mut deployment = Deployment::start(name, 2, AGENTS).await;
-    let balancer = insert_relays(&mut deployment).await;
-    // The first balancer searches for owners only when its list of agents counts as complete.
-    tokio::time::sleep(Duration::from_millis(2_200)).await;
-    (deployment, balancer)
+/// The paths between the first balancer and the agents.
+struct FirstBalancer {
+    deployment: Deployment,
+    relays: Relays,
 }
 
-impl RelayedBalancer {
-    fn delay_answers(&self, delay: Duration) {
-        let late = self.relays[PROMPT_AGENTS..].iter();
-        late.for_each(|relay| relay.set_answer_delay(self.machine, delay));
+impl FirstBalancer {
+    /// Starts two balancers, which reach their agents through relays.
+    async fn start(name: &str) -> Self {
+        let mut deployment = Deployment::start(name, 2, AGENTS).await;
+        let relays = Relays::start(&mut deployment, 0).await;
+        Self { deployment, relays }
+    }
+
+    fn set_fault(&self, agents: Range<usize>, fault: Fault) {
+        let balancer = self.deployment.balancers[0].machine.ip();
+        agents.for_each(|agent| self.relays.set_fault(balancer, agent, fault));
+    }
+
+    fn delay_answers(&self, answer_delay: Duration) {
+        let fault = Fault { answer_delay, ..Fault::default() };
+        self.set_fault(PROMPT_AGENTS..AGENTS.into(), fault);
+    }
+
+    fn log(&self) -> String {
+        self.deployment.balancers[0].log()
+    }
+
+    /// Sends the packets of the callers to the first balancer.
+    fn select(&self) {
+        self.deployment.callers.set_balancers(&[self.deployment.balancers[0].machine]);
     }
 }
 
@@ -161,12 +119,12 @@
 /// Checks that flows known to be owned by late agents continue, with answers that are late by
 /// `delay`, after a silence of these agents.
 async fn check_known_flows(name: &str, delay: Duration, silence: Duration) {
-    let (deployment, balancer) = start(name).await;
-    let mut flows = open_flows(&deployment).await;
-    deployment.callers.set_balancers(&[deployment.balancers[0].machine]);
+    let balancer = FirstBalancer::start(name).await;
+    let mut flows = open_flows(&balancer.deployment).await;
+    balancer.select();
     let unknown = flows.split_off(FLOWS - 1);
     let (flows, failures) = request_on_all(flows, "moved").await;
-    assert_eq!(failures, [], "before the delay\n{}", deployment.logs());
+    assert_eq!(failures, [], "before the delay\n{}", balancer.deployment.logs());
     balancer.delay_answers(delay);
     // The search for a flow that the balancer does not know begins the silence of all late agents.
     let _ = tokio::join!(request_on_all(unknown, "unknown"), tokio::time::sleep(silence));
@@ -174,18 +132,18 @@
     balancer.delay_answers(Duration::ZERO);
     tokio::time::sleep(delay).await;
     failures.extend(request_on_all(flows, "recovered").await.1);
-    assert_eq!(failures, [], "{}", deployment.balancers[0].log());
-    deployment.assert_packets_intact();
+    assert_eq!(failures, [], "{}", balancer.log());
+    balancer.deployment.assert_packets_intact();
 }
 
 /// Guards against a balancer that gives a verdict about a flow it searches for while the answer of
 /// the owner is late, because it takes the owner for lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn late_answers_reset_no_moved_flow() {
-    let (deployment, balancer) = start("late-moved").await;
-    let flows = open_flows(&deployment).await;
+    let balancer = FirstBalancer::start("late-moved").await;
+    let flows = open_flows(&balancer.deployment).await;
     balancer.delay_answers(ANSWER_DELAY);
-    deployment.callers.set_balancers(&[deployment.balancers[0].machine]);
+    balancer.select();
     let (flows, mut failures) = request_on_all(flows, "moved").await;
     tokio::time::sleep(SILENCE).await;
     let (flows, later_failures) = request_on_all(flows, "silent").await;
@@ -193,6 +151,50 @@
     balancer.delay_answers(Duration::ZERO);
     tokio::time::sleep(ANSWER_DELAY).await;
     failures.extend(request_on_all(flows, "recovered").await.1);
-    assert_eq!(failures, [], "{}", deployment.balancers[0].log());
-    deployment.assert_packets_intact();
+    assert_eq!(failures, [], "{}", balancer.log());
+    balancer.deployment.assert_packets_intact();
+}
+
+/// Opens flows, moves all but one of them to the first balancer, and sends requests on all of them
+/// there while no datagram passes between it and some agents in the direction of `fault`.
+async fn request_without_path(name: &str, fault: Fault) {
+    let balancer = FirstBalancer::start(name).await;
+    let mut flows = open_flows(&balancer.deployment).await;
+    balancer.select();
+    let unknown = flows.split_off(FLOWS / 2);
+    let (known, failures) = request_on_all(flows, "moved").await;
+    assert_eq!(failures, [], "before the fault\n{}", balancer.deployment.logs());
+    balancer.set_fault(0..SEPARATED_AGENTS, fault);
+    let requests = async {
+        let (early, mut failures) = request_on_all(unknown, "search").await;
+        failures.extend(request_on_all(early, "recovered").await.1);
+        failures
+    };
+    let later_requests = async {
+        tokio::time::sleep(SEPARATION_TIME / 2).await;
+        request_on_all(known, "separated").await.1
+    };
+    let repair = async {
+        tokio::time::sleep(SEPARATION_TIME).await;
+        balancer.set_fault(0..SEPARATED_AGENTS, Fault::default());
+    };
+    let (mut failures, later_failures, ()) = tokio::join!(requests, later_requests, repair);
+    failures.extend(later_failures);
+    assert_eq!(failures, [], "{}", balancer.log());
+    balancer.deployment.assert_packets_intact();
+}
+
+/// Guards against a balancer that resets the flows of agents from which it alone gets no answers:
+/// the balancer beside it and the store still reach them. Requests wait until the path is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_balancer_without_a_path_to_some_agents_resets_no_flow() {
+    request_without_path("separated-requests", relays::silent_requests()).await;
+}
+
+/// Guards against the same as
+/// [`one_balancer_without_a_path_to_some_agents_resets_no_flow`] when agents get the messages of the
+/// balancer, but their answers are lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_balancer_without_answers_of_some_agents_resets_no_flow() {
+    request_without_path("separated-answers", relays::silent_answers()).await;
 }
