--- a/yuccacroft/tests/platform/soak.rs
+++ b/yuccacroft/tests/platform/soak.rs
@@ -28,7 +28,7 @@
 };
 
 /// The environment variable that sets the range of seeds and the seconds for each of them, as in
-/// `1..50 20`.
+/// `1..50 20`. `1..50 20 many` runs the machine faults among as many processes as the machine bears.
 const SOAK_VARIABLE: &str = "YUCCACROFT_SOAK";
 /// Time during which faults are injected if the variable is not set, as in CI.
 const CI_DURATION: Duration = Duration::from_secs(8);
@@ -378,16 +378,24 @@
     soak.deployment.assert_packets_intact();
 }
 
+/// Parses a range of seeds and a number of seconds.
+fn parse_range(words: &[&str]) -> Option<(std::ops::Range<u64>, u64)> {
+    let [seeds, seconds] = words else { return None };
+    let (from, to) = seeds.split_once("..")?;
+    Some((from.parse().ok()?..to.parse().ok()?, seconds.parse().ok()?))
+}
+
 /// Runs a scenario with the seeds and the duration of [`SOAK_VARIABLE`].
 async fn run_seeds(scenario: Scenario) {
     let Ok(text) = std::env::var(SOAK_VARIABLE) else {
         return run_soak(scenario, scenario.ci_seed(), CI_DURATION).await;
     };
-    let parsed = text.split_once(' ').and_then(|(seeds, seconds)| {
-        let (from, to) = seeds.split_once("..")?;
-        Some((from.parse::<u64>().ok()?..to.parse().ok()?, seconds.parse().ok()?))
-    });
-    let Some((seeds, seconds)) = parsed else {
+    let words: Vec<_> = text.split(' ').collect();
+    let (scenario, range) = match (scenario, words.as_slice()) {
+        (Scenario::Machines, [range @ .., "many"]) => (Scenario::Many, range),
+        (scenario, range) => (scenario, range),
+    };
+    let Some((seeds, seconds)) = parse_range(range) else {
         panic!("{SOAK_VARIABLE}: expected seeds and seconds such as 1..50 20, found {text}")
     };
     for seed in seeds {
@@ -408,10 +416,3 @@
 async fn path_faults_violate_no_guarantee() {
     run_seeds(Scenario::Paths).await;
 }
-
-/// Guards against the same as [`random_faults_violate_no_guarantee`] with 90 processes.
-#[tokio::test(flavor = "multi_thread")]
-#[ignore = "takes the whole machine; run by hand"]
-async fn random_faults_among_many_processes_violate_no_guarantee() {
-    run_seeds(Scenario::Many).await;
-}
