--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -224,11 +224,15 @@
     /// the timeout of [`Pool::loss_timeout`]. Without a timeout silence proves nothing.
     pub fn is_lost(&self, loss_timeout: Option<Span>, now: Moment) -> bool {
         let Some(loss_timeout) = loss_timeout else { return false };
-        let may_restart = self.stopped_at.is_some_and(|at| now.since(at) < RESTART_GRACE_PERIOD);
         if self.has_ended() {
             return self.is_answer_overdue(SUSPICION_TIMEOUT, now);
         }
-        self.is_answer_overdue(loss_timeout, now) && !may_restart
+        self.is_answer_overdue(loss_timeout, now) && !self.may_restart(now)
+    }
+
+    /// Returns true if the member has announced a stop or restart and has time left to return.
+    fn may_restart(&self, now: Moment) -> bool {
+        self.stopped_at.is_some_and(|at| now.since(at) < RESTART_GRACE_PERIOD)
     }
 
     /// Returns true if the upstream of the member has announced its end. The load is newer than the
@@ -246,9 +250,11 @@
     }
 
     /// Returns true if the member has never answered, although it would have by now if it had
-    /// started together with the other members.
+    /// started together with the other members. One that has announced a restart may come later.
     pub fn is_absent(&self, now: Moment) -> bool {
-        self.load.is_none() && self.is_answer_overdue(ABSENCE_TIMEOUT, now)
+        self.load.is_none()
+            && self.is_answer_overdue(ABSENCE_TIMEOUT, now)
+            && !self.may_restart(now)
     }
 
     /// Returns true if the listing showed an earlier incarnation of the member than the current
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -419,6 +419,18 @@
     assert_eq!(member().unanswered_queries(), 1);
 }
 
+/// Guards against a reset of a flow whose agent restarts during a rolling restart, by a balancer that
+/// has just started and has never heard the agent.
+#[test]
+fn a_member_that_restarts_is_not_absent() {
+    let pool = Pool::new();
+    pool.upsert(AgentEntry { phase: AgentPhase::Stopping, ..entry(1, 1, 2) }, START);
+    pool.record_query(instance(1), START);
+    assert!(!pool.get(instance(1)).unwrap().is_absent(at(600)));
+    pool.record_query(instance(1), at(15_000));
+    assert!(pool.get(instance(1)).unwrap().is_absent(at(15_600)));
+}
+
 /// Guards against an isolated balancer that considers all members dead.
 #[test]
 fn a_balancer_that_reaches_no_member_is_isolated() {
