--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -521,7 +521,8 @@
         self.members.retain(|_, member| {
             let is_unlisted =
                 member.unlisted_since.is_some_and(|at| now.since(at) >= UNLISTED_GRACE_PERIOD);
-            let is_silent = loss_timeout.is_some_and(|span| member.is_answer_overdue(span, now));
+            let is_silent = loss_timeout.is_some_and(|span| member.is_answer_overdue(span, now))
+                && (member.has_ended() || !member.may_restart(now));
             let is_kept = !is_unlisted || !is_silent;
             if !is_kept {
                 removed.push(member.entry.agent_id);
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -431,6 +431,22 @@
     assert!(pool.get(instance(1)).unwrap().is_absent(at(15_600)));
 }
 
+/// Guards against a reset of a flow whose agent restarts while the store does not list it: the agent
+/// is back within its grace period, but no search asked it.
+#[test]
+fn an_unlisted_member_that_restarts_stays() {
+    let pool = pool(3);
+    for (number, phase) in [(2, AgentPhase::Stopping), (3, AgentPhase::Ended)] {
+        pool.upsert(AgentEntry { phase, ..entry(number, 1, 2) }, START);
+        pool.mark_unlisted(instance(number), START);
+        pool.record_query(instance(number), START);
+    }
+    answer(&pool, 1..=1, 4_000, 2);
+    assert_eq!(pool.expire(at(4_010)), [entry(3, 1, 1).agent_id]);
+    answer(&pool, 1..=1, 15_000, 2);
+    assert_eq!(pool.expire(at(15_010)), [entry(2, 1, 1).agent_id]);
+}
+
 /// Guards against an isolated balancer that considers all members dead.
 #[test]
 fn a_balancer_that_reaches_no_member_is_isolated() {
