--- a/yuccacroft-core/src/pool/path.rs
+++ b/yuccacroft-core/src/pool/path.rs
@@ -16,9 +16,6 @@
 const MAX_PROMPT_DELAY: Span = Span::from_millis(150);
 /// Age up to which an answer tells the state of the path. All members are pinged every second.
 const MAX_ANSWER_AGE: Span = Span::from_millis(1_500);
-/// Time after the last sign of congestion or of a cut from which on silence is conclusive again: the
-/// silence that makes a member count as lost must lie after it.
-const RECOVERY_TIME: Span = Span::from_millis(1_000);
 /// A quarter of the members must have answered promptly. The rest may have failed together.
 const MIN_PROMPT_FRACTION: usize = 4;
 /// The path counts as congested if more than a quarter of the recent answers were late.
@@ -102,8 +99,9 @@
             self.impaired_at.fetch_max(now.get(), Ordering::Relaxed);
         }
         let impaired_at = self.impaired_at.load(Ordering::Relaxed);
+        // The silence that makes a member count as lost must lie after the last impairment.
         let has_recovered =
-            impaired_at == 0 || now.since(Moment::new(impaired_at)) >= RECOVERY_TIME;
+            impaired_at == 0 || now.since(Moment::new(impaired_at)) >= counts.loss_timeout();
         is_sound && has_recovered
     }
 }
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -155,7 +155,8 @@
     answer(&pool, 1..=3, 1_500, 2);
     assert!(!is_conclusive(&pool, at(1_600)));
     answer(&pool, 1..=3, 2_400, 2);
-    assert!(is_conclusive(&pool, at(2_450)));
+    assert!(!is_conclusive(&pool, at(2_774)), "with one of four silent, a silence lasts 1.375 s");
+    assert!(is_conclusive(&pool, at(2_776)));
     // Without answers nothing is known.
     assert!(!is_conclusive(&pool, at(4_000)));
 }
@@ -206,7 +207,10 @@
         pool.record_answer(entry(number, 1, 1).agent_id, load(0, 20), at(4_302));
     }
     assert!(!is_conclusive(&pool, at(4_303)), "the path has only just recovered");
-    assert!(is_conclusive(&pool, at(5_303)), "the others had time to answer");
+    answer(&pool, 1..=4, 5_300, 2);
+    assert!(!is_conclusive(&pool, at(5_303)), "with half of them silent, a silence lasts 1.75 s");
+    assert!(!is_conclusive(&pool, at(5_949)));
+    assert!(is_conclusive(&pool, at(5_951)), "the others had time to answer");
 }
 
 /// Guards against callers that wait for flows of machines that have failed together while the others
