--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -233,11 +233,10 @@
     /// if the member has answered through another one meanwhile.
     pub fn is_lost(&self, loss_timeout: Option<Span>, now: Moment) -> bool {
         let Some(loss_timeout) = loss_timeout else { return false };
-        let may_restart = self.stopped_at.is_some_and(|at| now.since(at) < RESTART_GRACE_PERIOD);
         if self.has_ended() {
             return self.is_answer_overdue(SUSPICION_TIMEOUT, now);
         }
-        self.is_silent_to_all(loss_timeout, now) && !may_restart
+        self.is_silent_to_all(loss_timeout, now) && !self.may_restart(now)
     }
 
     /// Returns true if the member has owed an answer for at least `span` and no other member has
@@ -262,6 +261,11 @@
         Timeliness::new(self.answer, unanswered, now)
     }
 
+    /// Returns true if the member has announced a stop or restart and has time left to return.
+    fn may_restart(&self, now: Moment) -> bool {
+        self.stopped_at.is_some_and(|at| now.since(at) < RESTART_GRACE_PERIOD)
+    }
+
     /// Returns true if the upstream of the member has announced its end. The load is newer than the
     /// entry while the store is out of reach, and shows whether another upstream has started since.
     fn has_ended(&self) -> bool {
@@ -277,10 +281,10 @@
     }
 
     /// Returns true if the member has never answered, although it would have by now if it had
-    /// started together with the other members.
+    /// started together with the other members. One that has announced a restart may come later.
     pub fn is_absent(&self, now: Moment) -> bool {
         let has_answered = self.load.is_some() || self.contact.has_answered();
-        !has_answered && self.is_answer_overdue(ABSENCE_TIMEOUT, now)
+        !has_answered && self.is_answer_overdue(ABSENCE_TIMEOUT, now) && !self.may_restart(now)
     }
 
     /// Returns true if the listing showed an earlier incarnation of the member than the current
@@ -639,7 +643,8 @@
         self.members.retain(|_, member| {
             let is_unlisted =
                 member.unlisted_since.is_some_and(|at| now.since(at) >= UNLISTED_GRACE_PERIOD);
-            let is_silent = loss_timeout.is_some_and(|span| member.is_silent_to_all(span, now));
+            let is_silent = loss_timeout.is_some_and(|span| member.is_silent_to_all(span, now))
+                && (member.has_ended() || !member.may_restart(now));
             let is_kept = !is_unlisted || !is_silent;
             if !is_kept {
                 removed.push(member.entry.agent_id);
