--- a/yuccacroft-core/src/handshake/observation.rs
+++ b/yuccacroft-core/src/handshake/observation.rs
@@ -75,7 +75,9 @@
                     end(EndCause::Reset, Some(open.started_at), open.request.is_some())
                 }
                 (Control::Finish, Some(State::Open(open))) => {
-                    end(EndCause::Closed, Some(open.started_at), open.request.is_some())
+                    // Data with the last segment answers the request.
+                    let busy = open.request.is_some() && segment.length == 0;
+                    end(EndCause::Closed, Some(open.started_at), busy)
                 }
                 (
                     Control::Reset,
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -185,6 +185,8 @@
     assert_eq!(table.upstream_end(&reset(2), at(7)), end(EndCause::Reset, 7, true));
     assert_eq!(table.upstream_end(&finish, at(8)), end(EndCause::Closed, 8, true));
     assert_eq!(table.upstream_end(&answer(2), at(8)), None);
+    let last_data = Segment { length: 80, ..finish };
+    assert_eq!(table.upstream_end(&last_data, at(8)), end(EndCause::Closed, 8, false), "an answer");
     table.handle_reply(&finish, at(8));
     assert_eq!(table.upstream_end(&finish, at(9)), None, "a copy");
 }
