--- a/yuccacroft/tests/platform/soak.rs
+++ b/yuccacroft/tests/platform/soak.rs
@@ -2,8 +2,8 @@
 //!
 //! Processes are killed, paused and stopped by signals. The store refuses calls, does not answer or
 //! loses answers, and a proxy stalls connections to it. Upstreams crash, drain and are
-//! replaced. In one of the two scenarios, the paths between balancers and agents have faults as
-//! well. Meanwhile callers send requests, and what they and the upstreams observe is checked.
+//! replaced. In one scenario, the paths between balancers and agents have faults as well. Meanwhile
+//! callers send requests, and what they and the upstreams observe is checked.
 
 mod paths;
 
