--- a/yuccacroft-core/src/pool/listing.rs
+++ b/yuccacroft-core/src/pool/listing.rs
@@ -67,6 +67,7 @@
     pub fn record_announced(&self, created: Revision, now: Moment) {
         self.announced.fetch_max(created.get(), Ordering::Relaxed);
         if self.is_outdated() {
+            // It fails if the list has been outdated before.
             let _ = self.outdated_since.compare_exchange(
                 0,
                 now.get(),
