--- a/yuccacroft/tests/platform/soak.rs
+++ b/yuccacroft/tests/platform/soak.rs
@@ -80,6 +80,15 @@
         }
     }
 
+    /// Returns the name of the deployment, which no test that runs at the same time may share.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Machines => "soak",
+            Self::Paths => "soak-paths",
+            Self::Many => "soak-many",
+        }
+    }
+
     /// Returns the number of balancers.
     fn balancers(self) -> u8 {
         match self {
@@ -123,7 +132,8 @@
 impl Soak {
     async fn start(scenario: Scenario, seed: u64) -> Self {
         let [booking_agents, pack_agents] = scenario.agents_per_service();
-        let mut deployment = Deployment::start("soak", scenario.balancers(), booking_agents).await;
+        let mut deployment =
+            Deployment::start(scenario.name(), scenario.balancers(), booking_agents).await;
         deployment
             .write_config(&[(service_address(0), SERVICES[0]), (service_address(1), SERVICES[1])]);
         for number in 0..pack_agents {
