--- a/yuccacroft-core/src/opening.rs
+++ b/yuccacroft-core/src/opening.rs
@@ -12,10 +12,10 @@
     time::{Moment, Span},
 };
 
-/// Age of a copy up to which its caller has sent no further one. Callers send the second copy 200
-/// ms after the first; the rest is for the time on the network and short suspensions of the
-/// process.
-const MAX_LATEST_AGE: Span = Span::from_millis(100);
+/// Age of a copy up to which its refusal is a proof. Callers send the second copy 200 ms after the
+/// first. An agent passes a copy on after 60 ms without an answer of its upstream, which may still
+/// accept it, so a later refusal may rest on that silence.
+const MAX_LATEST_AGE: Span = Span::from_millis(60);
 /// Time for which the copies of a flow are remembered. Callers give up after 1.4 s.
 const OPENING_TTL: Span = Span::from_secs(2);
 /// Maximum number of flows, which bounds the memory to 4 MB at 64 bytes per flow.
--- a/yuccacroft-core/tests/opening.rs
+++ b/yuccacroft-core/tests/opening.rs
@@ -56,6 +56,15 @@
     assert!(table.record_refusal(FLOW, 1, at(203)), "both copies came here and were refused");
 }
 
+/// Guards against the reset of a flow that its upstream accepts late: an agent passes an opening
+/// segment on after 60 ms without an answer, so a refusal after that is no proof.
+#[test]
+fn a_refusal_after_the_accept_timeout_is_no_proof() {
+    let table = OpeningTable::new();
+    offer(&table, 0, 0);
+    assert!(!table.record_refusal(FLOW, 0, at(60)));
+}
+
 /// Guards against the reset of a flow by a refusal of its first copy while the second one is offered.
 #[test]
 fn a_refusal_is_no_proof_while_a_later_copy_is_offered() {
@@ -104,3 +113,16 @@
     table.expire(at(2_100));
     assert!(!table.record_refusal(FLOW, 0, at(50)), "unknown");
 }
+
+/// Guards against a suspension that is forgotten when two threads notice it at once, which makes
+/// waiting segments appear to have just arrived.
+#[test]
+fn a_suspension_that_two_threads_notice_is_kept() {
+    let arrivals = ArrivalEstimator::new();
+    arrivals.tick(at(0));
+    arrivals.tick(at(25));
+    arrivals.tick(at(1_400));
+    arrivals.tick(at(1_399));
+    assert_eq!(arrivals.earliest_arrival(at(1_401)), at(25));
+    assert_eq!(arrivals.suspension(at(1_401)), None);
+}
