--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -101,7 +101,10 @@
                 let acknowledged = open.acknowledged.unwrap_or_default();
                 let busy = open.request.is_some();
                 let (flow, started_at) = (entry.flow, open.started_at);
-                lost.push(LostFlow { flow, acknowledged, busy, started_at });
+                // Without a segment of this upstream the flow may be that of another one.
+                if open.is_proven {
+                    lost.push(LostFlow { flow, acknowledged, busy, started_at });
+                }
                 open.end(&self.counts);
                 false
             }
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -348,6 +348,19 @@
     assert_eq!(deliver(&table, &request(2), at(60)), Decision::Deliver);
 }
 
+/// Guards against the reset of a flow of another upstream: a probe that is not returned in time makes
+/// the agent claim the flow, and the end of its own upstream ends the claim only.
+#[test]
+fn the_end_of_the_upstream_resets_no_flow_that_it_has_not_answered() {
+    let table = FlowTable::new();
+    let later_segment = segment(1, Control::Continue, 7, 9, 0);
+    table.handle_segment(&later_segment, balancer(), ForwardReason::Probe, true, LIMIT, START);
+    table.tick(at(40));
+    assert_eq!(table.open_flows().get(), 1, "the flow is not claimed");
+    assert_eq!(table.remove_begun_before(at(1_000)), []);
+    assert_eq!(table.open_flows().get(), 0);
+}
+
 /// Guards against an upstream that gets more requests than it can process.
 #[test]
 fn requests_beyond_the_limit_wait() {
