--- a/yuccacroft-core/src/arrival.rs
+++ b/yuccacroft-core/src/arrival.rs
@@ -31,16 +31,15 @@
     }
 
     /// Records that the timer of the process has fired, or that a suspension was detected otherwise.
-    /// Returns the time since the tick before if the process was suspended in between.
-    pub fn tick(&self, now: Moment) -> Option<Span> {
-        let suspension = self.suspension(now);
-        if suspension.is_some() {
-            self.suspended_at.store(self.last_tick.load(Ordering::Acquire), Ordering::Release);
+    /// An earlier moment than that of the last tick changes nothing.
+    pub fn tick(&self, now: Moment) {
+        let last_tick = Moment::new(self.last_tick.load(Ordering::Acquire));
+        if now.since(last_tick) >= SUSPENSION_THRESHOLD {
+            self.suspended_at.store(last_tick.get(), Ordering::Release);
             self.resumed_at.store(now.get(), Ordering::Release);
         }
         // Stored last, so that a reader that sees this tick also sees the suspension before it.
-        self.last_tick.store(now.get(), Ordering::Release);
-        suspension
+        self.last_tick.fetch_max(now.get(), Ordering::Release);
     }
 
     /// Returns the time since the last tick if the process has been suspended since.
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -184,7 +184,11 @@
 
     /// Records the newest entry that a member has heard of, by the revision of its creation.
     pub fn record_announced_entry(&self, created: Revision, now: Moment) {
+        let was_outdated = self.list_state.is_outdated();
         self.list_state.record_announced(created, now);
+        if !was_outdated && self.list_state.is_outdated() {
+            self.record_new_evidence();
+        }
     }
 
     /// Returns true if members have heard of an entry that this process does not know.
@@ -319,23 +323,25 @@
     /// Restarts the timeouts of all outstanding answers, after this process itself was suspended or
     /// isolated.
     pub fn restart_timeouts(&self, now: Moment) {
-        self.record_new_evidence();
         self.members.retain(|_, member| {
             member.unanswered_since = member.unanswered_since.map(|_| now);
             true
         });
+        // Raised last, so that no verdict on the former silence has the new version.
+        self.record_new_evidence();
     }
 
     /// Extends the timeouts of all outstanding answers by a time for which this process stood still.
     pub fn extend_timeouts(&self, pause: Span, now: Moment) {
         self.members.retain(|_, member| {
             member.unanswered_since = member.unanswered_since.map(|at| now.min(at + pause));
+            member.contact.extend(pause, now);
             true
         });
     }
 
     /// Returns the version of the evidence about lost flows. It increases when a member joins or
-    /// restarts, when one answers that may have been left out of a verdict for its silence, to this
+    /// restarts, when an entry is announced that is not listed, when one answers that may have been left out of a verdict for its silence, to this
     /// process or through another member, and when this process itself was suspended or isolated.
     pub fn evidence_version(&self) -> EvidenceVersion {
         EvidenceVersion::new(self.evidence_version.load(Ordering::Relaxed))
--- a/yuccacroft-core/src/pool/indirect.rs
+++ b/yuccacroft-core/src/pool/indirect.rs
@@ -126,6 +126,14 @@
         self.last_answer.is_some()
     }
 
+    /// Extends the validity of the last answer by a time for which this process stood still and
+    /// asked nobody.
+    pub fn extend(&mut self, pause: Span, now: Moment) {
+        if let Some(answer) = &mut self.last_answer {
+            answer.at = now.min(answer.at + pause);
+        }
+    }
+
     pub fn report(&self, now: Moment) -> Report {
         let Self { pings, answers, last_answer, .. } = *self;
         let answer_age = last_answer.map(|answer| now.since(answer.at));
--- a/yuccacroft-core/tests/open_flows/network.rs
+++ b/yuccacroft-core/tests/open_flows/network.rs
@@ -343,11 +343,12 @@
     /// Corrects the timeouts after a pause of the balancer, as its packet path does.
     fn record_running(&self) {
         let now = self.moment();
-        match self.arrivals.tick(now) {
+        match self.arrivals.suspension(now) {
             Some(pause) if pause >= STALL_THRESHOLD => self.pool.restart_timeouts(now),
             Some(pause) => self.pool.extend_timeouts(pause - Span::from_millis(TICK_MS), now),
             None => {}
         }
+        self.arrivals.tick(now);
     }
 
     fn join(&mut self, number: u8, started: Option<u64>) {
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -21,7 +21,7 @@
     std::{
         net::SocketAddrV4,
         sync::{
-            Arc,
+            Arc, Mutex, PoisonError,
             atomic::{AtomicU64, Ordering},
         },
     },
@@ -95,6 +95,8 @@
     pub clock: BootClock,
     /// Estimates when the segments arrived that are read now.
     pub arrivals: ArrivalEstimator,
+    /// Held while the timeouts are corrected after a pause of the process.
+    running: Mutex<()>,
     /// The rate-limited log of flow events.
     pub flow_log: FlowLog,
     /// The ages of what the decisions rest on.
@@ -131,6 +133,7 @@
             list_outdated: Notify::new(),
             clock,
             arrivals: ArrivalEstimator::new(),
+            running: Mutex::default(),
             flow_log,
             freshness: Freshness::default(),
             traffic: Traffic::default(),
@@ -203,13 +206,17 @@
     /// not count in the silence of agents, since they were asked nothing meanwhile: otherwise the
     /// loss of one message makes an agent lost while the process stands still by turns.
     pub fn record_running(&self, now: Moment) {
-        let Some(pause) = self.arrivals.tick(now) else { return };
-        if pause >= STALL_THRESHOLD {
-            self.pool.restart_timeouts(now);
-            self.freshness.record_stall(now);
-        } else {
-            self.pool.extend_timeouts(pause - Span::from(TICK_INTERVAL), now);
+        let _running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        match self.arrivals.suspension(now) {
+            Some(pause) if pause >= STALL_THRESHOLD => {
+                self.pool.restart_timeouts(now);
+                self.freshness.record_stall(now);
+            }
+            Some(pause) => self.pool.extend_timeouts(pause - Span::from(TICK_INTERVAL), now),
+            None => {}
         }
+        // Until this tick other threads see the pause, and wait for the corrected timeouts.
+        self.arrivals.tick(now);
     }
 
     /// Returns the time at which a datagram is read. After a pause of the process datagrams are read
