--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -559,7 +559,9 @@
     // Another balancer has read the list later, but no entry was created since.
     pool.record_announced_entry(Revision::new(7), at(0));
     assert!(!pool.is_list_outdated());
+    let evidence = pool.evidence_version();
     pool.record_announced_entry(Revision::new(12), at(100));
+    assert!(pool.evidence_version() > evidence, "verdicts on the former list stand");
     pool.record_announced_entry(Revision::new(11), at(200));
     assert!(pool.is_list_outdated());
     assert_eq!(pool.list_outdated_time(at(400)), Some(Span::from_millis(300)));
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -239,6 +239,14 @@
         }
     }
 
+    /// Tells all agents the newest entry. Flows may be placed at its agent from now on, so balancers
+    /// that have not listed it yet must learn of it.
+    fn ping_all(&self, now: Moment) {
+        let mut instances = Vec::with_capacity(self.relay.pool.len());
+        self.relay.pool.for_each(|member| instances.push(member.entry.agent_id.instance));
+        instances.into_iter().for_each(|instance| self.relay.ping(instance, now));
+    }
+
     /// Requests a new listing if agents have known an agent for some time that is not listed here.
     fn check_list(&self, now: Moment) {
         let outdated_time = self.relay.pool.list_outdated_time(now);
@@ -373,9 +381,13 @@
         let controllers = self.0;
         let now = controllers.relay.clock.now();
         controllers.relay.freshness.record_members(changes.revision, now);
+        let newest_entry = controllers.relay.pool.newest_entry();
         for item in &changes.items {
             controllers.apply_entry(item, now);
         }
+        if controllers.relay.pool.newest_entry() > newest_entry {
+            controllers.ping_all(now);
+        }
         controllers.relay.pool.record_list_revision(changes.revision);
         for key in &changes.removed {
             let instance = key.strip_prefix(AGENT_KEY_PREFIX).and_then(|text| text.parse().ok());
