--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -5,8 +5,9 @@
 //! agents accept them on an address that only machines of the system reach, and the platform
 //! provides no key.
 //!
-//! New kinds of messages come at the end of [`Request`] and [`Body`]: a process of an earlier release
-//! decodes all others and drops those as malformed.
+//! New kinds of messages come at the end of [`Request`] and [`Body`]: a process of the same
+//! [`VERSION`] that does not know them decodes all others and drops those as malformed. Processes of
+//! different versions do not understand each other.
 
 use {
     crate::errors::{Error, Result},
--- a/yuccacroft-wire/tests/relay.rs
+++ b/yuccacroft-wire/tests/relay.rs
@@ -1,5 +1,5 @@
-//! Messages between balancers and agents: their bytes, and those that an earlier release does not
-//! know.
+//! Messages between balancers and agents: their bytes, and those that a process without indirect
+//! pings does not know.
 
 use {
     serde::{Deserialize, Serialize},
@@ -18,7 +18,7 @@
     },
 };
 
-/// The kinds of messages to agents of the release before indirect pings.
+/// The kinds of messages to agents of a process without indirect pings.
 #[derive(Debug, Deserialize)]
 #[allow(dead_code)]
 enum EarlierRequest {
@@ -29,7 +29,7 @@
     Ping { listed: Option<(Incarnation, u32)>, version: ConfigVersion, newest_entry: Revision },
 }
 
-/// A message to a balancer of that release.
+/// A message to a balancer without indirect pings.
 #[derive(Debug, Deserialize)]
 #[allow(dead_code)]
 struct EarlierReply {
@@ -41,7 +41,7 @@
     body: EarlierBody,
 }
 
-/// The kinds of messages to balancers of that release.
+/// The kinds of messages to balancers without indirect pings.
 #[derive(Debug, Deserialize)]
 #[allow(dead_code)]
 enum EarlierBody {
@@ -129,10 +129,10 @@
     assert!(datagram.len() <= 64, "{}", datagram.len());
 }
 
-/// Guards against a new kind between the earlier ones, which processes of the earlier release would
-/// take for another kind during a rolling update.
+/// Guards against a new kind between the earlier ones, which processes that do not know it
+/// would take for another kind.
 #[test]
-fn an_earlier_release_decodes_all_earlier_kinds() {
+fn processes_without_indirect_pings_decode_all_other_kinds() {
     for (number, request) in (0..).zip(earlier_requests()) {
         assert_eq!(kind(&request), number, "{request:?}");
         let datagram = relay::encode(&request, b"segment").unwrap();
@@ -147,10 +147,10 @@
     }
 }
 
-/// Guards against a process of the earlier release that acts on a message which it does not know: it
+/// Guards against a process without indirect pings that acts on a message which it does not know: it
 /// must drop it as malformed.
 #[test]
-fn an_earlier_release_drops_indirect_pings() {
+fn processes_without_indirect_pings_drop_them() {
     for request in indirect_requests() {
         let datagram = relay::encode(&request, b"").unwrap();
         let decoded = relay::decode::<EarlierRequest>(&datagram);
