--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -17,7 +17,7 @@
 
 use {
     self::{
-        indirect::{Condition, Contact, Limit, Ping, Relay, Suspect},
+        indirect::{Condition, Contact, Limit, Ping, Relay, Report, Suspect},
         listing::ListState,
         member::{SUSPICION_TIMEOUT, UNLISTED_GRACE_PERIOD},
         path::{Answer, LOSS_TIMEOUT, Path, Timeliness},
@@ -341,8 +341,9 @@
     }
 
     /// Returns the version of the evidence about lost flows. It increases when a member joins or
-    /// restarts, when an entry is announced that is not listed, when one answers that may have been left out of a verdict for its silence, to this
-    /// process or through another member, and when this process itself was suspended or isolated.
+    /// restarts, when an entry is announced that is not listed, when a member answers that may have
+    /// been left out of a verdict for its silence, to this process or through another member, and
+    /// when this process itself was suspended or isolated.
     pub fn evidence_version(&self) -> EvidenceVersion {
         EvidenceVersion::new(self.evidence_version.load(Ordering::Relaxed))
     }
@@ -463,6 +464,12 @@
         since.map(|since| now.since(since))
     }
 
+    /// Returns what the indirect pings of a member have shown since its last message.
+    pub fn indirect_report(&self, instance: Instance, now: Moment) -> Report {
+        let report = |member: Option<&Member>| member.map(|member| member.indirect_report(now));
+        self.members.read(&instance, report).unwrap_or_default()
+    }
+
     /// Returns the number of members.
     pub fn len(&self) -> usize {
         self.members.len()
--- a/yuccacroft-segment/src/balancer/grounds.rs
+++ b/yuccacroft-segment/src/balancer/grounds.rs
@@ -82,15 +82,6 @@
             Some(CachedFlow::Offered { .. }) | None => Self::None,
         }
     }
-
-    /// Adds to the evidence of a search what other agents have reported about silent ones.
-    pub fn with_indirect_reports(self, pool: &Pool, now: Moment) -> Self {
-        let Self::Search { evidence, last_agent } = self else { return self };
-        let report = |instance| pool.get(instance).map(|member| member.indirect_report(now));
-        let evidence =
-            evidence.with_indirect_reports(|instance| report(instance).unwrap_or_default());
-        Self::Search { evidence, last_agent }
-    }
 }
 
 impl Members {
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -327,7 +327,6 @@
                     }
                 }
                 Step::NotFound(segment, evidence, grounds) => {
-                    let grounds = grounds.with_indirect_reports(&self.pool, now);
                     let acknowledged = segment.acknowledged;
                     let verdict = LossVerdict { detected_at: now, acknowledged, evidence };
                     if self.table.mark_lost(key, verdict) {
@@ -337,7 +336,6 @@
                     }
                 }
                 Step::TimedOut(segment, grounds) => {
-                    let grounds = grounds.with_indirect_reports(&self.pool, now);
                     self.log_outcome(&segment, "drop", "search without end", &grounds, now)
                 }
             }
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -242,7 +242,10 @@
             let query =
                 |to: AgentId, kind| Query { to, kind, retry: running.search.is_retry(to.instance) };
             let grounds = || Grounds::Search {
-                evidence: running.search.evidence(now),
+                evidence: running
+                    .search
+                    .evidence(now)
+                    .with_indirect_reports(|instance| pool.indirect_report(instance, now)),
                 last_agent: running.params.last_agent,
             };
             let mut steps = Vec::with_capacity(actions.len());
--- a/yuccacroft-segment/tests/grounds.rs
+++ b/yuccacroft-segment/tests/grounds.rs
@@ -132,9 +132,9 @@
         finding(3, Finding::Unanswered, 0, 1_500),
         finding(4, Finding::Denied, 1_100, 0),
     ]);
-    let evidence = Evidence { agents, ..Evidence::default() };
-    let grounds = Grounds::Search { evidence, last_agent: None };
-    let fields = fields(grounds.with_indirect_reports(&pool, at(1_530)));
+    let evidence = Evidence { agents, ..Evidence::default() }
+        .with_indirect_reports(|instance| pool.indirect_report(instance, at(1_530)));
+    let fields = fields(Grounds::Search { evidence, last_agent: None });
     let value = |key: &str| fields.get(key).map(String::as_str);
     assert_eq!(value("fewest_indirect_pings"), Some("3"));
     assert_eq!(value("latest_indirect_answer"), Some("1200 ms"));
