--- a/yuccacroft-agent/src/packet.rs
+++ b/yuccacroft-agent/src/packet.rs
@@ -120,7 +120,8 @@
 }
 
 /// Drops capsules of other services. Resets a tagged packet of an earlier process at this address
-/// and drops one of a later process, which may serve its flow elsewhere by now; passes untagged packets on to the next filter, which starts no flow for an earlier incarnation.
+/// and drops one of a later process, which may serve its flow elsewhere by now; passes untagged
+/// packets on to the next filter, which starts no flow for an earlier incarnation.
 struct Identity {
     scope: Arc<ServiceScope>,
 }
