--- a/yuccacroft-segment/tests/junk.rs
+++ b/yuccacroft-segment/tests/junk.rs
@@ -3,91 +3,33 @@
 mod support;
 
 use {
-    crate::support::{Capture, Line},
+    crate::support::{
+        Capture, Line,
+        fakes::{FakeFormat, FakeSocket, peer},
+    },
     metrics_exporter_prometheus::PrometheusBuilder,
-    std::{future, io, net::SocketAddrV4, sync::Arc},
+    std::future,
     yuccacroft_core::{
         flow::{AgentId, FlowKey},
         ids::{Domain, Incarnation, Instance, Revision},
         pool::AgentLoad,
         route::ConfigVersion,
-        segment::{Flow, Format, Outbound, Segment, Sequence},
         time::Span,
     },
     yuccacroft_segment::{
         balancer::relay::{Relay, Setup},
         clock::BootClock,
-        errors::Result as StartResult,
         flow_log::FlowLog,
-        host::{Socket, SystemHost},
+        host::SystemHost,
     },
     yuccacroft_wire::relay::{self, Body, Reply},
 };
 
 const METRIC: &str = "yuccacroft_balancer_junk_total";
 
-/// A format in which no datagram is valid.
-#[derive(Clone, Debug)]
-struct InvalidFormat;
-
-/// A socket that receives one datagram.
-#[derive(Debug)]
-struct FakeSocket(Arc<[u8]>);
-
-impl Format for InvalidFormat {
-    type Error = &'static str;
-
-    fn parse_inbound(&self, _: &[u8]) -> Result<Segment, Self::Error> {
-        Err("not a segment")
-    }
-
-    fn parse_outbound(&self, _: &[u8]) -> Result<Outbound, Self::Error> {
-        Err("not a segment")
-    }
-
-    fn request_id<'a>(&self, _: &'a [u8]) -> Option<&'a str> {
-        None
-    }
-
-    fn requests_in_progress(&self, _: &[u8]) -> Option<u32> {
-        None
-    }
-
-    fn restore_bounced(&self, _: &mut [u8]) {}
-
-    fn encode_reset(&self, _: Flow, _: Sequence) -> Vec<u8> {
-        Vec::new()
-    }
-}
-
-impl Socket for FakeSocket {
-    async fn connect(self, _: SocketAddrV4) -> StartResult<Self> {
-        Ok(self)
-    }
-
-    async fn receive(
-        &self,
-        mut on_datagram: impl FnMut(&mut [u8], SocketAddrV4) + Send,
-        _: impl FnMut(io::Error) + Send,
-    ) {
-        on_datagram(&mut self.0.to_vec(), address());
-        future::pending().await
-    }
-
-    fn send(&self, _: &[u8], _: SocketAddrV4) {}
-
-    fn send_connected(&self, _: &[u8]) -> bool {
-        true
-    }
-}
-
-fn address() -> SocketAddrV4 {
-    "10.0.0.1:7000".parse().unwrap()
-}
-
 /// Encodes a message of an agent with a returned segment that is not valid.
 fn encode_reply(body: Body) -> Vec<u8> {
-    let from = AgentId { instance: Instance::new(address()), incarnation: Incarnation::new(1) };
+    let from = AgentId { instance: Instance::new(peer()), incarnation: Incarnation::new(1) };
     let (load, age, version) = (AgentLoad::default(), Span::ZERO, ConfigVersion::default());
     let newest_entry = Revision::default();
     relay::encode(&Reply { from, load, age, version, newest_entry, body }, b"junk").unwrap()
@@ -97,15 +39,18 @@
 /// log and the metrics after that.
 fn receive(source: &str, datagram: &[u8]) -> (Vec<Line>, String) {
     let capture = Capture::default();
+    let (callers, agents) = (FakeSocket::default(), FakeSocket::default());
+    callers.push(datagram.into());
+    agents.push(datagram.into());
     let setup = Setup {
-        callers: FakeSocket(datagram.into()),
-        agents: FakeSocket(datagram.into()),
-        origin: address(),
+        callers,
+        agents,
+        origin: peer(),
         caller_port: 443,
         domain: Domain::new("a").unwrap(),
     };
     let relay = Relay::new(
-        InvalidFormat,
+        FakeFormat::default(),
         setup,
         BootClock::new(SystemHost),
         FlowLog::new(capture.logger()),
--- a/yuccacroft-segment/tests/support/balancer.rs
+++ b/yuccacroft-segment/tests/support/balancer.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the module")]
 
 use {
-    super::Capture,
+    super::{Capture, fakes::FakeFormat},
     axum::Router,
     slog::Logger,
     std::{
@@ -20,7 +20,7 @@
         ids::{Domain, Incarnation, Instance, Revision},
         pool::{AgentEntry, AgentLoad, AgentPhase},
         route::{ConfigVersion, Route, RouteShare, RoutingTable, ServiceName, TrafficClass},
-        segment::{Control, Flow, Format, Outbound, Segment, Sequence},
+        segment::{Control, Flow, Segment, Sequence},
         time::{Moment, Span},
         units::Slots,
         upstream::ConnectResult,
@@ -42,9 +42,12 @@
 /// Ticks between pings of all members.
 const PING_TICKS: u64 = 40;
 
-/// A format whose datagrams are the header of a segment in little-endian bytes.
-#[derive(Clone, Debug)]
-pub struct PlainFormat;
+/// The format, whose datagrams are the header of a segment in little-endian bytes.
+const FORMAT: FakeFormat = FakeFormat {
+    parse_inbound: parse,
+    parse_outbound: |_| Err("not sent by upstreams"),
+    encode_reset: |flow| flow.caller.port().to_le_bytes().to_vec(),
+};
 
 /// A host that has nothing but a clock, which the test advances.
 #[derive(Clone, Debug, Default)]
@@ -71,7 +74,7 @@
 
 /// A balancer and its agents.
 pub struct Balancer {
-    relay: Relay<PlainFormat, QueueSocket>,
+    relay: Relay<FakeFormat, QueueSocket>,
     callers: QueueSocket,
     messages: QueueSocket,
     clock: ClockHost,
@@ -111,34 +114,12 @@
     Segment { control: Control::Open, ..segment(caller, 0) }
 }
 
-impl Format for PlainFormat {
-    type Error = &'static str;
-
-    fn parse_inbound(&self, datagram: &[u8]) -> Result<Segment, Self::Error> {
-        let [control, a, b, acknowledged @ ..] = datagram else { return Err("too short") };
-        let acknowledged = acknowledged.try_into().map_err(|_| "wrong length")?;
-        let found = segment(u16::from_le_bytes([*a, *b]), u32::from_le_bytes(acknowledged));
-        let control = if *control == 0 { Control::Open } else { Control::Continue };
-        Ok(Segment { control, ..found })
-    }
-
-    fn parse_outbound(&self, _: &[u8]) -> Result<Outbound, Self::Error> {
-        Err("not sent by upstreams")
-    }
-
-    fn request_id<'a>(&self, _: &'a [u8]) -> Option<&'a str> {
-        None
-    }
-
-    fn requests_in_progress(&self, _: &[u8]) -> Option<u32> {
-        None
-    }
-
-    fn restore_bounced(&self, _: &mut [u8]) {}
-
-    fn encode_reset(&self, flow: Flow, _: Sequence) -> Vec<u8> {
-        flow.caller.port().to_le_bytes().into()
-    }
+fn parse(datagram: &[u8]) -> Result<Segment, &'static str> {
+    let [control, a, b, acknowledged @ ..] = datagram else { return Err("too short") };
+    let acknowledged = acknowledged.try_into().map_err(|_| "wrong length")?;
+    let found = segment(u16::from_le_bytes([*a, *b]), u32::from_le_bytes(acknowledged));
+    let control = if *control == 0 { Control::Open } else { Control::Continue };
+    Ok(Segment { control, ..found })
 }
 
 fn encode(segment: &Segment) -> Vec<u8> {
@@ -219,7 +200,7 @@
 
 impl Agent {
     fn answer(&mut self, request: &Request, datagram: &[u8]) -> Option<(Body, Vec<u8>)> {
-        let segment = PlainFormat.parse_inbound(datagram).ok();
+        let segment = parse(datagram).ok();
         let key = segment.map(|segment| segment.flow.key());
         let denial = |key| Body::Denies { key, unsure: false };
         Some(match request {
@@ -251,7 +232,7 @@
             domain: Domain::new("a").unwrap(),
         };
         let boot_clock = BootClock::new(clock.clone());
-        let relay = Relay::new(PlainFormat, setup, boot_clock, FlowLog::new(log.logger()));
+        let relay = Relay::new(FORMAT, setup, boot_clock, FlowLog::new(log.logger()));
         relay.pool.set_list_complete_at(Moment::default());
         let share = RouteShare { target: ServiceName::new("booking").target(), weight: 1 };
         let route = Route { shares: [share].into(), class: TrafficClass::default() };
@@ -373,7 +354,7 @@
         match &request {
             Request::Search { .. } => self.queries += 1,
             Request::Carry(_) => {
-                self.carried.push((to, PlainFormat.parse_inbound(segment).unwrap()));
+                self.carried.push((to, parse(segment).unwrap()));
             }
             _ => {}
         }
--- a/yuccacroft-segment/tests/support/mod.rs
+++ b/yuccacroft-segment/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the module")]
 
 pub mod balancer;
+pub mod fakes;
 
 use {
     slog::{Drain, KV, Key, Logger, Never, OwnedKVList, Record, Serializer, o},
--- a/yuccacroft-segment/tests/upstream_ends.rs
+++ b/yuccacroft-segment/tests/upstream_ends.rs
@@ -3,19 +3,17 @@
 mod support;
 
 use {
-    crate::support::{Capture, Line},
-    metrics_exporter_prometheus::PrometheusBuilder,
-    std::{
-        collections::VecDeque,
-        future, io,
-        net::SocketAddrV4,
-        sync::{Arc, Mutex},
+    crate::support::{
+        Capture, Line,
+        fakes::{FakeFormat, FakeSocket, peer},
     },
+    metrics_exporter_prometheus::PrometheusBuilder,
+    std::{future, net::SocketAddrV4, sync::Arc},
     yuccacroft_core::{
         flow::AgentId,
         ids::{Incarnation, Instance},
         route::{ServiceName, TrafficClass},
-        segment::{Control, Flow, Format, Outbound, Segment, Sequence},
+        segment::{Control, Flow, Outbound, Segment, Sequence},
         time::Span,
         upstream::Monitor,
     },
@@ -25,9 +23,8 @@
             relay::{Relay, Setup},
         },
         clock::BootClock,
-        errors::Result as StartResult,
         flow_log::FlowLog,
-        host::{Socket, SystemHost},
+        host::SystemHost,
     },
     yuccacroft_wire::relay::{self, Request},
 };
@@ -36,17 +33,9 @@
 /// The position that the upstream chooses for its side of the flow.
 const ACCEPTED: Sequence = Sequence::new(500);
 
-/// A format whose datagrams have one byte that tells the control information.
-#[derive(Clone, Debug)]
-struct ByteFormat;
-
-/// A socket whose datagrams the test writes.
-#[derive(Clone, Debug, Default)]
-struct FakeSocket(Arc<Mutex<VecDeque<Vec<u8>>>>);
-
 /// An agent between two sockets.
 struct Agent {
-    relay: Relay<ByteFormat, FakeSocket>,
+    relay: Relay<FakeFormat, FakeSocket>,
     messages: FakeSocket,
     outbound: FakeSocket,
     capture: Capture,
@@ -72,57 +61,11 @@
     Ok(Segment { flow: flow(), control, sequence: ACCEPTED, acknowledged, length: 0 })
 }
 
-impl Format for ByteFormat {
-    type Error = &'static str;
-
-    fn parse_inbound(&self, datagram: &[u8]) -> Result<Segment, Self::Error> {
-        parse(datagram)
-    }
-
-    fn parse_outbound(&self, datagram: &[u8]) -> Result<Outbound, Self::Error> {
-        match datagram {
-            b"bo" => parse(b"o").map(Outbound::Bounced),
-            b"bc" => parse(b"c").map(Outbound::Bounced),
-            _ => parse(datagram).map(Outbound::Reply),
-        }
-    }
-
-    fn request_id<'a>(&self, _: &'a [u8]) -> Option<&'a str> {
-        None
-    }
-
-    fn requests_in_progress(&self, _: &[u8]) -> Option<u32> {
-        None
-    }
-
-    fn restore_bounced(&self, _: &mut [u8]) {}
-
-    fn encode_reset(&self, _: Flow, _: Sequence) -> Vec<u8> {
-        Vec::new()
-    }
-}
-
-impl Socket for FakeSocket {
-    async fn connect(self, _: SocketAddrV4) -> StartResult<Self> {
-        Ok(self)
-    }
-
-    async fn receive(
-        &self,
-        mut on_datagram: impl FnMut(&mut [u8], SocketAddrV4) + Send,
-        _: impl FnMut(io::Error) + Send,
-    ) {
-        let datagrams = std::mem::take(&mut *self.0.lock().unwrap());
-        for mut datagram in datagrams {
-            on_datagram(&mut datagram, address("10.0.0.1:7000"));
-        }
-        future::pending().await
-    }
-
-    fn send(&self, _: &[u8], _: SocketAddrV4) {}
-
-    fn send_connected(&self, _: &[u8]) -> bool {
-        true
+fn parse_outbound(datagram: &[u8]) -> Result<Outbound, &'static str> {
+    match datagram {
+        b"bo" => parse(b"o").map(Outbound::Bounced),
+        b"bc" => parse(b"c").map(Outbound::Bounced),
+        _ => parse(datagram).map(Outbound::Reply),
     }
 }
 
@@ -141,7 +84,9 @@
         let state = AgentState::new(target, Monitor::new(target, Span::from_secs(1)));
         let capture = Capture::default();
         let (clock, flow_log) = (BootClock::new(SystemHost), FlowLog::new(capture.logger()));
-        let relay = Relay::new(ByteFormat, setup, Arc::new(state), clock, flow_log);
+        // The datagrams have one byte that tells the control information.
+        let format = FakeFormat { parse_inbound: parse, parse_outbound, ..FakeFormat::default() };
+        let relay = Relay::new(format, setup, Arc::new(state), clock, flow_log);
         Self { relay, messages, outbound, capture }
     }
 
@@ -151,7 +96,7 @@
         match datagram {
             b"o" => {
                 let target = ServiceName::new("booking").target();
-                let origin = address("10.0.0.1:7000");
+                let origin = peer();
                 let offer = Request::Offer { target, origin, rest: Box::new([]), hops: 0 };
                 self.messages.push(relay::encode(&offer, datagram).unwrap());
             }
@@ -173,12 +118,6 @@
     }
 }
 
-impl FakeSocket {
-    fn push(&self, datagram: Vec<u8>) {
-        self.0.lock().unwrap().push_back(datagram);
-    }
-}
-
 /// Lets a new agent receive segments and returns the lines of the log and the metrics after that.
 fn receive(datagrams: &[&[u8]]) -> (Vec<Line>, String) {
     let agent = Agent::new();
