review: show that an unreadable entry stops all balancers

An entry of the largest size that is not UTF-8 makes each listing of the agents repeat the same page for ever.

--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,16 @@
+//! The cases.
+
+mod unreadable_entry;
+use {crate::packet::Record, std::sync::Arc};
+
+/// Runs a case. Returns whether the rule was broken, or `None` if the case could not run.
+pub fn run(case: &str, record: &str, with_trouble: bool) -> Option<bool> {
+    let record = Arc::new(Record::create(record));
+    record.add(&format!("case {case}, with the disruption: {with_trouble}"));
+    let result = match case {
+        "unreadable-entry" => unreadable_entry::run(&record, with_trouble),
+        _ => None,
+    };
+    record.add(&format!("rule broken: {result:?}"));
+    result
+}
