--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod overwritten_entry;
 mod reused_flow;
 mod unreadable_entry;
 use {crate::packet::Record, std::sync::Arc};
@@ -9,6 +10,7 @@
     let record = Arc::new(Record::create(record));
     record.add(&format!("case {case}, with the disruption: {with_trouble}"));
     let result = match case {
+        "overwritten-entry" => overwritten_entry::run(&record, with_trouble),
         "reused-flow" => reused_flow::run(&record, with_trouble),
         "unreadable-entry" => unreadable_entry::run(&record, with_trouble),
         _ => None,
