review: show that a draining upstream gets new flows from used ports

The balancer prefers the agent of a closed flow with the same addresses and ports, and that agent delivers the opening segment although its upstream is draining.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -2,6 +2,7 @@
 
 mod overwritten_entry;
 mod reused_flow;
+mod reused_port;
 mod unreadable_entry;
 use {crate::packet::Record, std::sync::Arc};
 
@@ -12,6 +13,7 @@
     let result = match case {
         "overwritten-entry" => overwritten_entry::run(&record, with_trouble),
         "reused-flow" => reused_flow::run(&record, with_trouble),
+        "reused-port" => reused_port::run(&record, with_trouble),
         "unreadable-entry" => unreadable_entry::run(&record, with_trouble),
         _ => None,
     };
