--- a/review/standin/consumer.rs
+++ b/review/standin/consumer.rs
@@ -7,9 +7,11 @@
         platform::Routers,
     },
     std::{
+        collections::hash_map::DefaultHasher,
+        hash::{Hash, Hasher},
         net::{Ipv4Addr, SocketAddrV4, UdpSocket},
         sync::Arc,
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -29,6 +31,15 @@
     Deadline,
 }
 
+/// Returns the initial sequence number of a flow. It increases with time for the same two ends, as
+/// RFC 9293 asks, so that a port can be used again as soon as its flow has closed.
+fn initial_sequence(from: SocketAddrV4, to: SocketAddrV4) -> u32 {
+    let mut hasher = DefaultHasher::new();
+    (from, to).hash(&mut hasher);
+    let clock = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() / 4;
+    (hasher.finish() as u32).wrapping_add(clock as u32)
+}
+
 /// A consumer with one address.
 pub struct Consumer {
     ip: Ipv4Addr,
@@ -80,7 +91,7 @@
     pub fn open(&mut self, to: SocketAddrV4) -> Result<Flow, Outcome> {
         let from = SocketAddrV4::new(self.ip, self.next_port);
         self.next_port = self.next_port.checked_add(1).unwrap_or(20_000);
-        let start = random() as u32;
+        let start = initial_sequence(from, to);
         let started = Instant::now();
         let mut copies = 0;
         self.record.add(&format!("opening packet of {from} to {to} sent"));
