--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -20,6 +20,9 @@
 /// The pause before a process that has ended is started again.
 pub const RESTART_DELAY: Duration = Duration::from_millis(500);
 
+/// The port of the metrics in the templates of the deploy file.
+const METRICS_PORT: u16 = 9464;
+
 /// The ports of all machines of a run, and the network part of their addresses.
 #[derive(Clone, Copy)]
 pub struct Ports {
@@ -50,11 +53,13 @@
                 internal: at(5),
                 store: at(6),
             };
-            let is_free = (0..7).all(|offset| {
-                let address = (Ipv4Addr::UNSPECIFIED, at(offset));
-                TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok()
-            });
-            if is_free {
+            let is_free = |address: Ipv4Addr, port: u16| {
+                TcpListener::bind((address, port)).is_ok()
+                    && UdpSocket::bind((address, port)).is_ok()
+            };
+            // The settings give the metrics a fixed port on each machine.
+            let has_net = is_free(ports.front(1), METRICS_PORT);
+            if has_net && (0..7).all(|offset| is_free(Ipv4Addr::UNSPECIFIED, at(offset))) {
                 return ports;
             }
         }
