--- a/review/standin/cases/unreadable_entry.rs
+++ b/review/standin/cases/unreadable_entry.rs
@@ -19,8 +19,8 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 const REQUESTS: usize = 40;
 const BUDGET: Duration = Duration::from_millis(2_500);
-/// Sorts before the keys of the agents, whose addresses begin with 127.
-const FOREIGN_KEY: &str = "yuccacroft/agents/10.0.0.1:8172";
+/// Sorts before the keys of the agents, whose addresses begin with 127.20 or a higher number.
+const FOREIGN_KEY: &str = "yuccacroft/agents/127.0.0.1:8172";
 
 pub fn run(record: &Arc<Record>, with_trouble: bool) -> Option<bool> {
     let mut system = System::start(2, &["service-a", "service-a", "service-a"], record.clone())?;
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -18,7 +18,7 @@
 };
 
 /// The address of the platform that the route of the first service has.
-pub const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+pub const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 1), 443);
 const ZONE: &str = "zone-a";
 /// Traffic starts this long after the machines at the latest.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
