Let an agent claim only the flow at whose position the caller is

What callers saw: an open flow was reset after the balancers had been stopped and started in turn, though its upstream lived.

Cause: an agent kept a flow that had closed in the state `Open` for 60 s and answered each search for its addresses with `Owns`, whatever position the search named. So two agents claimed the later flow, and the balancer took the claim that came first. The wrong agent delivered the segment, its upstream returned it, and the agent reset the flow.

Change: `Closed` is a state of the handshake, reached when both ends have finished or the caller has reset the flow. It answers for late copies of its own segments only, for 10 s, the time in which an upstream repeats its last one. Open, half-closed and abandoned flows compare positions as well, for searches, for segments that a balancer with an outdated cache forwards, and for segments that the upstream returns: the two ends choose their first positions anew, so flows that use one port after the other are more than 64 KiB apart. A segment of another flow is denied, and the balancer searches for its owner.

Weighed: to forget a closed flow at once (late copies would be denied by all agents and answered with a reset), and to let the balancer choose between two claims by the age of the flow (needs a new message, and a balancer may hear only one of the two).

--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -8,6 +8,7 @@
 //! It probes the upstream with a segment, which the upstream returns if it does not hold the flow.
 
 mod action;
+mod closed_flow;
 mod counts;
 mod decision;
 mod expiry;
--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -71,6 +71,7 @@
                     }
                     is_kept
                 }
+                State::Closed(closed) => !closed.has_expired(now),
                 State::Absent { changed_at } => now.since(*changed_at) < ABSENT_TTL,
             }
         });
@@ -110,7 +111,7 @@
             }
             State::Accepted { changed_at, .. } => *changed_at >= before,
             State::Offered { .. } | State::Open(_) => true,
-            State::Probed { .. } | State::Absent { .. } => false,
+            State::Probed { .. } | State::Closed(_) | State::Absent { .. } => false,
         });
         lost
     }
--- a/yuccacroft-core/src/handshake/observation.rs
+++ b/yuccacroft-core/src/handshake/observation.rs
@@ -70,7 +70,8 @@
         }
         self.entries.read(&segment.flow.key(), |entry| {
             match (segment.control, entry.map(|entry| &entry.state)) {
-                (_, Some(State::Open(open))) if open.is_finished => None,
+                (_, Some(State::Closed(_))) => None,
+                (_, Some(State::Open(open))) if open.is_finished() => None,
                 (Control::Reset, Some(State::Open(open))) => {
                     end(EndCause::Reset, Some(open.started_at), open.request.is_some())
                 }
--- a/yuccacroft-core/src/handshake/open_flow.rs
+++ b/yuccacroft-core/src/handshake/open_flow.rs
@@ -1,7 +1,7 @@
 //! An open flow: its positions, its request in progress and its end.
 
 use {
-    super::counts::Counts,
+    super::{closed_flow::ClosedFlow, counts::Counts},
     crate::{
         segment::{Control, Segment, Sequence},
         time::{Moment, Span},
@@ -25,7 +25,14 @@
     pub is_held: bool,
     /// Whether a segment of the upstream or the handshake has proven that it holds the flow.
     pub is_proven: bool,
-    pub is_finished: bool,
+    finished: FinishedEnds,
+}
+
+/// The ends that have sent their last byte.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct FinishedEnds {
+    caller: bool,
+    upstream: bool,
 }
 
 /// A request that the upstream is processing.
@@ -53,10 +60,47 @@
             request: None,
             is_held: false,
             is_proven,
-            is_finished: false,
+            finished: FinishedEnds::default(),
+        }
+    }
+
+    /// Returns true if the caller can be at this position of the upstream's stream. It may have opened
+    /// another flow with the same addresses elsewhere.
+    pub fn is_at(&self, position: Sequence) -> bool {
+        self.acknowledged.is_none_or(|known| position.is_near(known))
+    }
+
+    /// Returns true if a segment of the caller can belong to this flow. One that resets the flow may
+    /// acknowledge nothing.
+    pub fn holds(&self, segment: &Segment) -> bool {
+        let is_reset = segment.control == Control::Reset
+            && self.received_end.is_none_or(|end| segment.sequence.is_near(end));
+        is_reset || self.is_at(segment.acknowledged)
+    }
+
+    /// Returns true if an opening segment with this first position may be a late copy of the one of
+    /// this flow. `opening` is the first position of the caller, if it is known.
+    pub fn may_have_begun_at(&self, position: Sequence, opening: Option<Sequence>) -> bool {
+        match opening {
+            Some(opening) => position == opening,
+            None => self.received_end.is_none_or(|end| position.is_near(end)),
         }
     }
 
+    /// Returns true once an end has sent its last byte.
+    pub fn is_finished(&self) -> bool {
+        self.finished.caller || self.finished.upstream
+    }
+
+    /// Ends the flow and returns its next state if both ends have sent their last byte.
+    pub fn close(&mut self, now: Moment, counts: &Counts) -> Option<ClosedFlow> {
+        let is_closed = self.finished.caller && self.finished.upstream;
+        // Without a position of the caller late copies cannot be told from a later flow.
+        let acknowledged = self.acknowledged.filter(|_| is_closed)?;
+        self.end_request(counts);
+        Some(ClosedFlow::new(acknowledged, now))
+    }
+
     /// Records a segment of the caller. New data counts as a request. Returns false if the segment
     /// has to wait, because `max_active` requests are in progress.
     pub fn handle_caller_segment(
@@ -69,8 +113,12 @@
         self.last_seen = now;
         let known = self.acknowledged.unwrap_or(segment.acknowledged);
         self.acknowledged = Some(segment.acknowledged.latest(known));
-        if matches!(segment.control, Control::Finish | Control::Reset) {
-            self.finish(counts);
+        match segment.control {
+            Control::Finish => self.finish(counts, |ends| ends.caller = true),
+            Control::Reset => {
+                self.finish(counts, |ends| *ends = FinishedEnds { caller: true, upstream: true });
+            }
+            _ => {}
         }
         if segment.length == 0 {
             return true;
@@ -80,7 +128,7 @@
         if is_new_data {
             self.received_end = Some(end);
             self.is_held |=
-                self.request.is_none() && !self.is_finished && counts.active() >= max_active;
+                self.request.is_none() && !self.is_finished() && counts.active() >= max_active;
         }
         if self.is_held {
             return false;
@@ -106,7 +154,7 @@
             .map(|request| now.since(request.started_at))
             .inspect(|time| counts.record_service_time(*time));
         if segment.control == Control::Finish {
-            self.finish(counts);
+            self.finish(counts, |ends| ends.upstream = true);
         }
         time
     }
@@ -132,17 +180,18 @@
 
     /// Removes a flow from the counts before its entry is dropped.
     pub fn end(&mut self, counts: &Counts) {
-        if !self.is_finished {
+        if !self.is_finished() {
             counts.remove_open();
         }
         self.end_request(counts);
     }
 
-    /// Marks a flow as finished. Its entry stays, since its last segments may still arrive.
-    fn finish(&mut self, counts: &Counts) {
-        if !std::mem::replace(&mut self.is_finished, true) {
+    /// Marks ends of the flow as finished. It no longer counts as open from the first one on.
+    fn finish(&mut self, counts: &Counts, mark: impl FnOnce(&mut FinishedEnds)) {
+        if !self.is_finished() {
             counts.remove_open();
         }
+        mark(&mut self.finished);
         self.end_request(counts);
     }
 
--- a/yuccacroft-core/src/handshake/state.rs
+++ b/yuccacroft-core/src/handshake/state.rs
@@ -1,9 +1,9 @@
 //! The entries of the flow table and their states.
 
 use {
-    super::{offer::Offer, open_flow::OpenFlow},
+    super::{closed_flow::ClosedFlow, decision::Decision, offer::Offer, open_flow::OpenFlow},
     crate::{
-        segment::{Flow, Sequence},
+        segment::{Flow, Segment, Sequence},
         time::Moment,
     },
     std::net::SocketAddrV4,
@@ -13,6 +13,9 @@
 #[derive(Debug)]
 pub(super) struct Entry {
     pub flow: Flow,
+    /// The caller's first position in the latest opening segment, or `None` if the agent has seen
+    /// none. Another one means that the caller has begun a new flow.
+    pub opening: Option<Sequence>,
     pub state: State,
 }
 
@@ -28,6 +31,28 @@
     Probed { origin: SocketAddrV4, changed_at: Moment, returned: bool },
     /// The agent owns the flow.
     Open(OpenFlow),
+    /// Both ends have finished the flow, or its caller has reset it.
+    Closed(ClosedFlow),
     /// The upstream returned a segment of the flow.
     Absent { changed_at: Moment },
 }
+
+impl Entry {
+    /// Returns the decision about an opening segment that may be a copy of the one of this flow, or
+    /// `None` if it opens a new flow from the same port.
+    pub fn repeat_opening(&mut self, segment: &Segment, now: Moment) -> Option<Decision> {
+        match &mut self.state {
+            State::Open(open) if open.may_have_begun_at(segment.sequence, self.opening) => {
+                Some(Decision::Deliver)
+            }
+            State::Closed(_) => Some(Decision::Deliver),
+            // A refusal would end a flow whose caller may be about to answer the upstream.
+            State::Accepted { changed_at, .. } => {
+                *changed_at = now;
+                self.opening = Some(segment.sequence);
+                Some(Decision::Confirm)
+            }
+            _ => None,
+        }
+    }
+}
--- a/yuccacroft-core/src/handshake/table.rs
+++ b/yuccacroft-core/src/handshake/table.rs
@@ -44,18 +44,18 @@
         now: Moment,
     ) -> Decision {
         self.entries.update(segment.flow.key(), |slot| {
-            match slot.as_mut().map(|entry| &mut entry.state) {
-                Some(State::Open(_)) => return Decision::Deliver,
-                // A refusal would end a flow whose caller may be about to answer the upstream.
-                Some(State::Accepted { changed_at, .. }) => {
-                    *changed_at = now;
-                    return Decision::Confirm;
-                }
-                _ if !accepting => return offer::pass_or_refuse(offer),
-                _ => {}
+            if let Some(decision) = slot.as_mut().and_then(|e| e.repeat_opening(segment, now)) {
+                return decision;
+            }
+            if !accepting {
+                return offer::pass_or_refuse(offer);
+            }
+            // The caller has given the former flow up, since it uses its port for another one.
+            if let Some(Entry { state: State::Open(open), .. }) = slot {
+                open.end(&self.counts);
             }
             let state = State::Offered { offer, datagram: datagram.into(), changed_at: now };
-            *slot = Some(Entry { flow: segment.flow, state });
+            *slot = Some(Entry { flow: segment.flow, opening: Some(segment.sequence), state });
             Decision::Confirm
         })
     }
@@ -76,14 +76,18 @@
         let delivered = if returned { Decision::Deliver } else { Decision::Confirm };
         let deny = |unsure| Decision::Deny { origin, unsure, returned };
         self.entries.update(segment.flow.key(), |slot| {
+            let opening = slot.as_ref().and_then(|entry| entry.opening);
             match slot.as_mut().map(|entry| &mut entry.state) {
-                Some(State::Open(open)) => {
-                    if open.handle_caller_segment(segment, max_active, now, &self.counts) {
-                        delivered
-                    } else {
-                        Decision::Hold
+                Some(State::Open(open)) if open.holds(segment) => {
+                    if !open.handle_caller_segment(segment, max_active, now, &self.counts) {
+                        return Decision::Hold;
                     }
+                    Self::close_finished(slot, &self.counts, now);
+                    delivered
                 }
+                Some(State::Closed(closed)) if closed.holds(segment.acknowledged) => delivered,
+                // Another flow from the same port, which was opened elsewhere.
+                Some(State::Open(_) | State::Closed(_)) => deny(false),
                 Some(State::Accepted { sequence, changed_at })
                     if segment.acknowledged == sequence.next() =>
                 {
@@ -91,7 +95,8 @@
                         OpenFlow::new(Some(segment.acknowledged), true, *changed_at, &self.counts);
                     let deliver =
                         open.handle_caller_segment(segment, max_active, now, &self.counts);
-                    *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
+                    *slot = Some(Entry { flow: segment.flow, opening, state: State::Open(open) });
+                    Self::close_finished(slot, &self.counts, now);
                     if deliver { delivered } else { Decision::Hold }
                 }
                 Some(State::Offered { .. } | State::Accepted { .. }) => deny(false),
@@ -101,7 +106,7 @@
                     let mut open =
                         OpenFlow::new(Some(segment.acknowledged), false, now, &self.counts);
                     open.handle_caller_segment(segment, u32::MAX, now, &self.counts);
-                    *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
+                    *slot = Some(Entry { flow: segment.flow, opening, state: State::Open(open) });
                     Decision::Confirm
                 }
                 Some(State::Probed { .. }) => Decision::Drop("probing"),
@@ -112,7 +117,7 @@
                 None if !unsure => deny(false),
                 None => {
                     let state = State::Probed { origin, changed_at: now, returned };
-                    *slot = Some(Entry { flow: segment.flow, state });
+                    *slot = Some(Entry { flow: segment.flow, opening, state });
                     Decision::Deliver
                 }
             }
@@ -130,7 +135,10 @@
         now: Moment,
     ) -> Ownership {
         self.entries.update(key, |slot| match slot.as_mut().map(|entry| &mut entry.state) {
-            Some(State::Open(_)) => Ownership::Owns,
+            Some(State::Open(open)) if open.is_at(acknowledged) => Ownership::Owns,
+            Some(State::Closed(closed)) if closed.holds(acknowledged) => Ownership::Owns,
+            // Another flow from the same port, which was opened elsewhere.
+            Some(State::Open(_) | State::Closed(_)) => Ownership::Denies,
             Some(State::Accepted { sequence, .. }) if acknowledged == sequence.next() => {
                 Ownership::Owns
             }
@@ -172,8 +180,10 @@
         counts: &Counts,
         now: Moment,
     ) -> Option<Span> {
+        let opening = slot.as_ref().and_then(|entry| entry.opening);
         let state = slot.as_mut().map(|entry| &mut entry.state);
         match (segment.control, state) {
+            (_, Some(State::Closed(closed))) if closed.holds(segment.sequence) => None,
             (Control::Accept, Some(State::Open(_))) => None,
             (Control::Accept, state) => {
                 // The opening segment may have been passed on since, or an earlier incarnation of
@@ -184,7 +194,7 @@
                     _ => now,
                 };
                 let state = State::Accepted { sequence: segment.sequence, changed_at };
-                *slot = Some(Entry { flow: segment.flow, state });
+                *slot = Some(Entry { flow: segment.flow, opening, state });
                 None
             }
             (control, Some(State::Offered { .. } | State::Accepted { .. }))
@@ -201,24 +211,38 @@
                 *slot = None;
                 None
             }
-            (_, Some(State::Open(open))) => open.handle_upstream_segment(segment, now, counts),
+            (_, Some(State::Open(open))) => {
+                let time = open.handle_upstream_segment(segment, now, counts);
+                Self::close_finished(slot, counts, now);
+                time
+            }
             (_, _) => {
                 // Only the upstream that holds a flow sends segments of it.
                 let mut open = OpenFlow::new(Some(segment.sequence), true, now, counts);
                 let time = open.handle_upstream_segment(segment, now, counts);
-                *slot = Some(Entry { flow: segment.flow, state: State::Open(open) });
+                *slot = Some(Entry { flow: segment.flow, opening, state: State::Open(open) });
                 time
             }
         }
     }
 
+    /// Closes a flow that both ends have finished.
+    fn close_finished(slot: &mut Option<Entry>, counts: &Counts, now: Moment) {
+        if let Some(entry) = slot
+            && let State::Open(open) = &mut entry.state
+            && let Some(closed) = open.close(now, counts)
+        {
+            entry.state = State::Closed(closed);
+        }
+    }
+
     /// Decides about a segment that the upstream has returned.
     pub fn handle_bounce(&self, segment: &Segment, now: Moment) -> Decision {
         self.entries.update(segment.flow.key(), |slot| {
             let Some(entry) = slot.take() else { return Decision::Drop("unknown bounce") };
-            let absent_entry =
-                Entry { flow: segment.flow, state: State::Absent { changed_at: now } };
-            match entry.state {
+            let Entry { flow, opening, state } = entry;
+            let absent_entry = Entry { flow, opening, state: State::Absent { changed_at: now } };
+            match state {
                 State::Offered { offer, .. } if segment.control == Control::Open => {
                     offer::pass_or_refuse(offer)
                 }
@@ -231,9 +255,13 @@
                 {
                     // The bounce of a delayed duplicate of the opening segment does not prove that
                     // the upstream lacks the flow.
-                    *slot = Some(Entry { flow: entry.flow, state });
+                    *slot = Some(Entry { flow, opening, state });
                     Decision::Drop("late copy")
                 }
+                State::Open(open) if !open.holds(segment) => {
+                    *slot = Some(Entry { flow, opening, state: State::Open(open) });
+                    Decision::Drop("segment of an earlier flow")
+                }
                 State::Open(mut open) => {
                     open.end(&self.counts);
                     *slot = Some(absent_entry);
@@ -244,7 +272,7 @@
                     }
                 }
                 state => {
-                    *slot = Some(Entry { flow: entry.flow, state });
+                    *slot = Some(Entry { flow, opening, state });
                     Decision::Drop("unknown bounce")
                 }
             }
--- a/yuccacroft-core/src/segment.rs
+++ b/yuccacroft-core/src/segment.rs
@@ -12,6 +12,10 @@
     },
 };
 
+/// Distance between two positions of one flow beyond which they belong to different flows: more
+/// than one end has in flight.
+const MAX_POSITION_DISTANCE: u32 = 1 << 16;
+
 newtype! {
     /// A byte position in one direction of the stream of a flow. It wraps around at 2^32.
     Sequence(u32), "a sequence number"
@@ -133,6 +137,12 @@
         (self.0.wrapping_sub(other.0) as i32).unsigned_abs()
     }
 
+    /// Returns true if two positions can belong to the same flow. The two ends choose the first
+    /// position of each flow anew, so flows that use a port one after the other are far apart.
+    pub const fn is_near(self, other: Self) -> bool {
+        self.distance(other) < MAX_POSITION_DISTANCE
+    }
+
     /// Returns the later of two positions.
     pub const fn latest(self, other: Self) -> Self {
         if self.is_after(other) { self } else { other }
--- a/yuccacroft-core/src/steering.rs
+++ b/yuccacroft-core/src/steering.rs
@@ -24,9 +24,6 @@
 const UNOWNED_TTL: Span = Span::from_secs(10);
 /// Maximum number of entries, which bounds the memory to 64 MB at 64 bytes per entry.
 const MAX_ENTRIES: usize = 1 << 20;
-/// Distance between two positions of one flow beyond which they belong to different flows: more
-/// than an upstream has in flight.
-const MAX_POSITION_DISTANCE: u32 = 1 << 16;
 
 /// The cached state of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,7 +67,7 @@
     /// Returns true if the flow is owned, and a segment with the same key belongs to another one.
     pub fn is_other_flow(self, segment: &Segment) -> bool {
         match self {
-            Self::Owned { acknowledged: Some(known), .. } => !is_same_flow(segment, known),
+            Self::Owned { acknowledged: Some(known), .. } => !segment.acknowledged.is_near(known),
             _ => false,
         }
     }
@@ -85,17 +82,11 @@
     }
 }
 
-/// Returns true if a segment belongs to the flow whose segments acknowledged a position before, and
-/// not to another flow with the same key.
-fn is_same_flow(segment: &Segment, acknowledged: Sequence) -> bool {
-    segment.acknowledged.distance(acknowledged) < MAX_POSITION_DISTANCE
-}
-
 impl LossVerdict {
     /// Returns true if the verdict holds for a segment, given the present version of the evidence.
     /// If it does not, the owner of the segment's flow is searched for.
     pub fn applies_to(&self, segment: &Segment, evidence: EvidenceVersion) -> bool {
-        self.evidence == evidence && is_same_flow(segment, self.acknowledged)
+        self.evidence == evidence && segment.acknowledged.is_near(self.acknowledged)
     }
 }
 
@@ -117,7 +108,9 @@
             if let Some(CachedFlow::Owned { at, acknowledged, .. }) = record {
                 *at = now;
                 let is_opening = segment.control == Control::Open;
-                if !is_opening && acknowledged.is_none_or(|known| is_same_flow(segment, known)) {
+                if !is_opening
+                    && acknowledged.is_none_or(|known| segment.acknowledged.is_near(known))
+                {
                     *acknowledged = Some(segment.acknowledged);
                 }
             }
