Treat an opening segment from the port of a closed flow as a new flow

Cause: the agent delivered every opening segment of a flow that it knew, without asking whether the upstream takes flows, and the balancer offered such a flow to the agent that it remembered, also when that agent takes none.

Change: the agent keeps the caller's first position. An opening segment with the same one is a late copy: it goes to the upstream while the flow is open and is dropped once it has closed. With another one the caller has begun a new flow, which is offered, or passed on while the upstream drains. A balancer prefers the owner that it remembers only while that agent takes flows.

--- a/yuccacroft-core/src/handshake/state.rs
+++ b/yuccacroft-core/src/handshake/state.rs
@@ -45,7 +45,9 @@
             State::Open(open) if open.may_have_begun_at(segment.sequence, self.opening) => {
                 Some(Decision::Deliver)
             }
-            State::Closed(_) => Some(Decision::Deliver),
+            State::Closed(_) if self.opening == Some(segment.sequence) => {
+                Some(Decision::Drop("late copy"))
+            }
             // A refusal would end a flow whose caller may be about to answer the upstream.
             State::Accepted { changed_at, .. } => {
                 *changed_at = now;
--- a/yuccacroft-core/src/pool/member.rs
+++ b/yuccacroft-core/src/pool/member.rs
@@ -256,6 +256,12 @@
         self.unanswered_queries += 1;
     }
 
+    /// Returns true if the member takes new flows, as far as it has reported.
+    pub fn takes_flows(&self) -> bool {
+        let is_accepting = self.load.is_none_or(|(load, _)| load.accepting);
+        self.entry.phase == AgentPhase::Ready && is_accepting
+    }
+
     /// Returns the reachability of the member and the cost of a new flow there, or `None` if it
     /// takes no new flow.
     pub(super) fn cost(
@@ -264,11 +270,10 @@
         key: FlowKey,
         now: Moment,
     ) -> Option<(Reachability, u64)> {
-        let load = self.load.map(|(load, _)| load);
-        let is_accepting = load.is_none_or(|load| load.accepting);
-        if self.entry.phase != AgentPhase::Ready || !is_accepting {
+        if !self.takes_flows() {
             return None;
         }
+        let load = self.load.map(|(load, _)| load);
         let (load, has_load) = load.map_or((AgentLoad::default(), false), |load| (load, true));
         let service_time = if has_load && load.service_time > Span::ZERO {
             load.service_time
--- a/yuccacroft-core/tests/closed_flows.rs
+++ b/yuccacroft-core/tests/closed_flows.rs
@@ -166,3 +166,41 @@
     table.tick(at(10_100));
     assert_eq!(ownership(&table, UPSTREAM_START + 82, at(10_100)), Ownership::Denies);
 }
+
+/// Guards against new flows at an upstream that takes none, and against a flow that no agent passes
+/// on: the port of a closed flow opens a new one, which any agent may take.
+#[test]
+fn the_port_of_a_closed_flow_opens_a_new_one() {
+    let next = opening(OTHER_CALLER_START);
+    let draining = closed().handle_opening(&next, b"open", offer(), false, at(4_000));
+    assert!(matches!(draining, Decision::Pass(to, _) if to == other_agent()), "{draining:?}");
+    let table = closed();
+    let accepting = table.handle_opening(&next, b"open", offer(), true, at(4_000));
+    assert_eq!(accepting, Decision::Confirm);
+    let accept = segment(Control::Accept, OTHER_UPSTREAM_START, OTHER_CALLER_START + 1, 0);
+    table.handle_reply(&accept, at(4_001));
+    assert_eq!(ownership(&table, OTHER_UPSTREAM_START + 1, at(4_002)), Ownership::Owns);
+}
+
+/// Guards against the same for a flow whose caller has gone without a word, and against the loss of
+/// an open flow by a late copy of its opening segment.
+#[test]
+fn another_first_position_opens_a_new_flow() {
+    let table = served();
+    let next = opening(OTHER_CALLER_START);
+    let passed = table.handle_opening(&next, b"open", offer(), false, at(4_000));
+    assert!(matches!(passed, Decision::Pass(..)), "{passed:?}");
+    let copy = opening(CALLER_START);
+    let repeated = table.handle_opening(&copy, b"open", offer(), false, at(4_000));
+    assert_eq!(repeated, Decision::Deliver);
+    assert_eq!(ownership(&table, UPSTREAM_START + 81, at(4_001)), Ownership::Owns);
+}
+
+/// Guards against a flow that nobody uses: a late copy of the opening segment of a closed flow opens
+/// no new one.
+#[test]
+fn a_late_copy_of_the_opening_segment_opens_no_flow() {
+    let copy = opening(CALLER_START);
+    let decision = closed().handle_opening(&copy, b"open", offer(), true, at(600));
+    assert_eq!(decision, Decision::Drop("late copy"));
+}
--- a/yuccacroft-segment/src/balancer/chain.rs
+++ b/yuccacroft-segment/src/balancer/chain.rs
@@ -132,6 +132,10 @@
 }
 
 impl FlowLookup {
+    fn takes_flows(&self, agent: Instance) -> bool {
+        self.pool.get(agent).is_some_and(|member| member.takes_flows())
+    }
+
     /// Returns the decision for a flow with a known owner. The flows of a lost agent are reset,
     /// unless its silence may be due to the link of this balancer. The owner is checked again for
     /// each segment, so that its flows are forwarded as soon as it answers.
@@ -164,7 +168,12 @@
                         received.avoided = Some(to);
                     }
                 }
-                Some(CachedFlow::Owned { owner, .. }) => received.preferred = Some(owner.instance),
+                Some(CachedFlow::Owned { owner, .. }) if self.takes_flows(owner.instance) => {
+                    received.preferred = Some(owner.instance);
+                }
+                // A copy of the opening segment has no use any more, and a new flow from the same port
+                // goes to an agent that takes it.
+                Some(CachedFlow::Owned { .. }) => {}
                 Some(CachedFlow::Lost(_)) | None => {}
             }
             return Verdict::Continue;
