Lay down the interfaces of the parts for hard load

- `requirements`: what a deployment's settings ask for (`process.requirements`, from the platform's list).
`health` switches on what rests on measured outcomes and times, `places` evacuations and the limits of cold upstreams.
Unknown names are ignored; without the setting nothing new takes effect.
- `pool::cost`: the cost of a member as a sum of parts, and the reason for which a member is left out, in a module of their own.
The numbers are those of before.
- `pool::Measures`: what an agent has measured of its upstream, reported with the load (`Body::Measures`).
- `ClassifiedOffer`: an offer that names the class of its requests, so that an agent can judge deadlines before it takes a flow.
Sent with the requirement `health` only; agents pass an offer on as they got it.
- `Evacuation`: a notice of a balancer to an agent.

The new messages come at the end of their kinds, so releases of before still understand all others: update agents before balancers. Weighed: new fields in `AgentLoad` and `Offer`, which need a new version of the protocol and cut a mixed fleet in two during an update.

--- a/yuccacroft-bench/src/segments.rs
+++ b/yuccacroft-bench/src/segments.rs
@@ -115,7 +115,7 @@
     let origin = SocketAddrV4::new([10, 0, 0, 1].into(), 7_000);
     let before = memory::resident_bytes();
     let open_nanos = mean_nanos(FLOW_COUNT, |number| {
-        let offer = Offer { origin, rest: Box::new([]), hops: 0 };
+        let offer = Offer { class: None, origin, rest: Box::new([]), hops: 0 };
         table.handle_opening(&segment(number, Control::Open, 0), &[0; 32], offer, true, NOW);
         table.handle_reply(&segment(number, Control::Accept, 0), NOW);
         let first = segment(number, Control::Continue, 102);
--- a/yuccacroft-core/src/handshake/offer.rs
+++ b/yuccacroft-core/src/handshake/offer.rs
@@ -1,6 +1,10 @@
 //! The route of an opening segment through the agents that may take its flow.
 
-use {super::decision::Decision, crate::ids::Instance, std::net::SocketAddrV4};
+use {
+    super::decision::Decision,
+    crate::{ids::Instance, route::TrafficClass},
+    std::net::SocketAddrV4,
+};
 
 /// Maximum number of agents that one opening segment visits.
 pub const MAX_HOPS: u8 = 8;
@@ -8,6 +12,8 @@
 /// The route of an opening segment through the candidate agents.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Offer {
+    /// The class of the requests in the flow, if the balancer names it.
+    pub class: Option<TrafficClass>,
     /// The balancer that chose the candidates and gets the result.
     pub origin: SocketAddrV4,
     /// The candidates after the current agent, in order.
@@ -19,12 +25,12 @@
 /// Passes an opening segment that an agent does not take to the next candidate, or refuses it if
 /// none is left.
 pub fn pass_or_refuse(offer: Offer) -> Decision {
-    let Offer { origin, rest, hops } = offer;
+    let Offer { class, origin, rest, hops } = offer;
     // A malformed message may contain any number.
     let hops = hops.saturating_add(1);
     match rest.split_first() {
         Some((&to, rest)) if hops < MAX_HOPS => {
-            Decision::Pass(to, Offer { origin, rest: rest.into(), hops })
+            Decision::Pass(to, Offer { class, origin, rest: rest.into(), hops })
         }
         _ => Decision::Refuse(origin),
     }
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -4,6 +4,7 @@
 //! anyway. A member that disappears from the listing stays while it answers, so that an outage of
 //! the store does not empty the pool.
 
+mod cost;
 pub mod indirect;
 mod listing;
 mod member;
@@ -11,12 +12,14 @@
 mod ring;
 
 pub use self::{
-    member::{AgentEntry, AgentLoad, AgentPhase, Member, Reachability},
+    cost::{Cost, Exclusion},
+    member::{AgentEntry, AgentLoad, AgentPhase, Measures, Member, Reachability},
     path::AnswerCounts,
 };
 
 use {
     self::{
+        cost::Viewpoint,
         indirect::{Condition, Contact, Limit, Ping, Relay, Report, Suspect},
         listing::ListState,
         member::{SUSPICION_TIMEOUT, UNLISTED_GRACE_PERIOD},
@@ -26,6 +29,7 @@
     crate::{
         flow::{AgentId, FlowKey},
         ids::{Domain, Instance, Revision},
+        requirements::Requirements,
         route::Target,
         shards::Shards,
         time::{Moment, Span},
@@ -93,6 +97,7 @@
     list_state: ListState,
     evidence_version: AtomicU64,
     indirect_limit: Limit,
+    requirements: Requirements,
 }
 
 impl Pool {
@@ -101,6 +106,16 @@
         Self::default()
     }
 
+    /// Sets the requirements of the deployment.
+    pub fn with_requirements(self, requirements: Requirements) -> Self {
+        Self { requirements, ..self }
+    }
+
+    /// Returns the requirements of the deployment.
+    pub fn requirements(&self) -> Requirements {
+        self.requirements
+    }
+
     /// Adds or updates a member from its listed entry. An entry of an earlier incarnation or
     /// version is ignored.
     pub fn upsert(&self, entry: AgentEntry, now: Moment) -> UpsertResult {
@@ -268,6 +283,15 @@
         })
     }
 
+    /// Records the measures that a member has reported.
+    pub fn record_measures(&self, agent_id: AgentId, measures: Measures, now: Moment) {
+        self.update_member(agent_id.instance, |member| {
+            if agent_id.incarnation >= member.entry.agent_id.incarnation {
+                member.measures = Some((measures, now));
+            }
+        });
+    }
+
     /// Returns the members to ask now whether they reach a member that does not answer, from a
     /// process in this failure domain. It is called several times a second, and the number of pings
     /// is limited whatever the number of silent members. Without a member that answers in time there
@@ -407,12 +431,16 @@
         count: usize,
         now: Moment,
     ) -> Vec<Instance> {
+        let viewpoint = Viewpoint { domain, key };
         let mut costs = Vec::with_capacity(PLACEMENT_WINDOW);
         for skipped in (0..MAX_PLACEMENT_SCAN).step_by(PLACEMENT_WINDOW) {
             let window = self.window(target, key, skipped, PLACEMENT_WINDOW);
             let is_last = window.len() < PLACEMENT_WINDOW;
             costs.extend(window.into_iter().filter_map(|instance| {
-                let cost = |member: &Member| member.cost(domain, key, now);
+                let cost = |member: &Member| {
+                    let cost = member.cost(&viewpoint).ok()?;
+                    Some((member.reachability(now), cost.total()))
+                };
                 // The address may have been reused for another service.
                 let serves_target = |member: &&Member| member.entry.target == target;
                 Some((
--- /dev/null
+++ b/yuccacroft-core/src/pool/cost.rs
@@ -0,0 +1,116 @@
+//! The cost of a new flow at a member, part by part, and why a member is left out.
+
+use {
+    super::member::{AgentLoad, AgentPhase, Member},
+    crate::{flow::FlowKey, ids::Domain, placement::pair_hash, time::Span},
+};
+
+/// Cost of a member in another failure domain, in percent of a member in the balancer's own domain.
+const REMOTE_DOMAIN_COST_PERCENT: u64 = 115;
+/// Cost of a member whose upstream is warming up, in percent of one whose upstream is warm.
+const WARMUP_COST_PERCENT: u64 = 160;
+/// Factor by which the cost of a member grows when its upstream is always busy: the increase is
+/// this many times the base cost.
+const BUSY_COST_FACTOR: u64 = 6;
+/// Service time that is assumed for a member that has not reported one.
+const DEFAULT_SERVICE_TIME: Span = Span::from_millis(20);
+/// Number of hundredths by which the costs of one member differ from flow to flow, so that balancers
+/// with the same information do not all choose the same member.
+const SPREAD_PERCENT: u64 = 16;
+const HUNDRED: u64 = 100;
+
+/// The flow and the balancer for which the costs of members are compared.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Viewpoint<'a> {
+    /// The failure domain of the balancer.
+    pub domain: &'a Domain,
+    /// The flow.
+    pub key: FlowKey,
+}
+
+/// The cost of a new flow at a member, as a sum of times.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Cost {
+    /// The service time of a request among those in progress.
+    pub work: Span,
+    /// The expected use of the upstream by other flows.
+    pub busy: Span,
+    /// The disadvantage of a member in another failure domain.
+    pub crossing: Span,
+    /// The disadvantage of an upstream that is warming up.
+    pub warmup: Span,
+    /// The part that depends on flow and member.
+    pub spread: Span,
+}
+
+/// Why a member gets no new flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exclusion {
+    /// Its entry in the store names this phase.
+    Phase(AgentPhase),
+    /// Its agent reports that it takes no new flow.
+    NotAccepting,
+}
+
+impl Cost {
+    /// Returns the sum of all parts, by which members are compared.
+    pub fn total(&self) -> Span {
+        self.work + self.busy + self.crossing + self.warmup + self.spread
+    }
+}
+
+impl Member {
+    /// Returns why the member gets no new flow, or `None` if it may get one.
+    pub fn exclusion(&self) -> Option<Exclusion> {
+        if self.entry.phase != AgentPhase::Ready {
+            return Some(Exclusion::Phase(self.entry.phase));
+        }
+        let is_accepting = self.load.is_none_or(|(load, _)| load.accepting);
+        (!is_accepting).then_some(Exclusion::NotAccepting)
+    }
+
+    /// Returns the cost of a new flow at this member, or why it gets none.
+    pub(super) fn cost(&self, viewpoint: &Viewpoint<'_>) -> Result<Cost, Exclusion> {
+        if let Some(exclusion) = self.exclusion() {
+            return Err(exclusion);
+        }
+        let load = self.load.map(|(load, _)| load).unwrap_or_default();
+        let work = self.work(&load);
+        let busy = self.busy(&load, work);
+        let mut cost = Cost { work, busy, ..Cost::default() };
+        if self.entry.domain != *viewpoint.domain {
+            cost.crossing = increase(cost.total(), REMOTE_DOMAIN_COST_PERCENT - HUNDRED);
+        }
+        if load.warmup > Span::ZERO {
+            cost.warmup = increase(cost.total(), WARMUP_COST_PERCENT - HUNDRED);
+        }
+        let spread = pair_hash(viewpoint.key, self.entry.agent_id.instance) % SPREAD_PERCENT;
+        cost.spread = increase(cost.total(), spread);
+        Ok(cost)
+    }
+
+    fn work(&self, load: &AgentLoad) -> Span {
+        let is_known = load.service_time > Span::ZERO;
+        let service_time = if is_known { load.service_time } else { DEFAULT_SERVICE_TIME };
+        let slots = self.slots();
+        let pending_work = u64::from(load.active) + self.pending_offers.len() as u64 + 1;
+        Span::from_micros(service_time.as_micros() * (slots + pending_work) / slots)
+    }
+
+    /// A flow lasts for many requests, so the mean utilization of the upstream counts more than its
+    /// momentary work. The cost grows with the square of the utilization.
+    fn busy(&self, load: &AgentLoad, work: Span) -> Span {
+        let utilization = u64::from(load.busy.get()) / self.slots();
+        let factor = BUSY_COST_FACTOR * utilization * utilization;
+        Span::from_micros(work.as_micros() * factor / (HUNDRED * HUNDRED))
+    }
+
+    fn slots(&self) -> u64 {
+        u64::from(self.entry.slots.get().max(1))
+    }
+}
+
+/// Returns the part of a cost that has this number of hundredths of it.
+fn increase(cost: Span, hundredths: u64) -> Span {
+    Span::from_micros(cost.as_micros() * hundredths / HUNDRED)
+}
--- a/yuccacroft-core/src/pool/member.rs
+++ b/yuccacroft-core/src/pool/member.rs
@@ -6,9 +6,8 @@
         path::{Answer, LOSS_TIMEOUT, Timeliness},
     },
     crate::{
-        flow::{AgentId, FlowKey},
+        flow::AgentId,
         ids::{Domain, Incarnation},
-        placement::pair_hash,
         route::Target,
         time::{Moment, Span},
         units::{Connections, Percent, Slots},
@@ -29,15 +28,6 @@
 /// Time for which a member that disappeared from the listing is kept although it does not answer.
 /// Expired entries are written again within two seconds after the store has recovered.
 pub(super) const UNLISTED_GRACE_PERIOD: Span = Span::from_millis(2_500);
-/// Cost of a member in another failure domain, in percent of a member in the balancer's own domain.
-const REMOTE_DOMAIN_COST_PERCENT: u64 = 115;
-/// Cost of a member whose upstream is warming up, in percent of one whose upstream is warm.
-const WARMUP_COST_PERCENT: u64 = 160;
-/// Factor by which the cost of a member grows when its upstream is always busy: the increase is
-/// this many times the base cost.
-const BUSY_COST_FACTOR: u64 = 6;
-/// Service time that is assumed for a member that has not reported one.
-const DEFAULT_SERVICE_TIME: Span = Span::from_millis(20);
 
 /// The entry of an agent in the store, which describes it and its upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -94,12 +84,26 @@
     pub stopping: bool,
 }
 
+/// What an agent has measured of its upstream, beside its load. Agents report it where the
+/// requirements of the deployment ask for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Measures {
+    /// The expected wait of a request that arrives now, before the upstream begins to process it.
+    pub wait: Span,
+    /// The share of the latest requests that the upstream failed.
+    pub failures: Percent,
+    /// The number of further flows that an upstream that warms up takes now; `None` without a limit.
+    pub room: Option<Connections>,
+}
+
 /// The state of one agent, as known to a balancer.
 #[derive(Clone, Debug)]
 pub struct Member {
     /// The latest entry of the agent.
     pub entry: AgentEntry,
     pub(super) load: Option<(AgentLoad, Moment)>,
+    /// The latest measures that the agent has reported, and when.
+    pub(super) measures: Option<(Measures, Moment)>,
     /// The latest answer to a message of this process.
     pub(super) answer: Option<Answer>,
     /// The times of offers whose requests the reported load does not include yet.
@@ -133,6 +137,7 @@
         Self {
             entry,
             load: None,
+            measures: None,
             answer: None,
             pending_offers: VecDeque::new(),
             unanswered_since: None,
@@ -223,6 +228,11 @@
         self.load.map(|(load, at)| (load, now.since(at)))
     }
 
+    /// Returns the last reported measures and their age, or `None` if the member has reported none.
+    pub fn measures(&self, now: Moment) -> Option<(Measures, Span)> {
+        self.measures.map(|(measures, at)| (measures, now.since(at)))
+    }
+
     /// Returns true while the member is listed.
     pub fn is_listed(&self) -> bool {
         self.unlisted_since.is_none()
@@ -258,45 +268,7 @@
 
     /// Returns true if the member takes new flows, as far as it has reported.
     pub fn takes_flows(&self) -> bool {
-        let is_accepting = self.load.is_none_or(|(load, _)| load.accepting);
-        self.entry.phase == AgentPhase::Ready && is_accepting
-    }
-
-    /// Returns the reachability of the member and the cost of a new flow there, or `None` if it
-    /// takes no new flow.
-    pub(super) fn cost(
-        &self,
-        domain: &Domain,
-        key: FlowKey,
-        now: Moment,
-    ) -> Option<(Reachability, u64)> {
-        if !self.takes_flows() {
-            return None;
-        }
-        let load = self.load.map(|(load, _)| load);
-        let (load, has_load) = load.map_or((AgentLoad::default(), false), |load| (load, true));
-        let service_time = if has_load && load.service_time > Span::ZERO {
-            load.service_time
-        } else {
-            DEFAULT_SERVICE_TIME
-        };
-        let slots = u64::from(self.entry.slots.get().max(1));
-        let pending_work = u64::from(load.active) + self.pending_offers.len() as u64 + 1;
-        let mut cost = service_time.as_micros() * (slots + pending_work) / slots;
-        // A flow lasts for many requests, so the mean utilization of the upstream counts more than
-        // its momentary work. The cost grows with the square of the utilization.
-        let utilization = u64::from(load.busy.get()) / slots;
-        cost += cost * BUSY_COST_FACTOR * utilization * utilization / (100 * 100);
-        if self.entry.domain != *domain {
-            cost = cost * REMOTE_DOMAIN_COST_PERCENT / 100;
-        }
-        if load.warmup > Span::ZERO {
-            cost = cost * WARMUP_COST_PERCENT / 100;
-        }
-        // Adds up to 15 percent that depend on flow and member, so that balancers with the same
-        // information do not all choose the same member.
-        cost += cost * (pair_hash(key, self.entry.agent_id.instance) % 16) / 100;
-        Some((self.reachability(now), cost))
+        self.exclusion().is_none()
     }
 }
 
--- a/yuccacroft-core/tests/closed_flows.rs
+++ b/yuccacroft-core/tests/closed_flows.rs
@@ -45,7 +45,7 @@
 }
 
 fn offer() -> Offer {
-    Offer { origin: balancer(), rest: Box::new([other_agent()]), hops: 0 }
+    Offer { class: None, origin: balancer(), rest: Box::new([other_agent()]), hops: 0 }
 }
 
 fn at(millis: u64) -> Moment {
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -44,7 +44,7 @@
 }
 
 fn offer(rest: &[Instance]) -> Offer {
-    Offer { origin: balancer(), rest: rest.into(), hops: 0 }
+    Offer { class: None, origin: balancer(), rest: rest.into(), hops: 0 }
 }
 
 fn at(millis: u64) -> Moment {
@@ -97,7 +97,7 @@
 fn an_agent_that_takes_no_flow_passes_it_on() {
     let table = FlowTable::new();
     let passed = table.handle_opening(&opening(1), b"open", offer(&[other()]), false, START);
-    let rest = Offer { origin: balancer(), rest: Box::new([]), hops: 1 };
+    let rest = Offer { rest: Box::new([]), hops: 1, ..offer(&[]) };
     assert_eq!(passed, Decision::Pass(other(), rest));
     let refused = table.handle_opening(&opening(1), b"open", offer(&[]), false, START);
     assert_eq!(refused, Decision::Refuse(balancer()));
--- a/yuccacroft-fakes/src/udp_relay.rs
+++ b/yuccacroft-fakes/src/udp_relay.rs
@@ -285,7 +285,7 @@
 /// passed on is such a socket already.
 fn translate_request(datagram: &[u8], client: SocketAddr, session: &UdpSocket) -> Option<Vec<u8>> {
     let (mut request, segment) = relay::decode::<Request>(datagram).ok()?;
-    if let Request::Offer { origin, .. } = &mut request
+    if let Request::Offer { origin, .. } | Request::ClassifiedOffer { origin, .. } = &mut request
         && SocketAddr::from(*origin) == client
         && let Ok(SocketAddr::V4(address)) = session.local_addr()
     {
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -12,6 +12,7 @@
         backlog::Backlog,
         filter::{Filter, FilterChain, Verdict},
         handshake::{self, Decision, FlowTable, ForwardReason, Offer},
+        requirements::Requirements,
         route::{Target, TrafficClass},
         segment::Segment,
         time::{Moment, Span},
@@ -56,6 +57,8 @@
 pub struct AgentState {
     /// The service of the upstream.
     pub target: Target,
+    /// The requirements of the deployment.
+    pub requirements: Requirements,
     /// The open flows.
     pub table: FlowTable,
     monitor: Mutex<Monitor>,
@@ -81,6 +84,7 @@
     pub fn new(target: Target, monitor: Monitor) -> Self {
         Self {
             target,
+            requirements: Requirements::default(),
             table: FlowTable::new(),
             monitor: Mutex::new(monitor),
             backlog: Mutex::default(),
@@ -89,6 +93,11 @@
         }
     }
 
+    /// Sets the requirements of the deployment.
+    pub fn with_requirements(self, requirements: Requirements) -> Self {
+        Self { requirements, ..self }
+    }
+
     /// Returns the locked monitor of the upstream.
     pub fn monitor(&self) -> MutexGuard<'_, Monitor> {
         self.monitor.lock().unwrap_or_else(PoisonError::into_inner)
--- a/yuccacroft-segment/src/agent/process.rs
+++ b/yuccacroft-segment/src/agent/process.rs
@@ -23,6 +23,7 @@
     yuccacroft_core::{
         flow::AgentId,
         ids::{Domain, Instance, Process as Name},
+        requirements::Requirements,
         route::ServiceName,
         time::Span,
         upstream::Monitor,
@@ -64,6 +65,8 @@
     pub store: SocketAddrV4,
     /// The time from the stop signal until the process is killed.
     pub grace: Span,
+    /// The requirements of the deployment.
+    pub requirements: Requirements,
 }
 
 /// The state in which the process accepts flows.
@@ -94,7 +97,8 @@
         };
         let target = settings.service.target();
         let monitor = Monitor::new(target, settings.report_interval);
-        let state = Arc::new(AgentState::new(target, monitor));
+        let state = AgentState::new(target, monitor).with_requirements(settings.requirements);
+        let state = Arc::new(state);
         let flow_log = FlowLog::new(log.clone());
         let relay = Arc::new(Relay::new(platform.format(), setup, state, clock, flow_log));
         let controllers =
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -38,8 +38,14 @@
             }
             Request::Offer { target, origin, rest, hops } => {
                 self.balancers.insert(origin, now);
-                Context::NewFlow(target, Offer { origin, rest, hops }, bytes.into())
+                Context::NewFlow(target, Offer { class: None, origin, rest, hops }, bytes.into())
             }
+            Request::ClassifiedOffer { class, target, origin, rest, hops } => {
+                self.balancers.insert(origin, now);
+                let offer = Offer { class: Some(class), origin, rest, hops };
+                Context::NewFlow(target, offer, bytes.into())
+            }
+            Request::Evacuation(_) => return,
             Request::Search { key, acknowledged } => {
                 return self.answer_search(FlowQuery { key, acknowledged }, from, now);
             }
@@ -207,8 +213,12 @@
                 "silence" => ?silence, "open" => %self.state.table.open_flows());
         }
         let target = target.unwrap_or(self.state.target);
-        let Offer { origin, rest, hops } = offer;
-        self.send(Kind::Offer, to, &Request::Offer { target, origin, rest, hops }, datagram);
+        let Offer { class, origin, rest, hops } = offer;
+        let request = match class {
+            Some(class) => Request::ClassifiedOffer { class, target, origin, rest, hops },
+            None => Request::Offer { target, origin, rest, hops },
+        };
+        self.send(Kind::Offer, to, &request, datagram);
     }
 
     pub(super) fn refuse(&self, flow: Flow, origin: SocketAddrV4, datagram: &[u8], now: Moment) {
--- a/yuccacroft-segment/src/balancer/process.rs
+++ b/yuccacroft-segment/src/balancer/process.rs
@@ -19,6 +19,7 @@
     std::{net::SocketAddrV4, sync::Arc, time::Duration},
     yuccacroft_core::{
         ids::{Domain, Process as Name},
+        requirements::Requirements,
         time::Span,
     },
     yuccacroft_rpc::tasks::Tasks,
@@ -49,6 +50,8 @@
     pub store: SocketAddrV4,
     /// The time from the stop signal until the process is killed.
     pub grace: Span,
+    /// The requirements of the deployment.
+    pub requirements: Requirements,
 }
 
 /// The state in which the process forwards segments.
@@ -73,6 +76,7 @@
             origin: settings.messages,
             caller_port: settings.segments.port(),
             domain: settings.domain.clone(),
+            requirements: settings.requirements,
         };
         let relay =
             Arc::new(Relay::new(platform.format(), setup, clock, FlowLog::new(log.clone())));
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -37,6 +37,7 @@
         ids::{Domain, Instance},
         opening::OpeningTable,
         pool::{Pool, indirect::Ping},
+        requirements::Requirements,
         route::{ConfigVersion, TrafficClass},
         segment::{Control, Format, Segment},
         steering::{LossVerdict, SteeringTable},
@@ -61,6 +62,8 @@
     pub caller_port: u16,
     /// The failure domain of the balancer.
     pub domain: Domain,
+    /// The requirements of the deployment.
+    pub requirements: Requirements,
 }
 
 /// The packet path of one balancer.
@@ -111,7 +114,10 @@
 impl<F: Format, S: Socket> Relay<F, S> {
     /// Creates a packet path without agents and without a configuration.
     pub fn new(format: F, setup: Setup<S>, clock: BootClock, flow_log: FlowLog) -> Self {
-        let (table, pool) = (Arc::new(SteeringTable::new()), Arc::new(Pool::new()));
+        let (table, pool) = (
+            Arc::new(SteeringTable::new()),
+            Arc::new(Pool::new().with_requirements(setup.requirements)),
+        );
         let current_routes = Arc::new(CurrentRoutes::default());
         let chain = chain::build_chain(
             table.clone(),
@@ -301,8 +307,13 @@
                 self.openings.record_offer(received.key, copy, received.arrived_at, now);
                 self.pool.record_offer(first, now);
                 self.log_offer(segment, first, now);
-                let origin = self.setup.origin;
-                self.send(first, &Request::Offer { target, origin, rest, hops: 0 }, datagram);
+                let (class, origin) = (self.class(segment), self.setup.origin);
+                let offer = if self.setup.requirements.health {
+                    Request::ClassifiedOffer { class, target, origin, rest, hops: 0 }
+                } else {
+                    Request::Offer { target, origin, rest, hops: 0 }
+                };
+                self.send(first, &offer, datagram);
             }
             Decision::Search => {
                 let (key, target) = (received.key, received.target);
--- a/yuccacroft-segment/src/balancer/relay/messages.rs
+++ b/yuccacroft-segment/src/balancer/relay/messages.rs
@@ -36,6 +36,10 @@
         }
         match reply.body {
             Body::Load => self.pool.record_load(reply.from, reply.load, now),
+            Body::Measures(measures) => {
+                self.pool.record_measures(reply.from, measures, now);
+                self.pool.record_load(reply.from, reply.load, now)
+            }
             _ => self.pool.record_answer(reply.from, reply.load, now),
         };
         self.pool.record_announced_entry(reply.newest_entry, now);
@@ -44,7 +48,7 @@
             self.config_outdated.notify_one();
         }
         match reply.body {
-            Body::Load | Body::Pong => {}
+            Body::Load | Body::Measures(_) | Body::Pong => {}
             Body::IndirectPong { agent_id, condition } => {
                 self.pool.record_indirect_answer(agent_id, condition, reply.from.instance, now);
             }
--- a/yuccacroft-segment/src/traffic.rs
+++ b/yuccacroft-segment/src/traffic.rs
@@ -129,13 +129,13 @@
     /// Returns the kind of a message to an agent. `retry` is true if it repeats an earlier one.
     pub fn of_request(request: &Request, retry: bool) -> Self {
         match request {
-            Request::Offer { .. } => Self::Offer,
+            Request::Offer { .. } | Request::ClassifiedOffer { .. } => Self::Offer,
             Request::Carry(_) => Self::Carry,
             Request::Search { .. } if retry => Self::SearchRetry,
             Request::Search { .. } => Self::Search,
             Request::Probe(_) if retry => Self::ProbeRetry,
             Request::Probe(_) => Self::Probe,
-            Request::Ping { .. } => Self::Ping,
+            Request::Ping { .. } | Request::Evacuation(_) => Self::Ping,
             Request::IndirectPing { .. } => Self::IndirectPing,
             Request::RelayedPing { .. } => Self::RelayedPing,
             Request::RelayedPong { .. } => Self::RelayedPong,
@@ -146,7 +146,7 @@
     /// Returns the kind of a message to a balancer.
     pub fn of_reply(body: &Body) -> Self {
         match body {
-            Body::Load => Self::Load,
+            Body::Load | Body::Measures(_) => Self::Load,
             Body::Pong => Self::Pong,
             Body::Took(_) => Self::Took,
             Body::Refused => Self::Refused,
--- a/yuccacroft-segment/tests/junk.rs
+++ b/yuccacroft-segment/tests/junk.rs
@@ -13,6 +13,7 @@
         flow::{AgentId, FlowKey},
         ids::{Domain, Incarnation, Instance, Revision},
         pool::AgentLoad,
+        requirements::Requirements,
         route::ConfigVersion,
         time::Span,
     },
@@ -50,6 +51,7 @@
         origin: peer(),
         caller_port: 443,
         domain: Domain::new("a").unwrap(),
+        requirements: Requirements::default(),
     };
     let relay =
         Relay::new(format, setup, BootClock::new(SystemHost), FlowLog::new(capture.logger()));
--- a/yuccacroft-segment/tests/malformed.rs
+++ b/yuccacroft-segment/tests/malformed.rs
@@ -11,12 +11,14 @@
     proptest::{collection::vec, prelude::*},
     std::{future, net::SocketAddrV4, sync::Arc},
     yuccacroft_core::{
+        evacuation::Notice,
         flow::{AgentId, FlowKey},
         ids::{Incarnation, Instance, Revision},
-        pool::{AgentLoad, indirect::Condition},
+        pool::{AgentLoad, Measures, indirect::Condition},
         route::{ConfigVersion, ServiceName, TrafficClass},
         segment::{Control, Outbound, Segment, Sequence},
         time::Span,
+        units::{Connections, Percent},
         upstream::Monitor,
     },
     yuccacroft_segment::{
@@ -64,6 +66,11 @@
 fn any_body() -> impl Strategy<Value = Body> {
     prop_oneof![
         Just(Body::Load),
+        any::<u32>().prop_map(|n| Body::Measures(Measures {
+            wait: Span::from_micros(n.into()),
+            failures: Percent::new(n),
+            room: (n % 2 == 0).then_some(Connections::new(n)),
+        })),
         Just(Body::Pong),
         Just(Body::Refused),
         any_key().prop_map(Body::Took),
@@ -101,6 +108,14 @@
             rest: rest.into(),
             hops
         }),
+        (vec(any_instance(), 0..16), any::<u8>()).prop_map(move |(rest, hops)| {
+            let (origin, rest) = (peer(), rest.into());
+            Request::ClassifiedOffer { class, target, origin, rest, hops }
+        }),
+        (any::<u64>(), any::<bool>()).prop_map(|(revision, is_evacuated)| {
+            let revision = Revision::new(revision);
+            Request::Evacuation(Notice { revision, is_evacuated })
+        }),
         Just(Request::Carry(class)),
         Just(Request::Probe(class)),
         any_query()
--- a/yuccacroft-segment/tests/support/balancer.rs
+++ b/yuccacroft-segment/tests/support/balancer.rs
@@ -19,6 +19,7 @@
         flow::{AgentId, FlowKey},
         ids::{Domain, Incarnation, Instance, Revision},
         pool::{AgentEntry, AgentLoad, AgentPhase},
+        requirements::Requirements,
         route::{ConfigVersion, Route, RouteShare, RoutingTable, ServiceName, TrafficClass},
         segment::{Control, Flow, Segment, Sequence},
         time::{Moment, Span},
@@ -239,6 +240,7 @@
             origin: address(),
             caller_port: 443,
             domain: Domain::new("a").unwrap(),
+            requirements: Requirements::default(),
         };
         let boot_clock = BootClock::new(clock.clone());
         let relay = Relay::new(FORMAT, setup, boot_clock, FlowLog::new(log.logger()));
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -14,9 +14,10 @@
     serde::{Deserialize, Serialize},
     std::net::SocketAddrV4,
     yuccacroft_core::{
+        evacuation::Notice,
         flow::{AgentId, FlowKey},
         ids::{Incarnation, Instance, Revision},
-        pool::{AgentLoad, indirect::Condition},
+        pool::{AgentLoad, Measures, indirect::Condition},
         route::{ConfigVersion, Target, TrafficClass},
         segment::Sequence,
         time::Span,
@@ -98,6 +99,21 @@
     },
     /// The sender searches for the owners of several flows, [`MAX_FLOW_QUERIES`] at most.
     SearchMany(Box<[FlowQuery]>),
+    /// The segment opens a flow, as with [`Request::Offer`], whose requests have this class.
+    ClassifiedOffer {
+        /// The class of the requests in the flow.
+        class: TrafficClass,
+        /// The service of the flow.
+        target: Target,
+        /// The balancer to which the outcome is sent.
+        origin: SocketAddrV4,
+        /// The agents to offer the flow to next.
+        rest: Box<[Instance]>,
+        /// The number of agents that were offered the flow before.
+        hops: u8,
+    },
+    /// The sender, a balancer, tells whether the failure domain of the receiver is evacuated.
+    Evacuation(Notice),
 }
 
 /// A message of an agent to a balancer.
@@ -152,6 +168,8 @@
         /// Whether the sender's upstream may know them nevertheless.
         unsure: bool,
     },
+    /// The load, which the sender reports on its own, with what it has measured of its upstream.
+    Measures(Measures),
 }
 
 /// Encodes a header and the segment after it.
--- a/yuccacroft/src/settings/segment.rs
+++ b/yuccacroft/src/settings/segment.rs
@@ -4,7 +4,7 @@
     super::{finish, open_ini},
     crate::errors::Result,
     std::{net::SocketAddrV4, path::Path},
-    yuccacroft_core::{ini::Reader, time::Span},
+    yuccacroft_core::{ini::Reader, requirements::Requirements, time::Span},
     yuccacroft_segment::{agent, balancer},
 };
 
@@ -27,6 +27,7 @@
     let ready = read_address(&mut reader, SECTION, "ready");
     let store = reader.required("store", "address", EXPECTED_STORE_ADDRESS);
     let grace = read_grace(&mut reader);
+    let requirements = read_requirements(&mut reader);
     let metrics = read_metrics(&mut reader);
     let settings = (|| {
         let settings = balancer::Settings {
@@ -37,6 +38,7 @@
             ready: ready?,
             store: store?,
             grace: grace?,
+            requirements: requirements?,
         };
         Some((settings, metrics?))
     })();
@@ -57,6 +59,7 @@
     let report_interval = reader.required("upstream", "report_interval", EXPECTED_DURATION);
     let store = reader.required("store", "address", EXPECTED_STORE_ADDRESS);
     let grace = read_grace(&mut reader);
+    let requirements = read_requirements(&mut reader);
     let metrics = read_metrics(&mut reader);
     let settings = (|| {
         let messages = messages?;
@@ -74,6 +77,7 @@
             caller_port: messages.port(),
             store: store?,
             grace: grace?,
+            requirements: requirements?,
         };
         Some((settings, metrics?))
     })();
@@ -100,6 +104,12 @@
     Some(grace)
 }
 
+/// Reads the requirements of the deployment, which are none by default.
+fn read_requirements(reader: &mut Reader) -> Option<Requirements> {
+    let expected = "a list of requirements such as health, places";
+    reader.optional("process", "requirements", expected, Requirements::default())
+}
+
 /// Reads the optional section `metrics`. Without it no metrics are served. The outer `None` means
 /// that the section has faults.
 fn read_metrics(reader: &mut Reader) -> Option<Option<SocketAddrV4>> {
