Hear an upstream that was started after its clock was set back

Cause: the agent took each report with a lower start time than that of the known run as late, for as long as its process ran, though nothing had been heard of the known run since. The report was confirmed all the same, since the endpoint confirmed whatever the outcome was, so the upstream relied on a drain that was not in force.

Change: a run that appears to be older than the known one, or that was replaced, has to prove that it is running by its own evidence: a second report with a higher number, at least 0.75 report intervals after the first, an answer of its port meanwhile (the agent checks it), and the departure of the known run or no report of it for two intervals. Runs that were replaced by one that appears older are remembered, so that their late reports do not return them at once. A late report, of the known run too, is not confirmed.

Why it works: late reports end, arrive together when a partition ends, and come while the later run reports; a running upstream goes on reporting, and its port answers. Should a live run be taken for an ended one, it returns in the same way.

Weighed: to believe a lower start time at once when the port has refused since the last report (a late report arrives in just that situation), and to take the id as proof (an upstream may start again under its id). A late report of an unknown run with a higher start time is still believed at once, since a restart must end the lost flows at once; the running one now returns after two intervals.

--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -3,7 +3,10 @@
 //! An upstream reports its state periodically. Between reports the agent infers its health from its
 //! answers: a running upstream answers every opening segment at once, at least with a bounce.
 
+mod challenger;
+
 use {
+    self::challenger::{Challenger, RunId},
     crate::{
         ids::Incarnation,
         route::Target,
@@ -84,12 +87,25 @@
     Changed,
     /// A new incarnation of the upstream has started; the flows of the previous one are lost.
     Reborn,
-    /// The report is older than the known state and was ignored.
+    /// The report is older than the known state, or of a run that appears to have started before the
+    /// known one and has not proven yet that it is running. It was ignored.
     Late,
     /// The report is of another service than the agent's and was ignored.
     Foreign,
 }
 
+impl ReportOutcome {
+    /// Returns true if the report may be confirmed to its sender. A sender whose report was ignored
+    /// would rely on a state that is not in force, for example on its drain. A report of another
+    /// service is confirmed, since this agent gives its sender no flow.
+    pub const fn is_confirmed(self) -> bool {
+        match self {
+            Self::Unchanged | Self::Changed | Self::Reborn | Self::Foreign => true,
+            Self::Late => false,
+        }
+    }
+}
+
 /// The health of an upstream, as inferred from missing answers and reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Silence {
@@ -118,6 +134,10 @@
     target: Target,
     interval: Span,
     run: Option<Run>,
+    /// A run that may have replaced the known one although it appears to be older.
+    challenger: Option<Challenger>,
+    /// Runs that appear to be newer than the known one, which has replaced them.
+    replaced: Vec<RunId>,
     silence: Silence,
     last_heard: Moment,
     opening_since: Option<Moment>,
@@ -164,6 +184,8 @@
             target,
             interval,
             run: None,
+            challenger: None,
+            replaced: Vec::new(),
             silence: Silence::None,
             last_heard: Moment::default(),
             opening_since: None,
@@ -188,15 +210,16 @@
             return ReportOutcome::Changed;
         };
         let known = &run.report;
-        if report.incarnation < known.incarnation
-            || (report.incarnation == known.incarnation && report.id != known.id)
-        {
-            return ReportOutcome::Late;
-        }
-        if report.incarnation > known.incarnation {
-            self.begin_run(report, age, now);
-            return ReportOutcome::Reborn;
+        if RunId::of(&report) != RunId::of(known) {
+            if report.incarnation > known.incarnation
+                && !self.replaced.contains(&RunId::of(&report))
+            {
+                self.begin_run(report, age, now);
+                return ReportOutcome::Reborn;
+            }
+            return self.handle_challenger(report, age, now);
         }
+        self.challenger = None;
         if report.number <= known.number || run.departed {
             return ReportOutcome::Late;
         }
@@ -208,6 +231,41 @@
         if has_changed { ReportOutcome::Changed } else { ReportOutcome::Unchanged }
     }
 
+    /// Processes a report of a run that appears to have started before the known one, or that was
+    /// replaced. It becomes the known run once its own reports show that it is running, the known run
+    /// sends none, and the port has answered meanwhile.
+    fn handle_challenger(
+        &mut self,
+        report: UpstreamReport,
+        age: Option<Span>,
+        now: Moment,
+    ) -> ReportOutcome {
+        let challenger = self.challenger.take().filter(|known| known.run == RunId::of(&report));
+        let mut challenger = challenger.unwrap_or_else(|| Challenger::new(&report, now));
+        let is_next = report.number > challenger.number;
+        challenger.number = challenger.number.max(report.number);
+        let is_proven = is_next
+            && now.since(challenger.first_seen) >= self.min_confirmed_interval()
+            && self.last_heard > challenger.first_seen
+            && self.has_stopped_reporting(now);
+        if !is_proven {
+            self.challenger = Some(challenger);
+            return ReportOutcome::Late;
+        }
+        self.begin_run(report, age, now);
+        ReportOutcome::Reborn
+    }
+
+    /// Returns true if the known run has announced its end or has missed a report.
+    fn has_stopped_reporting(&self, now: Moment) -> bool {
+        let max_gap = self.interval.saturating_mul(MAX_REPORT_GAP_INTERVALS);
+        self.run.as_ref().is_none_or(|run| run.departed || now.since(run.reported_at) >= max_gap)
+    }
+
+    fn min_confirmed_interval(&self) -> Span {
+        Span::from_micros(self.interval.as_micros() * MIN_CONFIRMED_INTERVAL_PERCENT / 100)
+    }
+
     /// Records that the upstream with this id stops now. Returns false for an unknown id.
     pub fn mark_departed(&mut self, id: &UpstreamId) -> bool {
         match &mut self.run {
@@ -347,12 +405,15 @@
         let begun_after = self.earliest_begin(report.number, age, now);
         // No earlier agent has confirmed a report before the first one, and the age shows that this
         // one is not late. The age alone proves nothing, since the wall clock may have been set back.
-        let min_confirmed_interval =
-            Span::from_micros(self.interval.as_micros() * MIN_CONFIRMED_INTERVAL_PERCENT / 100);
         let had_no_earlier_agent = report.phase == UpstreamPhase::Ready
             && report.number <= FIRST_REPORT
-            && age.is_some_and(|age| age < min_confirmed_interval);
+            && age.is_some_and(|age| age < self.min_confirmed_interval());
         let age = age.unwrap_or(UNKNOWN_AGE);
+        self.challenger = None;
+        self.replaced.extend(self.run.as_ref().map(|previous| RunId::of(&previous.report)));
+        self.replaced.retain(|replaced| {
+            replaced.incarnation >= report.incarnation && *replaced != RunId::of(&report)
+        });
         self.run = Some(Run {
             report,
             departed: false,
--- a/yuccacroft-core/tests/upstream.rs
+++ b/yuccacroft-core/tests/upstream.rs
@@ -256,3 +256,72 @@
         assert_eq!(monitor.silence(), Silence::None, "{result:?}");
     }
 }
+
+/// Returns a report of a run with an id of its own.
+fn report_of(id: &str, incarnation: u64, number: u64, phase: UpstreamPhase) -> UpstreamReport {
+    UpstreamReport { id: UpstreamId::new(id), ..report(incarnation, number, phase) }
+}
+
+/// Returns the monitor of an upstream that crashed and started again after the wall clock had been
+/// set back, when the second run has sent its first report.
+fn replaced_after_clock_step() -> Monitor {
+    let mut monitor = Monitor::new(target(), INTERVAL);
+    monitor.handle_report(report_of("first", 2_010, 1, UpstreamPhase::Ready), None, START);
+    let second = report_of("second", 1_310, 1, UpstreamPhase::Ready);
+    let outcome = monitor.handle_report(second, None, at(1_300));
+    assert_eq!(outcome, ReportOutcome::Late);
+    assert!(!outcome.is_confirmed());
+    monitor.record_check(at(1_300), ConnectResult::Connected, at(1_301));
+    monitor
+}
+
+/// Guards against new flows at a draining upstream that started after the wall clock had been set
+/// back: its reports were confirmed and ignored.
+#[test]
+fn a_run_that_goes_on_reporting_replaces_one_that_appears_newer() {
+    let mut monitor = replaced_after_clock_step();
+    let ready = report_of("second", 1_310, 2, UpstreamPhase::Ready);
+    assert_eq!(monitor.handle_report(ready, None, at(2_300)), ReportOutcome::Reborn);
+    let draining = report_of("second", 1_310, 3, UpstreamPhase::Draining);
+    assert_eq!(monitor.handle_report(draining, None, at(3_300)), ReportOutcome::Changed);
+    assert!(!monitor.is_accepting());
+    for number in 2..4 {
+        let late = report_of("first", 2_010, number, UpstreamPhase::Ready);
+        let outcome = monitor.handle_report(late, None, at(3_300 + number));
+        assert_eq!(outcome, ReportOutcome::Late, "the replaced run does not return");
+    }
+    assert!(!monitor.is_accepting());
+}
+
+/// Guards against a run that is replaced by late reports of one that has ended: while it reports
+/// itself, when they arrive at once, and when nothing answers at the port.
+#[test]
+fn late_reports_do_not_replace_a_run() {
+    let late = |number| report_of("second", 1_310, number, UpstreamPhase::Ready);
+    let mut monitor = replaced_after_clock_step();
+    let known = report_of("first", 2_010, 2, UpstreamPhase::Ready);
+    assert_eq!(monitor.handle_report(known, None, at(1_400)), ReportOutcome::Unchanged);
+    assert_eq!(monitor.handle_report(late(2), None, at(2_300)), ReportOutcome::Late);
+
+    let mut monitor = replaced_after_clock_step();
+    assert_eq!(monitor.handle_report(late(2), None, at(1_302)), ReportOutcome::Late);
+    assert_eq!(monitor.handle_report(late(2), None, at(2_500)), ReportOutcome::Late, "copy");
+
+    let mut monitor = Monitor::new(target(), INTERVAL);
+    monitor.handle_report(report_of("first", 2_010, 1, UpstreamPhase::Ready), None, START);
+    monitor.handle_report(late(1), None, at(3_000));
+    monitor.record_check(at(3_000), ConnectResult::Refused, at(3_001));
+    assert_eq!(monitor.handle_report(late(2), None, at(4_000)), ReportOutcome::Late);
+    assert!(monitor.is_gone());
+}
+
+/// Guards against a drain that is confirmed and not in force: a report that was ignored is not
+/// confirmed.
+#[test]
+fn an_ignored_report_is_not_confirmed() {
+    let mut monitor = monitor();
+    let late = monitor.handle_report(report(10, 1, UpstreamPhase::Draining), None, at(1));
+    assert!(!late.is_confirmed());
+    let earlier = monitor.handle_report(report(9, 1, UpstreamPhase::Draining), None, at(2));
+    assert!(!earlier.is_confirmed());
+}
--- a/yuccacroft-segment/src/agent/controllers.rs
+++ b/yuccacroft-segment/src/agent/controllers.rs
@@ -12,7 +12,7 @@
     tokio::sync::Notify,
     yuccacroft_core::{
         ids::Incarnation,
-        time::Span,
+        time::{Moment, Span},
         upstream::{ReportOutcome, Silence, UpstreamId, UpstreamReport},
     },
 };
@@ -84,17 +84,21 @@
             }
         }
         if check_due {
-            let (host, relay, upstream) = (self.host.clone(), self.relay.clone(), self.upstream);
-            tokio::spawn(async move {
-                let result = host.check_port(upstream).await;
-                relay.apply_port_check(now, result, relay.clock.now());
-            });
+            self.check_port(now);
         }
     }
+
+    fn check_port(&self, now: Moment) {
+        let (host, relay, upstream) = (self.host.clone(), self.relay.clone(), self.upstream);
+        tokio::spawn(async move {
+            let result = host.check_port(upstream).await;
+            relay.apply_port_check(now, result, relay.clock.now());
+        });
+    }
 }
 
 impl<P: Platform> ReportHandler for Controllers<P> {
-    fn handle_report(&self, report: UpstreamReport) {
+    fn handle_report(&self, report: UpstreamReport) -> ReportOutcome {
         let now = self.relay.clock.now();
         let (id, incarnation, number) = (report.id.clone(), report.incarnation, report.number);
         let phase = report.phase;
@@ -107,13 +111,15 @@
             (monitor.handle_report(report, age, now), before, monitor.begun_after())
         };
         if outcome == ReportOutcome::Unchanged && before == Silence::None {
-            return;
+            return outcome;
         }
         info!(self.relay.flow_log.log(), "upstream reported"; "outcome" => ?outcome, "id" => %id,
             "born" => %incarnation, "number" => %number, "phase" => ?phase);
         match outcome {
             ReportOutcome::Unchanged => self.relay.send_load(now),
-            ReportOutcome::Late | ReportOutcome::Foreign => {}
+            ReportOutcome::Foreign => {}
+            // A run that appears to be older than the known one is believed only if its port answers.
+            ReportOutcome::Late => self.check_port(now),
             ReportOutcome::Changed => {
                 self.relay.send_load(now);
                 self.entry_changed.notify_one();
@@ -126,6 +132,7 @@
                 self.entry_changed.notify_one();
             }
         }
+        outcome
     }
 
     fn handle_departure(&self, id: &UpstreamId, incarnation: Option<Incarnation>) {
--- a/yuccacroft-segment/src/platform.rs
+++ b/yuccacroft-segment/src/platform.rs
@@ -8,7 +8,7 @@
         ids::Incarnation,
         route::RoutingTable,
         segment::Format,
-        upstream::{UpstreamId, UpstreamReport},
+        upstream::{ReportOutcome, UpstreamId, UpstreamReport},
     },
     yuccacroft_store::store::Store,
 };
@@ -69,8 +69,8 @@
 
 /// Receives the reports of upstreams. A call is processed when the method returns.
 pub trait ReportHandler: Send + Sync {
-    /// Handles a report.
-    fn handle_report(&self, report: UpstreamReport);
+    /// Handles a report. Its outcome tells whether it may be confirmed.
+    fn handle_report(&self, report: UpstreamReport) -> ReportOutcome;
 
     /// Handles the departure of an upstream that exits now. `incarnation` is that of the upstream,
     /// if the call contained it.
