Send no new flow to evacuated failure domains

Cause: operators request the evacuation of a failure domain in the store, and no part of the product read it.

Change: balancers watch the common prefix of the operators' keys in place of the one key of the configuration, keep the evacuated domains with the revision that they rest on, and leave their members out of each choice. They tell the agents at each change and again with each round of pings; the agent keeps the latest notice, takes no new flow, passes unaccepted openings on and says so in its load. If all domains of a service are evacuated, a flow is refused at once, under the same proof as any refusal. The state dumps, a gauge and a log line at begin and end show evacuations.

Weighed: a watch of its own, watches of agents, the agent's entry, a field of pings; see docs/design/evacuation.md.

--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -5,6 +5,7 @@
 //! the store does not empty the pool.
 
 mod cost;
+mod evacuation;
 pub mod indirect;
 mod listing;
 mod member;
@@ -27,6 +28,7 @@
         ring::Ring,
     },
     crate::{
+        evacuation::Evacuations,
         flow::{AgentId, FlowKey},
         ids::{Domain, Instance, Revision},
         requirements::Requirements,
@@ -98,6 +100,7 @@
     evidence_version: AtomicU64,
     indirect_limit: Limit,
     requirements: Requirements,
+    evacuations: RwLock<Evacuations>,
 }
 
 impl Pool {
@@ -120,7 +123,7 @@
     /// version is ignored.
     pub fn upsert(&self, entry: AgentEntry, now: Moment) -> UpsertResult {
         let (instance, target) = (entry.agent_id.instance, entry.target);
-        let change = self.members.update(instance, |slot| {
+        let apply = |slot: &mut Option<Member>| {
             let Some(member) = slot else {
                 *slot = Some(Member::new(entry, now));
                 return UpsertResult::Joined;
@@ -145,6 +148,13 @@
             }
             member.entry = entry;
             UpsertResult::Updated
+        };
+        let change = self.members.update(instance, |slot| {
+            let change = apply(slot);
+            if let Some(member) = slot {
+                self.update_evacuation(member);
+            }
+            change
         });
         if change == UpsertResult::Joined {
             self.index_by_service(target, instance);
--- a/yuccacroft-core/src/pool/cost.rs
+++ b/yuccacroft-core/src/pool/cost.rs
@@ -50,6 +50,8 @@
     Phase(AgentPhase),
     /// Its agent reports that it takes no new flow.
     NotAccepting,
+    /// Its failure domain is evacuated.
+    Evacuated,
 }
 
 impl Cost {
@@ -62,6 +64,9 @@
 impl Member {
     /// Returns why the member gets no new flow, or `None` if it may get one.
     pub fn exclusion(&self) -> Option<Exclusion> {
+        if self.is_evacuated {
+            return Some(Exclusion::Evacuated);
+        }
         if self.entry.phase != AgentPhase::Ready {
             return Some(Exclusion::Phase(self.entry.phase));
         }
--- a/yuccacroft-core/src/pool/member.rs
+++ b/yuccacroft-core/src/pool/member.rs
@@ -116,6 +116,8 @@
     pub(super) stopped_at: Option<Moment>,
     /// Whether the listing showed an earlier incarnation than the current one.
     pub(super) restarted: bool,
+    /// Whether the failure domain of the member is evacuated.
+    pub(super) is_evacuated: bool,
 }
 
 /// The reachability of a member.
@@ -146,6 +148,7 @@
             unlisted_since: None,
             stopped_at,
             restarted,
+            is_evacuated: false,
         }
     }
 
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -10,6 +10,7 @@
     },
     yuccacroft_core::{
         backlog::Backlog,
+        evacuation::Status,
         filter::{Filter, FilterChain, Verdict},
         handshake::{self, Decision, FlowTable, ForwardReason, Offer},
         requirements::Requirements,
@@ -64,6 +65,7 @@
     monitor: Mutex<Monitor>,
     backlog: Mutex<Backlog>,
     stopping: AtomicBool,
+    evacuation: Mutex<Status>,
     /// The mean of the open requests, in hundredths.
     mean_requests: AtomicU32,
 }
@@ -89,6 +91,7 @@
             monitor: Mutex::new(monitor),
             backlog: Mutex::default(),
             stopping: AtomicBool::new(false),
+            evacuation: Mutex::default(),
             mean_requests: AtomicU32::new(0),
         }
     }
@@ -121,7 +124,12 @@
 
     /// Returns true if the agent accepts new flows.
     pub fn is_accepting(&self) -> bool {
-        !self.is_stopping() && self.monitor().is_accepting()
+        !self.is_stopping() && !self.evacuation().is_evacuated() && self.monitor().is_accepting()
+    }
+
+    /// Returns the locked state of the evacuation of the agent's failure domain.
+    pub fn evacuation(&self) -> MutexGuard<'_, Status> {
+        self.evacuation.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the limit of concurrent requests at the upstream: one more than its slots, so that a
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -1,6 +1,7 @@
 //! The packet path of an agent: receives datagrams, runs the filter chain and sends the results.
 
 mod backlog;
+mod evacuation;
 mod inbound;
 mod indirect;
 mod log;
--- a/yuccacroft-segment/src/balancer/chain.rs
+++ b/yuccacroft-segment/src/balancer/chain.rs
@@ -6,7 +6,7 @@
         filter::{Filter, FilterChain, Verdict},
         flow::FlowKey,
         ids::{Domain, Instance},
-        pool::{Pool, Reachability},
+        pool::{Exclusion, Pool, Reachability},
         route::{Route, RoutingTable as Routes, Target},
         segment::{Control, Segment},
         steering::{CachedFlow, SteeringTable},
@@ -51,6 +51,8 @@
     Offer(Target, Box<[Instance]>),
     /// Search for the owner of the flow.
     Search,
+    /// Refuse to open the flow for this cause: no agent was offered this copy of the opening segment.
+    Refuse(&'static str),
     /// Reset the flow towards the caller, for this cause.
     Reset(&'static str),
     /// Keep the segment until the balancer has a configuration or an agent, which this cause names.
@@ -236,6 +238,7 @@
         if let Some(preferred) = received.preferred
             && let Some(member) = self.pool.get(preferred)
             && member.reachability(received.now) == Reachability::Good
+            && member.exclusion() != Some(Exclusion::Evacuated)
         {
             candidates.retain(|candidate| *candidate != preferred);
             candidates.insert(0, preferred);
@@ -247,6 +250,9 @@
             candidates.remove(position);
             candidates.push(avoided);
         }
+        if candidates.is_empty() && self.pool.is_evacuated(target) {
+            return Verdict::Done(Decision::Refuse("all domains evacuated"));
+        }
         if candidates.is_empty() {
             return Verdict::Done(Decision::Wait("no agent"));
         }
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -1,6 +1,8 @@
 //! The controllers of a balancer: they follow the configuration and the agents in the store, and
 //! check which agents answer.
 
+mod evacuation;
+
 use {
     super::{chain, relay::Relay},
     crate::{
@@ -101,7 +103,7 @@
     /// Watches the configuration in the store. It does not return.
     pub async fn watch_configuration(&self, store: &P::Store) {
         let watcher = PrefixWatcher {
-            prefix: self.platform.config_key(),
+            prefix: self.configuration_prefix(),
             read_interval: CONFIGURATION_READ_INTERVAL,
             max_delay: MAX_CONFIGURATION_DELAY,
             urgent: &Notify::new(),
@@ -172,6 +174,7 @@
             ready: self.is_ready(),
             isolated: self.isolated.load(Ordering::Relaxed),
             version: relay.version(),
+            evacuated: self.evacuated_times(now),
             routes: routes.map_or(0, |routes| routes.len()),
             members,
             flows,
@@ -187,6 +190,7 @@
         metrics::gauge!(FLOWS_METRIC).set(relay.table.len() as f64);
         metrics::gauge!(MEMBERS_METRIC).set(relay.pool.len() as f64);
         metrics::gauge!(SEARCHES_METRIC).set(relay.searches.len() as f64);
+        self.update_evacuation_gauge();
         metrics::gauge!(CONFIGURATION_VERSION_METRIC).set(relay.version().get() as f64);
         let mut oldest = Span::ZERO;
         let now = relay.clock.now();
@@ -237,6 +241,7 @@
                 "incarnation" => %agent_id.incarnation);
         }
         if ping_all {
+            self.repeat_notices();
             let idle_timeout = chain::current_routes(&self.relay.current_routes)
                 .and_then(|routes| routes.idle_timeout);
             self.relay.table.expire(idle_timeout, now);
@@ -340,6 +345,7 @@
         }
         if change == UpsertResult::Joined {
             self.relay.ping(agent_id.instance, now);
+            self.notify_if_evacuated(agent_id.instance);
         }
         Some(agent_id.instance)
     }
@@ -367,10 +373,12 @@
 
 impl<P: Platform> WatchHandler for ConfigurationHandler<'_, P> {
     fn handle_listing(&self, listing: Listing) {
+        self.0.apply_listed_evacuations(&listing);
         self.apply(&listing.items, listing.revision);
     }
 
     fn handle_changes(&self, changes: Changes) {
+        self.0.apply_changed_evacuations(&changes);
         self.apply(&changes.items, changes.revision);
     }
 
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -32,6 +32,7 @@
     tokio::sync::Notify,
     yuccacroft_core::{
         arrival::ArrivalEstimator,
+        evacuation::Notice,
         filter::FilterChain,
         flow::FlowKey,
         ids::{Domain, Instance},
@@ -203,6 +204,13 @@
         self.send(instance, &Request::Ping { listed, version, newest_entry }, &[]);
     }
 
+    /// Tells agents whether their failure domain is evacuated. They confirm with their load.
+    pub fn send_notices(&self, notices: impl IntoIterator<Item = (Instance, Notice)>) {
+        for (instance, notice) in notices {
+            self.send(instance, &Request::Evacuation(notice), &[]);
+        }
+    }
+
     /// Asks agents that answer in time to ping those that do not.
     pub fn ping_indirectly(&self, now: Moment) {
         for Ping { via, suspect } in self.pool.indirect_pings(&self.setup.domain, now) {
@@ -326,6 +334,11 @@
                     self.log_not_forwarded(segment, "drop", "no search now", now);
                 }
             }
+            Decision::Refuse(cause) => {
+                let (key, copy) = (received.key, segment.copy_number());
+                self.openings.record_offer(key, copy, received.arrived_at, now);
+                self.refuse(segment, cause, now);
+            }
             Decision::Reset(cause) => {
                 let grounds = Grounds::of_cached(self.table.get(received.key), &self.pool, now);
                 self.reset(segment, cause, &grounds, now);
--- a/yuccacroft-segment/src/balancer/relay/messages.rs
+++ b/yuccacroft-segment/src/balancer/relay/messages.rs
@@ -16,7 +16,7 @@
         flow::FlowKey,
         ids::Instance,
         search::QueryAnswer,
-        segment::Format,
+        segment::{Format, Segment},
         steering::CachedFlow,
         time::{Moment, Span},
     },
@@ -86,13 +86,18 @@
         }
     }
 
-    /// Handles an opening segment that no agent took and that was sent back. The flow is reset only
-    /// if no agent can have taken another copy of the segment; otherwise the caller repeats it.
+    /// Handles an opening segment that no agent took and that was sent back.
     fn handle_refused(&self, datagram: &[u8], now: Moment) {
         let segment = match self.format.parse_inbound(datagram) {
             Ok(segment) => segment,
             Err(error) => return self.log_junk("agents", &error, datagram, now),
         };
+        self.refuse(&segment, "no agent took the flow", now);
+    }
+
+    /// Resets the flow of an opening segment that no agent took, for this cause. Without a proof that
+    /// no agent took another copy the segment is dropped, and the caller repeats it.
+    pub(super) fn refuse(&self, segment: &Segment, cause: &'static str, now: Moment) {
         let key = segment.flow.key();
         let is_proof = self.openings.record_refusal(key, segment.copy_number(), now);
         if matches!(self.table.get(key), Some(CachedFlow::Owned { .. })) {
@@ -101,14 +106,14 @@
         self.table.remove(key);
         if now < self.pool.list_complete_at() || self.pool.is_list_outdated() {
             self.list_needed.notify_one();
-            self.log_not_forwarded(&segment, "drop", "agents not known yet", now);
+            self.log_not_forwarded(segment, "drop", "agents not known yet", now);
             return;
         }
         if !is_proof {
-            self.log_not_forwarded(&segment, "drop", "another copy may be taken", now);
+            self.log_not_forwarded(segment, "drop", "another copy may be taken", now);
             return;
         }
-        self.reset(&segment, "no agent took the flow", &Grounds::None, now);
+        self.reset(segment, cause, &Grounds::None, now);
     }
 
     /// Handles a segment that was sent back by an agent that does not own its flow. The segment
--- a/yuccacroft-segment/src/dump.rs
+++ b/yuccacroft-segment/src/dump.rs
@@ -5,7 +5,7 @@
     serde::Serialize,
     std::collections::BTreeMap,
     yuccacroft_core::{
-        ids::{Incarnation, Instance},
+        ids::{Domain, Incarnation, Instance},
         pool::{AgentEntry, AgentLoad},
         route::ConfigVersion,
         time::Span,
@@ -23,6 +23,9 @@
     pub isolated: bool,
     /// The version of the configuration in force; zero without a configuration.
     pub version: ConfigVersion,
+    /// The evacuated failure domains, with the time since this process learned of each.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub evacuated: BTreeMap<Domain, Span>,
     /// The number of routes in the configuration.
     pub routes: usize,
     /// The known agents.
@@ -63,6 +66,9 @@
     pub stopping: bool,
     /// Whether the agent accepts new flows.
     pub accepting: bool,
+    /// The time since the agent learned that its failure domain is evacuated; `None` if it is not.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<Span>,
     /// The highest configuration version that a balancer has sent.
     pub version: ConfigVersion,
     /// The version of the agent's entry in the store; zero before the first write.
--- a/yuccacroft-segment/src/platform.rs
+++ b/yuccacroft-segment/src/platform.rs
@@ -5,7 +5,7 @@
     axum::Router,
     std::{fmt::Display, net::SocketAddr, sync::Arc},
     yuccacroft_core::{
-        ids::Incarnation,
+        ids::{Domain, Incarnation},
         route::RoutingTable,
         segment::Format,
         upstream::{UpstreamId, UpstreamReport},
@@ -38,6 +38,14 @@
     /// Returns the store key of the configuration.
     fn config_key(&self) -> &'static str;
 
+    /// Returns the common prefix of the store keys that operators write, that of the configuration
+    /// among them.
+    fn operator_prefix(&self) -> &'static str;
+
+    /// Returns the failure domain whose evacuation operators request with this store key, or `None`
+    /// if the key is for something else.
+    fn evacuated_domain(&self, key: &str) -> Option<Domain>;
+
     /// Decodes a configuration. When it fails, the configuration in force stays.
     fn parse_config(&self, text: &str) -> Result<ParsedConfig, Self::Error>;
 
--- /dev/null
+++ b/yuccacroft-segment/tests/evacuation.rs
@@ -0,0 +1,163 @@
+//! Tests of the packet paths while failure domains are evacuated.
+
+mod support;
+
+use {
+    crate::support::{
+        Capture,
+        balancer::{Balancer, opening, segment},
+        fakes::{FakeFormat, FakeSocket, peer},
+    },
+    std::{future, net::SocketAddrV4, sync::Arc},
+    yuccacroft_core::{
+        evacuation::Notice,
+        flow::AgentId,
+        ids::{Incarnation, Instance, Revision},
+        requirements::Requirements,
+        route::{ServiceName, Target, TrafficClass},
+        segment::{Control, Flow, Segment, Sequence},
+        time::{Moment, Span},
+        upstream::Monitor,
+    },
+    yuccacroft_segment::{
+        agent::{
+            chain::AgentState,
+            relay::{Relay, Setup},
+        },
+        clock::BootClock,
+        flow_log::FlowLog,
+        host::SystemHost,
+    },
+    yuccacroft_wire::relay::{self, Request},
+};
+
+const CALLER: u16 = 40_001;
+/// The position that the upstream chooses for its side of a flow.
+const ACCEPTED: Sequence = Sequence::new(500);
+
+/// An agent between fake sockets.
+struct Agent {
+    relay: Relay<FakeFormat, FakeSocket>,
+    messages: FakeSocket,
+}
+
+fn address(text: &str) -> SocketAddrV4 {
+    text.parse().unwrap()
+}
+
+fn target() -> Target {
+    ServiceName::new("booking").target()
+}
+
+/// Decodes a datagram: the control information and the last byte of the caller's address.
+fn parse(datagram: &[u8]) -> Result<Segment, &'static str> {
+    let [control, caller] = datagram else { return Err("not a segment") };
+    let caller = SocketAddrV4::new([100, 64, 0, *caller].into(), 1_025);
+    let (control, acknowledged) = match control {
+        b'o' => (Control::Open, Sequence::default()),
+        b'a' => (Control::Accept, Sequence::new(101)),
+        _ => (Control::Continue, ACCEPTED.next()),
+    };
+    let flow = Flow { caller, address: address("198.18.0.1:443") };
+    Ok(Segment { flow, control, sequence: ACCEPTED, acknowledged, length: 0 })
+}
+
+impl Agent {
+    fn new(requirements: Requirements) -> Self {
+        let messages = FakeSocket::default();
+        let instance = Instance::new(address("10.0.0.2:7000"));
+        let setup = Setup {
+            messages: messages.clone(),
+            outbound: FakeSocket::default(),
+            upstream: FakeSocket::default(),
+            caller_port: 443,
+            agent_id: AgentId { instance, incarnation: Incarnation::new(1) },
+        };
+        let state = AgentState::new(target(), Monitor::new(target(), Span::from_secs(1)))
+            .with_requirements(requirements);
+        let (clock, flow_log) =
+            (BootClock::new(SystemHost), FlowLog::new(Capture::default().logger()));
+        let format = FakeFormat { parse_inbound: parse, ..FakeFormat::default() };
+        Self { relay: Relay::new(format, setup, Arc::new(state), clock, flow_log), messages }
+    }
+
+    fn receive(&self, request: &Request, datagram: &[u8]) {
+        self.messages.push(relay::encode(request, datagram).unwrap());
+        let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+        runtime.block_on(async {
+            tokio::select! {
+                biased;
+                () = self.relay.receive_messages() => {}
+                () = future::ready(()) => {}
+            }
+        });
+    }
+
+    fn offer(&self, caller: u8) {
+        let offer = Request::Offer { target: target(), origin: peer(), rest: [].into(), hops: 0 };
+        self.receive(&offer, &[b'o', caller]);
+    }
+
+    /// Opens a flow that the upstream accepts.
+    fn open(&self, caller: u8) {
+        self.offer(caller);
+        let accepted = parse(&[b'a', caller]).unwrap();
+        self.relay.state.table.handle_reply(&accepted, Moment::default());
+        self.receive(&Request::Carry(TrafficClass::default()), &[b'c', caller]);
+    }
+
+    fn notify(&self, revision: u64, is_evacuated: bool) {
+        let notice = Notice { revision: Revision::new(revision), is_evacuated };
+        self.receive(&Request::Evacuation(notice), &[]);
+    }
+
+    /// Returns true if an opening waits for the answer of the upstream.
+    fn is_offered(&self, caller: u8) -> bool {
+        let key = parse(&[b'o', caller]).unwrap().flow.key();
+        self.relay.state.table.offered_flow(key, Moment::default()).is_some()
+    }
+}
+
+/// Guards against new flows at an upstream of an evacuated domain, also by offers that were on their
+/// way, and against the loss of open flows.
+#[test]
+fn an_evacuated_agent_keeps_its_flows_and_takes_none() {
+    let agent = Agent::new(Requirements { places: true, ..Requirements::default() });
+    agent.open(1);
+    agent.offer(2);
+    assert!(agent.is_offered(2));
+    agent.notify(5, true);
+    agent.offer(3);
+    assert!(!agent.is_offered(2) && !agent.is_offered(3));
+    assert!(!agent.relay.load(Moment::default()).accepting);
+    assert_eq!(agent.relay.state.table.open_flows().get(), 1);
+    agent.notify(6, false);
+    agent.offer(4);
+    assert!(agent.is_offered(4));
+}
+
+/// Guards against an effect on deployments that evacuate nothing.
+#[test]
+fn a_notice_needs_the_requirement() {
+    let agent = Agent::new(Requirements::default());
+    agent.notify(5, true);
+    assert!(agent.relay.state.is_accepting());
+}
+
+/// Guards against callers that wait until they give up while no domain may serve them.
+#[test]
+fn a_flow_is_refused_at_once_if_all_domains_are_evacuated() {
+    let mut balancer = Balancer::new(4);
+    balancer.evacuate();
+    assert!(balancer.receive(&opening(CALLER)));
+}
+
+/// Guards against the reset of a flow that has opened by an earlier copy of its opening segment, which
+/// another balancer forwarded before the evacuation.
+#[test]
+fn a_later_copy_is_not_refused_alone() {
+    let mut balancer = Balancer::new(4);
+    balancer.evacuate();
+    let copy = Segment { control: Control::Open, ..segment(CALLER, 1) };
+    assert!(!balancer.receive(&copy));
+}
--- a/yuccacroft-segment/tests/support/balancer.rs
+++ b/yuccacroft-segment/tests/support/balancer.rs
@@ -92,6 +92,11 @@
     SocketAddrV4::new([198, 18, 0, 1].into(), 443)
 }
 
+/// The failure domain of all processes.
+fn domain() -> Domain {
+    Domain::new("a").unwrap()
+}
+
 pub fn instance(number: u8) -> Instance {
     Instance::new(SocketAddrV4::new([10, 0, 0, number].into(), 7_000))
 }
@@ -239,7 +244,7 @@
             agents: messages.clone(),
             origin: address(),
             caller_port: 443,
-            domain: Domain::new("a").unwrap(),
+            domain: domain(),
             requirements: Requirements::default(),
         };
         let boot_clock = BootClock::new(clock.clone());
@@ -282,7 +287,7 @@
             agent_id: self.agents[number].id,
             entry_version: 1,
             target: ServiceName::new("booking").target(),
-            domain: Domain::new("a").unwrap(),
+            domain: domain(),
             slots: Slots::new(4),
             phase: AgentPhase::Ready,
             succeeds: false,
@@ -290,6 +295,13 @@
         self.relay.pool.upsert(entry, self.now());
     }
 
+    /// Evacuates the failure domain of all agents.
+    pub fn evacuate(&self) {
+        self.relay.pool.update_evacuations(|evacuations| {
+            evacuations.apply_changes([domain()], [], Revision::new(1), self.now())
+        });
+    }
+
     /// Lets time pass, in ticks of the controllers.
     pub fn advance(&mut self, span: Span) {
         for _ in 0..span.as_micros() / TICK.as_micros() {
