Record the outcomes of requests at the agent

An upstream that fails requests quickly looks idle, because agents report load and service time only, and nothing counts failed answers.

- `segment::Format::response` names the outcome that the first bytes of a response tell: success, server error, or not executed.
- `outcome::Record` keeps the outcomes of one upstream: responses, resets and ends of flows with a request in progress, requests lost with the upstream, openings refused, and requests without a response for longer than usual.
Responses that come late withdraw the silence.
While the agent's own timer is late, silence is no evidence.
- Agents report the share of failures as `Measures` with their load, with the requirement `health` only.
They send `Measures` in place of `Load`, so the number of messages stays.
- An opening segment that the upstream answers with a reset goes to the next candidate, with the requirement `health`.
The flow never opened, so nothing has run.
A reset after the acceptance still goes to the caller.

Weighed: a share for each class of requests (fewer requests to judge by), and a new record with each run of the upstream (one that crashes over and over would always look new).

--- a/yuccacroft-core/src/handshake/action.rs
+++ b/yuccacroft-core/src/handshake/action.rs
@@ -43,6 +43,12 @@
         /// The balancer.
         origin: SocketAddrV4,
     },
+    /// Note that a request has had no response for longer than requests usually take. It no longer
+    /// counts as in progress.
+    Overdue {
+        /// The flow.
+        flow: Flow,
+    },
     /// Note that an accepted flow was removed, since its caller has sent no segment to this agent.
     Expire {
         /// The flow.
--- a/yuccacroft-core/src/handshake/decision.rs
+++ b/yuccacroft-core/src/handshake/decision.rs
@@ -1,7 +1,7 @@
 //! The decisions of an agent about single segments.
 
 use {
-    super::offer::Offer,
+    super::{action::Action, offer::Offer},
     crate::{ids::Instance, segment::Sequence, time::Span},
     std::net::SocketAddrV4,
 };
@@ -73,10 +73,15 @@
 }
 
 /// What a segment from the upstream to a caller shows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplyOutcome {
     /// The service time of a request if the segment begins its response.
     pub service_time: Option<Span>,
+    /// Whether [`Action::Overdue`] has been returned for this request.
+    pub was_overdue: bool,
+    /// What to do with the opening segment that the upstream refuses with this one. The flow never
+    /// opened here, so nothing has run.
+    pub refused_opening: Option<Action>,
     /// The balancer that let the agent probe the upstream, if the segment proves that the upstream
     /// holds the flow. It gets an answer.
     pub prober: Option<SocketAddrV4>,
--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -64,7 +64,9 @@
                     true
                 }
                 State::Open(open) => {
-                    open.expire_request(stale_age, now, &self.counts);
+                    if open.expire_request(stale_age, now, &self.counts) {
+                        actions.push(Action::Overdue { flow });
+                    }
                     let is_kept = now.since(open.last_seen) < FLOW_IDLE_TIMEOUT;
                     if !is_kept {
                         open.end(&self.counts);
--- a/yuccacroft-core/src/handshake/open_flow.rs
+++ b/yuccacroft-core/src/handshake/open_flow.rs
@@ -43,6 +43,14 @@
     pub is_counted: bool,
 }
 
+/// The response to a request that was in progress.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Answer {
+    pub service_time: Span,
+    /// Whether the request no longer counted among the requests in progress.
+    pub was_overdue: bool,
+}
+
 impl OpenFlow {
     /// Creates an open flow and counts it.
     pub fn new(
@@ -139,24 +147,27 @@
         true
     }
 
-    /// Records a segment of the upstream. Its first data ends the request in progress. Returns the
-    /// service time of that request.
+    /// Records a segment of the upstream. Its first data ends the request in progress. Returns its
+    /// response.
     pub fn handle_upstream_segment(
         &mut self,
         segment: &Segment,
         now: Moment,
         counts: &Counts,
-    ) -> Option<Span> {
+    ) -> Option<Answer> {
         self.last_seen = now;
         self.is_proven = true;
         let request = if segment.length > 0 { self.end_request(counts) } else { None };
-        let time = request
-            .map(|request| now.since(request.started_at))
-            .inspect(|time| counts.record_service_time(*time));
+        let answer = request
+            .map(|request| Answer {
+                service_time: now.since(request.started_at),
+                was_overdue: !request.is_counted,
+            })
+            .inspect(|answer| counts.record_service_time(answer.service_time));
         if segment.control == Control::Finish {
             self.finish(counts, |ends| ends.upstream = true);
         }
-        time
+        answer
     }
 
     /// Records that a request goes to the upstream, unless one is in progress.
@@ -167,15 +178,18 @@
         }
     }
 
-    /// No longer counts a request in progress that is at least `max_age` old.
-    pub fn expire_request(&mut self, max_age: Span, now: Moment, counts: &Counts) {
+    /// No longer counts a request in progress that is at least `max_age` old. Returns true if it
+    /// counted until now.
+    pub fn expire_request(&mut self, max_age: Span, now: Moment, counts: &Counts) -> bool {
         if let Some(request) = &mut self.request
             && request.is_counted
             && now.since(request.started_at) >= max_age
         {
             request.is_counted = false;
             counts.remove_active();
+            return true;
         }
+        false
     }
 
     /// Removes a flow from the counts before its entry is dropped.
--- a/yuccacroft-core/src/handshake/table.rs
+++ b/yuccacroft-core/src/handshake/table.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{
+        action::Action,
         counts::Counts,
         decision::{Decision, ForwardReason, Ownership, ReplyOutcome},
         offer::{self, Offer},
-        open_flow::OpenFlow,
+        open_flow::{Answer, OpenFlow},
         state::{Entry, State},
     },
     crate::{
@@ -166,20 +167,38 @@
                 Some(State::Probed { origin, .. }) => Some(*origin),
                 _ => None,
             };
-            let service_time = Self::record_reply(slot, segment, &self.counts, now);
+            let refused_opening = Self::refused_opening(slot.as_ref(), segment);
+            let answer = Self::record_reply(slot, segment, &self.counts, now);
             let is_open = matches!(slot, Some(Entry { state: State::Open(_), .. }));
-            ReplyOutcome { service_time, prober: prober.filter(|_| is_open) }
+            ReplyOutcome {
+                service_time: answer.map(|answer| answer.service_time),
+                was_overdue: answer.is_some_and(|answer| answer.was_overdue),
+                refused_opening,
+                prober: prober.filter(|_| is_open),
+            }
         })
     }
 
-    /// Changes the entry of a flow by a segment from the upstream. Returns the service time of a
-    /// request if the segment begins its response.
+    /// Returns what to do with an opening segment that the upstream refuses with a reset.
+    fn refused_opening(entry: Option<&Entry>, segment: &Segment) -> Option<Action> {
+        match entry {
+            Some(Entry { flow, state: State::Offered { offer, datagram, .. }, .. })
+                if segment.control == Control::Reset =>
+            {
+                Some(Action::pass_or_refuse(*flow, offer, datagram))
+            }
+            _ => None,
+        }
+    }
+
+    /// Changes the entry of a flow by a segment from the upstream. Returns the response
+    /// that the segment begins.
     fn record_reply(
         slot: &mut Option<Entry>,
         segment: &Segment,
         counts: &Counts,
         now: Moment,
-    ) -> Option<Span> {
+    ) -> Option<Answer> {
         let opening = slot.as_ref().and_then(|entry| entry.opening);
         let state = slot.as_mut().map(|entry| &mut entry.state);
         match (segment.control, state) {
@@ -212,16 +231,16 @@
                 None
             }
             (_, Some(State::Open(open))) => {
-                let time = open.handle_upstream_segment(segment, now, counts);
+                let answer = open.handle_upstream_segment(segment, now, counts);
                 Self::close_finished(slot, counts, now);
-                time
+                answer
             }
             (_, _) => {
                 // Only the upstream that holds a flow sends segments of it.
                 let mut open = OpenFlow::new(Some(segment.sequence), true, now, counts);
-                let time = open.handle_upstream_segment(segment, now, counts);
+                let answer = open.handle_upstream_segment(segment, now, counts);
                 *slot = Some(Entry { flow: segment.flow, opening, state: State::Open(open) });
-                time
+                answer
             }
         }
     }
--- a/yuccacroft-core/src/lib.rs
+++ b/yuccacroft-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod lease;
 pub mod member;
 pub mod opening;
+pub mod outcome;
 pub mod ownership;
 pub mod placement;
 pub mod pool;
--- /dev/null
+++ b/yuccacroft-core/src/outcome.rs
@@ -0,0 +1,131 @@
+//! The outcomes of the requests that an upstream gets.
+//!
+//! An upstream may fail requests although its health check succeeds, and one that fails them quickly
+//! looks idle. Its agent sees the first bytes of each response and keeps the share of failures among
+//! the latest requests. See `docs/design/outcomes.md`.
+
+use crate::{
+    segment::Response,
+    time::{Moment, Span},
+    units::Percent,
+};
+
+/// Number of latest requests that determine the share of failures.
+const WINDOW_REQUESTS: f64 = 32.0;
+/// Time after which an outcome counts half, so that the record of an upstream that gets few requests
+/// does not stay as it is.
+const HALF_LIFE: Span = Span::from_secs(2);
+/// Number of successes that are assumed before the first outcome, so that a single failure does not
+/// make up the whole share.
+const ASSUMED_SUCCESSES: f64 = 4.0;
+/// Time after a pause of the agent's own process in which the silence of the upstream is no evidence
+/// against it: its responses may wait in the socket of the agent, and those of the requests that the
+/// agent has delivered late are not due yet.
+const PAUSE_GRACE_PERIOD: Span = Span::from_millis(400);
+
+/// The outcome of a request, or of the opening of its flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The upstream processed the request.
+    Success,
+    /// The upstream answered that it failed.
+    ServerError,
+    /// The upstream answered that it did not run the request.
+    NotExecuted,
+    /// The upstream reset or closed the flow while the request was in progress.
+    Reset,
+    /// The upstream exited while the request was in progress.
+    Lost,
+    /// The upstream has been silent for longer than requests usually take.
+    Overdue,
+    /// The upstream refused to open the flow.
+    OpeningRefused,
+}
+
+/// The latest outcomes at one upstream, the older ones with less weight.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Record {
+    successes: f64,
+    failures: f64,
+    /// The requests without a response, which may still come.
+    overdue: f64,
+    updated_at: Moment,
+    /// The end of the time in which silence is no evidence.
+    excused_until: Moment,
+}
+
+impl Outcome {
+    /// Returns the name of the outcome in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Success => "success",
+            Self::ServerError => "server_error",
+            Self::NotExecuted => "not_executed",
+            Self::Reset => "reset",
+            Self::Lost => "lost",
+            Self::Overdue => "overdue",
+            Self::OpeningRefused => "opening_refused",
+        }
+    }
+}
+
+impl From<Response> for Outcome {
+    fn from(response: Response) -> Self {
+        match response {
+            Response::Success => Self::Success,
+            Response::ServerError => Self::ServerError,
+            Response::NotExecuted => Self::NotExecuted,
+        }
+    }
+}
+
+impl Record {
+    /// Records the outcome of one request.
+    pub fn record(&mut self, outcome: Outcome, now: Moment) {
+        if outcome == Outcome::Overdue && now < self.excused_until {
+            return;
+        }
+        *self = self.decayed(now);
+        let kept = 1.0 - 1.0 / WINDOW_REQUESTS;
+        self.scale(kept);
+        match outcome {
+            Outcome::Success => self.successes += 1.0,
+            Outcome::Overdue => self.overdue += 1.0,
+            _ => self.failures += 1.0,
+        }
+    }
+
+    /// Records the response to a request that has been recorded as overdue. Few requests take much
+    /// longer than the others, which is no failure.
+    pub fn withdraw_overdue(&mut self, now: Moment) {
+        *self = self.decayed(now);
+        self.overdue = (self.overdue - 1.0).max(0.0);
+    }
+
+    /// Records that the process of the agent was paused or runs late, which delays all responses.
+    pub fn record_pause(&mut self, now: Moment) {
+        self.excused_until = now + PAUSE_GRACE_PERIOD;
+    }
+
+    /// Returns the share of the latest requests that failed, in hundredths.
+    pub fn failures(&self, now: Moment) -> Percent {
+        let Self { successes, failures, overdue, .. } = self.decayed(now);
+        let failed = failures + overdue;
+        let share = failed / (failed + successes + ASSUMED_SUCCESSES);
+        Percent::new((share * 100.0).round() as u32)
+    }
+
+    fn decayed(&self, now: Moment) -> Self {
+        let half_lives =
+            now.since(self.updated_at).as_micros() as f64 / HALF_LIFE.as_micros() as f64;
+        let mut record = Self { updated_at: now, ..*self };
+        record.scale((-half_lives).exp2());
+        record
+    }
+
+    fn scale(&mut self, factor: f64) {
+        self.successes *= factor;
+        self.failures *= factor;
+        self.overdue *= factor;
+    }
+}
--- a/yuccacroft-core/src/segment.rs
+++ b/yuccacroft-core/src/segment.rs
@@ -71,6 +71,17 @@
     Bounced(Segment),
 }
 
+/// What the first bytes of a response say about its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Response {
+    /// The upstream has processed the request, even if it rejects what the caller asked for.
+    Success,
+    /// The upstream failed to process the request.
+    ServerError,
+    /// The upstream refused the request without running it.
+    NotExecuted,
+}
+
 /// The encoding of segments.
 ///
 /// An implementation only translates and makes no decisions. It must not panic on any input; a
@@ -93,6 +104,9 @@
     /// the datagram begins a response that reports it.
     fn requests_in_progress(&self, datagram: &[u8]) -> Option<u32>;
 
+    /// Returns the outcome of a request if the datagram begins its response.
+    fn response(&self, datagram: &[u8]) -> Option<Response>;
+
     /// Restores a bounced segment in place to the bytes that the caller sent.
     fn restore_bounced(&self, datagram: &mut [u8]);
 
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -510,3 +510,46 @@
         prop_assert_eq!((table.open_flows().get(), table.active_requests()), (0, 0));
     }
 }
+
+/// Guards against a reset that the caller gets although another upstream could take the flow: the
+/// upstream has refused the opening segment, so nothing has run.
+#[test]
+fn an_opening_that_the_upstream_resets_goes_to_the_next_candidate() {
+    let reset = segment(1, Control::Reset, 0, 101, 0);
+    for (rest, is_passed) in [(&[other()][..], true), (&[], false)] {
+        let table = FlowTable::new();
+        table.handle_opening(&opening(1), b"open", offer(rest), true, START);
+        let action = table.handle_reply(&reset, at(1)).refused_opening;
+        match action {
+            Some(Action::Pass { to, datagram, .. }) if is_passed => {
+                assert_eq!((to, &*datagram), (other(), &b"open"[..]));
+            }
+            Some(Action::Refuse { origin, .. }) if !is_passed => assert_eq!(origin, balancer()),
+            action => panic!("{action:?}"),
+        }
+        assert_eq!(table.handle_reply(&reset, at(2)).refused_opening, None);
+    }
+}
+
+/// Guards against a second run: once the upstream has accepted the flow, its caller may have sent a
+/// request, so the reset goes to the caller.
+#[test]
+fn a_reset_after_the_acceptance_is_not_passed_on() {
+    let table = FlowTable::new();
+    table.handle_opening(&opening(1), b"open", offer(&[other()]), true, START);
+    table.handle_reply(&segment(1, Control::Accept, 500, 101, 0), at(1));
+    let reset = segment(1, Control::Reset, 501, 101, 0);
+    assert_eq!(table.handle_reply(&reset, at(2)).refused_opening, None);
+}
+
+/// Guards against silence that nobody notices, and against a response that comes late being taken
+/// for a failure.
+#[test]
+fn a_request_without_a_response_is_overdue_once() {
+    let table = FlowTable::new();
+    open(&table, 1, START);
+    deliver(&table, &request(1), at(10));
+    let is_overdue = |now| table.tick(now).contains(&Action::Overdue { flow: flow(1) });
+    assert_eq!([at(100), at(500), at(520)].map(is_overdue), [false, true, false]);
+    assert!(table.handle_reply(&answer(1), at(600)).was_overdue);
+}
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -12,6 +12,7 @@
         backlog::Backlog,
         filter::{Filter, FilterChain, Verdict},
         handshake::{self, Decision, FlowTable, ForwardReason, Offer},
+        outcome::Record,
         requirements::Requirements,
         route::{Target, TrafficClass},
         segment::Segment,
@@ -63,6 +64,7 @@
     pub table: FlowTable,
     monitor: Mutex<Monitor>,
     backlog: Mutex<Backlog>,
+    outcomes: Mutex<Record>,
     stopping: AtomicBool,
     /// The mean of the open requests, in hundredths.
     mean_requests: AtomicU32,
@@ -88,6 +90,7 @@
             table: FlowTable::new(),
             monitor: Mutex::new(monitor),
             backlog: Mutex::default(),
+            outcomes: Mutex::default(),
             stopping: AtomicBool::new(false),
             mean_requests: AtomicU32::new(0),
         }
@@ -155,6 +158,11 @@
         self.backlog.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the locked record of the outcomes of requests.
+    pub fn outcomes(&self) -> MutexGuard<'_, Record> {
+        self.outcomes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the time since the start of the agent or of its upstream, whichever is longer.
     pub fn age(&self, now: Moment) -> Span {
         now.since(Moment::default()).max(self.monitor().age(now))
--- a/yuccacroft-segment/src/agent/controllers.rs
+++ b/yuccacroft-segment/src/agent/controllers.rs
@@ -19,6 +19,9 @@
 
 /// Time between ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two ticks from which on the agent itself counts as late: then its upstream seems
+/// slower than it is.
+const LATE_TICK: Span = Span::from_millis(60);
 /// Ticks between updates of the metrics and of the count of suppressed log lines.
 const METRICS_TICKS: u64 = 50;
 /// Ticks between load messages to balancers.
@@ -46,22 +49,25 @@
     /// Runs the timers of the agent. It does not return.
     pub async fn run_timers(&self) {
         let mut ticker = Ticker::new(TICK_INTERVAL, self.relay.clock.clone());
-        let mut sent_load = None;
+        let mut sent = None;
         loop {
             let tick = ticker.tick(self.relay.flow_log.log()).await;
             let now = tick.now;
             if tick.is_stalled {
                 self.relay.state.monitor().restart_timeouts(now);
             }
+            if tick.pause >= LATE_TICK {
+                self.relay.state.outcomes().record_pause(now);
+            }
             self.relay.tick(now);
             if tick.is_every(METRICS_TICKS) {
                 self.relay.update_metrics();
                 self.relay.flow_log.flush(now);
             }
             self.update_silence();
-            let load = self.relay.load(now);
-            if tick.is_every(LOAD_TICKS) && sent_load != Some(load) {
-                sent_load = Some(load);
+            let state = (self.relay.load(now), self.relay.measures(now));
+            if tick.is_every(LOAD_TICKS) && sent != Some(state) {
+                sent = Some(state);
                 self.relay.send_load(now);
             }
         }
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -5,6 +5,7 @@
 mod indirect;
 mod log;
 mod outbound;
+mod outcomes;
 mod reply;
 mod reset;
 mod status;
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -13,6 +13,7 @@
     std::{net::SocketAddrV4, sync::atomic::Ordering},
     yuccacroft_core::{
         handshake::{Action, Decision, ForwardReason, Offer, Ownership},
+        outcome::Outcome,
         route::Target,
         segment::{Control, Flow, Format, Segment},
         time::Moment,
@@ -170,6 +171,7 @@
             Action::Confirm { flow, origin } => {
                 self.reply(origin, Body::Owns(flow.key()), &[], now);
             }
+            Action::Overdue { .. } => self.record_outcome(Outcome::Overdue, now),
             Action::Expire { flow, accepted } => self.log_expired(flow, accepted, now),
         }
     }
--- a/yuccacroft-segment/src/agent/relay/outbound.rs
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -10,7 +10,7 @@
     std::net::SocketAddrV4,
     yuccacroft_core::{
         handshake::Decision,
-        segment::{Flow, Format, Outbound, Segment},
+        segment::{Control, Flow, Format, Outbound, Segment},
         time::{Moment, Span},
         upstream::Silence,
     },
@@ -35,25 +35,33 @@
                 }
                 if let Some(end) = self.state.table.upstream_end(&segment, now) {
                     self.log_upstream_end(segment.flow, end, now);
+                    self.record_end(end, now);
                 }
                 let reply = self.state.table.handle_reply(&segment, now);
                 if let Some(prober) = reply.prober {
                     self.reply(prober, Body::Owns(segment.flow.key()), &[], now);
                 }
                 if let Some(time) = reply.service_time {
+                    self.record_response(reply.was_overdue, datagram, now);
                     metrics::histogram!(SERVICE_SECONDS_METRIC)
                         .record(std::time::Duration::from(time).as_secs_f64());
                     if time >= SLOW_RESPONSE {
                         self.log_request("slow answer", &segment, datagram, Some(time), now);
                     }
                 }
-                self.send_to_caller(Kind::Caller, segment.flow, datagram);
+                match reply.refused_opening.filter(|_| self.state.requirements.health) {
+                    Some(action) => self.perform(action, now),
+                    None => self.send_to_caller(Kind::Caller, segment.flow, datagram),
+                }
                 self.release_waiting(now);
             }
             Ok(Outbound::Bounced(segment)) => {
                 self.record_activity(now);
                 self.format.restore_bounced(datagram);
                 let decision = self.state.table.handle_bounce(&segment, now);
+                if segment.control == Control::Open {
+                    self.record_returned_opening(&decision, now);
+                }
                 self.log_bounce(&segment, &decision, now);
                 self.apply_bounce_decision(&segment, decision, datagram, now);
             }
--- /dev/null
+++ b/yuccacroft-segment/src/agent/relay/outcomes.rs
@@ -0,0 +1,52 @@
+//! The outcomes of requests, as the segments of the upstream show them.
+
+use {
+    super::Relay,
+    crate::host::Socket,
+    yuccacroft_core::{
+        handshake::{Decision, EndCause, UpstreamEnd},
+        outcome::Outcome,
+        segment::Format,
+        time::Moment,
+    },
+};
+
+/// Metric: number of requests and openings, labelled with the outcome.
+const OUTCOMES_METRIC: &str = "yuccacroft_agent_outcomes_total";
+
+impl<F: Format, S: Socket> Relay<F, S> {
+    pub(super) fn record_outcome(&self, outcome: Outcome, now: Moment) {
+        metrics::counter!(OUTCOMES_METRIC, "outcome" => outcome.name()).increment(1);
+        self.state.outcomes().record(outcome, now);
+    }
+
+    /// Records the outcome that the first segment of a response names.
+    pub(super) fn record_response(&self, was_overdue: bool, datagram: &[u8], now: Moment) {
+        if was_overdue {
+            self.state.outcomes().withdraw_overdue(now);
+        }
+        if let Some(response) = self.format.response(datagram) {
+            self.record_outcome(response.into(), now);
+        }
+    }
+
+    /// Records that the upstream has ended a flow, if a caller waited for it.
+    pub(super) fn record_end(&self, end: UpstreamEnd, now: Moment) {
+        match end.cause {
+            EndCause::Refused => self.record_outcome(Outcome::OpeningRefused, now),
+            EndCause::Reset | EndCause::Closed if end.busy => {
+                self.record_outcome(Outcome::Reset, now);
+            }
+            EndCause::Reset | EndCause::Closed | EndCause::UnknownFlow => {}
+        }
+    }
+
+    /// Records that the upstream has returned an opening segment. The return of a late copy shows
+    /// nothing, and an upstream that drains returns openings as it should.
+    pub(super) fn record_returned_opening(&self, decision: &Decision, now: Moment) {
+        let is_first = matches!(decision, Decision::Pass(..) | Decision::Refuse(_));
+        if is_first && self.state.monitor().is_accepting() {
+            self.record_outcome(Outcome::OpeningRefused, now);
+        }
+    }
+}
--- a/yuccacroft-segment/src/agent/relay/reply.rs
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -10,7 +10,7 @@
     std::{net::SocketAddrV4, sync::atomic::Ordering},
     yuccacroft_core::{
         ids::{Incarnation, Revision},
-        pool::AgentLoad,
+        pool::{AgentLoad, Measures},
         route::ConfigVersion,
         segment::Format,
         time::{Moment, Span},
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Returns what the agent has measured of its upstream.
+    pub fn measures(&self, now: Moment) -> Measures {
+        Measures { failures: self.state.outcomes().failures(now), ..Measures::default() }
+    }
+
     /// Sends the load to every balancer that sent a message recently.
     pub fn send_load(&self, now: Moment) {
         self.balancers.retain(|_, last_seen| now.since(*last_seen) < BALANCER_TIMEOUT);
@@ -47,7 +52,12 @@
             balancers.push(*balancer);
             balancers
         });
-        balancers.into_iter().for_each(|balancer| self.reply(balancer, Body::Load, &[], now));
+        let body = if self.state.requirements.health {
+            Body::Measures(self.measures(now))
+        } else {
+            Body::Load
+        };
+        balancers.into_iter().for_each(|balancer| self.reply(balancer, body.clone(), &[], now));
     }
 
     pub(super) fn send_pong(
--- a/yuccacroft-segment/src/agent/relay/reset.rs
+++ b/yuccacroft-segment/src/agent/relay/reset.rs
@@ -6,6 +6,7 @@
     slog::info,
     yuccacroft_core::{
         handshake::LostFlow,
+        outcome::Outcome,
         segment::{Flow, Format, Sequence},
         time::{Moment, Span},
         upstream::{ConnectResult, Silence},
@@ -48,7 +49,10 @@
             info!(self.flow_log.log(), "flows lost"; "count" => lost.len(), "cause" => cause,
                 "busy" => lost.iter().filter(|flow| flow.busy).count());
         }
-        for LostFlow { flow, acknowledged, started_at, .. } in lost {
+        for LostFlow { flow, acknowledged, started_at, busy } in lost {
+            if busy {
+                self.record_outcome(Outcome::Lost, now);
+            }
             self.state.backlog().remove(flow.key());
             self.reset(flow, acknowledged, cause, Some(now.since(started_at)), now);
         }
--- a/yuccacroft-segment/src/ticker.rs
+++ b/yuccacroft-segment/src/ticker.rs
@@ -29,6 +29,8 @@
 pub struct Tick {
     /// The time of the tick.
     pub now: Moment,
+    /// The time since the previous tick.
+    pub pause: Span,
     /// Whether the process was paused before the tick, so that timeouts have to start again.
     pub is_stalled: bool,
     number: u64,
@@ -58,7 +60,7 @@
         }
         (self.last_tick, self.last_tick_running) = (now, now_running);
         self.count += 1;
-        Tick { now, is_stalled, number: self.count }
+        Tick { now, pause, is_stalled, number: self.count }
     }
 }
 
--- a/yuccacroft-segment/tests/support/fakes.rs
+++ b/yuccacroft-segment/tests/support/fakes.rs
@@ -7,7 +7,7 @@
         net::SocketAddrV4,
         sync::{Arc, Mutex},
     },
-    yuccacroft_core::segment::{Flow, Format, Outbound, Segment, Sequence},
+    yuccacroft_core::segment::{Flow, Format, Outbound, Response, Segment, Sequence},
     yuccacroft_segment::{errors::Result as StartResult, host::Socket},
 };
 
@@ -52,6 +52,10 @@
         None
     }
 
+    fn response(&self, _: &[u8]) -> Option<Response> {
+        None
+    }
+
     fn restore_bounced(&self, _: &mut [u8]) {}
 
     fn encode_reset(&self, flow: Flow, _: Sequence) -> Vec<u8> {
