Eject upstreams that fail clearly more requests than their peers

Balancers place flows by load alone, so an upstream that fails requests keeps its share of the flows, or gets more.

- `pool::outlier` compares the reported share of failures with the median, the spread and the sampling error among the members of a service.
An outlier gets probes only, a small part of its usual flows by key, and comes back in steps while its share stays low.
Repeated ejections last longer.
- No member is ejected if the others could not carry the load; if the load grows, ejected ones that serve most of their requests return.
- The cost of a member contains the expected further attempts (`Cost::failures`).
- Changes are logged with their figures and counted.

Weighed: agents that pass offers on by themselves (an agent does not know its peers), a fixed limit of failures (ejects everybody when a dependency fails), ejections shared through the store (stale in an outage). A distance of the sampling error at the median ejected members by chance in the test in which all fail 5 percent alike; the mean is steadier.

Result: `yuccacroft-core/tests/outliers.rs`, ten upstreams of which one fails 40 percent for 8 s: failed requests fall below a fifth of those with placement by load, for errors, refusals, refused openings, silence and resets; an upstream that flaps with 0.6, 1 or 3 s is ejected at most 8 times in 60 s; nobody is ejected when all fail 5 to 80 percent alike.

--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -8,6 +8,7 @@
 pub mod indirect;
 mod listing;
 mod member;
+pub mod outlier;
 mod path;
 mod ring;
 
@@ -457,6 +458,28 @@
         costs.into_iter().map(|(_, instance)| instance).take(count).collect()
     }
 
+    /// Compares the members of each service by the failures that they report, and updates the part
+    /// of the flows that each one gets. It is called several times a second.
+    pub fn review_outliers(&self, now: Moment) -> Vec<outlier::Change> {
+        if !self.requirements.health {
+            return Vec::new();
+        }
+        let mut services: HashMap<Target, Vec<outlier::Peer>> = HashMap::new();
+        self.for_each(|member| {
+            if let Some(peer) = member.peer() {
+                services.entry(member.entry.target).or_default().push(peer);
+            }
+        });
+        let mut changes = Vec::new();
+        for peers in services.values_mut() {
+            changes.extend(outlier::review(peers, now));
+        }
+        for change in &changes {
+            self.update_member(change.instance, |member| member.standing = change.standing);
+        }
+        changes
+    }
+
     /// Returns a copy of a member.
     pub fn get(&self, instance: Instance) -> Option<Member> {
         self.members.get(&instance)
--- a/yuccacroft-core/src/pool/cost.rs
+++ b/yuccacroft-core/src/pool/cost.rs
@@ -17,6 +17,9 @@
 /// Number of hundredths by which the costs of one member differ from flow to flow, so that balancers
 /// with the same information do not all choose the same member.
 const SPREAD_PERCENT: u64 = 16;
+/// Largest share of failures, in hundredths, that the cost of a member takes into account, so that the
+/// cost stays finite.
+const MAX_FAILURES_PERCENT: u64 = 90;
 const HUNDRED: u64 = 100;
 
 /// The flow and the balancer for which the costs of members are compared.
@@ -35,6 +38,9 @@
     pub work: Span,
     /// The expected use of the upstream by other flows.
     pub busy: Span,
+    /// The expected further attempts of requests that the upstream fails. Without them an upstream
+    /// that fails requests quickly looks idle.
+    pub failures: Span,
     /// The disadvantage of a member in another failure domain.
     pub crossing: Span,
     /// The disadvantage of an upstream that is warming up.
@@ -50,12 +56,14 @@
     Phase(AgentPhase),
     /// Its agent reports that it takes no new flow.
     NotAccepting,
+    /// Its upstream fails more requests than others, and the flow is none of its probes.
+    Outlier,
 }
 
 impl Cost {
     /// Returns the sum of all parts, by which members are compared.
     pub fn total(&self) -> Span {
-        self.work + self.busy + self.crossing + self.warmup + self.spread
+        self.work + self.busy + self.failures + self.crossing + self.warmup + self.spread
     }
 }
 
@@ -74,10 +82,17 @@
         if let Some(exclusion) = self.exclusion() {
             return Err(exclusion);
         }
+        if !self.standing.admits(viewpoint.key, self.entry.agent_id.instance) {
+            return Err(Exclusion::Outlier);
+        }
         let load = self.load.map(|(load, _)| load).unwrap_or_default();
         let work = self.work(&load);
         let busy = self.busy(&load, work);
         let mut cost = Cost { work, busy, ..Cost::default() };
+        // A probe goes to an ejected member although its failures make it expensive.
+        if self.standing.is_admitted() {
+            cost.failures = self.failures(cost.total());
+        }
         if self.entry.domain != *viewpoint.domain {
             cost.crossing = increase(cost.total(), REMOTE_DOMAIN_COST_PERCENT - HUNDRED);
         }
@@ -105,6 +120,13 @@
         Span::from_micros(work.as_micros() * factor / (HUNDRED * HUNDRED))
     }
 
+    /// Returns the cost of the attempts after the first one until a request succeeds.
+    fn failures(&self, attempt: Span) -> Span {
+        let failures = self.measures.map(|(measures, _)| u64::from(measures.failures.get()));
+        let failures = failures.unwrap_or_default().min(MAX_FAILURES_PERCENT);
+        Span::from_micros(attempt.as_micros() * failures / (HUNDRED - failures))
+    }
+
     fn slots(&self) -> u64 {
         u64::from(self.entry.slots.get().max(1))
     }
--- a/yuccacroft-core/src/pool/member.rs
+++ b/yuccacroft-core/src/pool/member.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         indirect::{Contact, Report},
+        outlier::{Peer, Standing},
         path::{Answer, LOSS_TIMEOUT, Timeliness},
     },
     crate::{
@@ -104,6 +105,8 @@
     pub(super) load: Option<(AgentLoad, Moment)>,
     /// The latest measures that the agent has reported, and when.
     pub(super) measures: Option<(Measures, Moment)>,
+    /// The part of the flows that the member gets, by its failures.
+    pub(super) standing: Standing,
     /// The latest answer to a message of this process.
     pub(super) answer: Option<Answer>,
     /// The times of offers whose requests the reported load does not include yet.
@@ -138,6 +141,7 @@
             entry,
             load: None,
             measures: None,
+            standing: Standing::ADMITTED,
             answer: None,
             pending_offers: VecDeque::new(),
             unanswered_since: None,
@@ -233,6 +237,23 @@
         self.measures.map(|(measures, at)| (measures, now.since(at)))
     }
 
+    /// Returns the part of the flows that the member gets, by its failures.
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// Returns the member as it is compared with the others of its service, or `None` if it takes no
+    /// flows.
+    pub(super) fn peer(&self) -> Option<Peer> {
+        self.takes_flows().then(|| Peer {
+            instance: self.entry.agent_id.instance,
+            failures: self.measures.map(|(measures, _)| measures.failures),
+            busy: self.load.map(|(load, _)| load.busy).unwrap_or_default(),
+            slots: self.entry.slots,
+            standing: self.standing,
+        })
+    }
+
     /// Returns true while the member is listed.
     pub fn is_listed(&self) -> bool {
         self.unlisted_since.is_none()
--- /dev/null
+++ b/yuccacroft-core/tests/outliers.rs
@@ -0,0 +1,274 @@
+//! Upstreams that fail requests although they seem healthy, with and without measured outcomes.
+//!
+//! One balancer places requests at a service of ten upstreams, some of which fail part of them.
+
+use {
+    proptest::prelude::*,
+    yuccacroft_core::{
+        flow::{AgentId, FlowKey},
+        ids::{Domain, Incarnation, Instance},
+        outcome::{Outcome, Record},
+        pool::{AgentEntry, AgentLoad, AgentPhase, Measures, Pool, outlier::Cause},
+        requirements::Requirements,
+        route::{ServiceName, Target},
+        time::{Moment, Span},
+        units::{Connections, Percent, Slots},
+    },
+};
+
+const UPSTREAMS: usize = 10;
+const SLOTS: u32 = 4;
+const SERVICE_TIME_MS: u64 = 25;
+const REPORT_INTERVAL_MS: u64 = 200;
+const REVIEW_INTERVAL_MS: u64 = 100;
+/// The faults of all tests begin after the records of the upstreams are full.
+const FAULT_START_MS: u64 = 4_000;
+const FAULT_END_MS: u64 = 12_000;
+
+/// How an upstream fails a request, and when that is known.
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    outcome: Outcome,
+    after_ms: u64,
+}
+
+const ERRORS: Failure = Failure { outcome: Outcome::ServerError, after_ms: 1 };
+const FAILURES: [Failure; 5] = [
+    ERRORS,
+    Failure { outcome: Outcome::NotExecuted, after_ms: 1 },
+    Failure { outcome: Outcome::OpeningRefused, after_ms: 1 },
+    Failure { outcome: Outcome::Overdue, after_ms: 200 },
+    Failure { outcome: Outcome::Reset, after_ms: 5 },
+];
+
+/// A request at an upstream.
+struct Request {
+    upstream: usize,
+    ends_at: u64,
+    outcome: Outcome,
+}
+
+/// A request of which the test decides whether it fails.
+struct Attempt {
+    upstream: usize,
+    at_ms: u64,
+    number: u64,
+}
+
+#[derive(Debug, Default)]
+struct Results {
+    sent: [u32; UPSTREAMS],
+    failed: u32,
+    ejections: u32,
+    readmissions: u32,
+    most_ejected: usize,
+}
+
+fn instance(upstream: usize) -> Instance {
+    Instance::new(std::net::SocketAddrV4::new([10, 0, 0, upstream as u8].into(), 7_000))
+}
+
+fn agent_id(upstream: usize) -> AgentId {
+    AgentId { instance: instance(upstream), incarnation: Incarnation::new(1) }
+}
+
+fn target() -> Target {
+    ServiceName::new("booking").target()
+}
+
+fn domain() -> Domain {
+    Domain::new("a").unwrap()
+}
+
+fn new_pool(health: bool) -> Pool {
+    let pool = Pool::new().with_requirements(Requirements { health, ..Requirements::default() });
+    for upstream in 0..UPSTREAMS {
+        let entry = AgentEntry {
+            agent_id: agent_id(upstream),
+            entry_version: 1,
+            target: target(),
+            domain: domain(),
+            slots: Slots::new(SLOTS),
+            phase: AgentPhase::Ready,
+            succeeds: false,
+        };
+        pool.upsert(entry, Moment::default());
+    }
+    pool
+}
+
+fn load(active: usize, busy: Percent) -> AgentLoad {
+    AgentLoad {
+        accepting: true,
+        active: active as u32,
+        busy,
+        open: Connections::new(0),
+        service_time: Span::from_millis(SERVICE_TIME_MS),
+        warmup: Span::ZERO,
+        stopping: false,
+    }
+}
+
+/// Places one request every `interval_ms` until `end_ms`. `fault` tells which requests fail.
+fn run(
+    health: bool,
+    interval_ms: u64,
+    end_ms: u64,
+    fault: impl Fn(&Attempt) -> Option<Failure>,
+) -> Results {
+    let pool = new_pool(health);
+    let mut records = [Record::default(); UPSTREAMS];
+    let mut busy = [Percent::default(); UPSTREAMS];
+    let mut requests: Vec<Request> = Vec::new();
+    let mut results = Results::default();
+    let mut ejected = std::collections::HashSet::new();
+    for at_ms in 0..end_ms {
+        let now = Moment::default() + Span::from_millis(at_ms);
+        for request in requests.extract_if(.., |request| request.ends_at <= at_ms) {
+            records[request.upstream].record(request.outcome, now);
+            results.failed += u32::from(request.outcome != Outcome::Success);
+        }
+        if at_ms % REPORT_INTERVAL_MS == 0 {
+            for (upstream, record) in records.iter().enumerate() {
+                let active = requests.iter().filter(|each| each.upstream == upstream).count();
+                let mean = (busy[upstream].get() * 4 + active as u32 * 100) / 5;
+                busy[upstream] = Percent::new(mean);
+                pool.record_load(agent_id(upstream), load(active, busy[upstream]), now);
+                let failures = record.failures(now);
+                let measures = Measures { failures, ..Measures::default() };
+                pool.record_measures(agent_id(upstream), measures, now);
+            }
+        }
+        if at_ms % REVIEW_INTERVAL_MS == 0 {
+            for change in pool.review_outliers(now) {
+                results.ejections += u32::from(change.cause == Cause::Outlier);
+                if change.standing.is_admitted() {
+                    results.readmissions += 1;
+                    ejected.remove(&change.instance);
+                } else {
+                    ejected.insert(change.instance);
+                }
+                results.most_ejected = results.most_ejected.max(ejected.len());
+            }
+        }
+        if at_ms % interval_ms == 0 {
+            let number = at_ms / interval_ms;
+            let key = FlowKey::new(number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+            let chosen = pool.choose(target(), &domain(), key, 1, now)[0];
+            let upstream = (0..UPSTREAMS).find(|each| instance(*each) == chosen).unwrap();
+            pool.record_offer(chosen, now);
+            results.sent[upstream] += 1;
+            let failure = fault(&Attempt { upstream, at_ms, number });
+            let outcome = failure.map_or(Outcome::Success, |failure| failure.outcome);
+            let time = failure.map_or(SERVICE_TIME_MS, |failure| failure.after_ms);
+            requests.push(Request { upstream, ends_at: at_ms + time, outcome });
+        }
+    }
+    results
+}
+
+/// Returns true for a fixed part of the requests, in percent.
+fn is_chosen(attempt: &Attempt, percent: u64) -> bool {
+    attempt.number.wrapping_mul(0xd134_2543_de82_ef95) >> 32 & 0xffff < percent * 0xffff / 100
+}
+
+fn is_fault_time(attempt: &Attempt) -> bool {
+    (FAULT_START_MS..FAULT_END_MS).contains(&attempt.at_ms)
+}
+
+/// Guards against an upstream that fails part of its requests while its health check succeeds: one
+/// that fails them quickly looks idle and draws work. It gets its share back after the fault.
+#[test]
+fn an_upstream_that_fails_requests_gets_probes_only() {
+    for failure in FAILURES {
+        let fault = |attempt: &Attempt| {
+            let fails = attempt.upstream == 3 && is_chosen(attempt, 40) && is_fault_time(attempt);
+            fails.then_some(failure)
+        };
+        let (before, after) = (run(false, 4, 12_000, fault), run(true, 4, 12_000, fault));
+        assert!(after.failed * 5 < before.failed, "{failure:?}: {before:?} {after:?}");
+        let later = run(true, 4, 40_000, fault);
+        assert_eq!(later.readmissions, 1, "{failure:?}: {later:?}");
+        let share = (later.sent[3] - after.sent[3]) * UPSTREAMS as u32 * 4;
+        assert!(share > 28_000 / 2, "{failure:?}: {later:?}");
+    }
+}
+
+/// Guards against the loss of capacity when the cause lies outside of the upstreams.
+#[test]
+fn nobody_is_ejected_when_all_fail_alike() {
+    for percent in [5, 20, 40, 80] {
+        let fault = |attempt: &Attempt| is_chosen(attempt, percent).then_some(ERRORS);
+        let results = run(true, 4, 20_000, fault);
+        assert_eq!(results.ejections, 0, "{percent} percent: {results:?}");
+    }
+}
+
+/// Guards against an upstream that is admitted each time when it works for a moment.
+#[test]
+fn an_upstream_that_flaps_stays_ejected_longer_each_time() {
+    for period_ms in [600, 1_000, 3_000] {
+        let fault = |attempt: &Attempt| {
+            let is_down = attempt.at_ms % period_ms < period_ms / 2;
+            (attempt.upstream == 3 && is_down).then_some(ERRORS)
+        };
+        let (before, after) = (run(false, 4, 60_000, fault), run(true, 4, 60_000, fault));
+        assert!(after.ejections <= 8, "{period_ms} ms: {after:?}");
+        assert!(after.failed * 3 < before.failed, "{period_ms} ms: {before:?} {after:?}");
+    }
+}
+
+/// Guards against an upstream that fails the callers of one failure domain only, a third of all: its
+/// share of failures is low, but far above that of its peers.
+#[test]
+fn an_upstream_that_fails_callers_of_one_domain_is_ejected() {
+    let fault = |attempt: &Attempt| {
+        let fails =
+            attempt.upstream == 3 && attempt.number.is_multiple_of(3) && is_fault_time(attempt);
+        fails.then_some(ERRORS)
+    };
+    let (before, after) = (run(false, 4, 12_000, fault), run(true, 4, 12_000, fault));
+    assert!(after.failed * 4 < before.failed, "{before:?} {after:?}");
+}
+
+/// Guards against an overload of the others: they carry the load of few ejected upstreams only.
+#[test]
+fn no_more_are_ejected_than_the_others_can_carry() {
+    let fault = |attempt: &Attempt| {
+        let fails = attempt.upstream < 4 && is_chosen(attempt, 30) && is_fault_time(attempt);
+        fails.then_some(ERRORS)
+    };
+    // About 22 of 40 slots are busy, so that 80 percent of 28 suffice.
+    let results = run(true, 1, 12_000, fault);
+    assert!((1..=3).contains(&results.most_ejected), "{results:?}");
+}
+
+proptest! {
+    /// Guards against the long requests of a healthy upstream being taken for failures: a response
+    /// after the usual time withdraws the silence.
+    #[test]
+    fn late_responses_are_no_failures(late in proptest::collection::vec(0u32..100, 400)) {
+        let (mut record, mut now) = (Record::default(), Moment::default());
+        for number in late {
+            now = now + Span::from_millis(30);
+            if number < 3 {
+                record.record(Outcome::Overdue, now);
+                record.withdraw_overdue(now);
+            }
+            record.record(Outcome::Success, now);
+            prop_assert_eq!(record.failures(now), Percent::new(0));
+        }
+    }
+}
+
+/// Guards against blame for the upstream when its agent was paused or is slow: the responses wait in
+/// the agent's socket.
+#[test]
+fn silence_after_a_pause_of_the_agent_is_no_failure() {
+    let mut record = Record::default();
+    record.record_pause(Moment::new(1_000_000));
+    (0..20).for_each(|_| record.record(Outcome::Overdue, Moment::new(1_100_000)));
+    assert_eq!(record.failures(Moment::new(1_100_000)), Percent::new(0));
+    (0..20).for_each(|_| record.record(Outcome::Overdue, Moment::new(1_500_000)));
+    assert!(record.failures(Moment::new(1_500_000)) > Percent::new(50));
+}
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -38,6 +38,10 @@
 const SEARCHES_METRIC: &str = "yuccacroft_balancer_searches";
 /// Metric: version of the configuration in force.
 const CONFIGURATION_VERSION_METRIC: &str = "yuccacroft_balancer_configuration_version";
+/// Metric: number of members that get a part of their flows only, because of their failures.
+const EJECTED_MEMBERS_METRIC: &str = "yuccacroft_balancer_ejected_members";
+/// Metric: number of changes of the part of the flows that a member gets, labelled with the cause.
+const STANDING_CHANGES_METRIC: &str = "yuccacroft_balancer_standing_changes_total";
 /// Metric: age of the oldest load report among the agents.
 const LOAD_AGE_METRIC: &str = "yuccacroft_balancer_load_age_seconds";
 /// Mean time between two reads of changed members in a series of changes. Agents refuse flows and report their load on
@@ -189,11 +193,14 @@
         metrics::gauge!(SEARCHES_METRIC).set(relay.searches.len() as f64);
         metrics::gauge!(CONFIGURATION_VERSION_METRIC).set(relay.version().get() as f64);
         let mut oldest = Span::ZERO;
+        let mut ejected = 0_u32;
         let now = relay.clock.now();
         relay.pool.for_each(|member| {
             let age = member.load(now).map_or(Span::ZERO, |(_, age)| age);
             oldest = oldest.max(age);
+            ejected += u32::from(!member.standing().is_admitted());
         });
+        metrics::gauge!(EJECTED_MEMBERS_METRIC).set(f64::from(ejected));
         metrics::gauge!(LOAD_AGE_METRIC).set(Duration::from(oldest).as_secs_f64());
     }
 
@@ -221,6 +228,7 @@
             info!(self.relay.flow_log.log(), "reach changed"; "agent" => %instance,
                 "reach" => ?reachability);
         }
+        self.review_outliers(now);
         to_ping.into_iter().for_each(|instance| self.relay.ping(instance, now));
         self.relay.ping_indirectly(now);
         self.log_indirect_reach(now);
@@ -253,6 +261,18 @@
         }
     }
 
+    /// Updates which members get all flows, and logs the changes.
+    fn review_outliers(&self, now: Moment) {
+        for change in self.relay.pool.review_outliers(now) {
+            let cause = change.cause.name();
+            metrics::counter!(STANDING_CHANGES_METRIC, "cause" => cause).increment(1);
+            info!(self.relay.flow_log.log(), "upstream standing changed";
+                "agent" => %change.instance, "cause" => cause,
+                "flow_share" => %change.standing.share(), "failures" => %change.failures,
+                "median" => %change.median, "limit" => %change.limit);
+        }
+    }
+
     /// Tells all agents the newest entry. Flows may be placed at its agent from now on, so balancers
     /// that have not listed it yet must learn of it.
     fn ping_all(&self, now: Moment) {
