Admit new flows by the expected wait of their first request

Cause: an agent took every flow that it was offered, whatever waited before it, and a request on an open flow cannot be refused. Before the first report of the upstream there was no limit of concurrent requests, and requests from before a restart of the agent were not counted, so a restart of all agents flooded the upstreams.

Change, all where the requirement `health` is set: - `admission::workload` computes the expected wait from slots, requests in progress and waiting, and service times, and the outlook of a request of a class: on time, late, hopeless. A copy of an opening that the upstream has is not judged again. - `max_concurrent` starts with two slots until the upstream, a response or the agent's former entry names the number, and leaves out the requests that the upstream reports and the agent does not know (`admission::unknown`, for 400 ms). - The reported wait is part of a member's cost (`Cost::wait`) for one second.

Weighed: refusing by the tail of the service time, which refuses requests that mostly can be served; reading the former entry before the first report, one store call for each agent for what the first response tells anyway.

--- a/yuccacroft-core/src/admission.rs
+++ b/yuccacroft-core/src/admission.rs
@@ -7,6 +7,9 @@
 pub mod limit;
 pub mod peers;
 mod queue;
+pub mod service_times;
+pub mod unknown;
+pub mod workload;
 
 use {
     self::{
@@ -14,6 +17,7 @@
         limit::{AttemptOutcome, ConcurrencyLimit, Hint},
         peers::SiblingLoad,
         queue::{Queue, Waiting},
+        workload::Workload,
     },
     crate::{
         controller::Controller,
@@ -277,11 +281,11 @@
 
     /// Returns the expected wait of a request that is queued now.
     fn expected_wait(&self, long: bool, now: Moment) -> Span {
-        let limit = u64::from(self.limit.current(now).max(1));
         let ahead =
             self.queue.work_ahead(long, |class| self.classes.mean(class).unwrap_or_default());
-        let own = self.classes.typical_service_time().unwrap_or_default();
-        Span::from_micros((ahead + own).as_micros() / limit)
+        // The slots are in use, so one of the running requests has to end as well.
+        let running = self.classes.typical_service_time().unwrap_or_default();
+        Workload { slots: self.limit(now), ahead: ahead + running }.wait()
     }
 
     fn max_wait(&self, class: Class, long: bool) -> Span {
--- a/yuccacroft-core/src/handshake/offer.rs
+++ b/yuccacroft-core/src/handshake/offer.rs
@@ -22,6 +22,13 @@
     pub hops: u8,
 }
 
+impl Offer {
+    /// Returns true if no other agent may take the flow after the current one.
+    pub fn is_last(&self) -> bool {
+        self.rest.is_empty() || self.hops.saturating_add(1) >= MAX_HOPS
+    }
+}
+
 /// Passes an opening segment that an agent does not take to the next candidate, or refuses it if
 /// none is left.
 pub fn pass_or_refuse(offer: Offer) -> Decision {
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -431,7 +431,7 @@
         count: usize,
         now: Moment,
     ) -> Vec<Instance> {
-        let viewpoint = Viewpoint { domain, key };
+        let viewpoint = Viewpoint { domain, key, now };
         let mut costs = Vec::with_capacity(PLACEMENT_WINDOW);
         for skipped in (0..MAX_PLACEMENT_SCAN).step_by(PLACEMENT_WINDOW) {
             let window = self.window(target, key, skipped, PLACEMENT_WINDOW);
--- a/yuccacroft-core/src/pool/cost.rs
+++ b/yuccacroft-core/src/pool/cost.rs
@@ -2,7 +2,12 @@
 
 use {
     super::member::{AgentLoad, AgentPhase, Member},
-    crate::{flow::FlowKey, ids::Domain, placement::pair_hash, time::Span},
+    crate::{
+        flow::FlowKey,
+        ids::Domain,
+        placement::pair_hash,
+        time::{Moment, Span},
+    },
 };
 
 /// Cost of a member in another failure domain, in percent of a member in the balancer's own domain.
@@ -14,6 +19,8 @@
 const BUSY_COST_FACTOR: u64 = 6;
 /// Service time that is assumed for a member that has not reported one.
 const DEFAULT_SERVICE_TIME: Span = Span::from_millis(20);
+/// Age up to which measures of a member are used. They follow bursts, which older ones do not show.
+const MEASURES_TTL: Span = Span::from_secs(1);
 /// Number of hundredths by which the costs of one member differ from flow to flow, so that balancers
 /// with the same information do not all choose the same member.
 const SPREAD_PERCENT: u64 = 16;
@@ -26,6 +33,8 @@
     pub domain: &'a Domain,
     /// The flow.
     pub key: FlowKey,
+    /// The time of the comparison.
+    pub now: Moment,
 }
 
 /// The cost of a new flow at a member, as a sum of times.
@@ -33,6 +42,8 @@
 pub struct Cost {
     /// The service time of a request among those in progress.
     pub work: Span,
+    /// The expected wait for a slot, as measured by the agent.
+    pub wait: Span,
     /// The expected use of the upstream by other flows.
     pub busy: Span,
     /// The disadvantage of a member in another failure domain.
@@ -55,7 +66,7 @@
 impl Cost {
     /// Returns the sum of all parts, by which members are compared.
     pub fn total(&self) -> Span {
-        self.work + self.busy + self.crossing + self.warmup + self.spread
+        self.work + self.wait + self.busy + self.crossing + self.warmup + self.spread
     }
 }
 
@@ -77,7 +88,9 @@
         let load = self.load.map(|(load, _)| load).unwrap_or_default();
         let work = self.work(&load);
         let busy = self.busy(&load, work);
-        let mut cost = Cost { work, busy, ..Cost::default() };
+        let measures = self.measures.filter(|(_, at)| viewpoint.now.since(*at) < MEASURES_TTL);
+        let wait = measures.map_or(Span::ZERO, |(measures, _)| measures.wait);
+        let mut cost = Cost { work, wait, busy, ..Cost::default() };
         if self.entry.domain != *viewpoint.domain {
             cost.crossing = increase(cost.total(), REMOTE_DOMAIN_COST_PERCENT - HUNDRED);
         }
--- a/yuccacroft-core/src/segment.rs
+++ b/yuccacroft-core/src/segment.rs
@@ -5,7 +5,7 @@
 //! independent of the encoding.
 
 use {
-    crate::{flow::FlowKey, rendezvous::digest},
+    crate::{flow::FlowKey, rendezvous::digest, units::Slots},
     std::{
         fmt::{Debug, Display, Formatter},
         net::SocketAddrV4,
@@ -93,6 +93,11 @@
     /// the datagram begins a response that reports it.
     fn requests_in_progress(&self, datagram: &[u8]) -> Option<u32>;
 
+    /// Returns the slots of the upstream, if the datagram begins a response that reports them.
+    fn reported_slots(&self, _datagram: &[u8]) -> Option<Slots> {
+        None
+    }
+
     /// Restores a bounced segment in place to the bytes that the caller sent.
     fn restore_bounced(&self, datagram: &mut [u8]);
 
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -4,7 +4,8 @@
     flow::{AgentId, FlowKey},
     ids::{Domain, Incarnation, Instance, Revision},
     pool::{
-        AgentEntry, AgentLoad, AgentPhase, Pool, Reachability, ReachabilityCounts, UpsertResult,
+        AgentEntry, AgentLoad, AgentPhase, Measures, Pool, Reachability, ReachabilityCounts,
+        UpsertResult,
     },
     route::{ServiceName, Target},
     time::{Moment, Span},
@@ -71,6 +72,20 @@
     pool.choose(target(), &domain("a"), key, 8, now).first().copied()
 }
 
+/// Guards against new flows that go to a member whose requests wait, as its agent has measured.
+#[test]
+fn a_member_with_a_long_wait_gets_no_new_flow_while_the_measure_is_recent() {
+    let pool = pool(2);
+    let measures = Measures { wait: Span::from_millis(400), ..Measures::default() };
+    pool.record_measures(entry(1, 1, 1).agent_id, measures, START);
+    let chosen = |millis| {
+        let is_chosen = |key: &u64| first(&pool, *key, at(millis)) == Some(instance(1));
+        (0..100).filter(is_chosen).count()
+    };
+    assert_eq!(chosen(500), 0);
+    assert!(chosen(1_500) > 0);
+}
+
 /// Guards against a member that a delayed entry of an earlier incarnation or version overwrites.
 #[test]
 fn an_earlier_incarnation_or_edition_changes_nothing() {
--- a/yuccacroft-segment/src/agent/announcer.rs
+++ b/yuccacroft-segment/src/agent/announcer.rs
@@ -206,6 +206,7 @@
         self.succeeds = Some(earlier.is_some());
         if let Some(earlier) = earlier {
             self.relay.succeed(earlier.incarnation());
+            self.relay.state.note_slots(earlier.slots);
         }
         Ok(false)
     }
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -9,6 +9,11 @@
         },
     },
     yuccacroft_core::{
+        admission::{
+            service_times::ServiceTimes,
+            unknown::UnknownRequests,
+            workload::{Announced, Outlook, ServiceTime, Workload},
+        },
         backlog::Backlog,
         filter::{Filter, FilterChain, Verdict},
         handshake::{self, Decision, FlowTable, ForwardReason, Offer},
@@ -16,8 +21,8 @@
         route::{Target, TrafficClass},
         segment::Segment,
         time::{Moment, Span},
-        units::Percent,
-        upstream::Monitor,
+        units::{Percent, Slots},
+        upstream::{Monitor, UpstreamReport},
     },
 };
 
@@ -30,6 +35,12 @@
 const MAX_SAMPLE: u32 = 10_000;
 /// Concurrent requests at an upstream in addition to its slots.
 const EXTRA_REQUESTS: u32 = 1;
+/// Slots that are assumed until the upstream reports its number. Responses report it as well, so the
+/// number is known after the first one.
+const DEFAULT_SLOTS: Slots = Slots::new(2);
+
+/// Metric: number of offered flows, labelled with what their first requests can expect.
+const OUTLOOKS_METRIC: &str = "yuccacroft_agent_outlooks_total";
 
 /// The context in which a segment was received.
 #[derive(Clone, Debug)]
@@ -63,6 +74,11 @@
     pub table: FlowTable,
     monitor: Mutex<Monitor>,
     backlog: Mutex<Backlog>,
+    service_times: Mutex<ServiceTimes>,
+    unknown_requests: Mutex<UnknownRequests>,
+    announced: Mutex<Announced>,
+    /// The slots of the upstream by another source than its reports, or zero.
+    noted_slots: AtomicU32,
     stopping: AtomicBool,
     /// The mean of the open requests, in hundredths.
     mean_requests: AtomicU32,
@@ -74,6 +90,10 @@
 /// Decides by the flows that the agent owns.
 struct Ownership(Arc<AgentState>);
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Builds the chain.
 pub fn build_chain(state: &Arc<AgentState>) -> FilterChain<ReceivedSegment, Decision> {
     FilterChain::new(vec![Box::new(Service(state.clone())), Box::new(Ownership(state.clone()))])
@@ -88,6 +108,10 @@
             table: FlowTable::new(),
             monitor: Mutex::new(monitor),
             backlog: Mutex::default(),
+            service_times: Mutex::default(),
+            unknown_requests: Mutex::default(),
+            announced: Mutex::default(),
+            noted_slots: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
             mean_requests: AtomicU32::new(0),
         }
@@ -95,12 +119,17 @@
 
     /// Sets the requirements of the deployment.
     pub fn with_requirements(self, requirements: Requirements) -> Self {
-        Self { requirements, ..self }
+        let backlog = if requirements.health {
+            Mutex::new(Backlog::default().with_shares())
+        } else {
+            self.backlog
+        };
+        Self { requirements, backlog, ..self }
     }
 
     /// Returns the locked monitor of the upstream.
     pub fn monitor(&self) -> MutexGuard<'_, Monitor> {
-        self.monitor.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.monitor)
     }
 
     /// Stops accepting new flows. Open flows stay.
@@ -124,12 +153,83 @@
         !self.is_stopping() && self.monitor().is_accepting()
     }
 
-    /// Returns the limit of concurrent requests at the upstream: one more than its slots, so that a
-    /// slot that becomes free has its next request at once. There is no limit before the first
-    /// report.
-    pub fn max_concurrent(&self) -> u32 {
-        let slots = self.monitor().last_report().map(|report| report.slots.get().max(1));
-        slots.map_or(u32::MAX, |slots| slots + EXTRA_REQUESTS)
+    /// Returns the limit of concurrent requests that the agent has at the upstream: one more than its
+    /// slots, so that a slot that becomes free has its next request at once. Requests that the agent
+    /// does not know of take their part of it where the requirements ask for measured numbers.
+    /// Without that requirement there is no limit before the first report.
+    pub fn max_concurrent(&self, now: Moment) -> u32 {
+        if !self.requirements.health {
+            let slots = self.reported_slots();
+            return slots.map_or(u32::MAX, |slots| slots.get() + EXTRA_REQUESTS);
+        }
+        let unknown = lock(&self.unknown_requests).count(now);
+        (self.slots().get() + EXTRA_REQUESTS).saturating_sub(unknown)
+    }
+
+    /// Returns the slots of the upstream, by its report if there is one.
+    fn slots(&self) -> Slots {
+        let noted = self.noted_slots.load(Ordering::Relaxed);
+        let noted = (noted > 0).then_some(Slots::new(noted));
+        self.reported_slots().or(noted).unwrap_or(DEFAULT_SLOTS)
+    }
+
+    fn reported_slots(&self) -> Option<Slots> {
+        let slots = |report: &UpstreamReport| Slots::new(report.slots.get().max(1));
+        self.monitor().last_report().map(slots)
+    }
+
+    /// Notes the slots of the upstream by a response or by an earlier entry of the agent.
+    pub fn note_slots(&self, slots: Slots) {
+        self.noted_slots.store(slots.get(), Ordering::Relaxed);
+    }
+
+    /// Records the number of requests in progress that the upstream has reported with a response,
+    /// before the response itself is recorded.
+    pub fn record_requests_in_progress(&self, reported: u32, now: Moment) {
+        lock(&self.unknown_requests).record(reported, self.table.active_requests(), now);
+        self.table.reconcile_active(reported);
+    }
+
+    /// Records the service time of one request.
+    pub fn record_service_time(&self, service_time: Span, now: Moment) {
+        lock(&self.service_times).record(service_time, now);
+    }
+
+    /// Returns the time that a request which arrives now is expected to wait for a slot.
+    pub fn expected_wait(&self, now: Moment) -> Span {
+        self.workload(self.service_time(), now).wait()
+    }
+
+    fn service_time(&self) -> ServiceTime {
+        let mean = self.table.service_time();
+        let measured = lock(&self.service_times).service_time();
+        measured.unwrap_or(ServiceTime { mean, tail: mean })
+    }
+
+    fn workload(&self, service: ServiceTime, now: Moment) -> Workload {
+        let unknown = lock(&self.unknown_requests).count(now);
+        let announced = lock(&self.announced).count(now);
+        let requests = self.open_requests().saturating_add(unknown).saturating_add(announced);
+        Workload::new(self.slots(), requests, service.mean)
+    }
+
+    /// Returns true if the agent accepts a new flow, given what the flow's first request can expect. A
+    /// request that would be late goes to another agent while one is left, and one that would miss
+    /// its timeout is not accepted at all.
+    fn admits(&self, segment: &Segment, offer: &Offer, now: Moment) -> bool {
+        let Some(class) = offer.class.filter(|_| self.requirements.health) else { return true };
+        // The upstream may accept a flow whose opening segment it has already.
+        if self.table.offered_flow(segment.flow.key(), now).is_some() {
+            return true;
+        }
+        let service = self.service_time();
+        let outlook = self.workload(service, now).outlook(&class, service);
+        metrics::counter!(OUTLOOKS_METRIC, "outlook" => outlook.name()).increment(1);
+        match outlook {
+            Outlook::OnTime => true,
+            Outlook::Late => offer.is_last(),
+            Outlook::Hopeless => false,
+        }
     }
 
     /// Returns the number of open requests: those in progress and those that wait.
@@ -152,7 +252,7 @@
 
     /// Returns the locked queue of waiting requests.
     pub fn backlog(&self) -> MutexGuard<'_, Backlog> {
-        self.backlog.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.backlog)
     }
 
     /// Returns the time since the start of the agent or of its upstream, whichever is longer.
@@ -198,11 +298,17 @@
         let (table, segment, now) = (&self.0.table, &received.segment, received.now);
         Verdict::Done(match &received.context {
             Context::NewFlow(_, offer, datagram) => {
-                table.handle_opening(segment, datagram, offer.clone(), self.0.is_accepting(), now)
+                let accepting = self.0.is_accepting() && self.0.admits(segment, offer, now);
+                let decision =
+                    table.handle_opening(segment, datagram, offer.clone(), accepting, now);
+                if decision == Decision::Confirm {
+                    lock(&self.0.announced).record(now);
+                }
+                decision
             }
             Context::Established(origin, reason, _) => {
                 let (unsure, max_concurrent) =
-                    (self.0.may_hold_unknown_flows(now), self.0.max_concurrent());
+                    (self.0.may_hold_unknown_flows(now), self.0.max_concurrent(now));
                 table.handle_segment(segment, *origin, *reason, unsure, max_concurrent, now)
             }
         })
--- a/yuccacroft-segment/src/agent/relay/backlog.rs
+++ b/yuccacroft-segment/src/agent/relay/backlog.rs
@@ -28,7 +28,8 @@
     ) {
         metrics::counter!(DECISIONS_METRIC, "outcome" => "hold").increment(1);
         let key = segment.flow.key();
-        let queued = self.state.backlog().add(segment, datagram, class, now);
+        let queued = self.state.backlog().add(segment, datagram, class, now)
+            || self.displace_for(segment, datagram, class, now);
         if !queued {
             self.state.table.drop_held(key);
             self.deliver(segment, datagram, now);
@@ -40,14 +41,34 @@
             let id = self.format.request_id(datagram).unwrap_or_default();
             info!(log, "held"; "request" => id, "flow" => %segment.flow,
                 "priority" => %class.priority, "active" => self.state.table.active_requests(),
-                "room" => self.state.max_concurrent(), "waiting" => self.state.backlog().len());
+                "room" => self.state.max_concurrent(now), "waiting" => self.state.backlog().len());
         }
     }
 
+    /// Queues a segment in place of a request of a caller that has more requests waiting. The
+    /// displaced request goes to the upstream, which refuses it if its own queue is full.
+    fn displace_for(
+        &self,
+        segment: &Segment,
+        datagram: &[u8],
+        class: TrafficClass,
+        now: Moment,
+    ) -> bool {
+        let displaced = self.state.backlog().displace(segment, class);
+        let Some((key, datagrams)) = displaced else { return false };
+        metrics::counter!(DECISIONS_METRIC, "outcome" => "displace").increment(1);
+        self.state.table.drop_held(key);
+        datagrams.iter().for_each(|datagram| self.forward(datagram, now));
+        if let Some(log) = self.flow_log.failure(now) {
+            info!(log, "waiting request displaced"; "key" => %key, "by" => %segment.flow);
+        }
+        self.state.backlog().add(segment, datagram, class, now)
+    }
+
     /// Forwards waiting requests to the upstream while it is below its limit of concurrent
     /// requests.
     pub fn release_waiting(&self, now: Moment) {
-        while self.state.table.active_requests() < self.state.max_concurrent() {
+        while self.state.table.active_requests() < self.state.max_concurrent(now) {
             let service_time = self.state.table.service_time();
             let Some(release) = self.state.backlog().release(service_time, now) else { return };
             match release {
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -210,7 +210,8 @@
         if let Some(log) = self.flow_log.failure(now) {
             let silence = self.state.monitor().silence();
             info!(log, "passed on"; "flow" => %flow, "to" => %to, "hops" => offer.hops,
-                "silence" => ?silence, "open" => %self.state.table.open_flows());
+                "silence" => ?silence, "open" => %self.state.table.open_flows(),
+                "wait" => %self.state.expected_wait(now));
         }
         let target = target.unwrap_or(self.state.target);
         let Offer { class, origin, rest, hops } = offer;
--- a/yuccacroft-segment/src/agent/relay/outbound.rs
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -31,7 +31,10 @@
             Ok(Outbound::Reply(segment)) => {
                 self.record_activity(now);
                 if let Some(progress) = self.format.requests_in_progress(datagram) {
-                    self.state.table.reconcile_active(progress);
+                    self.state.record_requests_in_progress(progress, now);
+                    if let Some(slots) = self.format.reported_slots(datagram) {
+                        self.state.note_slots(slots);
+                    }
                 }
                 if let Some(end) = self.state.table.upstream_end(&segment, now) {
                     self.log_upstream_end(segment.flow, end, now);
@@ -41,6 +44,7 @@
                     self.reply(prober, Body::Owns(segment.flow.key()), &[], now);
                 }
                 if let Some(time) = reply.service_time {
+                    self.state.record_service_time(time, now);
                     metrics::histogram!(SERVICE_SECONDS_METRIC)
                         .record(std::time::Duration::from(time).as_secs_f64());
                     if time >= SLOW_RESPONSE {
