Pass a flow on while its request would wait for longer than it takes

Cause: a balancer places a flow by load news that is up to 200 ms old, and a burst makes several balancers choose the same agent. The agent knows its own wait, and passed a flow on only when its request would miss the objective.

Change: an agent passes a flow on as well when the expected wait exceeds the mean service time, as long as at most one agent before it has done so. The bound keeps flows near the balancer's best choices when all agents are busy.

Weighed: the wait of the best agent so far in the offer, which needs a new message; no bound, which lets the balancer's worst choice take the flows when all are busy.

`segment/tests/admission.rs` passes (6).

--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -35,6 +35,9 @@
 const MAX_SAMPLE: u32 = 10_000;
 /// Concurrent requests at an upstream in addition to its slots.
 const EXTRA_REQUESTS: u32 = 1;
+/// Number of agents that pass a flow on because its request would wait although it would be on time.
+/// The balancer's first choices are the best ones, as far as it knows.
+const MAX_BUSY_HOPS: u8 = 2;
 /// Slots that are assumed until the upstream reports its number. Responses report it as well, so the
 /// number is known after the first one.
 const DEFAULT_SLOTS: Slots = Slots::new(2);
@@ -215,7 +218,8 @@
 
     /// Returns true if the agent accepts a new flow, given what the flow's first request can expect. A
     /// request that would be late goes to another agent while one is left, and one that would miss
-    /// its timeout is not accepted at all.
+    /// its timeout is not accepted at all. One that would wait for longer than it takes goes on a few
+    /// times, since the next agent is probably less busy.
     fn admits(&self, segment: &Segment, offer: &Offer, now: Moment) -> bool {
         let Some(class) = offer.class.filter(|_| self.requirements.health) else { return true };
         // The upstream may accept a flow whose opening segment it has already.
@@ -223,10 +227,12 @@
             return true;
         }
         let service = self.service_time();
-        let outlook = self.workload(service, now).outlook(&class, service);
+        let workload = self.workload(service, now);
+        let outlook = workload.outlook(&class, service);
         metrics::counter!(OUTLOOKS_METRIC, "outlook" => outlook.name()).increment(1);
         match outlook {
-            Outlook::OnTime => true,
+            Outlook::OnTime if offer.is_last() || offer.hops >= MAX_BUSY_HOPS => true,
+            Outlook::OnTime => workload.wait() <= service.mean,
             Outlook::Late => offer.is_last(),
             Outlook::Hopeless => false,
         }
--- a/yuccacroft-segment/tests/admission.rs
+++ b/yuccacroft-segment/tests/admission.rs
@@ -24,6 +24,8 @@
 /// With three slots and 60 ms for each request, these numbers of waiting requests make a further one
 /// late, or its caller give up.
 const LATE: u16 = 20;
+/// This number makes a further one wait for longer than 60 ms.
+const BUSY: u16 = 8;
 const HOPELESS: u16 = 90;
 
 fn target() -> Target {
@@ -59,7 +61,12 @@
 }
 
 fn offer(state: &Arc<AgentState>, rest: &[Instance]) -> Decision {
-    let offer = Offer { class: Some(CLASS), origin: balancer(), rest: rest.into(), hops: 0 };
+    offer_after(state, rest, 0)
+}
+
+/// Offers a flow to an agent after this number of others.
+fn offer_after(state: &Arc<AgentState>, rest: &[Instance], hops: u8) -> Decision {
+    let offer = Offer { class: Some(CLASS), origin: balancer(), rest: rest.into(), hops };
     let context = Context::NewFlow(target(), offer, b"open".as_slice().into());
     let segment = segment(60_000, Control::Open);
     let mut received = ReceivedSegment { segment, context, now: NOW };
@@ -82,6 +89,18 @@
     assert_eq!(offer(&agent(health(), 0), &[other_agent()]), Decision::Confirm);
 }
 
+/// Guards against requests that wait at a busy agent while the next one is free, and against flows that
+/// many busy agents pass on, to the last and worst choice of the balancer.
+#[test]
+fn a_flow_whose_request_would_wait_goes_on_a_few_times() {
+    let state = agent(health(), BUSY);
+    let rest = [other_agent()];
+    assert!(matches!(offer_after(&state, &rest, 0), Decision::Pass(..)));
+    assert!(matches!(offer_after(&state, &rest, 1), Decision::Pass(..)));
+    assert_eq!(offer_after(&state, &rest, 2), Decision::Confirm);
+    assert_eq!(offer(&agent(health(), BUSY), &[]), Decision::Confirm);
+}
+
 /// Guards against requests that wait until their callers give up, although the last agent knows that
 /// it cannot serve them.
 #[test]
