--- a/yuccacroft-segment/src/agent/relay/reply.rs
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -42,7 +42,9 @@
 
     /// Returns what the agent has measured of its upstream.
     pub fn measures(&self, now: Moment) -> Measures {
-        Measures { failures: self.state.outcomes().failures(now), ..Measures::default() }
+        let wait = self.state.expected_wait(now);
+        let failures = self.state.outcomes().failures(now);
+        Measures { wait, failures, ..Measures::default() }
     }
 
     /// Sends the load to every balancer that sent a message recently.
