--- a/yuccacroft-segment/tests/support/balancer.rs
+++ b/yuccacroft-segment/tests/support/balancer.rs
@@ -246,6 +246,7 @@
             caller_port: 443,
             domain: domain(),
             requirements: Requirements::default(),
+            crossing_price: Span::ZERO,
         };
         let boot_clock = BootClock::new(clock.clone());
         let relay = Relay::new(FORMAT, setup, boot_clock, FlowLog::new(log.logger()));
