Bound the hops of late flows, and compare all members at home

Under the overload after a return of power each agent passed a flow on whose request would be late, up to the last of eight, which is the balancer's worst choice: thousands of passes in each tenth of a second, and more time lost on the way. Now three agents pass it on and the next one takes it. A plan of the spill-over left about five of sixteen members of the window to choose from; the window now goes on until it has sixteen on the flow's side. With the requirement `health`, a waiting request counts as on time only if the tail of the service time fits, since in an overload each request starts as late as it may and by the mean half of them would be late (test `requests_that_would_probably_be_late_give_way`).

--- a/yuccacroft-core/src/backlog.rs
+++ b/yuccacroft-core/src/backlog.rs
@@ -14,10 +14,11 @@
         shares::Shares,
     },
     crate::{
+        admission::workload::ServiceTime,
         flow::FlowKey,
         route::{Priority, TrafficClass},
         segment::{Segment, Sequence},
-        time::{Moment, Span},
+        time::Moment,
     },
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -70,8 +71,10 @@
 pub struct Backlog {
     waiting: HashMap<FlowKey, Waiting>,
     queues: BTreeMap<(Stage, Priority), BTreeSet<Place>>,
-    /// The times by which requests have to be answered to stay in their stage.
-    stage_ends: BTreeSet<(Moment, FlowKey)>,
+    /// The due times of the requests that count as on time.
+    dues: BTreeSet<(Moment, FlowKey)>,
+    /// The timeouts of the requests that are late and count as served in time for their callers.
+    timeouts: BTreeSet<(Moment, FlowKey)>,
     expiries: BTreeSet<(Moment, FlowKey)>,
     bytes: usize,
     rounds: Rounds,
@@ -146,16 +149,18 @@
 
     /// Removes and returns an expired request, or else the one that goes next: requests that can
     /// still meet their objective come first, then those that can meet their timeout. Among them the
-    /// order is by priority, round of the caller and due time. `service_time` is the mean time that
-    /// the upstream takes for a request.
-    pub fn release(&mut self, service_time: Span, now: Moment) -> Option<Release> {
+    /// order is by priority, round of the caller and due time. With shares a request counts as on time
+    /// only if few requests take so long that it would miss its objective: in an overload each
+    /// request starts as late as it may, so by the mean half of them would be late.
+    pub fn release(&mut self, service: ServiceTime, now: Moment) -> Option<Release> {
         if let Some(&(expires, key)) = self.expiries.first()
             && expires <= now
         {
             self.take(key);
             return Some(Release::Expired(key));
         }
-        self.update_stages(now + service_time);
+        let margin = if self.shares.is_some() { service.tail } else { service.mean };
+        self.update_stages(now + margin, now + service.mean);
         let (priority, place) = self.next()?;
         self.rounds.advance(priority, place.round);
         if let Some(shares) = &mut self.shares {
@@ -187,7 +192,7 @@
         let waiting = Waiting { class, caller, stage, place, expires, segments: Vec::new() };
         self.rounds.add(class.priority, caller);
         self.queues.entry((stage, class.priority)).or_default().insert(place);
-        self.stage_ends.insert((due, key));
+        self.dues.insert((due, key));
         self.expiries.insert((expires, key));
         self.waiting.insert(key, waiting);
     }
@@ -199,26 +204,29 @@
         }
     }
 
-    /// Moves the requests to later stages that cannot meet their objective or timeout with a response
-    /// at `answered`.
-    fn update_stages(&mut self, answered: Moment) {
-        while let Some(&(stage_end, key)) = self.stage_ends.first()
-            && stage_end < answered
-        {
-            self.stage_ends.pop_first();
-            let Some(waiting) = self.waiting.get_mut(&key) else { continue };
-            let former = waiting.stage;
-            let is_overdue = self.shares.is_some() && waiting.expires < answered;
-            waiting.stage = if is_overdue { Stage::Overdue } else { Stage::Late };
-            if self.shares.is_some() && !is_overdue {
-                self.stage_ends.insert((waiting.expires, key));
+    /// Moves the requests to later stages whose objective or timeout is before these times of their
+    /// responses.
+    fn update_stages(&mut self, on_time: Moment, in_time: Moment) {
+        while let Some((_, key)) = pop_before(&mut self.dues, on_time) {
+            let Some(waiting) = self.waiting.get(&key) else { continue };
+            if self.shares.is_some() {
+                self.timeouts.insert((waiting.expires, key));
             }
-            let (stage, place, priority) = (waiting.stage, waiting.place, waiting.class.priority);
-            self.remove_place(former, priority, place);
-            self.queues.entry((stage, priority)).or_default().insert(place);
+            self.change_stage(key, Stage::Late);
+        }
+        while let Some((_, key)) = pop_before(&mut self.timeouts, in_time) {
+            self.change_stage(key, Stage::Overdue);
         }
     }
 
+    fn change_stage(&mut self, key: FlowKey, stage: Stage) {
+        let Some(waiting) = self.waiting.get_mut(&key) else { return };
+        let former = std::mem::replace(&mut waiting.stage, stage);
+        let (place, priority) = (waiting.place, waiting.class.priority);
+        self.remove_place(former, priority, place);
+        self.queues.entry((stage, priority)).or_default().insert(place);
+    }
+
     /// Returns the priority and the place of the request that goes next.
     fn next(&self) -> Option<(Priority, Place)> {
         let (&(stage, highest), _) = self.queues.first_key_value()?;
@@ -237,8 +245,8 @@
         let (priority, place) = (waiting.class.priority, waiting.place);
         self.rounds.remove(priority, waiting.caller);
         self.remove_place(waiting.stage, priority, place);
-        self.stage_ends.remove(&(place.due, key));
-        self.stage_ends.remove(&(waiting.expires, key));
+        self.dues.remove(&(place.due, key));
+        self.timeouts.remove(&(waiting.expires, key));
         self.expiries.remove(&(waiting.expires, key));
         self.bytes -= waiting.segments.iter().map(|(_, datagram)| datagram.len()).sum::<usize>();
         Some(waiting)
@@ -258,3 +266,14 @@
         self.segments.into_iter().map(|(_, datagram)| datagram).collect()
     }
 }
+
+/// Removes and returns the first entry if its time is before the given one.
+fn pop_before(
+    entries: &mut BTreeSet<(Moment, FlowKey)>,
+    time: Moment,
+) -> Option<(Moment, FlowKey)> {
+    if entries.first()?.0 >= time {
+        return None;
+    }
+    entries.pop_first()
+}
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -28,7 +28,7 @@
         member::{SUSPICION_TIMEOUT, UNLISTED_GRACE_PERIOD},
         path::{Answer, LOSS_TIMEOUT, Path, Timeliness},
         ring::Ring,
-        supply::{Side, SpillOver},
+        supply::{Rank, Side, SpillOver},
     },
     crate::{
         evacuation::Evacuations,
@@ -467,11 +467,15 @@
                     instance,
                 ))
             }));
-            if is_last || costs.len() >= PLACEMENT_WINDOW {
+            // Members on the other side of a plan take the flow only if none on its side does.
+            let compared = costs.iter().filter(|((_, rank, _), _)| *rank == Rank::First).count();
+            if is_last || compared >= PLACEMENT_WINDOW {
                 break;
             }
         }
-        costs.truncate(PLACEMENT_WINDOW);
+        if plan.is_none() {
+            costs.truncate(PLACEMENT_WINDOW);
+        }
         costs.sort_unstable();
         costs.into_iter().map(|(_, instance)| instance).take(count).collect()
     }
--- a/yuccacroft-core/tests/backlog.rs
+++ b/yuccacroft-core/tests/backlog.rs
@@ -3,6 +3,7 @@
 use {
     std::net::SocketAddrV4,
     yuccacroft_core::{
+        admission::workload::ServiceTime,
         backlog::{Backlog, Release},
         flow::FlowKey,
         route::{Priority, TrafficClass},
@@ -13,6 +14,8 @@
 
 const START: Moment = Moment::new(1_000_000);
 const SERVICE_TIME: Span = Span::from_millis(20);
+/// An upstream whose requests all take the same time.
+const SERVICE: ServiceTime = ServiceTime { mean: SERVICE_TIME, tail: SERVICE_TIME };
 
 fn segment(port: u16, sequence: u32) -> Segment {
     segment_of(1, port, sequence)
@@ -48,7 +51,7 @@
 }
 
 fn next(backlog: &mut Backlog, now: Moment) -> Option<FlowKey> {
-    match backlog.release(SERVICE_TIME, now)? {
+    match backlog.release(SERVICE, now)? {
         Release::Start(key, _) => Some(key),
         Release::Expired(key) => panic!("{key} has expired"),
     }
@@ -75,7 +78,7 @@
         assert!(backlog.add(&segment(1, sequence), datagram, class(1, 100), START));
     }
     let expected: Vec<Box<[u8]>> = [b"a", b"b", b"c"].map(|text| Box::from(&text[..])).into();
-    let released = backlog.release(SERVICE_TIME, START);
+    let released = backlog.release(SERVICE, START);
     assert_eq!(released, Some(Release::Start(key(1), expected)));
     assert!(backlog.is_empty());
 }
@@ -85,8 +88,8 @@
 fn an_expired_request_does_not_start() {
     let mut backlog = Backlog::default();
     backlog.add(&segment(1, 0), b"a", class(1, 100), START);
-    assert_eq!(backlog.release(SERVICE_TIME, at(2_000)), Some(Release::Expired(key(1))));
-    assert_eq!(backlog.release(SERVICE_TIME, at(2_000)), None);
+    assert_eq!(backlog.release(SERVICE, at(2_000)), Some(Release::Expired(key(1))));
+    assert_eq!(backlog.release(SERVICE, at(2_000)), None);
 }
 
 /// Guards against a backlog that grows without bound.
@@ -106,7 +109,7 @@
 /// Expired requests are left out.
 fn started(backlog: &mut Backlog, mut now: Moment) -> Vec<FlowKey> {
     let mut started = Vec::new();
-    while let Some(release) = backlog.release(SERVICE_TIME, now) {
+    while let Some(release) = backlog.release(SERVICE, now) {
         if let Release::Start(key, _) = release {
             started.push(key);
             now = now + SERVICE_TIME;
@@ -203,6 +206,26 @@
         (1..200).filter(|p| backlog.add(&segment(*p, 0), &datagram, class(1, 1_900), START));
     let taken = taken.count();
     assert!((50..60).contains(&taken), "{taken} requests taken");
-    while backlog.release(SERVICE_TIME, START).is_some() {}
+    while backlog.release(SERVICE, START).is_some() {}
     assert!(backlog.add(&segment(1, 0), &datagram, class(1, 1_900), START));
 }
+
+/// Guards against an overload in which every request starts at the last moment and half of them are
+/// late, since half of the requests take longer than the mean.
+#[test]
+fn requests_that_would_probably_be_late_give_way() {
+    let service = ServiceTime { mean: SERVICE_TIME, tail: Span::from_millis(60) };
+    let mut backlog = Backlog::default().with_shares();
+    backlog.add(&segment_of(1, 1, 0), b"earlier", class(1, 1_900), START);
+    backlog.add(&segment_of(2, 2, 0), b"later", class(1, 1_900), at(80));
+    let objective = class(1, 1_900).objective;
+    let now = START + (objective - Span::from_millis(40));
+    let release = backlog.release(service, now);
+    assert!(
+        matches!(release, Some(Release::Start(key, _)) if key == segment_of(2, 2, 0).flow.key())
+    );
+    let release = backlog.release(service, now);
+    assert!(
+        matches!(release, Some(Release::Start(key, _)) if key == segment_of(1, 1, 0).flow.key())
+    );
+}
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -40,6 +40,9 @@
 /// Number of agents that pass a flow on because its request would wait although it would be on time.
 /// The balancer's first choices are the best ones, as far as it knows.
 const MAX_BUSY_HOPS: u8 = 2;
+/// Number of agents that pass a flow on because its request would be late. When all of them are busy,
+/// further ones are as well, and each hop takes the time of one more agent.
+const MAX_LATE_HOPS: u8 = 3;
 /// Slots that are assumed until the upstream reports its number. Responses report it as well, so the
 /// number is known after the first one.
 const DEFAULT_SLOTS: Slots = Slots::new(2);
@@ -214,7 +217,8 @@
         self.workload(self.service_time(), now).wait()
     }
 
-    fn service_time(&self) -> ServiceTime {
+    /// Returns the service time of the upstream by its latest requests.
+    pub fn service_time(&self) -> ServiceTime {
         let mean = self.table.service_time();
         let measured = lock(&self.service_times).service_time();
         measured.unwrap_or(ServiceTime { mean, tail: mean })
@@ -244,7 +248,7 @@
         match outlook {
             Outlook::OnTime if offer.is_last() || offer.hops >= MAX_BUSY_HOPS => true,
             Outlook::OnTime => workload.wait() <= service.mean,
-            Outlook::Late => offer.is_last(),
+            Outlook::Late => offer.is_last() || offer.hops >= MAX_LATE_HOPS,
             Outlook::Hopeless => false,
         }
     }
--- a/yuccacroft-segment/src/agent/relay/backlog.rs
+++ b/yuccacroft-segment/src/agent/relay/backlog.rs
@@ -69,8 +69,8 @@
     /// requests.
     pub fn release_waiting(&self, now: Moment) {
         while self.state.table.active_requests() < self.state.max_concurrent(now) {
-            let service_time = self.state.table.service_time();
-            let Some(release) = self.state.backlog().release(service_time, now) else { return };
+            let service = self.state.service_time();
+            let Some(release) = self.state.backlog().release(service, now) else { return };
             match release {
                 Release::Start(key, datagrams) => {
                     if self.state.table.start_held(key, now) {
