Go on listing the store after items that cannot be read

The etcd client skips a value that is not UTF-8 in the same way, where it failed the listing and ended the watch.

Weighed: to log in the client of the store, which has no logger and does not know which items matter to its caller.

The change of the etcd client has no test of its own.

--- a/yuccacroft-balancer/src/controllers/store.rs
+++ b/yuccacroft-balancer/src/controllers/store.rs
@@ -110,7 +110,7 @@
     /// Handles an event of the watch. Returns false if the watch has ended.
     fn handle_watch_event(self: &Arc<Self>, event: Option<StoreResult<WatchEvent>>) -> bool {
         match event {
-            Some(Ok(WatchEvent::Changed(Changes { revision, items, removed: _ }))) => {
+            Some(Ok(WatchEvent::Changed(Changes { revision, items, .. }))) => {
                 // Contracts are never removed from the store; a missing one stays in force.
                 let contracts = self.parse_all(&items);
                 self.step_store_reader(Event::Changed { contracts, revision });
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -9,6 +9,7 @@
         platform::{ParsedConfig, Platform, Readiness, Socket},
         prefix_watcher::{PrefixWatcher, WatchHandler},
         ticker::Ticker,
+        unreadable_log::UnreadableLog,
     },
     slog::{info, warn},
     std::{
@@ -25,7 +26,7 @@
         pool::{AgentEntry, Reachability, UpsertResult, indirect::Report},
         time::{Moment, Span},
     },
-    yuccacroft_store::store::{Changes, KeyValue, Listing},
+    yuccacroft_store::store::{Changes, KeyValue, Listing, Unreadable},
 };
 
 /// The prefix of the store keys of agents. The address of the agent follows it.
@@ -72,6 +73,7 @@
     isolated: AtomicBool,
     members_listed: AtomicBool,
     configured: Notify,
+    unreadable_log: UnreadableLog,
     last_reachability: Mutex<std::collections::HashMap<Instance, Reachability>>,
     /// The members that answer through other members only.
     reached_by_others: Mutex<HashSet<Instance>>,
@@ -93,6 +95,7 @@
             isolated: AtomicBool::new(false),
             members_listed: AtomicBool::new(false),
             configured: Notify::new(),
+            unreadable_log: UnreadableLog::default(),
             last_reachability: Mutex::default(),
             reached_by_others: Mutex::default(),
         }
@@ -300,8 +303,7 @@
             match self.platform.parse_config(&item.value) {
                 Ok(config) => config,
                 Err(error) => {
-                    warn!(log, "configuration unreadable"; "cause" => %error,
-                        "revision" => %item.revision);
+                    self.unreadable_log.record(log, &item.key, &error, now);
                     return;
                 }
             };
@@ -321,12 +323,18 @@
         }
     }
 
+    fn log_unreadable(&self, items: &[Unreadable], now: Moment) {
+        for item in items {
+            self.unreadable_log.record(self.relay.flow_log.log(), &item.key, &item.error, now);
+        }
+    }
+
     fn apply_entry(&self, item: &KeyValue, now: Moment) -> Option<Instance> {
         let log = self.relay.flow_log.log();
         let entry: AgentEntry = match serde_json::from_str(&item.value) {
             Ok(entry) => entry,
             Err(error) => {
-                warn!(log, "entry unreadable"; "key" => &*item.key, "cause" => %error);
+                self.unreadable_log.record(log, &item.key, &error, now);
                 return None;
             }
         };
@@ -356,9 +364,10 @@
 }
 
 impl<P: Platform> ConfigurationHandler<'_, P> {
-    fn apply(&self, items: &[KeyValue], revision: Revision) {
+    fn apply(&self, items: &[KeyValue], unreadable: &[Unreadable], revision: Revision) {
         let relay = &self.0.relay;
         let now = relay.clock.now();
+        self.0.log_unreadable(unreadable, now);
         relay.freshness.record_configuration(revision, now);
         let is_config = |item: &&KeyValue| *item.key == *self.0.platform.config_key();
         items.iter().filter(is_config).for_each(|item| self.0.apply_configuration(item, now));
@@ -367,11 +376,11 @@
 
 impl<P: Platform> WatchHandler for ConfigurationHandler<'_, P> {
     fn handle_listing(&self, listing: Listing) {
-        self.apply(&listing.items, listing.revision);
+        self.apply(&listing.items, &listing.unreadable, listing.revision);
     }
 
     fn handle_changes(&self, changes: Changes) {
-        self.apply(&changes.items, changes.revision);
+        self.apply(&changes.items, &changes.unreadable, changes.revision);
     }
 
     fn is_outdated(&self) -> bool {
@@ -385,6 +394,7 @@
         let controllers = self.0;
         let now = controllers.relay.clock.now();
         controllers.relay.freshness.record_members(listing.revision, now);
+        controllers.log_unreadable(&listing.unreadable, now);
         let entries = listing.items.iter();
         let listed: HashSet<Instance> =
             entries.filter_map(|item| controllers.apply_entry(item, now)).collect();
@@ -400,6 +410,7 @@
         let controllers = self.0;
         let now = controllers.relay.clock.now();
         controllers.relay.freshness.record_members(changes.revision, now);
+        controllers.log_unreadable(&changes.unreadable, now);
         let newest_entry = controllers.relay.pool.newest_entry();
         for item in &changes.items {
             controllers.apply_entry(item, now);
--- a/yuccacroft-segment/src/lib.rs
+++ b/yuccacroft-segment/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod socket;
 pub mod ticker;
 pub mod traffic;
+pub mod unreadable_log;
--- a/yuccacroft-store/src/etcd.rs
+++ b/yuccacroft-store/src/etcd.rs
@@ -95,7 +95,7 @@
         }
         let found = answer.responses.into_iter().find_map(|r| r.response_range);
         let pair = found.and_then(|range| range.kvs.into_iter().next());
-        Ok(WriteResult::Conflict(pair.map(decode_item).transpose()?))
+        Ok(WriteResult::Conflict(pair.map(decode_item).transpose()?.and_then(|item| item.ok())))
     }
 
     async fn send_request(&self, request: http::Request<Full<Bytes>>) -> Result<Bytes> {
@@ -114,15 +114,22 @@
     async fn get(&self, key: &str) -> Result<Option<KeyValue>> {
         let query = Range { key: &STANDARD.encode(key), range_end: None };
         let answer: RangeAnswer = self.call("/v3/kv/range", &query).await?;
-        answer.kvs.into_iter().next().map(decode_item).transpose()
+        Ok(answer.kvs.into_iter().next().map(decode_item).transpose()?.and_then(|item| item.ok()))
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing> {
         let end = STANDARD.encode(prefix_end(prefix));
         let query = Range { key: &STANDARD.encode(prefix), range_end: Some(&end) };
         let answer: RangeAnswer = self.call("/v3/kv/range", &query).await?;
-        let items: Result<Vec<KeyValue>> = answer.kvs.into_iter().map(decode_item).collect();
-        Ok(Listing { revision: parse_revision(&answer.header.revision)?, items: items?.into() })
+        let revision = parse_revision(&answer.header.revision)?;
+        let (mut items, mut unreadable) = (Vec::new(), Vec::new());
+        for pair in answer.kvs {
+            match decode_item(pair)? {
+                Ok(item) => items.push(item),
+                Err(item) => unreadable.push(item),
+            }
+        }
+        Ok(Listing { revision, items: items.into(), unreadable: unreadable.into() })
     }
 
     async fn put(&self, key: &str, value: &str, base: Revision) -> Result<WriteResult> {
--- a/yuccacroft-store/src/etcd/query.rs
+++ b/yuccacroft-store/src/etcd/query.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         errors::{Error, Result},
-        store::KeyValue,
+        store::{KeyValue, Unreadable, ValueError},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     serde::{Deserialize, Serialize},
@@ -124,13 +124,17 @@
     pub response_range: Option<RangeAnswer>,
 }
 
-pub(super) fn decode_item(pair: RawKeyValue) -> Result<KeyValue> {
-    Ok(KeyValue {
-        key: decode_text(&pair.key)?,
-        value: decode_text(&pair.value)?,
-        revision: parse_revision(&pair.mod_revision)?,
-        created: parse_revision(pair.create_revision.as_deref().unwrap_or("0"))?,
-    })
+/// Decodes an item. The value is an [`Unreadable`] if it is not text, which leaves the other items
+/// in use.
+pub(super) fn decode_item(pair: RawKeyValue) -> Result<std::result::Result<KeyValue, Unreadable>> {
+    let key = decode_text(&pair.key)?;
+    let bytes = STANDARD.decode(&*pair.value).map_err(|e| protocol_error(&e))?;
+    let Ok(value) = String::from_utf8(bytes) else {
+        return Ok(Err(Unreadable { key, error: ValueError::Text }));
+    };
+    let revision = parse_revision(&pair.mod_revision)?;
+    let created = parse_revision(pair.create_revision.as_deref().unwrap_or("0"))?;
+    Ok(Ok(KeyValue { key, value: value.into(), revision, created }))
 }
 
 pub(super) fn decode_text(encoded: &str) -> Result<Box<str>> {
--- a/yuccacroft-store/src/etcd/watch.rs
+++ b/yuccacroft-store/src/etcd/watch.rs
@@ -4,7 +4,7 @@
     super::query::{Header, RawKeyValue, decode_item, decode_text, parse_revision, protocol_error},
     crate::{
         errors::{Error, Result},
-        store::{Changes, KeyValue, WatchEvent},
+        store::{Changes, KeyValue, Unreadable, WatchEvent},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::BytesMut,
@@ -120,21 +120,29 @@
     if result.events.is_empty() {
         return Ok(None);
     }
-    let (mut items, mut removed) = (Vec::new(), Vec::new());
+    let (mut items, mut unreadable, mut removed) = (Vec::new(), Vec::new(), Vec::new());
     for event in result.events {
         let key = decode_text(&event.kv.key)?;
         removed.retain(|removed_key| *removed_key != key);
+        unreadable.retain(|written: &Unreadable| written.key != key);
         if &*event.kind == "DELETE" {
             items.retain(|written: &KeyValue| written.key != key);
             removed.push(key);
         } else {
-            items.push(decode_item(event.kv)?);
+            match decode_item(event.kv)? {
+                Ok(item) => items.push(item),
+                Err(item) => {
+                    items.retain(|written| written.key != key);
+                    unreadable.push(item);
+                }
+            }
         }
     }
     let revision = parse_revision(&result.header.revision)?;
     Ok(Some(WatchEvent::Changed(Changes {
         revision,
         items: items.into(),
+        unreadable: unreadable.into(),
         removed: removed.into(),
     })))
 }
--- a/yuccacroft-store/src/store.rs
+++ b/yuccacroft-store/src/store.rs
@@ -7,7 +7,7 @@
         stream::{BoxStream, Stream},
     },
     std::{
-        fmt::{Debug, Formatter},
+        fmt::{Debug, Display, Formatter},
         future::Future,
     },
     yuccacroft_core::{
@@ -30,6 +30,26 @@
     pub created: Revision,
 }
 
+/// Why the value of an item cannot be read. Other writers of the store cause it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ValueError {
+    /// The store returned no value.
+    Missing,
+    /// The value is not valid base64.
+    Encoding,
+    /// The value is not UTF-8 text.
+    Text,
+}
+
+/// A stored key whose value cannot be read. The other keys hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unreadable {
+    /// The key.
+    pub key: Box<str>,
+    /// Why its value cannot be read.
+    pub error: ValueError,
+}
+
 /// All keys with a prefix at one revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing {
@@ -37,6 +57,8 @@
     pub revision: Revision,
     /// The items with the prefix.
     pub items: Box<[KeyValue]>,
+    /// The keys with the prefix whose values cannot be read.
+    pub unreadable: Box<[Unreadable]>,
 }
 
 /// Changes of the keys with a prefix up to one revision.
@@ -46,6 +68,8 @@
     pub revision: Revision,
     /// The keys that were written and not removed since, in the order of their writes.
     pub items: Box<[KeyValue]>,
+    /// The keys that were written last with values that cannot be read.
+    pub unreadable: Box<[Unreadable]>,
     /// The keys that were removed and not written since.
     pub removed: Box<[Box<str>]>,
 }
@@ -60,6 +84,16 @@
     Conflict(Option<KeyValue>),
 }
 
+impl Display for ValueError {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Missing => "no value",
+            Self::Encoding => "not base64",
+            Self::Text => "not UTF-8",
+        })
+    }
+}
+
 /// An event of a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchEvent {
@@ -99,7 +133,7 @@
 /// its own: after [`crate::errors::Error::Uncertain`] only the caller can tell whether the write
 /// took effect.
 pub trait Store: Send + Sync + 'static {
-    /// Reads one key.
+    /// Reads one key. Returns `None` if it does not exist or its value cannot be read.
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<KeyValue>>> + Send;
 
     /// Reads all keys with a prefix.
