Ask agents whose entries another writer has replaced

Cause: a running balancer left out the unreadable item of its watch, so it went on to tell the agent that it is listed, and the agent had no reason to read its entry. A balancer that started never learned the address of the agent, and took the denials of all others as proof that the flow is lost.

Change: the key of an unreadable entry names its agent. A balancer makes that address a member of which nothing else is known: it gets no new flow, is pinged and is asked in each search. A known member stays, and counts as unlisted. Both tell the agent with the next ping, and it reads its entry and writes it again, by the means it already had for a missing one. An entry under the key of another agent is treated in the same way.

Why it works: a verdict needs the denial of each agent that is not lost, and the agent is now among them.

Weighed: a read with each renewal of the lease (a read in 7 s for each agent, for a longer bound), and no verdict while any entry is unreadable (a dead address would stop all resets).

--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -135,9 +135,10 @@
             }
             if entry.agent_id.incarnation > member.entry.agent_id.incarnation {
                 let stopped_at = member.stopped_at;
+                let restarted = member.has_entry() || entry.succeeds;
                 *member = Member::new(entry, now);
                 member.stopped_at = member.stopped_at.or(stopped_at);
-                member.restarted = true;
+                member.restarted = restarted;
                 return UpsertResult::Joined;
             }
             if entry.phase == AgentPhase::Stopping {
@@ -153,6 +154,25 @@
         change
     }
 
+    /// Records that the store has an entry for an agent that cannot be read. The agent exists and may
+    /// own flows, so it becomes a member, in the failure domain that is given, or stays one. It counts
+    /// as unlisted, which its next ping tells it.
+    pub fn record_unreadable(&self, instance: Instance, domain: &Domain, now: Moment) {
+        let is_new = self.members.update(instance, |slot| match slot {
+            Some(member) => {
+                member.unlisted_since.get_or_insert(now);
+                false
+            }
+            None => {
+                *slot = Some(Member::with_unreadable_entry(instance, domain.clone(), now));
+                true
+            }
+        });
+        if is_new {
+            self.record_new_evidence();
+        }
+    }
+
     /// Records that the entry of a member is no longer listed.
     pub fn mark_unlisted(&self, instance: Instance, now: Moment) {
         self.members.update(instance, |slot| {
@@ -273,7 +293,8 @@
             member.unanswered_since = None;
             member.unanswered_queries = 0;
             member.contact = Contact::default();
-            member.restarted |= agent_id.incarnation > member.entry.agent_id.incarnation;
+            member.restarted |=
+                member.has_entry() && agent_id.incarnation > member.entry.agent_id.incarnation;
             member.load = Some((load, now));
             if load.stopping {
                 member.stopped_at = Some(now);
@@ -337,7 +358,8 @@
                 self.record_new_evidence();
             }
             member.contact.record_answer(via, condition, now);
-            member.restarted |= agent_id.incarnation > member.entry.agent_id.incarnation;
+            member.restarted |=
+                member.has_entry() && agent_id.incarnation > member.entry.agent_id.incarnation;
             if condition == Condition::Stopping {
                 member.stopped_at = Some(now);
             }
--- a/yuccacroft-core/src/pool/member.rs
+++ b/yuccacroft-core/src/pool/member.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         flow::AgentId,
-        ids::{Domain, Incarnation},
+        ids::{Domain, Incarnation, Instance},
         route::Target,
         time::{Moment, Span},
         units::{Connections, Percent, Slots},
@@ -149,6 +149,26 @@
         }
     }
 
+    /// Creates a member of which only the address is known, since its entry cannot be read. It gets no
+    /// new flow, and searches ask it. It counts as unlisted until its entry can be read again.
+    pub(super) fn with_unreadable_entry(instance: Instance, domain: Domain, now: Moment) -> Self {
+        let entry = AgentEntry {
+            agent_id: AgentId { instance, incarnation: Incarnation::default() },
+            entry_version: 0,
+            target: Target::default(),
+            domain,
+            slots: Slots::default(),
+            phase: AgentPhase::Draining,
+            succeeds: false,
+        };
+        Self { unlisted_since: Some(now), ..Self::new(entry, now) }
+    }
+
+    /// Returns true if an entry of the member has been read.
+    pub(super) fn has_entry(&self) -> bool {
+        self.entry.entry_version > 0
+    }
+
     /// Returns the reachability of the member.
     pub fn reachability(&self, now: Moment) -> Reachability {
         match self.unanswered_since.map(|since| now.since(since)) {
--- a/yuccacroft-segment/src/agent.rs
+++ b/yuccacroft-segment/src/agent.rs
@@ -6,5 +6,6 @@
 pub mod controllers;
 pub mod process;
 pub mod relay;
+pub mod rewrite_limit;
 
 pub use {self::process::Settings, crate::process::Process};
--- a/yuccacroft-segment/src/agent/announcer.rs
+++ b/yuccacroft-segment/src/agent/announcer.rs
@@ -1,7 +1,9 @@
 //! Publishes the entry of an agent in the store and keeps it there.
 
 use {
-    super::{controllers::Controllers, process::Settings, relay::Relay},
+    super::{
+        controllers::Controllers, process::Settings, relay::Relay, rewrite_limit::RewriteLimit,
+    },
     crate::{
         balancer::controllers::AGENT_KEY_PREFIX,
         host::Host,
@@ -10,6 +12,7 @@
     },
     slog::{Logger, info, warn},
     std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
     yuccacroft_core::{
         ids::Domain,
         lease::Id,
@@ -66,6 +69,7 @@
     /// The number of failed calls in a row.
     failures: u32,
     backoff: Backoff,
+    rewrites: RewriteLimit,
 }
 
 impl<P: Platform> Announcer<P> {
@@ -87,6 +91,7 @@
             entry_version: 0,
             succeeds: None,
             failures: 0,
+            rewrites: RewriteLimit::default(),
         }
     }
 
@@ -135,7 +140,7 @@
                         tokio::time::sleep(STOP_DELAY).await;
                     }
                 }
-                () = self.relay.entry_unlisted.notified() => {
+                () = self.wait_until_unlisted() => {
                     if matches!(next, StoreCall::Renew) {
                         next = StoreCall::Check;
                     }
@@ -144,6 +149,12 @@
         }
     }
 
+    /// Waits until a balancer lacks the entry and it may be checked.
+    async fn wait_until_unlisted(&self) {
+        tokio::time::sleep_until(self.rewrites.next_check(Instant::now())).await;
+        self.relay.entry_unlisted.notified().await;
+    }
+
     /// Writes the entry once more, so that balancers learn that the agent shuts down.
     pub async fn write_last(&mut self) {
         match tokio::time::timeout(SHUTDOWN_CALL_TIMEOUT, self.write_entry()).await {
@@ -201,7 +212,7 @@
             return Ok(true);
         };
         // The entry of this process exists if the answer to an earlier attempt was lost.
-        let earlier = found.and_then(|item| decode_entry(&item.value));
+        let earlier = found.and_then(|item| self.decode_entry(&item.value));
         let earlier = earlier.filter(|found| found.agent_id != entry.agent_id);
         self.succeeds = Some(earlier.is_some());
         if let Some(earlier) = earlier {
@@ -240,6 +251,7 @@
             self.relay.set_written_entry(self.entry_version);
         } else {
             info!(self.log, "entry missing"; "edition" => self.entry_version);
+            self.rewrites.record(Instant::now());
             self.lease = None;
         }
         Ok(present)
@@ -250,7 +262,7 @@
     /// write replaces.
     async fn read_entry(&self) -> Result<Option<AgentEntry>> {
         let found = self.store.get(&self.key()).await?;
-        let entry = found.and_then(|item| decode_entry(&item.value));
+        let entry = found.and_then(|item| self.decode_entry(&item.value));
         if let Some(entry) = &entry {
             self.relay.succeed(entry.incarnation());
         }
@@ -291,10 +303,11 @@
             succeeds: self.succeeds.unwrap_or_default(),
         }
     }
-}
 
-/// Decodes a stored entry. Returns `None` for one that cannot be decoded, which the next write
-/// replaces.
-fn decode_entry(value: &str) -> Option<AgentEntry> {
-    serde_json::from_str(value).ok()
+    /// Decodes a stored entry of this agent. Returns `None` for one that cannot be decoded or is of
+    /// another agent, which the next write replaces.
+    fn decode_entry(&self, value: &str) -> Option<AgentEntry> {
+        let entry: AgentEntry = serde_json::from_str(value).ok()?;
+        (entry.agent_id.instance == self.relay.agent_id().instance).then_some(entry)
+    }
 }
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -14,6 +14,7 @@
     slog::{info, warn},
     std::{
         collections::HashSet,
+        fmt::Display,
         sync::{
             Arc, Mutex, PoisonError,
             atomic::{AtomicBool, Ordering},
@@ -85,6 +86,11 @@
 /// Applies changes of the agents' entries.
 struct MembersHandler<'a, P: Platform>(&'a Controllers<P>);
 
+/// Returns the agent whose entry has this key.
+fn agent_of(key: &str) -> Option<Instance> {
+    key.strip_prefix(AGENT_KEY_PREFIX)?.parse().ok()
+}
+
 impl<P: Platform> Controllers<P> {
     /// Creates the controllers over the state of `relay`.
     pub fn new(platform: P, relay: Arc<Relay<P::Format, Socket<P>>>) -> Self {
@@ -329,15 +335,31 @@
         }
     }
 
+    /// Leaves out an entry that cannot be read. The key names its agent, which may own flows.
+    fn skip_entry(&self, key: &str, reason: &dyn Display, now: Moment) {
+        self.unreadable_log.record(self.relay.flow_log.log(), key, reason, now);
+        if let Some(instance) = agent_of(key) {
+            self.relay.record_unreadable(instance, now);
+        }
+    }
+
+    fn skip_entries(&self, items: &[Unreadable], now: Moment) {
+        items.iter().for_each(|item| self.skip_entry(&item.key, &item.error, now));
+    }
+
     fn apply_entry(&self, item: &KeyValue, now: Moment) -> Option<Instance> {
         let log = self.relay.flow_log.log();
         let entry: AgentEntry = match serde_json::from_str(&item.value) {
             Ok(entry) => entry,
             Err(error) => {
-                self.unreadable_log.record(log, &item.key, &error, now);
+                self.skip_entry(&item.key, &error, now);
                 return None;
             }
         };
+        if agent_of(&item.key) != Some(entry.agent_id.instance) {
+            self.skip_entry(&item.key, &"entry of another agent", now);
+            return None;
+        }
         let (agent_id, phase, entry_version) = (entry.agent_id, entry.phase, entry.entry_version);
         let change = self.relay.pool.upsert(entry, now);
         self.relay.pool.record_entry_created(item.created);
@@ -394,11 +416,11 @@
         let controllers = self.0;
         let now = controllers.relay.clock.now();
         controllers.relay.freshness.record_members(listing.revision, now);
-        controllers.log_unreadable(&listing.unreadable, now);
         let entries = listing.items.iter();
         let listed: HashSet<Instance> =
             entries.filter_map(|item| controllers.apply_entry(item, now)).collect();
         controllers.relay.pool.sync_listing(|instance| listed.contains(&instance), now);
+        controllers.skip_entries(&listing.unreadable, now);
         controllers.relay.pool.record_list_revision(listing.revision);
         if !controllers.members_listed.swap(true, Ordering::Relaxed) {
             controllers.relay.pool.set_list_complete_at(now + COMPLETION_DELAY);
@@ -410,18 +432,17 @@
         let controllers = self.0;
         let now = controllers.relay.clock.now();
         controllers.relay.freshness.record_members(changes.revision, now);
-        controllers.log_unreadable(&changes.unreadable, now);
         let newest_entry = controllers.relay.pool.newest_entry();
         for item in &changes.items {
             controllers.apply_entry(item, now);
         }
+        controllers.skip_entries(&changes.unreadable, now);
         if controllers.relay.pool.newest_entry() > newest_entry {
             controllers.ping_all(now);
         }
         controllers.relay.pool.record_list_revision(changes.revision);
         for key in &changes.removed {
-            let instance = key.strip_prefix(AGENT_KEY_PREFIX).and_then(|text| text.parse().ok());
-            let Some(instance) = instance else { continue };
+            let Some(instance) = agent_of(key) else { continue };
             info!(controllers.relay.flow_log.log(), "member unlisted"; "agent" => %instance,
                 "revision" => %changes.revision);
             controllers.relay.pool.mark_unlisted(instance, now);
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -203,6 +203,12 @@
         self.send(instance, &Request::Ping { listed, version, newest_entry }, &[]);
     }
 
+    /// Records that the entry of an agent cannot be read, and tells the agent that it is not listed.
+    pub fn record_unreadable(&self, instance: Instance, now: Moment) {
+        self.pool.record_unreadable(instance, &self.setup.domain, now);
+        self.ping(instance, now);
+    }
+
     /// Asks agents that answer in time to ping those that do not.
     pub fn ping_indirectly(&self, now: Moment) {
         for Ping { via, suspect } in self.pool.indirect_pings(&self.setup.domain, now) {
