Limit the port checks for reports that are not confirmed

Cause: an upstream may repeat a report at once that was not confirmed, and each late report led to a check of its port, which costs it a connection.

Change: these checks count towards the interval of 250 ms that checks of a suspected upstream keep.

Weighed: one check for each unproven run; it proves nothing if the port opens after it.

Evidence: `port_checks_are_limited` passes; no measured result beyond it.

--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -37,8 +37,7 @@
 /// Age that is assumed for an upstream whose start time cannot be derived from the wall clock: too
 /// old to count as fresh.
 const UNKNOWN_AGE: Span = Span::from_secs(3_600);
-/// Minimum time between two port checks of a suspected upstream, since each check costs it a
-/// connection.
+/// Minimum time between two port checks of an upstream, since each check costs it a connection.
 const CHECK_INTERVAL: Span = Span::from_millis(250);
 
 /// The id of one run of an upstream, which changes with each restart.
@@ -335,8 +334,12 @@
         {
             self.silence = self.silence.max(Silence::Doubtful);
         }
-        let check_is_due = self.last_check.is_none_or(|at| now.since(at) >= CHECK_INTERVAL);
-        if self.silence != Silence::Doubtful || !check_is_due {
+        self.silence == Silence::Doubtful && self.start_check(now)
+    }
+
+    /// Returns true if the port of the upstream may be checked again now, and counts the check.
+    pub fn start_check(&mut self, now: Moment) -> bool {
+        if self.last_check.is_some_and(|at| now.since(at) < CHECK_INTERVAL) {
             return false;
         }
         self.last_check = Some(now);
--- a/yuccacroft-core/tests/upstream.rs
+++ b/yuccacroft-core/tests/upstream.rs
@@ -315,6 +315,15 @@
     assert!(monitor.is_gone());
 }
 
+/// Guards against a connection for each report of a run that repeats unconfirmed reports quickly.
+#[test]
+fn port_checks_are_limited() {
+    let mut monitor = replaced_after_clock_step();
+    assert!(monitor.start_check(at(1_300)));
+    assert!(!monitor.start_check(at(1_500)));
+    assert!(monitor.start_check(at(1_550)));
+}
+
 /// Guards against a drain that is confirmed and not in force: a report that was ignored is not
 /// confirmed.
 #[test]
--- a/yuccacroft-segment/src/agent/controllers.rs
+++ b/yuccacroft-segment/src/agent/controllers.rs
@@ -119,7 +119,12 @@
             ReportOutcome::Unchanged => self.relay.send_load(now),
             ReportOutcome::Foreign => {}
             // A run that appears to be older than the known one is believed only if its port answers.
-            ReportOutcome::Late => self.check_port(now),
+            ReportOutcome::Late => {
+                let is_due = self.relay.state.monitor().start_check(now);
+                if is_due {
+                    self.check_port(now);
+                }
+            }
             ReportOutcome::Changed => {
                 self.relay.send_load(now);
                 self.entry_changed.notify_one();
