Write the entry again when it vanishes while the agent stops

All entries vanished from the store while an agent was stopping, and balancers that were restarted meanwhile did not know it.

Cause: the shutdown ends the task that keeps the entry in the store, and only the last write, at its beginning, was left.

Change: while it waits for its upstream, a stopping agent goes on to heed pings that say that it is not listed, and writes its entry again, within the limits of `RewriteLimit`.

Why it works: balancers that know the agent ping it each second, and those that start list the written entry. A balancer that starts in the seconds before that still does not know the agent; the design note says so.

Weighed: to keep the whole task running through the shutdown; it would renew the lease of an entry that is about to be removed, and its running call could outlast the process.

--- a/yuccacroft-segment/src/agent/announcer.rs
+++ b/yuccacroft-segment/src/agent/announcer.rs
@@ -149,8 +149,15 @@
         }
     }
 
+    /// Writes the entry again during the shutdown, since a balancer lacks it. Otherwise balancers that
+    /// start meanwhile would not ask the agent for its flows.
+    pub async fn write_again(&mut self) {
+        self.rewrites.record(Instant::now());
+        self.write_last().await;
+    }
+
     /// Waits until a balancer lacks the entry and it may be checked.
-    async fn wait_until_unlisted(&self) {
+    pub async fn wait_until_unlisted(&self) {
         tokio::time::sleep_until(self.rewrites.next_check(Instant::now())).await;
         self.relay.entry_unlisted.notified().await;
     }
--- a/yuccacroft-segment/src/agent/process.rs
+++ b/yuccacroft-segment/src/agent/process.rs
@@ -172,7 +172,10 @@
             announcer.write_last().await;
         }
         while !has_exited() && in_time() {
-            tokio::time::sleep(POLL_INTERVAL).await;
+            tokio::select! {
+                () = tokio::time::sleep(POLL_INTERVAL) => {}
+                () = announcer.wait_until_unlisted() => announcer.write_again().await,
+            }
         }
         let upstream_gone = has_exited();
         if upstream_gone {
