--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -11,10 +11,12 @@
         platform::{ParsedConfig, Platform, Readiness, Socket},
         prefix_watcher::{PrefixWatcher, WatchHandler},
         ticker::Ticker,
+        unreadable_log::UnreadableLog,
     },
     slog::{info, warn},
     std::{
         collections::HashSet,
+        fmt::Display,
         sync::{
             Arc, Mutex, PoisonError,
             atomic::{AtomicBool, Ordering},
@@ -27,7 +29,7 @@
         pool::{AgentEntry, Reachability, UpsertResult, indirect::Report},
         time::{Moment, Span},
     },
-    yuccacroft_store::store::{Changes, KeyValue, Listing},
+    yuccacroft_store::store::{Changes, KeyValue, Listing, Unreadable},
 };
 
 /// The prefix of the store keys of agents. The address of the agent follows it.
@@ -78,6 +80,7 @@
     isolated: AtomicBool,
     members_listed: AtomicBool,
     configured: Notify,
+    unreadable_log: UnreadableLog,
     last_reachability: Mutex<std::collections::HashMap<Instance, Reachability>>,
     /// The members that answer through other members only.
     reached_by_others: Mutex<HashSet<Instance>>,
@@ -89,6 +92,11 @@
 /// Applies changes of the agents' entries.
 struct MembersHandler<'a, P: Platform>(&'a Controllers<P>);
 
+/// Returns the agent whose entry has this key.
+fn agent_of(key: &str) -> Option<Instance> {
+    key.strip_prefix(AGENT_KEY_PREFIX)?.parse().ok()
+}
+
 impl<P: Platform> Controllers<P> {
     /// Creates the controllers over the state of `relay`.
     pub fn new(platform: P, relay: Arc<Relay<P::Format, Socket<P>>>) -> Self {
@@ -99,6 +107,7 @@
             isolated: AtomicBool::new(false),
             members_listed: AtomicBool::new(false),
             configured: Notify::new(),
+            unreadable_log: UnreadableLog::default(),
             last_reachability: Mutex::default(),
             reached_by_others: Mutex::default(),
         }
@@ -326,8 +335,7 @@
             match self.platform.parse_config(&item.value) {
                 Ok(config) => config,
                 Err(error) => {
-                    warn!(log, "configuration unreadable"; "cause" => %error,
-                        "revision" => %item.revision);
+                    self.unreadable_log.record(log, &item.key, &error, now);
                     return;
                 }
             };
@@ -347,15 +355,37 @@
         }
     }
 
+    fn log_unreadable(&self, items: &[Unreadable], now: Moment) {
+        for item in items {
+            self.unreadable_log.record(self.relay.flow_log.log(), &item.key, &item.error, now);
+        }
+    }
+
+    /// Leaves out an entry that cannot be read. The key names its agent, which may own flows.
+    fn skip_entry(&self, key: &str, reason: &dyn Display, now: Moment) {
+        self.unreadable_log.record(self.relay.flow_log.log(), key, reason, now);
+        if let Some(instance) = agent_of(key) {
+            self.relay.record_unreadable(instance, now);
+        }
+    }
+
+    fn skip_entries(&self, items: &[Unreadable], now: Moment) {
+        items.iter().for_each(|item| self.skip_entry(&item.key, &item.error, now));
+    }
+
     fn apply_entry(&self, item: &KeyValue, now: Moment) -> Option<Instance> {
         let log = self.relay.flow_log.log();
         let entry: AgentEntry = match serde_json::from_str(&item.value) {
             Ok(entry) => entry,
             Err(error) => {
-                warn!(log, "entry unreadable"; "key" => &*item.key, "cause" => %error);
+                self.skip_entry(&item.key, &error, now);
                 return None;
             }
         };
+        if agent_of(&item.key) != Some(entry.agent_id.instance) {
+            self.skip_entry(&item.key, &"entry of another agent", now);
+            return None;
+        }
         let (agent_id, phase, entry_version) = (entry.agent_id, entry.phase, entry.entry_version);
         let change = self.relay.pool.upsert(entry, now);
         self.relay.pool.record_entry_created(item.created);
@@ -383,9 +413,10 @@
 }
 
 impl<P: Platform> ConfigurationHandler<'_, P> {
-    fn apply(&self, items: &[KeyValue], revision: Revision) {
+    fn apply(&self, items: &[KeyValue], unreadable: &[Unreadable], revision: Revision) {
         let relay = &self.0.relay;
         let now = relay.clock.now();
+        self.0.log_unreadable(unreadable, now);
         relay.freshness.record_configuration(revision, now);
         let is_config = |item: &&KeyValue| *item.key == *self.0.platform.config_key();
         items.iter().filter(is_config).for_each(|item| self.0.apply_configuration(item, now));
@@ -395,12 +426,12 @@
 impl<P: Platform> WatchHandler for ConfigurationHandler<'_, P> {
     fn handle_listing(&self, listing: Listing) {
         self.0.apply_listed_evacuations(&listing);
-        self.apply(&listing.items, listing.revision);
+        self.apply(&listing.items, &listing.unreadable, listing.revision);
     }
 
     fn handle_changes(&self, changes: Changes) {
         self.0.apply_changed_evacuations(&changes);
-        self.apply(&changes.items, changes.revision);
+        self.apply(&changes.items, &changes.unreadable, changes.revision);
     }
 
     fn is_outdated(&self) -> bool {
@@ -418,6 +449,7 @@
         let listed: HashSet<Instance> =
             entries.filter_map(|item| controllers.apply_entry(item, now)).collect();
         controllers.relay.pool.sync_listing(|instance| listed.contains(&instance), now);
+        controllers.skip_entries(&listing.unreadable, now);
         controllers.relay.pool.record_list_revision(listing.revision);
         if !controllers.members_listed.swap(true, Ordering::Relaxed) {
             controllers.relay.pool.set_list_complete_at(now + COMPLETION_DELAY);
@@ -433,13 +465,13 @@
         for item in &changes.items {
             controllers.apply_entry(item, now);
         }
+        controllers.skip_entries(&changes.unreadable, now);
         if controllers.relay.pool.newest_entry() > newest_entry {
             controllers.ping_all(now);
         }
         controllers.relay.pool.record_list_revision(changes.revision);
         for key in &changes.removed {
-            let instance = key.strip_prefix(AGENT_KEY_PREFIX).and_then(|text| text.parse().ok());
-            let Some(instance) = instance else { continue };
+            let Some(instance) = agent_of(key) else { continue };
             info!(controllers.relay.flow_log.log(), "member unlisted"; "agent" => %instance,
                 "revision" => %changes.revision);
             controllers.relay.pool.mark_unlisted(instance, now);
