Limit the new flows of cold upstreams

Cause: the configuration names for each service how many new flows a second an upstream bears while it warms up, and how many flows it holds. No part of the product decoded them; a cold upstream was only made dearer.

Change: the adapter decodes the services; limits that no upstream can have refuse the configuration with service and field, where the requirement `places` is set. Balancers tell agents the limits of their service. The agent counts new flows in a sliding window of one second and passes on what exceeds the rate with the tolerance of its settings; a new process assumes that its predecessor has used the allowance up. Without room the agent reports that it takes no flow. Log lines at begin and end of a warm-up and the state dump show the count and the room.

Weighed: a watch of each agent, shares of the allowance for balancers, a token bucket; see docs/design/cold-upstreams.md.

--- a/yuccacroft-core/src/lib.rs
+++ b/yuccacroft-core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod ini;
 pub mod key;
 pub mod lease;
+pub mod limits;
 pub mod member;
 pub mod opening;
 pub mod ownership;
--- /dev/null
+++ b/yuccacroft-core/src/limits.rs
@@ -0,0 +1,176 @@
+//! The limits of a service on the flows of each upstream, and the agent's count against them.
+//!
+//! An upstream that warms up takes only so many new flows a second. Its agent alone sees all of them,
+//! so the agent counts, and balancers learn how many more it takes. See
+//! `docs/design/cold-upstreams.md`.
+
+use {
+    crate::{
+        errors::{Error, Result},
+        time::{Moment, Span},
+        units::{Connections, Percent},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::VecDeque,
+        fmt::{Display, Formatter},
+        str::FromStr,
+    },
+};
+
+/// Length of the window over which new flows are counted: a second, and the time by which a segment
+/// to the upstream may be late.
+const WINDOW: Span = Span::from_millis(1_050);
+/// Number of flows in one window up to which they are counted, so that the memory is bounded.
+const MAX_COUNTED: usize = 4_096;
+const HUNDRED: u64 = 100;
+
+quantity! {
+    /// New flows per second, in hundredths. As text it carries its unit, for example `2.50/s`.
+    FlowRate(u32)
+}
+
+/// The limits of a service on each of its upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLimits {
+    /// The number of flows that an upstream holds; `None` without a limit.
+    pub max_flows: Option<Connections>,
+    /// The new flows that an upstream takes per second while it warms up; `None` without a limit.
+    pub warmup_rate: Option<FlowRate>,
+}
+
+/// By how much new flows may exceed the rate of an upstream that warms up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tolerance {
+    /// The factor on the rate.
+    pub factor: Percent,
+    /// The flows in addition to that, in hundredths.
+    pub slack: Percent,
+}
+
+/// Counts the new flows of one upstream against the limits of its service.
+#[derive(Debug)]
+pub struct Limiter {
+    tolerance: Tolerance,
+    /// The limits, once a balancer has told them.
+    limits: Option<ServiceLimits>,
+    /// The times of the latest new flows, oldest first.
+    opened: VecDeque<Moment>,
+    /// The highest number of flows in one window since it was last taken.
+    most_opened: usize,
+}
+
+/// The state of the upstream on which its limits depend.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamState {
+    /// Whether the upstream reports that it warms up; `None` before its first report.
+    pub is_warming_up: Option<bool>,
+    /// Whether an earlier process of the agent may have sent it flows.
+    pub had_earlier_agent: bool,
+    /// The number of its open flows.
+    pub open: Connections,
+}
+
+impl FlowRate {
+    /// Creates a rate from hundredths of a flow per second.
+    pub const fn from_hundredths(hundredths: u32) -> Self {
+        Self(hundredths)
+    }
+
+    /// Returns the hundredths of a flow per second.
+    pub const fn hundredths(self) -> u32 {
+        self.0
+    }
+}
+
+impl Display for FlowRate {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{:02}/s", self.0 / 100, self.0 % 100)
+    }
+}
+
+impl FromStr for FlowRate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number: Option<f64> = text.strip_suffix("/s").and_then(|number| number.parse().ok());
+        let is_valid = |rate: &f64| (0.0..=f64::from(u32::MAX / 100)).contains(rate);
+        let rate = number.filter(is_valid).map(|rate| Self((rate * 100.0).round() as u32));
+        rate.ok_or_else(|| Error::expected("a rate such as 2.50/s", text))
+    }
+}
+
+impl Default for Tolerance {
+    fn default() -> Self {
+        Self { factor: Percent::new(100), slack: Percent::new(100) }
+    }
+}
+
+impl Tolerance {
+    /// Returns the number of flows that an upstream with this rate may get in one second.
+    fn allowance(&self, rate: FlowRate) -> usize {
+        let scaled = u64::from(rate.0) * u64::from(self.factor.get()) / HUNDRED;
+        let flows = (scaled + u64::from(self.slack.get())) / HUNDRED;
+        usize::try_from(flows).map_or(MAX_COUNTED, |flows| flows.min(MAX_COUNTED))
+    }
+}
+
+impl Limiter {
+    /// Creates a limiter that knows no limits yet.
+    pub fn new(tolerance: Tolerance) -> Self {
+        Self { tolerance, limits: None, opened: VecDeque::new(), most_opened: 0 }
+    }
+
+    /// Sets the limits. Returns true if they have changed.
+    pub fn set_limits(&mut self, limits: ServiceLimits) -> bool {
+        self.limits.replace(limits) != Some(limits)
+    }
+
+    /// Returns the limits, or `None` while no balancer has told them.
+    pub fn limits(&self) -> Option<ServiceLimits> {
+        self.limits
+    }
+
+    /// Records a new flow.
+    pub fn record_opening(&mut self, now: Moment) {
+        while self.opened.front().is_some_and(|at| now.since(*at) >= WINDOW) {
+            self.opened.pop_front();
+        }
+        if self.opened.len() == MAX_COUNTED {
+            self.opened.pop_front();
+        }
+        self.opened.push_back(now);
+        self.most_opened = self.most_opened.max(self.opened.len());
+    }
+
+    /// Returns the highest number of new flows in one window since the last call, for logs.
+    pub fn take_most_opened(&mut self) -> usize {
+        std::mem::take(&mut self.most_opened)
+    }
+
+    /// Returns the number of further flows that the upstream takes now; `None` without a limit.
+    pub fn room(&self, upstream: UpstreamState, now: Moment) -> Option<Connections> {
+        let max_flows = self.limits.and_then(|limits| limits.max_flows);
+        let free = max_flows.map(|max| max.get().saturating_sub(upstream.open.get()));
+        let room = free.into_iter().chain(self.warmup_room(upstream, now)).min();
+        room.map(Connections::new)
+    }
+
+    fn warmup_room(&self, upstream: UpstreamState, now: Moment) -> Option<u32> {
+        let rate = match (upstream.is_warming_up, self.limits) {
+            (Some(false), _) => return None,
+            // An upstream has warmed up far more often than not when its agent restarts.
+            (None, None) => return None,
+            // Any rate allows the slack.
+            (Some(true), None) => FlowRate::default(),
+            (_, Some(limits)) => limits.warmup_rate?,
+        };
+        // The earlier process may have used up its allowance just before its end.
+        if upstream.had_earlier_agent && now.since(Moment::default()) < WINDOW {
+            return Some(0);
+        }
+        let counted = self.opened.iter().rev().take_while(|at| now.since(**at) < WINDOW).count();
+        let room = self.tolerance.allowance(rate).saturating_sub(counted);
+        Some(u32::try_from(room).unwrap_or(u32::MAX))
+    }
+}
--- a/yuccacroft-core/src/route.rs
+++ b/yuccacroft-core/src/route.rs
@@ -1,7 +1,7 @@
 //! Routes: the services that receive the new flows to an address.
 
 use {
-    crate::{rendezvous::digest, time::Span},
+    crate::{limits::ServiceLimits, rendezvous::digest, time::Span},
     serde::{Deserialize, Serialize},
     std::{
         collections::HashMap,
@@ -73,6 +73,7 @@
     /// Time after which the state of an idle flow may be dropped; `None` if not configured.
     pub idle_timeout: Option<Span>,
     routes: HashMap<SocketAddrV4, Route>,
+    limits: HashMap<Target, ServiceLimits>,
 }
 
 impl ServiceName {
@@ -135,7 +136,7 @@
 impl RoutingTable {
     /// Creates a table without an idle timeout.
     pub fn new(version: ConfigVersion, routes: HashMap<SocketAddrV4, Route>) -> Self {
-        Self { version, idle_timeout: None, routes }
+        Self { version, idle_timeout: None, routes, limits: HashMap::new() }
     }
 
     /// Sets the time after which the state of an idle flow may be dropped.
@@ -143,6 +144,16 @@
         Self { idle_timeout, ..self }
     }
 
+    /// Sets the limits of services.
+    pub fn with_limits(self, limits: HashMap<Target, ServiceLimits>) -> Self {
+        Self { limits, ..self }
+    }
+
+    /// Returns the limits of a service, which are none for one that the configuration does not name.
+    pub fn limits(&self, target: Target) -> ServiceLimits {
+        self.limits.get(&target).copied().unwrap_or_default()
+    }
+
     /// Returns the route of an address, or `None` if the configuration has none.
     pub fn route(&self, address: &SocketAddrV4) -> Option<&Route> {
         self.routes.get(address)
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -13,11 +13,12 @@
         evacuation::Status,
         filter::{Filter, FilterChain, Verdict},
         handshake::{self, Decision, FlowTable, ForwardReason, Offer},
+        limits::{Limiter, Tolerance, UpstreamState},
         requirements::Requirements,
         route::{Target, TrafficClass},
         segment::Segment,
         time::{Moment, Span},
-        units::Percent,
+        units::{Connections, Percent},
         upstream::Monitor,
     },
 };
@@ -66,6 +67,7 @@
     backlog: Mutex<Backlog>,
     stopping: AtomicBool,
     evacuation: Mutex<Status>,
+    limiter: Mutex<Limiter>,
     /// The mean of the open requests, in hundredths.
     mean_requests: AtomicU32,
 }
@@ -92,6 +94,7 @@
             backlog: Mutex::default(),
             stopping: AtomicBool::new(false),
             evacuation: Mutex::default(),
+            limiter: Mutex::new(Limiter::new(Tolerance::default())),
             mean_requests: AtomicU32::new(0),
         }
     }
@@ -101,6 +104,11 @@
         Self { requirements, ..self }
     }
 
+    /// Sets by how much new flows may exceed the rate of an upstream that warms up.
+    pub fn with_tolerance(self, tolerance: Tolerance) -> Self {
+        Self { limiter: Mutex::new(Limiter::new(tolerance)), ..self }
+    }
+
     /// Returns the locked monitor of the upstream.
     pub fn monitor(&self) -> MutexGuard<'_, Monitor> {
         self.monitor.lock().unwrap_or_else(PoisonError::into_inner)
@@ -132,6 +140,33 @@
         self.evacuation.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the locked count of new flows against the limits of the service.
+    pub fn limiter(&self) -> MutexGuard<'_, Limiter> {
+        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the number of further flows that the upstream takes now; `None` without a limit.
+    pub fn room(&self, now: Moment) -> Option<Connections> {
+        if !self.requirements.places {
+            return None;
+        }
+        let upstream = {
+            let monitor = self.monitor();
+            let is_warming_up = monitor.remaining_warmup(now) > Span::ZERO;
+            UpstreamState {
+                is_warming_up: monitor.last_report().map(|_| is_warming_up),
+                had_earlier_agent: monitor.may_hold_unknown_flows(),
+                open: self.table.open_flows(),
+            }
+        };
+        self.limiter().room(upstream, now)
+    }
+
+    /// Returns true if the agent accepts new flows and its upstream has room for one.
+    pub fn takes_flow(&self, now: Moment) -> bool {
+        self.is_accepting() && self.room(now) != Some(Connections::new(0))
+    }
+
     /// Returns the limit of concurrent requests at the upstream: one more than its slots, so that a
     /// slot that becomes free has its next request at once. There is no limit before the first
     /// report.
@@ -206,7 +241,13 @@
         let (table, segment, now) = (&self.0.table, &received.segment, received.now);
         Verdict::Done(match &received.context {
             Context::NewFlow(_, offer, datagram) => {
-                table.handle_opening(segment, datagram, offer.clone(), self.0.is_accepting(), now)
+                let takes_flow = self.0.takes_flow(now);
+                let decision =
+                    table.handle_opening(segment, datagram, offer.clone(), takes_flow, now);
+                if self.0.requirements.places && decision == Decision::Confirm {
+                    self.0.limiter().record_opening(now);
+                }
+                decision
             }
             Context::Established(origin, reason, _) => {
                 let (unsure, max_concurrent) =
--- a/yuccacroft-segment/src/agent/process.rs
+++ b/yuccacroft-segment/src/agent/process.rs
@@ -23,6 +23,7 @@
     yuccacroft_core::{
         flow::AgentId,
         ids::{Domain, Instance, Process as Name},
+        limits::Tolerance,
         requirements::Requirements,
         route::ServiceName,
         time::Span,
@@ -67,6 +68,8 @@
     pub grace: Span,
     /// The requirements of the deployment.
     pub requirements: Requirements,
+    /// By how much new flows may exceed the rate of an upstream that warms up.
+    pub tolerance: Tolerance,
 }
 
 /// The state in which the process accepts flows.
@@ -97,7 +100,9 @@
         };
         let target = settings.service.target();
         let monitor = Monitor::new(target, settings.report_interval);
-        let state = AgentState::new(target, monitor).with_requirements(settings.requirements);
+        let state = AgentState::new(target, monitor)
+            .with_requirements(settings.requirements)
+            .with_tolerance(settings.tolerance);
         let state = Arc::new(state);
         let flow_log = FlowLog::new(log.clone());
         let relay = Arc::new(Relay::new(platform.format(), setup, state, clock, flow_log));
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -4,6 +4,7 @@
 mod evacuation;
 mod inbound;
 mod indirect;
+mod limits;
 mod log;
 mod outbound;
 mod reply;
@@ -18,7 +19,7 @@
         net::SocketAddrV4,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
     },
     tokio::sync::Notify,
@@ -66,6 +67,8 @@
     balancers: Shards<SocketAddrV4, Moment>,
     /// The time of the last datagram to the upstream.
     sent_to_upstream: AtomicU64,
+    /// Whether the upstream was warming up at the last tick.
+    was_warming_up: AtomicBool,
     /// The incarnation of the agent, which is above those of earlier processes as far as it knows.
     incarnation: AtomicU64,
     /// The version of the entry in the store, and when it was written or last found there.
@@ -98,6 +101,7 @@
             traffic: Traffic::default(),
             balancers: Shards::with_shards(1),
             sent_to_upstream: AtomicU64::new(0),
+            was_warming_up: AtomicBool::new(false),
             incarnation,
             written_entry: Mutex::default(),
             config_version: AtomicU64::new(0),
@@ -188,6 +192,7 @@
             self.perform(action, now);
         }
         self.release_waiting(now);
+        self.log_warmup(now);
         self.state.update_mean_requests();
     }
 }
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -45,6 +45,7 @@
                 let offer = Offer { class: Some(class), origin, rest, hops };
                 Context::NewFlow(target, offer, bytes.into())
             }
+            Request::Limits(limits) => return self.handle_limits(limits, now),
             Request::Evacuation(notice) => return self.handle_evacuation(notice, from, now),
             Request::Search { key, acknowledged } => {
                 return self.answer_search(FlowQuery { key, acknowledged }, from, now);
--- a/yuccacroft-segment/src/agent/relay/reply.rs
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -27,7 +27,7 @@
 impl<F: Format, S: Socket> Relay<F, S> {
     /// Returns the present load of the agent.
     pub fn load(&self, now: Moment) -> AgentLoad {
-        let accepting = self.state.is_accepting();
+        let accepting = self.state.takes_flow(now);
         let warmup = self.state.monitor().remaining_warmup(now);
         AgentLoad {
             accepting,
--- a/yuccacroft-segment/src/agent/relay/status.rs
+++ b/yuccacroft-segment/src/agent/relay/status.rs
@@ -41,6 +41,7 @@
             stopping: self.state.is_stopping(),
             accepting: self.state.is_accepting(),
             evacuated: self.state.evacuation().since().map(|since| now.since(since)),
+            room: self.state.room(now),
             version: ConfigVersion::new(self.config_version.load(Ordering::Relaxed)),
             entry_version,
             entry_age: now.since(written),
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -2,6 +2,7 @@
 //! check which agents answer.
 
 mod evacuation;
+mod limits;
 
 use {
     super::{chain, relay::Relay},
@@ -242,6 +243,7 @@
         }
         if ping_all {
             self.repeat_notices();
+            self.repeat_limits();
             let idle_timeout = chain::current_routes(&self.relay.current_routes)
                 .and_then(|routes| routes.idle_timeout);
             self.relay.table.expire(idle_timeout, now);
@@ -301,7 +303,7 @@
 
     fn apply_configuration(&self, item: &KeyValue, now: Moment) {
         let log = self.relay.flow_log.log();
-        let ParsedConfig { routes: new_routes, route_errors } =
+        let ParsedConfig { routes: new_routes, route_errors, limits_error } =
             match self.platform.parse_config(&item.value) {
                 Ok(config) => config,
                 Err(error) => {
@@ -310,6 +312,10 @@
                     return;
                 }
             };
+        if let Some(error) = limits_error.filter(|_| self.relay.pool.requirements().places) {
+            warn!(log, "configuration refused"; "cause" => &*error, "revision" => %item.revision);
+            return;
+        }
         for error in &route_errors {
             warn!(log, "route left out"; "cause" => &**error, "version" => %new_routes.version);
         }
@@ -321,7 +327,10 @@
         info!(log, "configuration in force"; "version" => %new_routes.version, "before" => %previous,
             "routes" => new_routes.len(), "revision" => %item.revision);
         self.relay.freshness.record_configuration_applied(now);
-        if current.replace(Arc::new(new_routes)).is_none() {
+        let is_first = current.replace(Arc::new(new_routes)).is_none();
+        drop(current);
+        self.send_limits_to_all();
+        if is_first {
             self.configured.notify_one();
         }
     }
@@ -346,6 +355,7 @@
         if change == UpsertResult::Joined {
             self.relay.ping(agent_id.instance, now);
             self.notify_if_evacuated(agent_id.instance);
+            self.send_limits_to(agent_id.instance);
         }
         Some(agent_id.instance)
     }
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -36,6 +36,7 @@
         filter::FilterChain,
         flow::FlowKey,
         ids::{Domain, Instance},
+        limits::ServiceLimits,
         opening::OpeningTable,
         pool::{Pool, indirect::Ping},
         requirements::Requirements,
@@ -211,6 +212,11 @@
         }
     }
 
+    /// Tells an agent the limits of its service.
+    pub fn send_limits(&self, instance: Instance, limits: ServiceLimits) {
+        self.send(instance, &Request::Limits(limits), &[]);
+    }
+
     /// Asks agents that answer in time to ping those that do not.
     pub fn ping_indirectly(&self, now: Moment) {
         for Ping { via, suspect } in self.pool.indirect_pings(&self.setup.domain, now) {
--- a/yuccacroft-segment/src/dump.rs
+++ b/yuccacroft-segment/src/dump.rs
@@ -9,7 +9,7 @@
         pool::{AgentEntry, AgentLoad},
         route::ConfigVersion,
         time::Span,
-        units::Slots,
+        units::{Connections, Slots},
     },
     yuccacroft_rpc::admin::DUMP_PATH,
 };
@@ -69,6 +69,9 @@
     /// The time since the agent learned that its failure domain is evacuated; `None` if it is not.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub evacuated: Option<Span>,
+    /// The number of further flows that the upstream takes now; `None` without a limit.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub room: Option<Connections>,
     /// The highest configuration version that a balancer has sent.
     pub version: ConfigVersion,
     /// The version of the agent's entry in the store; zero before the first write.
--- a/yuccacroft-segment/src/platform.rs
+++ b/yuccacroft-segment/src/platform.rs
@@ -67,6 +67,8 @@
     pub routes: RoutingTable,
     /// The errors of the routes that were skipped.
     pub route_errors: Box<[Box<str>]>,
+    /// The error of the limits of services, if they cannot be decoded. Then the table has none.
+    pub limits_error: Option<Box<str>>,
 }
 
 /// The readiness of a process for packets from routers.
--- a/yuccacroft-segment/tests/malformed.rs
+++ b/yuccacroft-segment/tests/malformed.rs
@@ -14,6 +14,7 @@
         evacuation::Notice,
         flow::{AgentId, FlowKey},
         ids::{Incarnation, Instance, Revision},
+        limits::{FlowRate, ServiceLimits},
         pool::{AgentLoad, Measures, indirect::Condition},
         route::{ConfigVersion, ServiceName, TrafficClass},
         segment::{Control, Outbound, Segment, Sequence},
@@ -116,6 +117,11 @@
             let revision = Revision::new(revision);
             Request::Evacuation(Notice { revision, is_evacuated })
         }),
+        (any::<u32>(), any::<bool>()).prop_map(|(n, has_rate)| {
+            let max_flows = Some(Connections::new(n));
+            let warmup_rate = has_rate.then_some(FlowRate::from_hundredths(n));
+            Request::Limits(ServiceLimits { max_flows, warmup_rate })
+        }),
         Just(Request::Carry(class)),
         Just(Request::Probe(class)),
         any_query()
--- a/yuccacroft-segment/tests/evacuation.rs
+++ b/yuccacroft-segment/tests/places.rs
@@ -1,4 +1,4 @@
-//! Tests of the packet paths while failure domains are evacuated.
+//! Tests of the packet paths while failure domains are evacuated or upstreams warm up.
 
 mod support;
 
@@ -13,11 +13,13 @@
         evacuation::Notice,
         flow::AgentId,
         ids::{Incarnation, Instance, Revision},
+        limits::{FlowRate, ServiceLimits},
         requirements::Requirements,
         route::{ServiceName, Target, TrafficClass},
         segment::{Control, Flow, Segment, Sequence},
         time::{Moment, Span},
-        upstream::Monitor,
+        units::Slots,
+        upstream::{Monitor, ReportNumber, UpstreamId, UpstreamPhase, UpstreamReport},
     },
     yuccacroft_segment::{
         agent::{
@@ -111,6 +113,21 @@
         self.receive(&Request::Evacuation(notice), &[]);
     }
 
+    /// Lets the upstream report that it has just started and warms up.
+    fn report_warmup(&self) {
+        let report = UpstreamReport {
+            id: UpstreamId::new("upstream"),
+            incarnation: Incarnation::new(1),
+            number: ReportNumber::new(1),
+            target: target(),
+            phase: UpstreamPhase::Ready,
+            slots: Slots::new(2),
+            warmup: Span::from_secs(60),
+        };
+        let age = Some(Span::from_millis(1));
+        self.relay.state.monitor().handle_report(report, age, self.relay.clock.now());
+    }
+
     /// Returns true if an opening waits for the answer of the upstream.
     fn is_offered(&self, caller: u8) -> bool {
         let key = parse(&[b'o', caller]).unwrap().flow.key();
@@ -144,6 +161,21 @@
     assert!(agent.relay.state.is_accepting());
 }
 
+/// Guards against more new flows than a cold upstream bears: with the first one too many the agent
+/// passes flows on, and says so in its load.
+#[test]
+fn a_cold_upstream_takes_its_allowance() {
+    let agent = Agent::new(Requirements { places: true, ..Requirements::default() });
+    agent.report_warmup();
+    let warmup_rate = Some(FlowRate::from_hundredths(200));
+    agent.receive(&Request::Limits(ServiceLimits { max_flows: None, warmup_rate }), &[]);
+    // The default tolerance is one flow.
+    (1..=3).for_each(|caller| agent.offer(caller));
+    assert!(agent.is_offered(3) && !agent.relay.load(agent.relay.clock.now()).accepting);
+    agent.offer(4);
+    assert!(!agent.is_offered(4));
+}
+
 /// Guards against callers that wait until they give up while no domain may serve them.
 #[test]
 fn a_flow_is_refused_at_once_if_all_domains_are_evacuated() {
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -17,6 +17,7 @@
         evacuation::Notice,
         flow::{AgentId, FlowKey},
         ids::{Incarnation, Instance, Revision},
+        limits::ServiceLimits,
         pool::{AgentLoad, Measures, indirect::Condition},
         route::{ConfigVersion, Target, TrafficClass},
         segment::Sequence,
@@ -114,6 +115,8 @@
     },
     /// The sender, a balancer, tells whether the failure domain of the receiver is evacuated.
     Evacuation(Notice),
+    /// The sender, a balancer, tells the limits of the receiver's service.
+    Limits(ServiceLimits),
 }
 
 /// A message of an agent to a balancer.
--- a/yuccacroft/src/settings/segment.rs
+++ b/yuccacroft/src/settings/segment.rs
@@ -4,7 +4,9 @@
     super::{finish, open_ini},
     crate::errors::Result,
     std::{net::SocketAddrV4, path::Path},
-    yuccacroft_core::{ini::Reader, requirements::Requirements, time::Span},
+    yuccacroft_core::{
+        ini::Reader, limits::Tolerance, requirements::Requirements, time::Span, units::Percent,
+    },
     yuccacroft_segment::{agent, balancer},
 };
 
@@ -13,7 +15,10 @@
 
 const EXPECTED_ADDRESS: &str = "an IPv4 address of this machine such as 10.0.0.1:7000";
 const EXPECTED_STORE_ADDRESS: &str = "an IPv4 address such as 10.0.0.1:7000";
+const EXPECTED_DECIMAL: &str = "a number from 0 to 10000 such as 1.5";
 const EXPECTED_DURATION: &str = "a duration such as 6 s";
+/// Highest decimal number that is taken for valid.
+const MAX_DECIMAL: f64 = 10_000.0;
 /// A shorter grace period ends before the routers have moved packets to other balancers.
 const MIN_GRACE: Span = Span::from_secs(2);
 
@@ -50,12 +55,15 @@
     let mut reader = open_ini(file)?;
     let name = reader.required("process", "name", "a process name");
     let domain = reader.required("process", "domain", "a failure domain");
+    let default = Tolerance::default();
     let messages = read_address(&mut reader, SECTION, "listen");
     let ready = read_address(&mut reader, SECTION, "ready");
     let service = reader.required("upstream", "service", "the name of a service");
     let upstream = read_address(&mut reader, "upstream", "address");
     let outbound = read_address(&mut reader, "upstream", "outbound");
     let reports = read_address(&mut reader, "upstream", "reports");
+    let factor = read_hundredths(&mut reader, "upstream", "warmup_factor", default.factor);
+    let slack = read_hundredths(&mut reader, "upstream", "warmup_slack", default.slack);
     let report_interval = reader.required("upstream", "report_interval", EXPECTED_DURATION);
     let store = reader.required("store", "address", EXPECTED_STORE_ADDRESS);
     let grace = read_grace(&mut reader);
@@ -78,6 +86,7 @@
             store: store?,
             grace: grace?,
             requirements: requirements?,
+            tolerance: Tolerance { factor: factor?, slack: slack? },
         };
         Some((settings, metrics?))
     })();
@@ -110,6 +119,26 @@
     reader.optional("process", "requirements", expected, Requirements::default())
 }
 
+/// Reads a decimal number of at most [`MAX_DECIMAL`]. A missing or empty one is the default, since a
+/// template leaves the value empty where a deployment has none.
+fn read_hundredths(
+    reader: &mut Reader,
+    section: &str,
+    key: &str,
+    default: Percent,
+) -> Option<Percent> {
+    let text: String = reader.optional(section, key, EXPECTED_DECIMAL, String::new())?;
+    if text.is_empty() {
+        return Some(default);
+    }
+    let number: Option<f64> = text.parse().ok();
+    let Some(number) = number.filter(|number| (0.0..=MAX_DECIMAL).contains(number)) else {
+        reader.add_fault(section, key, &format!("expected {EXPECTED_DECIMAL}"));
+        return None;
+    };
+    Some(Percent::new((number * 100.0).round() as u32))
+}
+
 /// Reads the optional section `metrics`. Without it no metrics are served. The outer `None` means
 /// that the section has faults.
 fn read_metrics(reader: &mut Reader) -> Option<Option<SocketAddrV4>> {
