--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -18,12 +18,13 @@
         evacuation::Status,
         filter::{Filter, FilterChain, Verdict},
         handshake::{self, Decision, FlowTable, ForwardReason, Offer},
+        limits::{Limiter, Tolerance, UpstreamState},
         outcome::Record,
         requirements::Requirements,
         route::{Target, TrafficClass},
         segment::Segment,
         time::{Moment, Span},
-        units::{Percent, Slots},
+        units::{Connections, Percent, Slots},
         upstream::{Monitor, UpstreamReport},
     },
 };
@@ -90,6 +91,7 @@
     noted_slots: AtomicU32,
     stopping: AtomicBool,
     evacuation: Mutex<Status>,
+    limiter: Mutex<Limiter>,
     /// The mean of the open requests, in hundredths.
     mean_requests: AtomicU32,
 }
@@ -125,6 +127,7 @@
             noted_slots: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
             evacuation: Mutex::default(),
+            limiter: Mutex::new(Limiter::new(Tolerance::default())),
             mean_requests: AtomicU32::new(0),
         }
     }
@@ -139,6 +142,11 @@
         Self { requirements, backlog, ..self }
     }
 
+    /// Sets by how much new flows may exceed the rate of an upstream that warms up.
+    pub fn with_tolerance(self, tolerance: Tolerance) -> Self {
+        Self { limiter: Mutex::new(Limiter::new(tolerance)), ..self }
+    }
+
     /// Returns the locked monitor of the upstream.
     pub fn monitor(&self) -> MutexGuard<'_, Monitor> {
         lock(&self.monitor)
@@ -170,6 +178,33 @@
         self.evacuation.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the locked count of new flows against the limits of the service.
+    pub fn limiter(&self) -> MutexGuard<'_, Limiter> {
+        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the number of further flows that the upstream takes now; `None` without a limit.
+    pub fn room(&self, now: Moment) -> Option<Connections> {
+        if !self.requirements.places {
+            return None;
+        }
+        let upstream = {
+            let monitor = self.monitor();
+            let is_warming_up = monitor.remaining_warmup(now) > Span::ZERO;
+            UpstreamState {
+                is_warming_up: monitor.last_report().map(|_| is_warming_up),
+                had_earlier_agent: monitor.may_hold_unknown_flows(),
+                open: self.table.open_flows(),
+            }
+        };
+        self.limiter().room(upstream, now)
+    }
+
+    /// Returns true if the agent accepts new flows and its upstream has room for one.
+    pub fn takes_flow(&self, now: Moment) -> bool {
+        self.is_accepting() && self.room(now) != Some(Connections::new(0))
+    }
+
     /// Returns the limit of concurrent requests that the agent has at the upstream: one more than its
     /// slots, so that a slot that becomes free has its next request at once. Requests that the agent
     /// does not know of take their part of it where the requirements ask for measured numbers.
@@ -324,12 +359,15 @@
         let (table, segment, now) = (&self.0.table, &received.segment, received.now);
         Verdict::Done(match &received.context {
             Context::NewFlow(_, offer, datagram) => {
-                let accepting = self.0.is_accepting() && self.0.admits(segment, offer, now);
+                let takes_flow = self.0.takes_flow(now) && self.0.admits(segment, offer, now);
                 let decision =
-                    table.handle_opening(segment, datagram, offer.clone(), accepting, now);
+                    table.handle_opening(segment, datagram, offer.clone(), takes_flow, now);
                 if decision == Decision::Confirm {
                     lock(&self.0.announced).record(now);
                 }
+                if self.0.requirements.places && decision == Decision::Confirm {
+                    self.0.limiter().record_opening(now);
+                }
                 decision
             }
             Context::Established(origin, reason, _) => {
