Do not take the end of a flow that overtakes its response for a failure

On short flows the last segment often arrives before the response that precedes it. The agent counted a request broken off, and then no success, because the request was no longer in progress.

The end of a flow breaks a request off only if no data lies between the position that the caller has acknowledged and the end. The outcome is recorded with each segment that begins a response. Requests that waited at the agent when their upstream exited count as lost, too.

Result: the new test in `handshake.rs` fails without the change of `upstream_end`; tests of core (handshake, outliers) and segment pass.

--- a/yuccacroft-core/src/handshake/action.rs
+++ b/yuccacroft-core/src/handshake/action.rs
@@ -65,7 +65,7 @@
     pub flow: Flow,
     /// The latest position that the caller acknowledged.
     pub acknowledged: Sequence,
-    /// Whether a request was in progress.
+    /// Whether a request was in progress, or waited at the agent.
     pub busy: bool,
     /// The time of its opening segment, or that at which the agent discovered it.
     pub started_at: Moment,
--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -102,7 +102,7 @@
             State::Open(open) if open.started_at < before => {
                 // Without a segment of the caller no position is known, so any will do.
                 let acknowledged = open.acknowledged.unwrap_or_default();
-                let busy = open.request.is_some();
+                let busy = open.request.is_some() || open.is_held;
                 let (flow, started_at) = (entry.flow, open.started_at);
                 // Without a segment of this upstream the flow may be that of another one.
                 if open.is_proven {
--- a/yuccacroft-core/src/handshake/observation.rs
+++ b/yuccacroft-core/src/handshake/observation.rs
@@ -76,8 +76,11 @@
                     end(EndCause::Reset, Some(open.started_at), open.request.is_some())
                 }
                 (Control::Finish, Some(State::Open(open))) => {
-                    // Data with the last segment answers the request.
-                    let busy = open.request.is_some() && segment.length == 0;
+                    // Data with the last segment answers the request, and so does earlier data, which
+                    // may arrive later.
+                    let has_sent_data =
+                        segment.length > 0 || open.acknowledged != Some(segment.sequence);
+                    let busy = open.request.is_some() && !has_sent_data;
                     end(EndCause::Closed, Some(open.started_at), busy)
                 }
                 (
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -542,6 +542,17 @@
     assert_eq!(table.handle_reply(&reset, at(2)).refused_opening, None);
 }
 
+/// Guards against a success that is taken for a failure because the end of the flow overtakes the
+/// response: the position of the end shows that data comes before it.
+#[test]
+fn an_end_after_data_that_is_still_to_come_breaks_no_request_off() {
+    let table = FlowTable::new();
+    open(&table, 1, START);
+    deliver(&table, &request(1), at(1));
+    let finish = segment(1, Control::Finish, 581, 151, 0);
+    assert!(table.upstream_end(&finish, at(2)).is_some_and(|end| !end.busy));
+}
+
 /// Guards against silence that nobody notices, and against a response that comes late being taken
 /// for a failure.
 #[test]
--- a/yuccacroft-segment/src/agent/relay/outbound.rs
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -41,8 +41,8 @@
                 if let Some(prober) = reply.prober {
                     self.reply(prober, Body::Owns(segment.flow.key()), &[], now);
                 }
+                self.record_response(reply.was_overdue, datagram, now);
                 if let Some(time) = reply.service_time {
-                    self.record_response(reply.was_overdue, datagram, now);
                     metrics::histogram!(SERVICE_SECONDS_METRIC)
                         .record(std::time::Duration::from(time).as_secs_f64());
                     if time >= SLOW_RESPONSE {
--- a/yuccacroft-segment/src/agent/relay/outcomes.rs
+++ b/yuccacroft-segment/src/agent/relay/outcomes.rs
@@ -20,7 +20,8 @@
         self.state.outcomes().record(outcome, now);
     }
 
-    /// Records the outcome that the first segment of a response names.
+    /// Records the outcome if the segment begins a response. The last segment of the flow may have
+    /// overtaken it, so the request need not be in progress.
     pub(super) fn record_response(&self, was_overdue: bool, datagram: &[u8], now: Moment) {
         if was_overdue {
             self.state.outcomes().withdraw_overdue(now);
