Compute the cost of overloaded members without overflow

In a release build the product wraps, so a hopelessly overloaded member can become the cheapest. The products saturate now.

Result: the new test in `pool.rs` fails with the plain product (same panic) and passes with the saturating one.

--- a/yuccacroft-core/src/pool/cost.rs
+++ b/yuccacroft-core/src/pool/cost.rs
@@ -109,7 +109,7 @@
         let service_time = if is_known { load.service_time } else { DEFAULT_SERVICE_TIME };
         let slots = self.slots();
         let pending_work = u64::from(load.active) + self.pending_offers.len() as u64 + 1;
-        Span::from_micros(service_time.as_micros() * (slots + pending_work) / slots)
+        Span::from_micros(service_time.as_micros().saturating_mul(slots + pending_work) / slots)
     }
 
     /// A flow lasts for many requests, so the mean utilization of the upstream counts more than its
@@ -117,14 +117,14 @@
     fn busy(&self, load: &AgentLoad, work: Span) -> Span {
         let utilization = u64::from(load.busy.get()) / self.slots();
         let factor = BUSY_COST_FACTOR * utilization * utilization;
-        Span::from_micros(work.as_micros() * factor / (HUNDRED * HUNDRED))
+        Span::from_micros(work.as_micros().saturating_mul(factor) / (HUNDRED * HUNDRED))
     }
 
     /// Returns the cost of the attempts after the first one until a request succeeds.
     fn failures(&self, attempt: Span) -> Span {
         let failures = self.measures.map(|(measures, _)| u64::from(measures.failures.get()));
         let failures = failures.unwrap_or_default().min(MAX_FAILURES_PERCENT);
-        Span::from_micros(attempt.as_micros() * failures / (HUNDRED - failures))
+        Span::from_micros(attempt.as_micros().saturating_mul(failures) / (HUNDRED - failures))
     }
 
     fn slots(&self) -> u64 {
@@ -134,5 +134,5 @@
 
 /// Returns the part of a cost that has this number of hundredths of it.
 fn increase(cost: Span, hundredths: u64) -> Span {
-    Span::from_micros(cost.as_micros() * hundredths / HUNDRED)
+    Span::from_micros(cost.as_micros().saturating_mul(hundredths) / HUNDRED)
 }
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -571,3 +571,14 @@
     assert_eq!(pool.list_outdated_time(at(500)), None);
     assert_eq!(pool.newest_entry(), Revision::new(7));
 }
+
+/// Guards against an overloaded member that becomes the cheapest because its cost overflows.
+#[test]
+fn an_overloaded_member_is_the_most_expensive() {
+    let pool = pool(2);
+    let busy = Percent::new(100_000_000);
+    let overloaded = AgentLoad { busy, ..load(1_000_000, 10_000) };
+    pool.record_load(entry(1, 1, 1).agent_id, overloaded, START);
+    pool.record_load(entry(2, 1, 1).agent_id, load(3, 20), START);
+    assert!((0..100).all(|key| first(&pool, key, START) == Some(instance(2))));
+}
