Measure placement with upstreams of mixed speeds

The pattern bench of placement had seven upstreams with four slots. It now also has a service of 47 with two slots and three speeds, and a tail of long requests, at 0.4, 0.6 and 0.9 of the capacity.

--- a/yuccacroft-bench/src/segments/placement.rs
+++ b/yuccacroft-bench/src/segments/placement.rs
@@ -8,19 +8,35 @@
     std::{cmp::Reverse, collections::BinaryHeap},
     yuccacroft_core::{
         flow::FlowKey,
-        pool::{AgentLoad, Pool},
+        pool::{AgentEntry, AgentLoad, Pool},
         rendezvous::score,
         time::{Moment, Span},
-        units::{Connections, Percent},
+        units::{Connections, Percent, Slots},
     },
 };
 
-const UPSTREAMS: usize = 7;
-const SLOTS: usize = 4;
-/// The factor by which each upstream multiplies the mean work of a request.
-const WORK_FACTORS: [f64; UPSTREAMS] = [0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7];
-const LOADS: [f64; 3] = [0.5, 0.9, 1.3];
-const LONG_FLOWS: usize = 300;
+const FLEETS: [Fleet; 2] = [
+    Fleet {
+        name: "",
+        upstreams: 7,
+        slots: 4,
+        work_factors: &[0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7],
+        tail_share: 0.0,
+        long_flows: 300,
+        loads: &[0.5, 0.9, 1.3],
+    },
+    Fleet {
+        name: "mixed speeds, ",
+        upstreams: 47,
+        slots: 2,
+        work_factors: &[1.0 / 0.7, 1.0 / 0.7, 1.0 / 1.7],
+        tail_share: 0.03,
+        long_flows: 1_500,
+        loads: &[0.4, 0.6, 0.9],
+    },
+];
+/// The factor by which a request of the tail takes longer than the others.
+const TAIL_FACTOR: f64 = 7.0;
 /// The share of requests that come on long flows.
 const LONG_SHARE: f64 = 0.75;
 /// The number of requests after which a long flow is closed and a new one is placed.
@@ -33,6 +49,22 @@
 /// The weight of one sample in the mean service time that an agent reports.
 const SAMPLE_WEIGHT: f64 = 1.0 / 16.0;
 
+/// The upstreams of a service and their requests.
+#[derive(Clone, Copy, Debug)]
+struct Fleet {
+    /// The name, as a prefix of the variants.
+    name: &'static str,
+    upstreams: usize,
+    slots: usize,
+    /// The factors by which the upstreams multiply the mean work of a request, in turn.
+    work_factors: &'static [f64],
+    /// The share of requests that take [`TAIL_FACTOR`] times as long.
+    tail_share: f64,
+    long_flows: usize,
+    /// The loads, as multiples of the total capacity.
+    loads: &'static [f64],
+}
+
 /// How a flow is placed.
 #[derive(Clone, Copy, Debug)]
 enum Policy {
@@ -48,6 +80,7 @@
 
 struct Upstream {
     work_factor: f64,
+    tail_share: f64,
     /// The time at which each slot becomes free, in microseconds.
     free_at_micros: BinaryHeap<Reverse<u64>>,
     /// The end times of the unfinished requests, in milliseconds.
@@ -60,6 +93,7 @@
 }
 
 struct Simulation {
+    fleet: Fleet,
     policy: Policy,
     pool: Pool,
     upstreams: Vec<Upstream>,
@@ -75,12 +109,14 @@
         ("two choices", Policy::TwoChoices),
         ("rendezvous", Policy::Rendezvous),
     ];
-    for load in LOADS {
-        for (name, policy) in policies {
-            let (in_time, imbalance) = Simulation::new(policy, seed).run(load);
-            let variant = format!("{name} at {load}");
-            report.add(&variant, "in_time_share", in_time, Target::None);
-            report.add(&variant, "busiest_over_mean", imbalance, Target::None);
+    for fleet in FLEETS {
+        for &load in fleet.loads {
+            for (name, policy) in policies {
+                let (in_time, imbalance) = Simulation::new(fleet, policy, seed).run(load);
+                let variant = format!("{}{name} at {load}", fleet.name);
+                report.add(&variant, "in_time_share", in_time, Target::None);
+                report.add(&variant, "busiest_over_mean", imbalance, Target::None);
+            }
         }
     }
 }
@@ -89,13 +125,21 @@
     Moment::new(1_000_000 + (millis * 1_000.0) as u64)
 }
 
+impl Fleet {
+    /// Returns the work factor of each upstream.
+    fn work_factors(&self) -> impl Iterator<Item = f64> {
+        self.work_factors.iter().copied().cycle().take(self.upstreams)
+    }
+}
+
 impl Simulation {
-    fn new(policy: Policy, seed: u64) -> Self {
-        let upstreams = WORK_FACTORS
-            .iter()
-            .map(|&work_factor| Upstream {
+    fn new(fleet: Fleet, policy: Policy, seed: u64) -> Self {
+        let upstreams = fleet
+            .work_factors()
+            .map(|work_factor| Upstream {
                 work_factor,
-                free_at_micros: (0..SLOTS).map(|_| Reverse(0)).collect(),
+                tail_share: fleet.tail_share,
+                free_at_micros: (0..fleet.slots).map(|_| Reverse(0)).collect(),
                 end_times: Vec::new(),
                 open: 0,
                 service_ms: 0.0,
@@ -104,28 +148,31 @@
             })
             .collect();
         let pool = Pool::new();
-        (0..UPSTREAMS as u32).for_each(|number| {
-            pool.upsert(entry(number), moment(0.0));
+        (0..fleet.upstreams as u32).for_each(|number| {
+            let slots = Slots::new(fleet.slots as u32);
+            pool.upsert(AgentEntry { slots, ..entry(number) }, moment(0.0));
         });
-        Self { policy, pool, upstreams, random: StdRng::seed_from_u64(seed), next_key: 0 }
+        Self { fleet, policy, pool, upstreams, random: StdRng::seed_from_u64(seed), next_key: 0 }
     }
 
     /// Runs at `load`, a multiple of the total capacity. Returns the share of requests answered within
     /// the objective, and the work of the busiest upstream divided by the mean.
     fn run(&mut self, load: f64) -> (f64, f64) {
-        let capacity: f64 = WORK_FACTORS
-            .iter()
-            .map(|work_factor| SLOTS as f64 / (MEAN_WORK_MS * work_factor))
+        let fleet = self.fleet;
+        let mean_work_ms = MEAN_WORK_MS * (1.0 + fleet.tail_share * (TAIL_FACTOR - 1.0));
+        let capacity: f64 = fleet
+            .work_factors()
+            .map(|work_factor| fleet.slots as f64 / (mean_work_ms * work_factor))
             .sum();
         let rate = load * capacity;
         let mut flows: Vec<(usize, u32)> = Vec::new();
-        for _ in 0..LONG_FLOWS {
+        for _ in 0..fleet.long_flows {
             let requests_so_far = self.random.random_range(0..REQUESTS_PER_FLOW);
             flows.push((self.place_flow(0.0), requests_so_far));
         }
         let (mut now, mut next_report) = (0.0, 0.0);
         let (mut in_time, mut total) = (0u32, 0u32);
-        let mut work = [0.0; UPSTREAMS];
+        let mut work = vec![0.0; fleet.upstreams];
         while now < DURATION_MS {
             now += -self.random.random_range(f64::EPSILON..1.0f64).ln() / rate;
             while next_report <= now {
@@ -133,7 +180,7 @@
                 next_report += LOAD_INTERVAL_MS;
             }
             let upstream = if self.random.random_bool(LONG_SHARE) {
-                let index = self.random.random_range(0..LONG_FLOWS);
+                let index = self.random.random_range(0..fleet.long_flows);
                 if flows[index].1 >= REQUESTS_PER_FLOW {
                     self.upstreams[flows[index].0].open -= 1;
                     flows[index] = (self.place_flow(now), 0);
@@ -150,7 +197,7 @@
             total += 1;
             in_time += u32::from(answered - now <= LATENCY_OBJECTIVE_MS);
         }
-        let mean = work.iter().sum::<f64>() / UPSTREAMS as f64;
+        let mean = work.iter().sum::<f64>() / fleet.upstreams as f64;
         let max_work = work.iter().copied().fold(0.0, f64::max);
         (f64::from(in_time) / f64::from(total), max_work / mean)
     }
@@ -170,19 +217,19 @@
                 }
                 number as usize
             }
-            Policy::Random => self.random.random_range(0..UPSTREAMS),
+            Policy::Random => self.random.random_range(0..self.fleet.upstreams),
             Policy::TwoChoices => {
-                let one = self.random.random_range(0..UPSTREAMS);
-                let two = self.random.random_range(0..UPSTREAMS);
+                let one = self.random.random_range(0..self.fleet.upstreams);
+                let two = self.random.random_range(0..self.fleet.upstreams);
                 if self.upstreams[two].reported_active < self.upstreams[one].reported_active {
                     two
                 } else {
                     one
                 }
             }
-            Policy::Rendezvous => {
-                (0..UPSTREAMS).max_by_key(|&node| score(key, node as u64)).unwrap_or_default()
-            }
+            Policy::Rendezvous => (0..self.fleet.upstreams)
+                .max_by_key(|&node| score(key, node as u64))
+                .unwrap_or_default(),
         };
         self.upstreams[upstream].open += 1;
         upstream
@@ -201,8 +248,9 @@
     /// Serves a request on the first free slot. Returns the time of the answer and the work of the
     /// request, in milliseconds.
     fn serve(&mut self, now: f64, random: &mut StdRng) -> (f64, f64) {
-        let work =
-            -random.random_range(f64::EPSILON..1.0f64).ln() * MEAN_WORK_MS * self.work_factor;
+        let tail_factor = if random.random_bool(self.tail_share) { TAIL_FACTOR } else { 1.0 };
+        let mean_ms = MEAN_WORK_MS * self.work_factor * tail_factor;
+        let work = -random.random_range(f64::EPSILON..1.0f64).ln() * mean_ms;
         let free = self.free_at_micros.pop().map_or(0.0, |Reverse(micros)| micros as f64 / 1_000.0);
         let end = free.max(now) + work;
         self.free_at_micros.push(Reverse((end * 1_000.0) as u64));
