Count waiting requests of one upstream once in its service's load

The reported load of a member contains the requests that wait at its agent. A member now counts with its slots at most.

Without the requirement `health` an agent records no outcomes and looks at no responses.

--- a/yuccacroft-core/src/pool/outlier.rs
+++ b/yuccacroft-core/src/pool/outlier.rs
@@ -286,7 +286,8 @@
 
 impl Capacity {
     fn new(peers: &[Peer]) -> Self {
-        let busy = peers.iter().map(|peer| u64::from(peer.busy.get())).sum();
+        // Requests that wait at one member use no slots of the others.
+        let busy = peers.iter().map(|peer| u64::from(peer.busy.get()).min(Self::of(peer))).sum();
         let admitted = peers.iter().filter(|peer| peer.standing.is_admitted());
         Self { busy, admitted: admitted.map(Self::of).sum() }
     }
--- a/yuccacroft-segment/src/agent/relay/outcomes.rs
+++ b/yuccacroft-segment/src/agent/relay/outcomes.rs
@@ -15,7 +15,11 @@
 const OUTCOMES_METRIC: &str = "yuccacroft_agent_outcomes_total";
 
 impl<F: Format, S: Socket> Relay<F, S> {
+    /// Records the outcome of a request, if the deployment calls for it.
     pub(super) fn record_outcome(&self, outcome: Outcome, now: Moment) {
+        if !self.state.requirements.health {
+            return;
+        }
         metrics::counter!(OUTCOMES_METRIC, "outcome" => outcome.name()).increment(1);
         self.state.outcomes().record(outcome, now);
     }
@@ -23,6 +27,9 @@
     /// Records the outcome if the segment begins a response. The last segment of the flow may have
     /// overtaken it, so the request need not be in progress.
     pub(super) fn record_response(&self, was_overdue: bool, datagram: &[u8], now: Moment) {
+        if !self.state.requirements.health {
+            return;
+        }
         if was_overdue {
             self.state.outcomes().withdraw_overdue(now);
         }
