Admit ejected members when too few others are left

A service of three with one ejected member is not compared any more once another one drains, and the ejected member kept its probes only; if both others left, its flows went nowhere. Now all members are admitted when fewer than three can be compared or none gets all flows.

Result: the new test in `outliers.rs` covers the members that are left after the others have stopped taking flows.

--- a/yuccacroft-core/src/pool/outlier.rs
+++ b/yuccacroft-core/src/pool/outlier.rs
@@ -108,6 +108,8 @@
 /// What the members of a service have in common.
 #[derive(Clone, Copy, Debug)]
 struct Baseline {
+    /// Whether enough members have reported.
+    is_comparable: bool,
     /// The number of members that one choice compares.
     peers: u64,
     median: u32,
@@ -173,6 +175,11 @@
         *self = Self { step: Some(0), peers, changed_at: now, hold: hold.min(MAX_HOLD) };
     }
 
+    fn admit(&mut self, now: Moment) {
+        self.step = None;
+        self.changed_at = now;
+    }
+
     /// Goes to the next step of the return.
     fn advance(&mut self, now: Moment) {
         self.step = self.step.map(|step| step + 1).filter(|step| *step < RETURN_STEPS.len());
@@ -189,7 +196,10 @@
 
 /// Compares the members of one service, updates their standings and returns the changes.
 pub fn review(peers: &mut [Peer], now: Moment) -> Vec<Change> {
-    let Some(baseline) = Baseline::new(peers) else { return Vec::new() };
+    let baseline = Baseline::new(peers);
+    if !baseline.is_comparable || !peers.iter().any(|peer| peer.standing.is_admitted()) {
+        return admit_all(peers, baseline, now);
+    }
     let mut capacity = Capacity::new(peers);
     // The worst member comes first, since not all of them may be spared.
     peers.sort_by_key(|peer| std::cmp::Reverse(peer.failures));
@@ -205,8 +215,7 @@
             continue;
         };
         if peer.is_useful() && capacity.is_exceeded() {
-            peer.standing.step = None;
-            peer.standing.changed_at = now;
+            peer.standing.admit(now);
             capacity.admit(peer);
             changes.push(baseline.change(peer, failures, Cause::CapacityNeeded));
         }
@@ -214,6 +223,16 @@
     changes
 }
 
+/// Admits all members, because too few are left to compare, or none that gets all flows.
+fn admit_all(peers: &mut [Peer], baseline: Baseline, now: Moment) -> Vec<Change> {
+    let ejected = peers.iter_mut().filter(|peer| !peer.standing.is_admitted());
+    let admit = |peer: &mut Peer| {
+        peer.standing.admit(now);
+        baseline.change(peer, peer.failures.unwrap_or_default(), Cause::CapacityNeeded)
+    };
+    ejected.map(admit).collect()
+}
+
 /// Updates the standing of one member and returns why it has changed.
 fn judge(
     peer: &mut Peer,
@@ -247,19 +266,17 @@
 }
 
 impl Baseline {
-    /// Returns the baseline of a service, or `None` if too few of its members have reported.
-    fn new(peers: &[Peer]) -> Option<Self> {
+    fn new(peers: &[Peer]) -> Self {
         let shares = || peers.iter().filter_map(|peer| peer.failures).map(Percent::get);
-        if shares().count() < MIN_PEERS {
-            return None;
-        }
+        let count = shares().count();
         let median = median(shares().collect());
         let spread = median_of_distances(shares(), median);
         // Chance failures spread evenly over the members, so their mean is steadier than the median.
-        let mean = shares().sum::<u32>().div_ceil(shares().count() as u32);
+        let mean = shares().sum::<u32>().div_ceil(count.max(1) as u32);
         let deviations = DISTANCE_DEVIATIONS * spread.max(sampling_deviation(mean));
         let peers = peers.len().min(PLACEMENT_WINDOW) as u64;
-        Some(Self { peers, median, distance: MIN_DISTANCE.max(deviations) })
+        let distance = MIN_DISTANCE.max(deviations);
+        Self { is_comparable: count >= MIN_PEERS, peers, median, distance }
     }
 
     fn limit(&self) -> u32 {
--- a/yuccacroft-core/tests/outliers.rs
+++ b/yuccacroft-core/tests/outliers.rs
@@ -243,6 +243,27 @@
     assert!((1..=3).contains(&results.most_ejected), "{results:?}");
 }
 
+/// Guards against a service whose flows go nowhere because only an ejected member is left.
+#[test]
+fn an_ejected_member_returns_when_the_others_are_gone() {
+    let pool = new_pool(true);
+    let now = Moment::new(1_000_000);
+    for upstream in 0..UPSTREAMS {
+        let failures = Percent::new(if upstream == 3 { 80 } else { 0 });
+        let measures = Measures { failures, ..Measures::default() };
+        pool.record_measures(agent_id(upstream), measures, now);
+    }
+    assert_eq!(pool.review_outliers(now).len(), 1);
+    for upstream in (0..UPSTREAMS).filter(|upstream| *upstream != 3) {
+        let draining = AgentLoad { accepting: false, ..load(0, Percent::new(0)) };
+        pool.record_load(agent_id(upstream), draining, now);
+    }
+    let change = pool.review_outliers(now)[0];
+    assert_eq!((change.cause, change.standing.is_admitted()), (Cause::CapacityNeeded, true));
+    let chosen = pool.choose(target(), &domain(), FlowKey::new(7), 1, now);
+    assert_eq!(chosen, [instance(3)]);
+}
+
 proptest! {
     /// Guards against the long requests of a healthy upstream being taken for failures: a response
     /// after the usual time withdraws the silence.
