--- a/yuccacroft-segment/src/balancer.rs
+++ b/yuccacroft-segment/src/balancer.rs
@@ -10,6 +10,6 @@
 pub mod relay;
 pub mod response_times;
 pub mod searches;
-mod spill_over;
+pub mod spill_over;
 
 pub use {self::process::Settings, crate::process::Process};
--- a/yuccacroft-segment/src/balancer/spill_over.rs
+++ b/yuccacroft-segment/src/balancer/spill_over.rs
@@ -20,7 +20,7 @@
 
 impl<F: Format, S: Socket> Relay<F, S> {
     /// Updates the decisions, where the requirements of the deployment ask for them.
-    pub(super) fn update_spill_over(&self, now: Moment) {
+    pub fn update_spill_over(&self, now: Moment) {
         if !self.pool.requirements().health {
             return;
         }
