Refuse late requests in a lasting overload, and compare the policies

Cause: an agent refused a flow only when its request would miss the timeout. In a lasting overload the queue then stands just below the timeout and makes nearly every request late, without serving more of them.

Change: the last agent refuses a flow whose request would be late once requests of its class would have been late for longer than their objective (`admission::overload`). Shorter bursts are absorbed as before.

--- a/yuccacroft-bench/src/requests.rs
+++ b/yuccacroft-bench/src/requests.rs
@@ -6,6 +6,7 @@
 mod load;
 mod outcome;
 mod policy;
+mod queues;
 
 use {
     self::{
@@ -13,6 +14,7 @@
         load::{Arrival, Fleet, LoadProfile},
         outcome::{RunResult, Selection},
         policy::{Run, Terms},
+        queues::{CLASS, QueueKind},
     },
     crate::figure::{Report, Target},
     rand::{SeedableRng, rngs::StdRng},
@@ -53,6 +55,7 @@
         let uncontended_p99_ms = measure_overload(&fleet, seed, &mut report);
         measure_swing(&fleet, seed, uncontended_p99_ms, &mut report);
         measure_mixed_load(&fleet, seed, &mut report);
+        measure_agent_queues(&fleet, seed, &mut report);
     }
     faults::run(seed, &mut report);
     report
@@ -234,6 +237,37 @@
     }
 }
 
+/// Measures the queues of agents at each demand: the work answered within the objective and within the
+/// timeout, as shares of what could be, and the refusals.
+fn measure_agent_queues(fleet: &Fleet, seed: u64, report: &mut Report) {
+    for demand in DEMANDS {
+        let profile: &LoadProfile =
+            &[(WARM_UP, demand.min(0.9), demand.min(0.9)), (MEASURED_TIME, demand, demand)];
+        let arrivals = fleet.generate_arrivals(profile, &mut StdRng::seed_from_u64(seed));
+        for kind in QueueKind::ALL {
+            let variant = Variant::Baseline(BaselineKind::Agent(kind));
+            let result = variant.run(fleet, &arrivals, seed);
+            let name = variant.name(fleet);
+            let end = Moment::default() + WARM_UP + MEASURED_TIME;
+            let goodput = |limit| {
+                Selection::new(&arrivals, &result, limit, is_measured).goodput(
+                    fleet,
+                    MEASURED_TIME,
+                    end,
+                )
+            };
+            let selection = Selection::new(&arrivals, &result, CLASS.timeout, is_measured);
+            let mut add = |figure: &str, value| {
+                report.add(&name, &format!("demand_{demand}_{figure}"), value, Target::None);
+            };
+            add("on_time", goodput(CLASS.objective));
+            add("in_timeout", goodput(CLASS.timeout));
+            add("p99_ms", selection.latency_quantile_ms(0.99));
+            add("refused_share", selection.refused_share());
+        }
+    }
+}
+
 fn is_measured(arrival: &Arrival) -> bool {
     arrival.at >= Moment::default() + WARM_UP
 }
--- a/yuccacroft-bench/src/requests/baseline.rs
+++ b/yuccacroft-bench/src/requests/baseline.rs
@@ -4,6 +4,7 @@
     super::{
         load::{Arrival, Fleet},
         outcome::{Outcome, RunResult},
+        queues::{AgentQueue, Next, QueueKind},
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
@@ -16,6 +17,9 @@
 /// The interval of load reports, and thus the maximum age of a reported load.
 const REPORT_INTERVAL: Span = Span::from_secs(1);
 
+/// Number of agents to which one request is offered. The fleet has seven.
+const MAX_OFFERS: usize = 4;
+
 /// How a baseline places requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BaselineKind {
@@ -28,10 +32,13 @@
     /// The upstream with the lowest load as last reported, up to a second ago. Each has an unbounded
     /// queue.
     ReportedLoad,
+    /// The agent of the connection or a further one that accepts the request. Each has a queue of
+    /// this kind.
+    Agent(QueueKind),
 }
 
 impl BaselineKind {
-    /// All baselines.
+    /// All baselines of the product's own front end.
     pub const ALL: [Self; 4] = [Self::Fifo, Self::FailFast, Self::Random, Self::ReportedLoad];
 
     /// Returns the name in the report.
@@ -41,6 +48,7 @@
             Self::FailFast => "fail-fast",
             Self::Random => "random",
             Self::ReportedLoad => "reported-load",
+            Self::Agent(kind) => kind.name(),
         }
     }
 }
@@ -52,6 +60,7 @@
     arrivals: &'a [Arrival],
     running: Vec<u32>,
     queues: Vec<VecDeque<usize>>,
+    agents: Vec<AgentQueue>,
     reported_loads: Vec<usize>,
     reported_at: Moment,
     /// The running requests, as completion time, upstream and index of the arrival.
@@ -76,6 +85,12 @@
         arrivals,
         running: vec![0; count],
         queues: vec![VecDeque::new(); count],
+        agents: match kind {
+            BaselineKind::Agent(kind) => {
+                (0..count).map(|_| AgentQueue::new(kind, fleet.slots)).collect()
+            }
+            _ => Vec::new(),
+        },
         reported_loads: vec![0; count],
         reported_at: Moment::default(),
         completions: BinaryHeap::new(),
@@ -105,6 +120,11 @@
             self.result.busy_micros[upstream] += at.since(begin).as_micros();
             self.result.outcomes[index] = Some(Outcome::Answered(at, service_time));
             self.running[upstream] -= 1;
+            if !self.agents.is_empty() {
+                self.agents[upstream].record(service_time, at);
+                self.start_waiting(upstream, at);
+                continue;
+            }
             let queue = if self.kind == BaselineKind::Fifo { 0 } else { upstream };
             if let Some(next) = self.queues[queue].pop_front() {
                 self.start(upstream, next, at);
@@ -127,6 +147,7 @@
                     self.result.outcomes[index] = Some(Outcome::Refused);
                 }
             }
+            BaselineKind::Agent(_) => self.offer(index, now),
             BaselineKind::Random => self.start_or_queue(self.arrivals[index].agent, index, now),
             BaselineKind::ReportedLoad => {
                 let least = self.reported_loads.iter().copied().min().unwrap_or(0);
@@ -139,6 +160,36 @@
         }
     }
 
+    /// Offers a request to agents, beginning with that of its connection.
+    fn offer(&mut self, index: usize, now: Moment) {
+        let (count, first) = (self.agents.len(), self.arrivals[index].agent);
+        for hop in 0..MAX_OFFERS {
+            let upstream = (first + hop) % count;
+            let is_last = hop + 1 == MAX_OFFERS;
+            if self.agents[upstream].accepts(self.running[upstream], hop, is_last, now) {
+                if self.agents[upstream].push(index, now) {
+                    self.start_waiting(upstream, now);
+                    return;
+                }
+                break;
+            }
+        }
+        self.result.outcomes[index] = Some(Outcome::Refused);
+    }
+
+    /// Starts waiting requests while slots are free.
+    fn start_waiting(&mut self, upstream: usize, now: Moment) {
+        while self.running[upstream] < self.fleet.slots {
+            match self.agents[upstream].pop(now) {
+                Some(Next::Start(index)) => self.start(upstream, index, now),
+                Some(Next::Drop(index)) => {
+                    self.result.outcomes[index] = Some(Outcome::Refused);
+                }
+                None => return,
+            }
+        }
+    }
+
     fn start_or_queue(&mut self, upstream: usize, index: usize, now: Moment) {
         if self.running[upstream] < self.fleet.slots {
             self.start(upstream, index, now);
--- a/yuccacroft-core/src/admission.rs
+++ b/yuccacroft-core/src/admission.rs
@@ -5,6 +5,7 @@
 
 pub mod class;
 pub mod limit;
+pub mod overload;
 pub mod peers;
 mod queue;
 pub mod service_times;
--- a/yuccacroft-core/tests/workload.rs
+++ b/yuccacroft-core/tests/workload.rs
@@ -2,6 +2,7 @@
 
 use yuccacroft_core::{
     admission::{
+        overload::Overload,
         service_times::ServiceTimes,
         unknown::UnknownRequests,
         workload::{Announced, Outlook, ServiceTime, Workload},
@@ -84,3 +85,17 @@
     unknown.record(9, 2, at(200));
     assert_eq!(unknown.count(at(700)), 0, "without a response nothing proves that they still run");
 }
+
+/// Guards against refusals in a burst, which the queue absorbs, and against a queue that makes every
+/// request late while the overload lasts.
+#[test]
+fn only_an_overload_longer_than_the_objective_is_lasting() {
+    let mut overload = Overload::default();
+    let mut is_lasting = |outlook, millis| overload.is_lasting(outlook, &CLASS, at(millis));
+    let burst = [0, 100, 200].map(|millis| is_lasting(Outlook::Late, millis));
+    assert_eq!(burst, [false; 3]);
+    assert!(is_lasting(Outlook::Late, 300));
+    assert!(!is_lasting(Outlook::OnTime, 310));
+    assert!(is_lasting(Outlook::Late, 320), "a single request on time does not end the overload");
+    assert!(!is_lasting(Outlook::Late, 700), "no request was late for longer than the objective");
+}
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -10,6 +10,7 @@
     },
     yuccacroft_core::{
         admission::{
+            overload::Overload,
             service_times::ServiceTimes,
             unknown::UnknownRequests,
             workload::{Announced, Outlook, ServiceTime, Workload},
@@ -80,6 +81,7 @@
     service_times: Mutex<ServiceTimes>,
     unknown_requests: Mutex<UnknownRequests>,
     announced: Mutex<Announced>,
+    overload: Mutex<Overload>,
     /// The slots of the upstream by another source than its reports, or zero.
     noted_slots: AtomicU32,
     stopping: AtomicBool,
@@ -114,6 +116,7 @@
             service_times: Mutex::default(),
             unknown_requests: Mutex::default(),
             announced: Mutex::default(),
+            overload: Mutex::default(),
             noted_slots: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
             mean_requests: AtomicU32::new(0),
@@ -218,7 +221,7 @@
 
     /// Returns true if the agent accepts a new flow, given what the flow's first request can expect. A
     /// request that would be late goes to another agent while one is left, and one that would miss
-    /// its timeout is not accepted at all. One that would wait for longer than it takes goes on a few
+    /// its timeout, or its objective in a lasting overload, is not accepted at all. One that would wait for longer than it takes goes on a few
     /// times, since the next agent is probably less busy.
     fn admits(&self, segment: &Segment, offer: &Offer, now: Moment) -> bool {
         let Some(class) = offer.class.filter(|_| self.requirements.health) else { return true };
@@ -230,10 +233,11 @@
         let workload = self.workload(service, now);
         let outlook = workload.outlook(&class, service);
         metrics::counter!(OUTLOOKS_METRIC, "outlook" => outlook.name()).increment(1);
+        let is_lasting = lock(&self.overload).is_lasting(outlook, &class, now);
         match outlook {
             Outlook::OnTime if offer.is_last() || offer.hops >= MAX_BUSY_HOPS => true,
             Outlook::OnTime => workload.wait() <= service.mean,
-            Outlook::Late => offer.is_last(),
+            Outlook::Late => offer.is_last() && !is_lasting,
             Outlook::Hopeless => false,
         }
     }
--- a/yuccacroft-segment/tests/admission.rs
+++ b/yuccacroft-segment/tests/admission.rs
@@ -109,6 +109,23 @@
     assert_eq!(offer(&state, &[]), Decision::Refuse(balancer()));
 }
 
+/// Guards against a queue that makes every request late while an overload lasts, and against refusals in
+/// a burst.
+#[test]
+fn the_last_agent_refuses_late_requests_in_a_lasting_overload_only() {
+    let state = agent(health(), LATE);
+    let after = |millis: u64, port| {
+        let offer = Offer { class: Some(CLASS), origin: balancer(), rest: Box::new([]), hops: 0 };
+        let context = Context::NewFlow(target(), offer, b"open".as_slice().into());
+        let now = NOW + Span::from_millis(millis);
+        let mut received = ReceivedSegment { segment: segment(port, Control::Open), context, now };
+        chain::build_chain(&state).run(&mut received).expect("the chain decides")
+    };
+    assert_eq!(after(0, 60_001), Decision::Confirm);
+    assert_eq!(after(200, 60_002), Decision::Confirm);
+    assert_eq!(after(300, 60_003), Decision::Refuse(balancer()));
+}
+
 /// Guards against the refusal of a flow that the upstream may accept: the first copy of its opening
 /// segment has reached it.
 #[test]
