--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -267,9 +267,9 @@
     }
 
     /// Returns true if the agent accepts a new flow, given what the flow's first request can expect. A
-    /// request that would be late goes to another agent while one is left, and one that would miss
-    /// its timeout is not accepted at all. One that would wait for longer than it takes goes on a few
-    /// times, since the next agent is probably less busy.
+    /// request that would be late goes to another agent a few times, since the next one is probably
+    /// less busy, and so does one that would wait for longer than it takes. One that would miss its
+    /// timeout is not accepted at all.
     fn admits(&self, segment: &Segment, offer: &Offer, now: Moment) -> bool {
         let Some(class) = offer.class.filter(|_| self.requirements.health) else { return true };
         // The upstream may accept a flow whose opening segment it has already.
@@ -283,7 +283,7 @@
         match outlook {
             Outlook::OnTime if offer.is_last() || offer.hops >= MAX_BUSY_HOPS => true,
             Outlook::OnTime => workload.wait() <= service.mean,
-            Outlook::Late => offer.is_last() || offer.hops >= MAX_LATE_HOPS,
+            Outlook::Late => (offer.is_last() || offer.hops >= MAX_LATE_HOPS) && !is_lasting,
             Outlook::Hopeless => false,
         }
     }
