Call an unproven run of an upstream a candidate

Cause: "challenger" is no term of the field for a run that may replace the known one; "candidate" is.

Change: names only. The reason for which a report of another service is confirmed says what holds: no flow of that service goes through the agent.

Evidence: the tests of the core pass.

--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -3,10 +3,10 @@
 //! An upstream reports its state periodically. Between reports the agent infers its health from its
 //! answers: a running upstream answers every opening segment at once, at least with a bounce.
 
-mod challenger;
+mod candidate;
 
 use {
-    self::challenger::{Challenger, RunId},
+    self::candidate::{Candidate, RunId},
     crate::{
         ids::Incarnation,
         route::Target,
@@ -96,7 +96,7 @@
 impl ReportOutcome {
     /// Returns true if the report may be confirmed to its sender. A sender whose report was ignored
     /// would rely on a state that is not in force, for example on its drain. A report of another
-    /// service is confirmed, since this agent gives its sender no flow.
+    /// service is confirmed, since no flow of that service goes through this agent.
     pub const fn is_confirmed(self) -> bool {
         match self {
             Self::Unchanged | Self::Changed | Self::Reborn | Self::Foreign => true,
@@ -134,7 +134,7 @@
     interval: Span,
     run: Option<Run>,
     /// A run that may have replaced the known one although it appears to be older.
-    challenger: Option<Challenger>,
+    candidate: Option<Candidate>,
     /// Runs that appear to be newer than the known one, which has replaced them.
     replaced: Vec<RunId>,
     silence: Silence,
@@ -183,7 +183,7 @@
             target,
             interval,
             run: None,
-            challenger: None,
+            candidate: None,
             replaced: Vec::new(),
             silence: Silence::None,
             last_heard: Moment::default(),
@@ -216,9 +216,9 @@
                 self.begin_run(report, age, now);
                 return ReportOutcome::Reborn;
             }
-            return self.handle_challenger(report, age, now);
+            return self.handle_candidate(report, age, now);
         }
-        self.challenger = None;
+        self.candidate = None;
         if report.number <= known.number || run.departed {
             return ReportOutcome::Late;
         }
@@ -233,22 +233,22 @@
     /// Processes a report of a run that appears to have started before the known one, or that was
     /// replaced. It becomes the known run once its own reports show that it is running, the known run
     /// sends none, and the port has answered meanwhile.
-    fn handle_challenger(
+    fn handle_candidate(
         &mut self,
         report: UpstreamReport,
         age: Option<Span>,
         now: Moment,
     ) -> ReportOutcome {
-        let challenger = self.challenger.take().filter(|known| known.run == RunId::of(&report));
-        let mut challenger = challenger.unwrap_or_else(|| Challenger::new(&report, now));
-        let is_next = report.number > challenger.number;
-        challenger.number = challenger.number.max(report.number);
+        let candidate = self.candidate.take().filter(|known| known.run == RunId::of(&report));
+        let mut candidate = candidate.unwrap_or_else(|| Candidate::new(&report, now));
+        let is_next = report.number > candidate.number;
+        candidate.number = candidate.number.max(report.number);
         let is_proven = is_next
-            && now.since(challenger.first_seen) >= self.min_confirmed_interval()
-            && self.last_heard > challenger.first_seen
+            && now.since(candidate.first_seen) >= self.min_confirmed_interval()
+            && self.last_heard > candidate.first_seen
             && self.has_stopped_reporting(now);
         if !is_proven {
-            self.challenger = Some(challenger);
+            self.candidate = Some(candidate);
             return ReportOutcome::Late;
         }
         self.begin_run(report, age, now);
@@ -412,7 +412,7 @@
             && report.number <= FIRST_REPORT
             && age.is_some_and(|age| age < self.min_confirmed_interval());
         let age = age.unwrap_or(UNKNOWN_AGE);
-        self.challenger = None;
+        self.candidate = None;
         self.replaced.extend(self.run.as_ref().map(|previous| RunId::of(&previous.report)));
         self.replaced.retain(|replaced| {
             replaced.incarnation >= report.incarnation && *replaced != RunId::of(&report)
--- a/yuccacroft-core/src/upstream/challenger.rs
+++ b/yuccacroft-core/src/upstream/candidate.rs
@@ -17,7 +17,7 @@
 /// Either its reports are late, and it has ended, or the wall clock was set back before it started.
 /// Late reports end, while a running upstream goes on reporting.
 #[derive(Clone, Debug)]
-pub(super) struct Challenger {
+pub(super) struct Candidate {
     pub run: RunId,
     /// The number of its latest report.
     pub number: ReportNumber,
@@ -32,7 +32,7 @@
     }
 }
 
-impl Challenger {
+impl Candidate {
     /// Creates the state of a run at its first report.
     pub fn new(report: &UpstreamReport, now: Moment) -> Self {
         Self { run: RunId::of(report), number: report.number, first_seen: now }
