--- a/yuccacroft-segment/src/agent/controllers.rs
+++ b/yuccacroft-segment/src/agent/controllers.rs
@@ -55,7 +55,7 @@
             }
             self.relay.tick(now);
             if tick.is_every(METRICS_TICKS) {
-                self.relay.update_metrics();
+                self.relay.update_metrics(now);
                 self.relay.flow_log.flush(now);
             }
             self.update_silence();
--- a/yuccacroft-segment/src/agent/relay/status.rs
+++ b/yuccacroft-segment/src/agent/relay/status.rs
@@ -13,6 +13,10 @@
 const ACTIVE_REQUESTS_METRIC: &str = "yuccacroft_agent_active_requests";
 /// Metric: number of requests that wait for the upstream.
 const WAITING_REQUESTS_METRIC: &str = "yuccacroft_agent_waiting_requests";
+/// Metric: 1 while the failure domain of the agent is evacuated.
+const EVACUATED_METRIC: &str = "yuccacroft_agent_evacuated";
+/// Metric: number of further flows that the upstream takes now; infinite without a limit.
+const ROOM_METRIC: &str = "yuccacroft_agent_room";
 /// Metric: number of datagrams, labelled with direction and kind.
 const MESSAGES_METRIC: &str = "yuccacroft_agent_messages_total";
 /// Metric: bytes of datagrams without the headers of IP and UDP, labelled with direction and kind.
@@ -53,10 +57,20 @@
     }
 
     /// Updates the gauges and the counters of messages.
-    pub fn update_metrics(&self) {
+    pub fn update_metrics(&self, now: Moment) {
         metrics::gauge!(OPEN_FLOWS_METRIC).set(f64::from(self.state.table.open_flows().get()));
         metrics::gauge!(ACTIVE_REQUESTS_METRIC).set(f64::from(self.state.table.active_requests()));
         metrics::gauge!(WAITING_REQUESTS_METRIC).set(self.state.backlog().len() as f64);
+        if self.state.requirements.places {
+            self.update_limit_gauges(now);
+        }
         self.traffic.take(MESSAGES_METRIC, MESSAGE_BYTES_METRIC);
     }
+
+    fn update_limit_gauges(&self, now: Moment) {
+        let is_evacuated = self.state.evacuation().is_evacuated();
+        metrics::gauge!(EVACUATED_METRIC).set(f64::from(u8::from(is_evacuated)));
+        let room = self.state.room(now).map_or(f64::INFINITY, |room| f64::from(room.get()));
+        metrics::gauge!(ROOM_METRIC).set(room);
+    }
 }
