Count no queue of one upstream against the room of its domain

The queue of a single upstream raised the utilization of its whole domain, so that the domain took no flows. The requests in progress of a member now count up to its slots.

--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -425,8 +425,8 @@
 
     /// Returns up to `count` members of a service for a new flow, by ascending cost. Members that
     /// may be unreachable come last. With a plan for the service those come first that are on the
-    /// side to which the plan sends the flow, see [`spill_over`](crate::spill_over). It compares the members that take flows and follow the key on
-    /// the ring of the service.
+    /// side to which the plan sends the flow, see [`spill_over`](crate::spill_over). It compares the
+    /// members that take flows and follow the key on the ring of the service.
     pub fn choose(
         &self,
         target: Target,
--- a/yuccacroft-core/src/pool/supply.rs
+++ b/yuccacroft-core/src/pool/supply.rs
@@ -148,7 +148,8 @@
         let slots = member.effective_slots();
         let wait = member.measures.map_or(Span::ZERO, |(measures, _)| measures.wait);
         sum.slots += slots;
-        sum.busy += f64::from(load.busy.get()) / HUNDRED;
+        // A queue at one upstream takes no room at the others.
+        sum.busy += (f64::from(load.busy.get()) / HUNDRED).min(slots);
         sum.service_time += slots * load.service_time.as_micros() as f64;
         sum.wait += slots * wait.as_micros() as f64;
         sum.round_trips.extend(member.answer.map(|answer| answer.delay));
--- a/yuccacroft-core/src/spill_over.rs
+++ b/yuccacroft-core/src/spill_over.rs
@@ -17,7 +17,7 @@
 };
 
 /// Utilization up to which a domain serves its own callers only at home, and up to which it takes
-/// flows of other domains. The rest is kept for changes of its own demand within the age of news.
+/// flows of other domains. The rest is kept for changes of its own demand until reports show them.
 const ROOM_UTILIZATION: f64 = 0.75;
 /// Part of the latency objective that a flow has to gain before it leaves its domain. A smaller
 /// gain makes no difference to the caller.
@@ -40,7 +40,7 @@
 const SETTLING_TIME: Span = Span::from_millis(1_000);
 /// Time over which the share moves towards its target.
 const RESPONSE_TIME: Span = Span::from_millis(500);
-/// Maximum change of the share per second. With news one second old, what is sent too much stays
+/// Maximum change of the share per second. With reports one second old, what is sent too much stays
 /// below the room that the other domains keep.
 const MAX_RATE_PER_SECOND: f64 = 0.25;
 /// Share below which nothing is sent.
@@ -118,9 +118,9 @@
     updated_at: Option<Moment>,
 }
 
-/// The other domains that have room, as one.
+/// The receivers taken together.
 #[derive(Clone, Copy, Debug, Default)]
-struct Refuge {
+struct Destination {
     /// The lowest expected wait with all that a flow loses by the longer way, in microseconds.
     best_time: f64,
     /// The requests in progress that fit in. It is negative if the domains have too many.
@@ -175,14 +175,14 @@
         let elapsed = self.elapsed(now);
         self.settled += (self.share - self.settled) * fraction(elapsed, SETTLING_TIME);
         self.receivers = self.choose_receivers(others);
-        let refuge = Refuge::new(home, others, &self.receivers);
-        let target = home.map_or(1.0, |home| self.target(home, &refuge, others.len(), terms));
+        let destination = Destination::new(home, others, &self.receivers);
+        let target = home.map_or(1.0, |home| self.target(home, &destination, others.len(), terms));
         let returning_share = self.returning_share(home, others, elapsed);
         let started_at = *self.started_at.get_or_insert(now);
         if now.since(started_at) < SETTLING_TIME {
             // No load shows the demand yet, so the slots at home decide.
             self.share = returning_share;
-            return self.plan(home, &refuge);
+            return self.plan(home, &destination);
         }
         // The demand that returns with the upstreams does not show in their load before.
         let target = target.max(returning_share.min(self.share));
@@ -192,7 +192,7 @@
         if target <= 0.0 && self.share < MIN_SHARE {
             self.share = 0.0;
         }
-        self.plan(home, &refuge)
+        self.plan(home, &destination)
     }
 
     /// Returns the share that has to leave while upstreams at home are missing, if the demand is as
@@ -236,7 +236,13 @@
 
     /// Returns the share at which the home domain is as busy as is best for its callers, as far as
     /// the others have room.
-    fn target(&self, home: &Supply, refuge: &Refuge, others: usize, terms: &Terms) -> f64 {
+    fn target(
+        &self,
+        home: &Supply,
+        destination: &Destination,
+        others: usize,
+        terms: &Terms,
+    ) -> f64 {
         let settled = self.settled.min(MAX_SETTLED_SHARE);
         let demand = home.utilization() * home.slots / (1.0 - settled);
         if demand <= 0.0 {
@@ -244,30 +250,31 @@
         }
         let min_gain =
             micros(terms.crossing_price) + micros(terms.objective) / MIN_GAIN_DIVISOR as f64;
-        let max_wait = (refuge.best_time + min_gain).max(0.0);
+        let max_wait = (destination.best_time + min_gain).max(0.0);
         let best_utilization =
             utilization_at(max_wait, micros(home.service_time)).max(ROOM_UTILIZATION);
         let excess = demand - best_utilization * home.slots;
         // All other domains may need the same room, and each decides alone.
         let kept = settled * demand * (1.0 - YIELD_FRACTION);
-        let limit = kept + refuge.room / others.max(1) as f64;
+        let limit = kept + destination.room / others.max(1) as f64;
         (excess.min(limit) / demand).clamp(0.0, 1.0)
     }
 
-    fn plan(&self, home: Option<&Supply>, refuge: &Refuge) -> Plan {
-        let remote_wait = refuge.best_time + home.map_or(0.0, |home| micros(home.service_time));
+    fn plan(&self, home: Option<&Supply>, destination: &Destination) -> Plan {
+        let remote_wait =
+            destination.best_time + home.map_or(0.0, |home| micros(home.service_time));
         let inputs = Inputs {
             home_wait: home.map(|home| span(home.expected_wait())),
             remote_wait: (!self.receivers.is_empty()).then(|| span(remote_wait.max(0.0))),
             home_utilization: home.map_or(0.0, Supply::utilization),
-            room: refuge.room,
+            room: destination.room,
         };
         let share = Share::new((self.share * THOUSAND).round() as u32);
         Plan { share, receivers: self.receivers.clone().into(), inputs }
     }
 }
 
-impl Refuge {
+impl Destination {
     fn new(home: Option<&Supply>, others: &[(&Domain, Supply)], receivers: &[Domain]) -> Self {
         let home = home.copied().unwrap_or_default();
         let time = |supply: &Supply| {
--- a/yuccacroft-core/tests/spill_over.rs
+++ b/yuccacroft-core/tests/spill_over.rs
@@ -24,7 +24,7 @@
 const TERMS: Terms =
     Terms { objective: Span::from_millis(250), crossing_price: Span::from_millis(0) };
 
-/// Failure domains whose balancers learn the loads with a delay.
+/// Failure domains whose balancers get the loads with a delay.
 struct World {
     now: Moment,
     /// The requests in progress that the callers of each domain would cause at free upstreams.
@@ -35,7 +35,7 @@
     /// The work that is offered to each domain.
     offered: [f64; DOMAINS],
     /// The loads that balancers do not know yet, oldest first.
-    news: VecDeque<[f64; DOMAINS]>,
+    reports: VecDeque<[f64; DOMAINS]>,
     balancers: Vec<Vec<Controller>>,
     plans: Vec<Vec<Plan>>,
 }
@@ -45,7 +45,7 @@
 }
 
 impl World {
-    fn new(demand: [f64; DOMAINS], slots: [f64; DOMAINS], news_age: usize) -> Self {
+    fn new(demand: [f64; DOMAINS], slots: [f64; DOMAINS], report_age: usize) -> Self {
         let controllers = vec![Controller::default(); BALANCERS_PER_DOMAIN];
         Self {
             now: Moment::new(1_000_000),
@@ -53,7 +53,7 @@
             slots,
             busy: [0.0; DOMAINS],
             offered: demand,
-            news: vec![[0.0; DOMAINS]; news_age].into(),
+            reports: vec![[0.0; DOMAINS]; report_age].into(),
             balancers: vec![controllers; DOMAINS],
             plans: vec![vec![Plan::default(); BALANCERS_PER_DOMAIN]; DOMAINS],
         }
@@ -72,8 +72,8 @@
             let in_progress = self.offered[domain].min(self.slots[domain]);
             self.busy[domain] += (in_progress - self.busy[domain]) / MEAN_STEPS;
         }
-        self.news.push_back(self.busy);
-        let known = self.news.pop_front().unwrap();
+        self.reports.push_back(self.busy);
+        let known = self.reports.pop_front().unwrap();
         let names = domains();
         let supply = |domain: usize| Supply {
             slots: self.slots[domain],
@@ -137,25 +137,25 @@
 /// Guards against crossing bytes on a day without a shortage, whatever the differences in load.
 #[test]
 fn nothing_leaves_while_each_domain_has_room() {
-    for news_age in [0, 2, 10] {
-        let mut world = World::new([65.0, 20.0, 40.0], [100.0; DOMAINS], news_age);
+    for report_age in [0, 2, 10] {
+        let mut world = World::new([65.0, 20.0, 40.0], [100.0; DOMAINS], report_age);
         world.run(20, |world| assert_eq!(world.senders(), 0));
     }
 }
 
 /// Guards against callers that wait in a full domain while the others have room, and against too
-/// much in sum where many balancers decide alone with news one second old.
+/// much in sum where many balancers decide alone with reports one second old.
 #[test]
 fn a_domain_that_is_short_sends_its_excess() {
-    for news_age in [0, 2, 10] {
-        let mut world = World::new([130.0, 40.0, 40.0], [100.0; DOMAINS], news_age);
+    for report_age in [0, 2, 10] {
+        let mut world = World::new([130.0, 40.0, 40.0], [100.0; DOMAINS], report_age);
         world.run(15, |world| {
             assert_eq!((world.share(1), world.share(2)), (0.0, 0.0));
             assert!(world.utilization(1).max(world.utilization(2)) < 1.0, "a receiver is full");
         });
         assert!(
             (0.7..0.95).contains(&world.utilization(0)),
-            "{news_age}: {}",
+            "{report_age}: {}",
             world.utilization(0)
         );
     }
@@ -173,8 +173,8 @@
 /// against two domains that send to each other.
 #[test]
 fn callers_that_move_cause_no_swing() {
-    for news_age in [2, 10] {
-        let mut world = World::new([60.0; DOMAINS], [100.0; DOMAINS], news_age);
+    for report_age in [2, 10] {
+        let mut world = World::new([60.0; DOMAINS], [100.0; DOMAINS], report_age);
         world.run(5, |_| ());
         world.demand = [105.0, 37.0, 38.0];
         world.run(10, |world| assert!(world.share(1) + world.share(2) == 0.0));
@@ -182,10 +182,10 @@
         world.run(20, |world| {
             (least, most) = (least.min(world.share(0)), most.max(world.share(0)));
         });
-        assert!(most - least < 0.05, "{news_age}: the share swings between {least} and {most}");
+        assert!(most - least < 0.05, "{report_age}: the share swings between {least} and {most}");
         world.demand = [60.0; DOMAINS];
         world.run(15, |_| ());
-        assert_eq!(world.senders(), 0, "{news_age}");
+        assert_eq!(world.senders(), 0, "{report_age}");
     }
 }
 
@@ -236,14 +236,14 @@
 /// Guards against two short domains that both fill the room of the third one.
 #[test]
 fn two_short_domains_share_the_room_of_the_third() {
-    for news_age in [2, 10] {
-        let mut world = World::new([120.0, 110.0, 30.0], [100.0; DOMAINS], news_age);
+    for report_age in [2, 10] {
+        let mut world = World::new([120.0, 110.0, 30.0], [100.0; DOMAINS], report_age);
         world.run(10, |world| assert!(world.utilization(2) < 1.0));
         world.run(10, |world| {
             assert!((0.6..0.85).contains(&world.utilization(2)), "{}", world.utilization(2));
         });
         let [one, other] = [0, 1].map(|domain| world.share(domain) * world.demand[domain]);
-        assert!((0.7..1.4).contains(&(one / other)), "{news_age}: {one} and {other} leave");
+        assert!((0.7..1.4).contains(&(one / other)), "{report_age}: {one} and {other} leave");
     }
 }
 
