Search for owners at home first, and take late flows elsewhere

With the requirement `health` flows are kept in their failure domain, and all members at home are compared.

Three agents at home pass on a flow whose request would be late; two members of the other side of the plan come next on its list, so a short domain sends flows away within a round trip, while the plan needs seconds.

--- a/yuccacroft-bench/src/requests/queues.rs
+++ b/yuccacroft-bench/src/requests/queues.rs
@@ -166,7 +166,7 @@
             self.adjust_credits(delay);
             return Some(Next::Start(index));
         }
-        match self.backlog.release(self.service_time().mean, now)? {
+        match self.backlog.release(self.service_time(), now)? {
             Release::Start(key, _) => self.indexes.remove(&key).map(Next::Start),
             Release::Expired(key) => self.indexes.remove(&key).map(Next::Drop),
         }
--- a/yuccacroft-core/src/handshake/offer.rs
+++ b/yuccacroft-core/src/handshake/offer.rs
@@ -9,6 +9,10 @@
 /// Maximum number of agents that one opening segment visits.
 pub const MAX_HOPS: u8 = 8;
 
+/// Number of agents that pass a flow on because its request would be late. When all of them are busy,
+/// further ones are as well, and each hop takes the time of one more agent.
+pub const MAX_LATE_HOPS: u8 = 3;
+
 /// The route of an opening segment through the candidate agents.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Offer {
--- a/yuccacroft-core/src/ini.rs
+++ b/yuccacroft-core/src/ini.rs
@@ -24,6 +24,29 @@
     faults: Vec<Fault>,
 }
 
+/// A value that replaces or adds one of the text, such as `process.grace=6 s`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Override {
+    section: Box<str>,
+    key: Box<str>,
+    value: Box<str>,
+}
+
+impl FromStr for Override {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let split = || {
+            let (location, value) = text.split_once('=')?;
+            let (section, key) = location.split_once('.')?;
+            (!section.is_empty() && !key.is_empty()).then_some((section, key, value))
+        };
+        let (section, key, value) =
+            split().ok_or_else(|| Error::expected("a setting such as process.grace=6 s", text))?;
+        Ok(Self { section: section.into(), key: key.into(), value: value.trim().into() })
+    }
+}
+
 impl Reader {
     /// Parses a text. `source` identifies it in faults, for example by its file name.
     pub fn new(source: &str, text: &str) -> Result<Self> {
@@ -41,6 +64,15 @@
         Ok(reader)
     }
 
+    /// Replaces or adds values. An override with an empty value is ignored, since a platform that fills
+    /// in command lines leaves out what it does not know.
+    pub fn with_overrides(mut self, overrides: &[Override]) -> Self {
+        for Override { section, key, value } in overrides.iter().filter(|o| !o.value.is_empty()) {
+            self.ini.set_to(Some(&**section), key.to_string(), value.to_string());
+        }
+        self
+    }
+
     /// Returns the names of all sections in the order of the text.
     pub fn sections(&self) -> Vec<Box<str>> {
         self.ini.sections().flatten().map(Box::from).collect()
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -33,6 +33,7 @@
     crate::{
         evacuation::Evacuations,
         flow::{AgentId, FlowKey},
+        handshake::MAX_LATE_HOPS,
         ids::{Domain, Instance, Revision},
         requirements::Requirements,
         route::Target,
@@ -70,6 +71,13 @@
     EvidenceVersion(u64), "an evidence version"
 }
 
+/// Number of members on the other side of a plan that a flow may be passed on to before the rest of
+/// its own side.
+const OTHER_SIDE_CANDIDATES: usize = 2;
+
+/// The order of members for one flow: reachability, side of the plan and cost.
+type MemberRank = (Reachability, Rank, Span);
+
 /// The number of members of each reachability.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReachabilityCounts {
@@ -103,6 +111,8 @@
     evidence_version: AtomicU64,
     indirect_limit: Limit,
     requirements: Requirements,
+    /// The failure domain of this process, if flows are kept in their domain.
+    home: Option<Domain>,
     evacuations: RwLock<Evacuations>,
     spill_over: SpillOver,
 }
@@ -118,6 +128,13 @@
         Self { requirements, ..self }
     }
 
+    /// Sets the failure domain of this process. With the requirement `health` flows are kept there, as
+    /// far as the spill-over allows.
+    pub fn with_domain(self, domain: Domain) -> Self {
+        let home = self.requirements.health.then_some(domain);
+        Self { home, ..self }
+    }
+
     /// Returns the requirements of the deployment.
     pub fn requirements(&self) -> Requirements {
         self.requirements
@@ -499,6 +516,9 @@
             costs.truncate(PLACEMENT_WINDOW);
         }
         costs.sort_unstable();
+        if plan.is_some() {
+            advance_other_side(&mut costs);
+        }
         costs.into_iter().map(|(_, instance)| instance).take(count).collect()
     }
 
@@ -584,9 +604,21 @@
     }
 
     /// Returns the members of a service that own the flow of this key if none of them has joined or
-    /// left lately.
+    /// left lately. Where flows are kept in their failure domain, these are the members at home: their
+    /// number is a fraction of the service's, and after a restart of all agents each costs a probe.
     pub fn likely_owners(&self, target: Target, key: FlowKey) -> Vec<Instance> {
-        self.window(target, key, 0, SEARCH_WINDOW)
+        let at_home = self.home.as_ref().map(|home| self.members_at_home(target, key, home));
+        at_home
+            .filter(|members| !members.is_empty())
+            .unwrap_or_else(|| self.window(target, key, 0, SEARCH_WINDOW))
+    }
+
+    fn members_at_home(&self, target: Target, key: FlowKey, home: &Domain) -> Vec<Instance> {
+        let is_at_home = |instance: &Instance| {
+            self.members.read(instance, |member| member.is_some_and(|m| m.entry.domain == *home))
+        };
+        let members = self.window(target, key, 0, MAX_PLACEMENT_SCAN);
+        members.into_iter().filter(is_at_home).take(SEARCH_WINDOW).collect()
     }
 
     /// Returns up to `count` members of a service that follow the position of a key on its ring,
@@ -606,3 +638,16 @@
         members_by_service.entry(target).or_default().insert(instance);
     }
 }
+
+/// Puts a few members of the other side of a plan behind the first ones of the flow's side. A flow
+/// whose request would be late at all of these is then taken on the other side at once, while the
+/// plan needs seconds to follow a change of the demand.
+fn advance_other_side(members: &mut [(MemberRank, Instance)]) {
+    let is_own_side = |((_, rank, _), _): &(MemberRank, Instance)| *rank == Rank::First;
+    let start = usize::from(MAX_LATE_HOPS);
+    let Some(other) = members.iter().position(|member| !is_own_side(member)) else { return };
+    if other > start {
+        let end = members.len().min(other + OTHER_SIDE_CANDIDATES);
+        members[start..end].rotate_left(other - start);
+    }
+}
--- a/yuccacroft-core/tests/pool.rs
+++ b/yuccacroft-core/tests/pool.rs
@@ -7,6 +7,7 @@
         AgentEntry, AgentLoad, AgentPhase, Measures, Pool, Reachability, ReachabilityCounts,
         UpsertResult,
     },
+    requirements::Requirements,
     route::{ServiceName, Target},
     time::{Moment, Span},
     units::{Connections, Percent, Slots},
@@ -597,3 +598,19 @@
     pool.record_load(entry(2, 1, 1).agent_id, load(3, 20), START);
     assert!((0..100).all(|key| first(&pool, key, START) == Some(instance(2))));
 }
+
+/// Guards against probes of all members after a restart of all agents: flows are kept in their failure
+/// domain, so their owners are asked there first.
+#[test]
+fn members_at_home_are_the_likely_owners_where_flows_stay_at_home() {
+    let pool = Pool::new()
+        .with_requirements(Requirements { health: true, ..Requirements::default() })
+        .with_domain(domain("b"));
+    (1..=30).for_each(|number| {
+        let at = if number <= 10 { "b" } else { "a" };
+        pool.upsert(AgentEntry { domain: domain(at), ..entry(number, 1, 1) }, START);
+    });
+    let mut likely = pool.likely_owners(target(), FlowKey::new(7));
+    likely.sort_unstable();
+    assert_eq!(likely, (1..=10).map(instance).collect::<Vec<_>>());
+}
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -17,7 +17,7 @@
         backlog::Backlog,
         evacuation::Status,
         filter::{Filter, FilterChain, Verdict},
-        handshake::{self, Decision, FlowTable, ForwardReason, Offer},
+        handshake::{self, Decision, FlowTable, ForwardReason, MAX_LATE_HOPS, Offer},
         limits::{Limiter, Tolerance, UpstreamState},
         outcome::Record,
         requirements::Requirements,
@@ -41,9 +41,6 @@
 /// Number of agents that pass a flow on because its request would wait although it would be on time.
 /// The balancer's first choices are the best ones, as far as it knows.
 const MAX_BUSY_HOPS: u8 = 2;
-/// Number of agents that pass a flow on because its request would be late. When all of them are busy,
-/// further ones are as well, and each hop takes the time of one more agent.
-const MAX_LATE_HOPS: u8 = 3;
 /// Slots that are assumed until the upstream reports its number. Responses report it as well, so the
 /// number is known after the first one.
 const DEFAULT_SLOTS: Slots = Slots::new(2);
@@ -283,7 +280,7 @@
         match outlook {
             Outlook::OnTime if offer.is_last() || offer.hops >= MAX_BUSY_HOPS => true,
             Outlook::OnTime => workload.wait() <= service.mean,
-            Outlook::Late => (offer.is_last() || offer.hops >= MAX_LATE_HOPS) && !is_lasting,
+            Outlook::Late => offer.is_last() || offer.hops >= MAX_LATE_HOPS,
             Outlook::Hopeless => false,
         }
     }
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -120,7 +120,9 @@
     pub fn new(format: F, setup: Setup<S>, clock: BootClock, flow_log: FlowLog) -> Self {
         let (table, pool) = (
             Arc::new(SteeringTable::new()),
-            Arc::new(Pool::new().with_requirements(setup.requirements)),
+            Arc::new(
+                Pool::new().with_requirements(setup.requirements).with_domain(setup.domain.clone()),
+            ),
         );
         let current_routes = Arc::new(CurrentRoutes::default());
         let chain = chain::build_chain(
--- a/yuccacroft/src/cli/check.rs
+++ b/yuccacroft/src/cli/check.rs
@@ -69,14 +69,14 @@
         Ok(FileKind::Contract)
     } else if reader.has_section("service") || reader.has_section("upstream") {
         if reader.has_section(SECTION) {
-            segment::read_agent(file)?;
+            segment::read_agent(file, &[])?;
         } else {
             settings::read_agent(file)?;
         }
         Ok(FileKind::Agent)
     } else {
         if reader.has_section(SECTION) {
-            segment::read_balancer(file)?;
+            segment::read_balancer(file, &[])?;
         } else {
             settings::read_balancer(file)?;
         }
--- a/yuccacroft/src/cli/role.rs
+++ b/yuccacroft/src/cli/role.rs
@@ -12,6 +12,7 @@
     tokio::signal::unix::{Signal, SignalKind, signal},
     yuccacroft_agent::process as agent,
     yuccacroft_balancer::process as balancer,
+    yuccacroft_core::ini::Override,
     yuccacroft_platform::SETTINGS_VARIABLE,
     yuccacroft_rpc::admin,
 };
@@ -23,6 +24,10 @@
     /// the settings file; by default the one named by the platform's environment variable
     #[argh(option)]
     settings: Option<PathBuf>,
+    /// a setting of the segment front end that goes before the file's, as SECTION.KEY=VALUE; an
+    /// empty value is ignored
+    #[argh(option)]
+    set: Vec<Override>,
 }
 
 /// Run the agent of an upstream until SIGTERM or SIGINT.
@@ -32,6 +37,10 @@
     /// the settings file; by default the one named by the platform's environment variable
     #[argh(option)]
     settings: Option<PathBuf>,
+    /// a setting of the segment front end that goes before the file's, as SECTION.KEY=VALUE; an
+    /// empty value is ignored
+    #[argh(option)]
+    set: Vec<Override>,
 }
 
 impl Balancer {
@@ -39,7 +48,7 @@
     pub async fn run(self) -> Result<()> {
         let file = settings_file(self.settings)?;
         if settings::open_ini(&file)?.has_section(settings::segment::SECTION) {
-            return segment::run_balancer(&file).await;
+            return segment::run_balancer(&file, &self.set).await;
         }
         let (settings, access) = settings::read_balancer(&file)?;
         admin::install_metrics_recorder();
@@ -60,7 +69,7 @@
     pub async fn run(self) -> Result<()> {
         let file = settings_file(self.settings)?;
         if settings::open_ini(&file)?.has_section(settings::segment::SECTION) {
-            return segment::run_agent(&file).await;
+            return segment::run_agent(&file, &self.set).await;
         }
         let (settings, access) = settings::read_agent(&file)?;
         admin::install_metrics_recorder();
--- a/yuccacroft/src/cli/segment.rs
+++ b/yuccacroft/src/cli/segment.rs
@@ -11,7 +11,7 @@
     slog::{Level, Logger, info, warn},
     std::{net::SocketAddrV4, path::Path, time::Duration},
     tokio::signal::unix::{SignalKind, signal},
-    yuccacroft_core::ini,
+    yuccacroft_core::ini::{self, Override},
     yuccacroft_platform::Platform,
     yuccacroft_rpc::admin,
     yuccacroft_segment::{
@@ -25,8 +25,8 @@
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Runs a balancer until a shutdown signal.
-pub async fn run_balancer(file: &Path) -> Result<()> {
-    let (settings, metrics) = settings::read_balancer(file)?;
+pub async fn run_balancer(file: &Path, overrides: &[Override]) -> Result<()> {
+    let (settings, metrics) = settings::read_balancer(file, overrides)?;
     admin::install_metrics_recorder();
     let (log, _flush_guard) = logs::logger(Level::Info, &settings.name.to_string());
     let shutdown = ShutdownSignals::new()?;
@@ -36,16 +36,17 @@
     tokio::select! {
         () = shutdown.received() => {}
         error = serving.failed() => return Err(Error::Segment(error)),
-        never = watch_settings(&log, file, || settings::read_balancer(file).map(|_| ())) =>
-            match never? {},
+        never = watch_settings(&log, file, || {
+            settings::read_balancer(file, overrides).map(|_| ())
+        }) => match never? {},
     }
     serving.drain().stop().await;
     Ok(())
 }
 
 /// Runs an agent until a shutdown signal.
-pub async fn run_agent(file: &Path) -> Result<()> {
-    let (settings, metrics) = settings::read_agent(file)?;
+pub async fn run_agent(file: &Path, overrides: &[Override]) -> Result<()> {
+    let (settings, metrics) = settings::read_agent(file, overrides)?;
     admin::install_metrics_recorder();
     let (log, _flush_guard) = logs::logger(Level::Info, &settings.name.to_string());
     let shutdown = ShutdownSignals::new()?;
@@ -55,8 +56,9 @@
     tokio::select! {
         () = shutdown.received() => {}
         error = serving.failed() => return Err(Error::Segment(error)),
-        never = watch_settings(&log, file, || settings::read_agent(file).map(|_| ())) =>
-            match never? {},
+        never = watch_settings(&log, file, || {
+            settings::read_agent(file, overrides).map(|_| ())
+        }) => match never? {},
     }
     serving.drain().stop().await;
     Ok(())
--- a/yuccacroft/src/settings/segment.rs
+++ b/yuccacroft/src/settings/segment.rs
@@ -5,7 +5,11 @@
     crate::errors::Result,
     std::{net::SocketAddrV4, path::Path},
     yuccacroft_core::{
-        ini::Reader, limits::Tolerance, requirements::Requirements, time::Span, units::Percent,
+        ini::{Override, Reader},
+        limits::Tolerance,
+        requirements::Requirements,
+        time::Span,
+        units::Percent,
     },
     yuccacroft_segment::{agent, balancer},
 };
@@ -23,8 +27,11 @@
 const MIN_GRACE: Span = Span::from_secs(2);
 
 /// Reads the settings of a balancer and the address of its metrics, if it serves them.
-pub fn read_balancer(file: &Path) -> Result<(balancer::Settings, Option<SocketAddrV4>)> {
-    let mut reader = open_ini(file)?;
+pub fn read_balancer(
+    file: &Path,
+    overrides: &[Override],
+) -> Result<(balancer::Settings, Option<SocketAddrV4>)> {
+    let mut reader = open_ini(file)?.with_overrides(overrides);
     let name = reader.required("process", "name", "a process name");
     let domain = reader.required("process", "domain", "a failure domain");
     let segments = read_address(&mut reader, SECTION, "listen");
@@ -54,8 +61,11 @@
 }
 
 /// Reads the settings of an agent and the address of its metrics, if it serves them.
-pub fn read_agent(file: &Path) -> Result<(agent::Settings, Option<SocketAddrV4>)> {
-    let mut reader = open_ini(file)?;
+pub fn read_agent(
+    file: &Path,
+    overrides: &[Override],
+) -> Result<(agent::Settings, Option<SocketAddrV4>)> {
+    let mut reader = open_ini(file)?.with_overrides(overrides);
     let name = reader.required("process", "name", "a process name");
     let domain = reader.required("process", "domain", "a failure domain");
     let default = Tolerance::default();
