Read the change as a newcomer: names, doc comments and small faults

Renamed what was figurative (`AcceptedFlows`, `PastTimeout`, `DomainOrder`), corrected doc comments that were wrong for the code, and removed two public functions without callers.

Faults found by that reading, by reading only: an evacuation whose value cannot be read was not seen although its key alone counts; without room the agent passed on a copy of an opening segment that its upstream may still accept; silent members counted as capacity when outliers were compared; the tail of service times could rest on one sample of a new window; shares of failures from a malformed message were not bounded.

--- a/yuccacroft-bench/src/requests/queues.rs
+++ b/yuccacroft-bench/src/requests/queues.rs
@@ -137,7 +137,7 @@
         match self.kind {
             QueueKind::Backlog | QueueKind::CoDel => true,
             QueueKind::Credits => f64::from(requests) < self.credits,
-            QueueKind::ExpectedWait => outlook != Outlook::Hopeless,
+            QueueKind::ExpectedWait => outlook != Outlook::PastTimeout,
             QueueKind::Overload => {
                 outlook == Outlook::OnTime || outlook == Outlook::Late && !is_lasting
             }
--- a/yuccacroft-core/src/admission/service_times.rs
+++ b/yuccacroft-core/src/admission/service_times.rs
@@ -80,11 +80,12 @@
             .map(|histogram| histogram.mean() * histogram.len() as f64)
             .iter()
             .sum::<f64>();
-        let tails = [&self.current, &self.previous]
+        // A window that has just begun shows no tail.
+        let windows = [&self.current, &self.previous].into_iter();
+        let tails = windows
+            .filter(|histogram| histogram.len() >= MIN_SAMPLES)
             .map(|histogram| histogram.value_at_quantile(TAIL_QUANTILE));
-        ServiceTime {
-            mean: Span::from_micros((sum / count as f64) as u64),
-            tail: Span::from_micros(tails.into_iter().max().unwrap_or_default()),
-        }
+        let mean = Span::from_micros((sum / count as f64) as u64);
+        ServiceTime { mean, tail: tails.max().map_or(mean, Span::from_micros) }
     }
 }
--- a/yuccacroft-core/src/admission/workload.rs
+++ b/yuccacroft-core/src/admission/workload.rs
@@ -1,7 +1,7 @@
 //! The work that goes before a further request at one upstream, and what follows for that request.
 //!
-//! Both front ends judge requests by it: the product's own when a request asks for a slot, the
-//! segment front end when a flow is offered. `docs/design/admission.md` describes the latter.
+//! The request front end uses it when a request asks for a slot, the segment front end when a flow is
+//! offered. `docs/design/admission.md` describes the latter.
 
 use {
     crate::{
@@ -40,8 +40,8 @@
     OnTime,
     /// Its response is expected within the timeout.
     Late,
-    /// Its caller will have given up.
-    Hopeless,
+    /// Its response is expected after the timeout, when its caller has given up.
+    PastTimeout,
 }
 
 impl Outlook {
@@ -50,7 +50,7 @@
         match self {
             Self::OnTime => "on time",
             Self::Late => "late",
-            Self::Hopeless => "hopeless",
+            Self::PastTimeout => "past timeout",
         }
     }
 }
@@ -72,7 +72,7 @@
     pub fn outlook(&self, class: &TrafficClass, service: ServiceTime) -> Outlook {
         let wait = self.wait();
         if wait + service.mean > class.timeout {
-            Outlook::Hopeless
+            Outlook::PastTimeout
         } else if wait + service.tail > class.objective {
             Outlook::Late
         } else {
@@ -81,14 +81,14 @@
     }
 }
 
-/// The flows that were accepted just now. Their first requests are still on the way, so nothing else
-/// counts them yet.
+/// Flows that were accepted less than [`FIRST_REQUEST_DELAY`] ago. Their first requests have not
+/// arrived, so no other count includes them.
 #[derive(Clone, Debug, Default)]
-pub struct Announced {
+pub struct AcceptedFlows {
     accepted: VecDeque<Moment>,
 }
 
-impl Announced {
+impl AcceptedFlows {
     /// Records that a flow was accepted.
     pub fn record(&mut self, now: Moment) {
         self.accepted.push_back(now);
--- a/yuccacroft-core/src/backlog.rs
+++ b/yuccacroft-core/src/backlog.rs
@@ -73,7 +73,7 @@
     queues: BTreeMap<(Stage, Priority), BTreeSet<Place>>,
     /// The due times of the requests that count as on time.
     dues: BTreeSet<(Moment, FlowKey)>,
-    /// The timeouts of the requests that are late and count as served in time for their callers.
+    /// The timeouts of the requests in the stage [`Stage::Late`].
     timeouts: BTreeSet<(Moment, FlowKey)>,
     expiries: BTreeSet<(Moment, FlowKey)>,
     bytes: usize,
--- a/yuccacroft-core/src/backlog/shares.rs
+++ b/yuccacroft-core/src/backlog/shares.rs
@@ -3,7 +3,8 @@
 use {crate::route::Priority, std::collections::BTreeMap};
 
 /// Number of requests of a priority that start for each request of the next lower one while both
-/// wait. A lower priority that always has requests waiting gets at least a fifth of the starts.
+/// wait. Of two neighboring priorities that always have requests waiting the lower one gets a fifth
+/// of the starts.
 const WEIGHT_PER_PRIORITY: u64 = 4;
 /// Largest number of priorities by which weights differ, so that the lowest one is not starved.
 const MAX_WEIGHT_STEPS: u8 = 3;
--- a/yuccacroft-core/src/handshake/closed_flow.rs
+++ b/yuccacroft-core/src/handshake/closed_flow.rs
@@ -1,4 +1,4 @@
-//! A closed flow: what its agent still answers for it.
+//! A closed flow, whose late segments its agent still delivers.
 
 use crate::{
     segment::Sequence,
--- a/yuccacroft-core/src/limits.rs
+++ b/yuccacroft-core/src/limits.rs
@@ -76,11 +76,6 @@
     pub const fn from_hundredths(hundredths: u32) -> Self {
         Self(hundredths)
     }
-
-    /// Returns the hundredths of a flow per second.
-    pub const fn hundredths(self) -> u32 {
-        self.0
-    }
 }
 
 impl Display for FlowRate {
@@ -159,7 +154,8 @@
     fn warmup_room(&self, upstream: UpstreamState, now: Moment) -> Option<u32> {
         let rate = match (upstream.is_warming_up, self.limits) {
             (Some(false), _) => return None,
-            // An upstream has warmed up far more often than not when its agent restarts.
+            // Without limits and a report the upstream is taken for warm, as it is at most restarts of
+            // its agent.
             (None, None) => return None,
             // Any rate allows the slack.
             (Some(true), None) => FlowRate::default(),
--- a/yuccacroft-core/src/outcome.rs
+++ b/yuccacroft-core/src/outcome.rs
@@ -51,7 +51,7 @@
     overdue: f64,
     updated_at: Moment,
     /// The end of the time in which silence is no evidence.
-    excused_until: Moment,
+    silence_ignored_until: Moment,
 }
 
 impl Outcome {
@@ -82,7 +82,7 @@
 impl Record {
     /// Records the outcome of one request.
     pub fn record(&mut self, outcome: Outcome, now: Moment) {
-        if outcome == Outcome::Overdue && now < self.excused_until {
+        if outcome == Outcome::Overdue && now < self.silence_ignored_until {
             return;
         }
         *self = self.decayed(now);
@@ -104,7 +104,7 @@
 
     /// Records that the process of the agent was paused or runs late, which delays all responses.
     pub fn record_pause(&mut self, now: Moment) {
-        self.excused_until = now + PAUSE_GRACE_PERIOD;
+        self.silence_ignored_until = now + PAUSE_GRACE_PERIOD;
     }
 
     /// Returns the share of the latest requests that failed, in hundredths.
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -28,7 +28,7 @@
         member::{SUSPICION_TIMEOUT, UNLISTED_GRACE_PERIOD},
         path::{Answer, LOSS_TIMEOUT, Path, Timeliness},
         ring::Ring,
-        supply::{Rank, Side, SpillOver},
+        supply::{DomainOrder, Rank, SpillOver},
     },
     crate::{
         evacuation::Evacuations,
@@ -39,6 +39,7 @@
         route::Target,
         shards::Shards,
         time::{Moment, Span},
+        units::Percent,
     },
     std::{
         collections::HashMap,
@@ -71,6 +72,8 @@
     EvidenceVersion(u64), "an evidence version"
 }
 
+/// Hundredths of a whole.
+const MAX_PERCENT: u32 = 100;
 /// Number of members on the other side of a plan that a flow may be passed on to before the rest of
 /// its own side.
 const OTHER_SIDE_CANDIDATES: usize = 2;
@@ -339,7 +342,9 @@
     pub fn record_measures(&self, agent_id: AgentId, measures: Measures, now: Moment) {
         self.update_member(agent_id.instance, |member| {
             if agent_id.incarnation >= member.entry.agent_id.incarnation {
-                member.measures = Some((measures, now));
+                // A malformed message may contain any number.
+                let failures = measures.failures.min(Percent::new(MAX_PERCENT));
+                member.measures = Some((Measures { failures, ..measures }, now));
             }
         });
     }
@@ -488,7 +493,7 @@
         let plans = self.spill_over.plans();
         let plan = plans.get(&target);
         let viewpoint = Viewpoint { domain, key, now, is_spill_over_planned: plan.is_some() };
-        let side = Side::new(plan, key);
+        let order = DomainOrder::new(plan, key);
         let mut costs = Vec::with_capacity(PLACEMENT_WINDOW);
         for skipped in (0..MAX_PLACEMENT_SCAN).step_by(PLACEMENT_WINDOW) {
             let window = self.window(target, key, skipped, PLACEMENT_WINDOW);
@@ -496,7 +501,7 @@
             costs.extend(window.into_iter().filter_map(|instance| {
                 let cost = |member: &Member| {
                     let cost = member.cost(&viewpoint).ok()?;
-                    let rank = side.rank(&member.entry.domain, domain);
+                    let rank = order.rank(&member.entry.domain, domain);
                     Some((member.reachability(now), rank, cost.total()))
                 };
                 // The address may have been reused for another service.
@@ -530,7 +535,10 @@
         }
         let mut services: HashMap<Target, Vec<outlier::Peer>> = HashMap::new();
         self.for_each(|member| {
-            if let Some(peer) = member.peer() {
+            // A member that is out of reach adds no capacity and reports nothing.
+            if member.reachability(now) == Reachability::Good
+                && let Some(peer) = member.peer()
+            {
                 services.entry(member.entry.target).or_default().push(peer);
             }
         });
--- a/yuccacroft-core/src/pool/cost.rs
+++ b/yuccacroft-core/src/pool/cost.rs
@@ -22,8 +22,9 @@
 const BUSY_COST_FACTOR: u64 = 6;
 /// Service time that is assumed for a member that has not reported one.
 const DEFAULT_SERVICE_TIME: Span = Span::from_millis(20);
-/// Age up to which measures of a member are used. They follow bursts, which older ones do not show.
-const MEASURES_TTL: Span = Span::from_secs(1);
+/// Age up to which the measured wait of a member is used, since it follows bursts. The share of
+/// failures changes slowly and is used at any age.
+const WAIT_TTL: Span = Span::from_secs(1);
 /// Number of hundredths by which the costs of one member differ from flow to flow, so that balancers
 /// with the same information do not all choose the same member.
 const SPREAD_PERCENT: u64 = 16;
@@ -41,7 +42,8 @@
     pub key: FlowKey,
     /// The time of the comparison.
     pub now: Moment,
-    /// Whether a plan decides which flows leave the domain, so that distance has no further cost.
+    /// Whether a plan decides which flows leave the domain. Then another domain costs its round trip
+    /// only.
     pub is_spill_over_planned: bool,
 }
 
@@ -115,7 +117,7 @@
         let load = self.load.map(|(load, _)| load).unwrap_or_default();
         let work = self.work(&load);
         let busy = self.busy(&load, work);
-        let measures = self.measures.filter(|(_, at)| viewpoint.now.since(*at) < MEASURES_TTL);
+        let measures = self.measures.filter(|(_, at)| viewpoint.now.since(*at) < WAIT_TTL);
         let wait = measures.map_or(Span::ZERO, |(measures, _)| measures.wait);
         let mut cost = Cost { work, wait, busy, ..Cost::default() };
         // A probe goes to an ejected member although its failures make it expensive.
@@ -145,7 +147,7 @@
     /// momentary work. The cost grows with the square of the utilization.
     fn busy(&self, load: &AgentLoad, work: Span) -> Span {
         let utilization = u64::from(load.busy.get()) / self.slots();
-        let factor = BUSY_COST_FACTOR * utilization * utilization;
+        let factor = BUSY_COST_FACTOR.saturating_mul(utilization.saturating_mul(utilization));
         Span::from_micros(work.as_micros().saturating_mul(factor) / (HUNDRED * HUNDRED))
     }
 
--- a/yuccacroft-core/src/pool/member.rs
+++ b/yuccacroft-core/src/pool/member.rs
@@ -93,7 +93,7 @@
     pub wait: Span,
     /// The share of the latest requests that the upstream failed.
     pub failures: Percent,
-    /// The number of further flows that an upstream that warms up takes now; `None` without a limit.
+    /// The number of further flows that the upstream takes now; `None` without a limit.
     pub room: Option<Connections>,
 }
 
@@ -255,11 +255,6 @@
         self.load.map(|(load, at)| (load, now.since(at)))
     }
 
-    /// Returns the last reported measures and their age, or `None` if the member has reported none.
-    pub fn measures(&self, now: Moment) -> Option<(Measures, Span)> {
-        self.measures.map(|(measures, at)| (measures, now.since(at)))
-    }
-
     /// Returns the part of the flows that the member gets, by its failures.
     pub fn standing(&self) -> Standing {
         self.standing
--- a/yuccacroft-core/src/pool/outlier.rs
+++ b/yuccacroft-core/src/pool/outlier.rs
@@ -1,8 +1,8 @@
 //! Ejection of upstreams that fail clearly more requests than the others of their service.
 //!
 //! The share of failures that a member reports is compared with the median and the spread of its
-//! peers. So nobody is ejected when all fail alike: then the cause is elsewhere. An ejected member
-//! keeps a small share of the flows as probes, and comes back step by step. See
+//! peers. No member is ejected when all fail alike, because the cause is then none of them. An
+//! ejected member keeps a small share of the flows as probes, and comes back step by step. See
 //! `docs/design/outliers.md`.
 
 use {
@@ -43,8 +43,8 @@
 /// Longest time for which a member stays ejected after repeated ejections. It exceeds the period of
 /// an upstream that restarts over and over.
 const MAX_HOLD: Span = Span::from_secs(16);
-/// Time without an ejection after which the next one is as short as the first.
-const FORGIVENESS_TIME: Span = Span::from_secs(30);
+/// Time after the last change of a standing within which a further ejection lasts twice as long.
+const REPEAT_WINDOW: Span = Span::from_secs(30);
 /// Share of failures, in hundredths, from which on a member adds no capacity: most of its requests have
 /// to be sent again.
 const MAX_USEFUL_FAILURES: u32 = 50;
@@ -84,7 +84,7 @@
     Outlier,
     /// The member fails about as few requests as its peers.
     Recovered,
-    /// The other members have too little capacity without it.
+    /// The other members have too little capacity without it, or too few of them can be compared.
     CapacityNeeded,
 }
 
@@ -170,7 +170,7 @@
     }
 
     fn eject(&mut self, peers: u64, now: Moment) {
-        let is_repeated = self.hold > Span::ZERO && now.since(self.changed_at) < FORGIVENESS_TIME;
+        let is_repeated = self.hold > Span::ZERO && now.since(self.changed_at) < REPEAT_WINDOW;
         let hold = if is_repeated { self.hold.saturating_mul(2) } else { MIN_HOLD };
         *self = Self { step: Some(0), peers, changed_at: now, hold: hold.min(MAX_HOLD) };
     }
@@ -206,7 +206,7 @@
     let mut changes = Vec::new();
     for peer in peers.iter_mut() {
         let Some(failures) = peer.failures else { continue };
-        if let Some(cause) = judge(peer, failures, baseline, &mut capacity, now) {
+        if let Some(cause) = update_standing(peer, failures, baseline, &mut capacity, now) {
             changes.push(baseline.change(peer, failures, cause));
         }
     }
@@ -234,7 +234,7 @@
 }
 
 /// Updates the standing of one member and returns why it has changed.
-fn judge(
+fn update_standing(
     peer: &mut Peer,
     failures: Percent,
     baseline: Baseline,
--- a/yuccacroft-core/src/pool/supply.rs
+++ b/yuccacroft-core/src/pool/supply.rs
@@ -31,13 +31,13 @@
 
 /// The order of failure domains for one flow.
 #[derive(Debug)]
-pub(super) enum Side<'a> {
+pub(super) enum DomainOrder<'a> {
     /// All domains are compared by cost.
-    Any,
+    ByCost,
     /// The flow stays at home if an upstream there takes it.
-    Home,
+    HomeFirst,
     /// The flow leaves for these domains.
-    Away(&'a [Domain]),
+    ReceiversFirst(&'a [Domain]),
 }
 
 /// The position of a failure domain in the order of a flow.
@@ -50,11 +50,11 @@
 
 /// The supplies of one service by failure domain.
 #[derive(Debug, Default)]
-struct Survey(HashMap<Domain, Sum>);
+struct ServiceSupplies(HashMap<Domain, DomainSum>);
 
 /// The sum of the members of one failure domain that take flows.
 #[derive(Debug, Default)]
-struct Sum {
+struct DomainSum {
     slots: f64,
     busy: f64,
     /// The sums of service times and waits in microseconds, each weighted by the slots.
@@ -63,27 +63,27 @@
     round_trips: Vec<Span>,
 }
 
-impl<'a> Side<'a> {
+impl<'a> DomainOrder<'a> {
     /// Returns the order for a flow under the plan of its service, if there is one.
     pub fn new(plan: Option<&'a Plan>, key: FlowKey) -> Self {
         match plan {
-            None => Self::Any,
+            None => Self::ByCost,
             // No domain has room, so the flow goes where it costs least.
-            Some(plan) if plan.sends(key) && plan.receivers.is_empty() => Self::Any,
-            Some(plan) if plan.sends(key) => Self::Away(&plan.receivers),
-            Some(_) => Self::Home,
+            Some(plan) if plan.sends(key) && plan.receivers.is_empty() => Self::ByCost,
+            Some(plan) if plan.sends(key) => Self::ReceiversFirst(&plan.receivers),
+            Some(_) => Self::HomeFirst,
         }
     }
 
     /// Returns the rank of a failure domain for the balancer in the domain `home`.
     pub fn rank(&self, domain: &Domain, home: &Domain) -> Rank {
         match self {
-            Self::Any => Rank::First,
-            Self::Home if domain == home => Rank::First,
-            Self::Home => Rank::Second,
-            Self::Away(receivers) if receivers.contains(domain) => Rank::First,
-            Self::Away(_) if domain == home => Rank::Second,
-            Self::Away(_) => Rank::Third,
+            Self::ByCost => Rank::First,
+            Self::HomeFirst if domain == home => Rank::First,
+            Self::HomeFirst => Rank::Second,
+            Self::ReceiversFirst(receivers) if receivers.contains(domain) => Rank::First,
+            Self::ReceiversFirst(_) if domain == home => Rank::Second,
+            Self::ReceiversFirst(_) => Rank::Third,
         }
     }
 }
@@ -123,8 +123,12 @@
         self.spill_over.plans()
     }
 
-    fn survey(&self, terms: &HashMap<Target, Terms>, now: Moment) -> HashMap<Target, Survey> {
-        let mut surveys: HashMap<Target, Survey> = HashMap::new();
+    fn survey(
+        &self,
+        terms: &HashMap<Target, Terms>,
+        now: Moment,
+    ) -> HashMap<Target, ServiceSupplies> {
+        let mut surveys: HashMap<Target, ServiceSupplies> = HashMap::new();
         self.for_each(|member| {
             if terms.contains_key(&member.entry.target) {
                 surveys.entry(member.entry.target).or_default().add(member, now);
@@ -134,7 +138,7 @@
     }
 }
 
-impl Survey {
+impl ServiceSupplies {
     /// Adds a member that takes flows. One whose load is not known yet counts as idle.
     fn add(&mut self, member: &Member, now: Moment) {
         if member.exclusion().is_some() || member.reachability(now) != Reachability::Good {
@@ -142,7 +146,7 @@
         }
         let load = member.load.map(|(load, _)| load).unwrap_or_default();
         if !self.0.contains_key(&member.entry.domain) {
-            self.0.insert(member.entry.domain.clone(), Sum::default());
+            self.0.insert(member.entry.domain.clone(), DomainSum::default());
         }
         let Some(sum) = self.0.get_mut(&member.entry.domain) else { return };
         let slots = member.effective_slots();
@@ -162,14 +166,14 @@
         terms: &Terms,
         now: Moment,
     ) -> Plan {
-        let home = self.0.get(own_domain).map(Sum::supply);
+        let home = self.0.get(own_domain).map(DomainSum::supply);
         let others = self.0.iter().filter(|(domain, _)| *domain != own_domain);
         let others: Vec<_> = others.map(|(domain, sum)| (domain, sum.supply())).collect();
         controller.update(home.as_ref(), &others, terms, now)
     }
 }
 
-impl Sum {
+impl DomainSum {
     fn supply(&self) -> Supply {
         // A lost message makes a single answer late, so the median is taken.
         let mut round_trips = self.round_trips.clone();
--- a/yuccacroft-core/src/spill_over.rs
+++ b/yuccacroft-core/src/spill_over.rs
@@ -33,7 +33,7 @@
 /// Time over which the usual number of slots follows a lower one: a domain that has not got its
 /// upstreams back by then is not expected to.
 const USUAL_SLOTS_TIME: Span = Span::from_secs(30);
-/// Part of what it sends that a domain gives up for others that are short too. It leaves a little room
+/// Part of what it sends that a domain gives up for others that lack capacity as well. It leaves a little room
 /// unused, so that a domain that began to send late gets an equal part of it.
 const YIELD_FRACTION: f64 = 0.1;
 /// Time after which reported loads reflect a change of the share: loads are means over a second.
@@ -297,6 +297,7 @@
 
 /// Returns the expected wait at upstreams of this utilization, for exponential service times.
 fn wait_at(utilization: f64, service_time: f64) -> f64 {
+    // Keeps the wait finite.
     const MAX_UTILIZATION: f64 = 0.99;
     let utilization = utilization.min(MAX_UTILIZATION);
     service_time * utilization * utilization / (1.0 - utilization)
--- a/yuccacroft-core/tests/workload.rs
+++ b/yuccacroft-core/tests/workload.rs
@@ -4,7 +4,7 @@
     admission::{
         service_times::ServiceTimes,
         unknown::UnknownRequests,
-        workload::{Announced, Outlook, ServiceTime, Workload},
+        workload::{AcceptedFlows, Outlook, ServiceTime, Workload},
     },
     route::{Priority, TrafficClass},
     time::{Moment, Span},
@@ -37,8 +37,8 @@
 fn the_outlook_follows_a_swing_of_the_demand() {
     let service = ServiceTime { mean: millis(60), tail: millis(100) };
     let outlooks = [0, 2, 12, 13, 40, 73, 75].map(|requests| outlook(requests, service));
-    let (on_time, late, hopeless) = (Outlook::OnTime, Outlook::Late, Outlook::Hopeless);
-    assert_eq!(outlooks, [on_time, on_time, on_time, late, late, late, hopeless]);
+    let (on_time, late, past_timeout) = (Outlook::OnTime, Outlook::Late, Outlook::PastTimeout);
+    assert_eq!(outlooks, [on_time, on_time, on_time, late, late, late, past_timeout]);
 }
 
 /// Guards against an upstream that has become slow and still counts as one that answers in time.
@@ -65,10 +65,10 @@
 /// there, as when retries add a third to the load.
 #[test]
 fn accepted_flows_count_until_their_requests_arrive() {
-    let mut announced = Announced::default();
-    (0..30).for_each(|_| announced.record(START));
-    assert_eq!(announced.count(at(5)), 30);
-    assert_eq!(announced.count(at(20)), 0);
+    let mut accepted = AcceptedFlows::default();
+    (0..30).for_each(|_| accepted.record(START));
+    assert_eq!(accepted.count(at(5)), 30);
+    assert_eq!(accepted.count(at(20)), 0);
 }
 
 /// Guards against a flood after a restart of the agent: requests from before it hold slots. They are
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -12,7 +12,7 @@
         admission::{
             service_times::ServiceTimes,
             unknown::UnknownRequests,
-            workload::{Announced, Outlook, ServiceTime, Workload},
+            workload::{AcceptedFlows, Outlook, ServiceTime, Workload},
         },
         backlog::Backlog,
         evacuation::Status,
@@ -83,7 +83,7 @@
     outcomes: Mutex<Record>,
     service_times: Mutex<ServiceTimes>,
     unknown_requests: Mutex<UnknownRequests>,
-    announced: Mutex<Announced>,
+    accepted_flows: Mutex<AcceptedFlows>,
     /// The slots of the upstream by another source than its reports, or zero.
     noted_slots: AtomicU32,
     stopping: AtomicBool,
@@ -120,7 +120,7 @@
             outcomes: Mutex::default(),
             service_times: Mutex::default(),
             unknown_requests: Mutex::default(),
-            announced: Mutex::default(),
+            accepted_flows: Mutex::default(),
             noted_slots: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
             evacuation: Mutex::default(),
@@ -172,12 +172,12 @@
 
     /// Returns the locked state of the evacuation of the agent's failure domain.
     pub fn evacuation(&self) -> MutexGuard<'_, Status> {
-        self.evacuation.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.evacuation)
     }
 
     /// Returns the locked count of new flows against the limits of the service.
     pub fn limiter(&self) -> MutexGuard<'_, Limiter> {
-        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.limiter)
     }
 
     /// Returns the number of further flows that the upstream takes now; `None` without a limit.
@@ -258,8 +258,8 @@
 
     fn workload(&self, service: ServiceTime, now: Moment) -> Workload {
         let unknown = lock(&self.unknown_requests).count(now);
-        let announced = lock(&self.announced).count(now);
-        let requests = self.open_requests().saturating_add(unknown).saturating_add(announced);
+        let accepted = lock(&self.accepted_flows).count(now);
+        let requests = self.open_requests().saturating_add(unknown).saturating_add(accepted);
         Workload::new(self.slots(), requests, service.mean)
     }
 
@@ -268,11 +268,14 @@
     /// less busy, and so does one that would wait for longer than it takes. One that would miss its
     /// timeout is not accepted at all.
     fn admits(&self, segment: &Segment, offer: &Offer, now: Moment) -> bool {
-        let Some(class) = offer.class.filter(|_| self.requirements.health) else { return true };
         // The upstream may accept a flow whose opening segment it has already.
         if self.table.offered_flow(segment.flow.key(), now).is_some() {
             return true;
         }
+        if self.room(now) == Some(Connections::new(0)) {
+            return false;
+        }
+        let Some(class) = offer.class.filter(|_| self.requirements.health) else { return true };
         let service = self.service_time();
         let workload = self.workload(service, now);
         let outlook = workload.outlook(&class, service);
@@ -281,7 +284,7 @@
             Outlook::OnTime if offer.is_last() || offer.hops >= MAX_BUSY_HOPS => true,
             Outlook::OnTime => workload.wait() <= service.mean,
             Outlook::Late => offer.is_last() || offer.hops >= MAX_LATE_HOPS,
-            Outlook::Hopeless => false,
+            Outlook::PastTimeout => false,
         }
     }
 
@@ -310,7 +313,7 @@
 
     /// Returns the locked record of the outcomes of requests.
     pub fn outcomes(&self) -> MutexGuard<'_, Record> {
-        self.outcomes.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.outcomes)
     }
 
     /// Returns the time since the start of the agent or of its upstream, whichever is longer.
@@ -356,11 +359,11 @@
         let (table, segment, now) = (&self.0.table, &received.segment, received.now);
         Verdict::Done(match &received.context {
             Context::NewFlow(_, offer, datagram) => {
-                let takes_flow = self.0.takes_flow(now) && self.0.admits(segment, offer, now);
+                let takes_flow = self.0.is_accepting() && self.0.admits(segment, offer, now);
                 let decision =
                     table.handle_opening(segment, datagram, offer.clone(), takes_flow, now);
                 if decision == Decision::Confirm {
-                    lock(&self.0.announced).record(now);
+                    lock(&self.0.accepted_flows).record(now);
                 }
                 if self.0.requirements.places && decision == Decision::Confirm {
                     self.0.limiter().record_opening(now);
--- a/yuccacroft-segment/src/balancer/controllers/evacuation.rs
+++ b/yuccacroft-segment/src/balancer/controllers/evacuation.rs
@@ -10,7 +10,7 @@
         ids::{Domain, Instance},
         time::{Moment, Span},
     },
-    yuccacroft_store::store::{Changes, KeyValue, Listing},
+    yuccacroft_store::store::{Changes, KeyValue, Listing, Unreadable},
 };
 
 /// Metric: number of evacuated failure domains.
@@ -30,7 +30,7 @@
     /// Applies a complete listing: a domain that it lacks is not evacuated any more.
     pub(super) fn apply_listed_evacuations(&self, listing: &Listing) {
         let now = self.relay.clock.now();
-        let listed = self.evacuated_domains(&listing.items);
+        let listed = self.evacuated_domains(&listing.items, &listing.unreadable);
         self.update_evacuations(|evacuations| {
             evacuations.apply_listing(listed, listing.revision, now)
         });
@@ -39,7 +39,7 @@
     /// Applies the evacuations that were requested or taken back since the last call.
     pub(super) fn apply_changed_evacuations(&self, changes: &Changes) {
         let now = self.relay.clock.now();
-        let written = self.evacuated_domains(&changes.items);
+        let written = self.evacuated_domains(&changes.items, &changes.unreadable);
         let removed = changes.removed.iter();
         let taken_back: Vec<Domain> =
             removed.filter_map(|key| self.platform.evacuated_domain(key)).collect();
@@ -78,8 +78,11 @@
         }
     }
 
-    fn evacuated_domains(&self, items: &[KeyValue]) -> BTreeSet<Domain> {
-        items.iter().filter_map(|item| self.platform.evacuated_domain(&item.key)).collect()
+    fn evacuated_domains(&self, items: &[KeyValue], unreadable: &[Unreadable]) -> BTreeSet<Domain> {
+        // The key alone counts, so an evacuation whose value cannot be read is in force.
+        let keys = items.iter().map(|item| &item.key);
+        let keys = keys.chain(unreadable.iter().map(|item| &item.key));
+        keys.filter_map(|key| self.platform.evacuated_domain(key)).collect()
     }
 
     /// Changes the evacuations and tells the agents of the domains whose state has changed.
