Do not hold a lock of an agent's state while its dump locks it again

A dump of an agent took the lock of the evacuation in one field and computed the load, which takes it too, in a later one: the guard lived to the end of the expression, so the dump and then the agent stood still for ever.

--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -167,7 +167,8 @@
 
     /// Returns true if the agent accepts new flows.
     pub fn is_accepting(&self) -> bool {
-        !self.is_stopping() && !self.evacuation().is_evacuated() && self.monitor().is_accepting()
+        let is_evacuated = self.evacuation().is_evacuated();
+        !self.is_stopping() && !is_evacuated && self.monitor().is_accepting()
     }
 
     /// Returns the locked state of the evacuation of the agent's failure domain.
--- a/yuccacroft-segment/src/agent/relay/status.rs
+++ b/yuccacroft-segment/src/agent/relay/status.rs
@@ -39,12 +39,14 @@
                 silence: silence.into(),
             })
         };
+        // A guard in the expression below would be held while the load locks the same state again.
+        let evacuated = self.state.evacuation().since().map(|since| now.since(since));
         dump::Agent {
             incarnation: self.agent_id().incarnation,
             uptime: now.since(Moment::default()),
             stopping: self.state.is_stopping(),
             accepting: self.state.is_accepting(),
-            evacuated: self.state.evacuation().since().map(|since| now.since(since)),
+            evacuated,
             room: self.state.room(now),
             version: ConfigVersion::new(self.config_version.load(Ordering::Relaxed)),
             entry_version,
