Measure an agent's state only when its report is due

The timer of an agent computed the load and the measures in each tick of 20 ms and compared them in every tenth only. Both are now computed when the comparison is due; what is sent and when does not change. The test for room at the upstream stood twice and is one function.

--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -200,7 +200,11 @@
 
     /// Returns true if the agent accepts new flows and its upstream has room for one.
     pub fn takes_flow(&self, now: Moment) -> bool {
-        self.is_accepting() && self.room(now) != Some(Connections::new(0))
+        self.is_accepting() && self.has_room(now)
+    }
+
+    fn has_room(&self, now: Moment) -> bool {
+        self.room(now) != Some(Connections::new(0))
     }
 
     /// Returns the limit of concurrent requests that the agent has at the upstream: one more than its
@@ -273,7 +277,7 @@
         if self.table.offered_flow(segment.flow.key(), now).is_some() {
             return true;
         }
-        if self.room(now) == Some(Connections::new(0)) {
+        if !self.has_room(now) {
             return false;
         }
         let Some(class) = offer.class.filter(|_| self.requirements.health) else { return true };
--- a/yuccacroft-segment/src/agent/controllers.rs
+++ b/yuccacroft-segment/src/agent/controllers.rs
@@ -65,10 +65,11 @@
                 self.relay.flow_log.flush(now);
             }
             self.update_silence();
-            let state = (self.relay.load(now), self.relay.measures(now));
-            if tick.is_every(LOAD_TICKS) && sent != Some(state) {
-                sent = Some(state);
-                self.relay.send_load(now);
+            if tick.is_every(LOAD_TICKS) {
+                let state = (self.relay.load(now), self.relay.measures(now));
+                if sent.replace(state) != Some(state) {
+                    self.relay.send_load(now);
+                }
             }
         }
     }
