--- a/yuccacroft-core/src/pool/outlier.rs
+++ b/yuccacroft-core/src/pool/outlier.rs
@@ -6,7 +6,7 @@
 //! `docs/design/outliers.md`.
 
 use {
-    super::PLACEMENT_WINDOW,
+    super::placement::PLACEMENT_WINDOW,
     crate::{
         flow::FlowKey,
         ids::Instance,
