Count silence only from the first answers of a balancer that starts

Callers saw: a reset of an open flow whose agent runs, after a balancer restarted just before its link was cut (no_flow_of_a_running_agent_is_reset).

Cause: the path of a process that had never been sound did not count as impaired. The first agent that answered after the cut made it sound at once, and the silence of the others counted from before the cut: 3.9 s where 2 s were required.

Change: a path without answers counts as impaired, so the silence has to last in full after the first answers. A balancer that starts beside agents that answer loses nothing, because the first answers come one round trip after the first messages. Agents that are absent after a loss of power have their own rule.

--- a/yuccacroft-core/src/pool/path.rs
+++ b/yuccacroft-core/src/pool/path.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::time::{Moment, Span},
-    std::sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    std::sync::atomic::{AtomicU64, Ordering},
 };
 
 /// Delay up to which an answer is prompt: one lost message and its repetition, and many round trips
@@ -60,9 +60,8 @@
 /// The history of the path.
 #[derive(Debug, Default)]
 pub(super) struct Path {
-    /// Whether the path has been sound. Before the first answers a process knows nothing about it.
-    was_sound: AtomicBool,
-    /// The time at which the path was last congested or cut, in microseconds; 0 for never.
+    /// The time at which the path was last congested, cut or not known yet, in microseconds; 0 for
+    /// never.
     impaired_at: AtomicU64,
 }
 
@@ -116,9 +115,7 @@
     /// stays unnoticed.
     pub fn is_sound(&self, counts: AnswerCounts, now: Moment) -> bool {
         let is_sound = counts.shows_sound_path() && !counts.shows_congestion();
-        if is_sound {
-            self.was_sound.store(true, Ordering::Relaxed);
-        } else if counts.shows_congestion() || self.was_sound.load(Ordering::Relaxed) {
+        if !is_sound {
             self.impaired_at.fetch_max(now.get(), Ordering::Relaxed);
         }
         let impaired_at = self.impaired_at.load(Ordering::Relaxed);
--- a/yuccacroft-core/tests/open_flows/main.rs
+++ b/yuccacroft-core/tests/open_flows/main.rs
@@ -134,6 +134,22 @@
     assert!(reset.is_none(), "{reset:?}");
 }
 
+/// Guards against a reset by a balancer that starts while its link is cut (found by the property
+/// test): the first agent that it reached made it count the silence of the others from the cut.
+#[test]
+fn silence_before_the_first_answers_does_not_count() {
+    let disruptions = vec![
+        (3_355, Disruption::SlowPaths { duration: 4_821, agents: 2 }),
+        (4_258, Disruption::RestartBalancer),
+        (4_263, Disruption::Cut { duration: 3_838 }),
+        (7_601, Disruption::Restart(2)),
+    ];
+    let (delays, duration) = (vec![1; 3], DURATION_MS);
+    let reset =
+        Network::new(Case { delays, loss_percent: 0, seed: 0, disruptions, duration }).run();
+    assert!(reset.is_none(), "{reset:?}");
+}
+
 /// Guards against property tests that prove nothing, because no search ends.
 #[test]
 fn searches_find_the_owner() {
