Hold the timeout of a shared silence after the others answer

Callers saw: a reset of an open flow whose agent runs, 50 ms after a delay on the paths to four of ten agents ended (no_flow_of_a_running_agent_is_reset).

Cause: the silence that makes a member count as lost grows with the number of silent members, because they have one cause more likely. When the others answered again the timeout fell at once from 1.6 s to 1 s, and the owner, whose answers were lost twice in a row, had been silent for 1.3 s.

Evidence: the recorded case fails on with NotFound at 8950 ms; it is now a_shared_silence_does_not_count_against_the_last_silent_agent.

Change: the longest timeout of the last second stays in force, so the silence of the last member counts alone only when it has lasted a full second alone.

--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -432,8 +432,7 @@
     /// silence of a running member is as likely as that of one that has failed. It is called several
     /// times a second, since it also keeps the history of the path.
     pub fn loss_timeout(&self, now: Moment) -> Option<Span> {
-        let counts = self.answer_counts(now);
-        self.path.is_sound(counts, now).then(|| counts.loss_timeout())
+        self.path.loss_timeout(self.answer_counts(now), now)
     }
 
     /// Removes and returns the members that are neither listed nor answering. A member stays while
--- a/yuccacroft-core/src/pool/path.rs
+++ b/yuccacroft-core/src/pool/path.rs
@@ -8,7 +8,13 @@
 
 use {
     crate::time::{Moment, Span},
-    std::sync::atomic::{AtomicU64, Ordering},
+    std::{
+        collections::VecDeque,
+        sync::{
+            Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+    },
 };
 
 /// Delay up to which an answer is prompt: one lost message and its repetition, and many round trips
@@ -63,6 +69,9 @@
     /// The time at which the path was last congested, cut or not known yet, in microseconds; 0 for
     /// never.
     impaired_at: AtomicU64,
+    /// The timeouts that the silent members required within the last [`LOSS_TIMEOUT`], and when, in
+    /// the order of time. A timeout that a later one exceeds is dropped.
+    recent_timeouts: Mutex<VecDeque<(Moment, Span)>>,
 }
 
 impl Timeliness {
@@ -110,18 +119,33 @@
 }
 
 impl Path {
-    /// Records the present answers, and returns true if the path has carried answers in time for as
-    /// long as a silence has to last. It is called several times a second, so that no impairment
-    /// stays unnoticed.
-    pub fn is_sound(&self, counts: AnswerCounts, now: Moment) -> bool {
-        let is_sound = counts.shows_sound_path() && !counts.shows_congestion();
-        if !is_sound {
+    /// Records the present answers, and returns the silence after which a member counts as lost, or
+    /// `None` if the path has not carried answers in time for as long as a silence has to last. It is
+    /// called several times a second, so that no impairment stays unnoticed.
+    pub fn loss_timeout(&self, counts: AnswerCounts, now: Moment) -> Option<Span> {
+        let timeout = self.longest_timeout(counts.loss_timeout(), now);
+        if !counts.shows_sound_path() || counts.shows_congestion() {
             self.impaired_at.fetch_max(now.get(), Ordering::Relaxed);
+            return None;
         }
         let impaired_at = self.impaired_at.load(Ordering::Relaxed);
         // The silence that makes a member count as lost must lie after the last impairment.
-        let has_recovered =
-            impaired_at == 0 || now.since(Moment::new(impaired_at)) >= counts.loss_timeout();
-        is_sound && has_recovered
+        let has_recovered = impaired_at == 0 || now.since(Moment::new(impaired_at)) >= timeout;
+        has_recovered.then_some(timeout)
+    }
+
+    /// Returns the longest timeout within the last [`LOSS_TIMEOUT`]. When members that were silent
+    /// together answer again, the silence of the last one had the same cause until then, so that it
+    /// is evidence against that member only after a full timeout.
+    fn longest_timeout(&self, timeout: Span, now: Moment) -> Span {
+        let mut recent = self.recent_timeouts.lock().unwrap_or_else(PoisonError::into_inner);
+        while recent.front().is_some_and(|(at, _)| now.since(*at) > LOSS_TIMEOUT) {
+            recent.pop_front();
+        }
+        while recent.back().is_some_and(|(_, earlier)| *earlier <= timeout) {
+            recent.pop_back();
+        }
+        recent.push_back((now, timeout));
+        recent.front().map_or(timeout, |(_, longest)| *longest)
     }
 }
--- a/yuccacroft-core/tests/open_flows/main.rs
+++ b/yuccacroft-core/tests/open_flows/main.rs
@@ -150,6 +150,17 @@
     assert!(reset.is_none(), "{reset:?}");
 }
 
+/// Guards against a reset after a delay that several agents shared (found by the property test):
+/// when the others answered again, the silence of the owner counted as that of a single agent.
+#[test]
+fn a_shared_silence_does_not_count_against_the_last_silent_agent() {
+    let disruptions = vec![(7_601, Disruption::SlowPaths { duration: 1_300, agents: 4 })];
+    let (delays, seed) = (vec![1; 10], 5_178_725_836_561_492_424);
+    let case = Case { delays, loss_percent: 7, seed, disruptions, duration: DURATION_MS };
+    let reset = Network::new(case).run();
+    assert!(reset.is_none(), "{reset:?}");
+}
+
 /// Guards against property tests that prove nothing, because no search ends.
 #[test]
 fn searches_find_the_owner() {
