Treat an upstream as cold from the first sign of a new run

A running agent limited a restarted upstream from its first report only. Between the restart and that report, up to one report interval, it took the upstream for warm and sent it every flow that balancers offered, although a new run is cold.

The monitor now notes what shows that a run may have ended: the upstream counted as dead, it returned a segment of an open flow, or a run reports that appears to be older. Until the next report that it believes, the upstream counts as cold. An upstream that dropped a single flow is limited for at most one report interval.

an_upstream_is_cold_from_the_first_sign_of_a_new_run failed before at its first sign and passes now for all three.

--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -137,6 +137,8 @@
     candidate: Option<Candidate>,
     /// Runs that appear to be newer than the known one, which has replaced them.
     replaced: Vec<RunId>,
+    /// Whether the upstream has shown signs of a new run since the last report of the known one.
+    may_have_restarted: bool,
     silence: Silence,
     last_heard: Moment,
     opening_since: Option<Moment>,
@@ -185,6 +187,7 @@
             run: None,
             candidate: None,
             replaced: Vec::new(),
+            may_have_restarted: false,
             silence: Silence::None,
             last_heard: Moment::default(),
             opening_since: None,
@@ -226,6 +229,7 @@
         run.report = report;
         run.reported_at = now;
         run.alive_at = now;
+        self.may_have_restarted = false;
         self.record_reply(now);
         if has_changed { ReportOutcome::Changed } else { ReportOutcome::Unchanged }
     }
@@ -294,6 +298,12 @@
         self.silence = Silence::None;
     }
 
+    /// Records that the upstream has returned a segment of a flow that it held: it may be a new run,
+    /// which holds none of the flows of the last one.
+    pub fn record_lost_flow(&mut self) {
+        self.may_have_restarted = true;
+    }
+
     /// Restarts the timeouts of all outstanding answers and of the reports, after this process
     /// itself was suspended.
     pub fn restart_timeouts(&mut self, now: Moment) {
@@ -318,6 +328,8 @@
             }
             ConnectResult::Silent => {}
         }
+        // Whatever answers after the end of a run is the next one.
+        self.may_have_restarted |= self.silence == Silence::Dead;
     }
 
     /// Re-evaluates the health of the upstream. Returns true if its port should be checked now.
@@ -386,6 +398,12 @@
         self.run.as_ref().map_or(Span::ZERO, remaining)
     }
 
+    /// Returns true if the upstream may be a new run that has not reported yet, or whose reports are
+    /// not believed yet.
+    pub fn may_have_restarted(&self) -> bool {
+        self.may_have_restarted || self.candidate.is_some()
+    }
+
     /// Returns the time since the start of the upstream, or zero before its first report.
     pub fn age(&self, now: Moment) -> Span {
         self.run.as_ref().map_or(Span::ZERO, |run| run.age + now.since(run.first_seen))
@@ -413,6 +431,7 @@
             && age.is_some_and(|age| age < self.min_confirmed_interval());
         let age = age.unwrap_or(UNKNOWN_AGE);
         self.candidate = None;
+        self.may_have_restarted = false;
         self.replaced.extend(self.run.as_ref().map(|previous| RunId::of(&previous.report)));
         self.replaced.retain(|replaced| {
             replaced.incarnation >= report.incarnation && *replaced != RunId::of(&report)
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -186,18 +186,23 @@
         if !self.requirements.places {
             return None;
         }
-        let upstream = {
-            let monitor = self.monitor();
-            let is_warming_up = monitor.remaining_warmup(now) > Span::ZERO;
-            UpstreamState {
-                is_warming_up: monitor.last_report().map(|_| is_warming_up),
-                had_earlier_agent: monitor.may_hold_unknown_flows(),
-                held: self.table.held_flows(),
-            }
-        };
+        let upstream = self.upstream_state(now);
         self.limiter().room(upstream, now)
     }
 
+    /// Returns the state of the upstream on which its limits depend. One that may have restarted
+    /// counts as cold until it reports.
+    fn upstream_state(&self, now: Moment) -> UpstreamState {
+        let monitor = self.monitor();
+        let is_warming_up =
+            monitor.may_have_restarted() || monitor.remaining_warmup(now) > Span::ZERO;
+        UpstreamState {
+            is_warming_up: monitor.last_report().map(|_| is_warming_up),
+            had_earlier_agent: monitor.may_hold_unknown_flows(),
+            held: self.table.held_flows(),
+        }
+    }
+
     /// Returns true if the agent accepts new flows and its upstream has room for one.
     pub fn takes_flow(&self, now: Moment) -> bool {
         self.is_accepting() && self.has_room(now)
--- a/yuccacroft-segment/src/agent/relay/outbound.rs
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -66,6 +66,9 @@
                 if segment.control == Control::Open {
                     self.record_returned_opening(&decision, now);
                 }
+                if matches!(decision, Decision::Reset(_)) {
+                    self.state.monitor().record_lost_flow();
+                }
                 self.log_bounce(&segment, &decision, now);
                 self.apply_bounce_decision(&segment, decision, datagram, now);
             }
--- a/yuccacroft-segment/tests/places.rs
+++ b/yuccacroft-segment/tests/places.rs
@@ -16,10 +16,12 @@
         limits::{FlowRate, ServiceLimits},
         requirements::Requirements,
         route::{ServiceName, Target, TrafficClass},
-        segment::{Control, Flow, Segment, Sequence},
+        segment::{Control, Flow, Outbound, Segment, Sequence},
         time::{Moment, Span},
         units::{Connections, Slots},
-        upstream::{Monitor, ReportNumber, UpstreamId, UpstreamPhase, UpstreamReport},
+        upstream::{
+            ConnectResult, Monitor, ReportNumber, UpstreamId, UpstreamPhase, UpstreamReport,
+        },
     },
     yuccacroft_segment::{
         agent::{
@@ -33,6 +35,7 @@
     yuccacroft_wire::relay::{self, Request},
 };
 
+const WARMUP: Span = Span::from_secs(60);
 const CALLER: u16 = 40_001;
 /// The position that the upstream chooses for its side of a flow.
 const ACCEPTED: Sequence = Sequence::new(500);
@@ -41,6 +44,7 @@
 struct Agent {
     relay: Relay<FakeFormat, FakeSocket>,
     messages: FakeSocket,
+    outbound: FakeSocket,
 }
 
 fn address(text: &str) -> SocketAddrV4 {
@@ -64,6 +68,26 @@
     Ok(Segment { flow, control, sequence: ACCEPTED, acknowledged, length: 0 })
 }
 
+/// Decodes a datagram of the upstream. One that begins with `b` is returned.
+fn parse_outbound(datagram: &[u8]) -> Result<Outbound, &'static str> {
+    match datagram {
+        [b'b', returned @ ..] => parse(returned).map(Outbound::Bounced),
+        _ => parse(datagram).map(Outbound::Reply),
+    }
+}
+
+/// Runs a receiver until its socket has no more datagrams.
+fn run_until_idle(receiver: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    runtime.block_on(async {
+        tokio::select! {
+            biased;
+            () = receiver => {}
+            () = future::ready(()) => {}
+        }
+    });
+}
+
 impl Agent {
     fn new(requirements: Requirements) -> Self {
         let messages = FakeSocket::default();
@@ -77,22 +101,23 @@
         };
         let state = AgentState::new(target(), Monitor::new(target(), Span::from_secs(1)))
             .with_requirements(requirements);
+        let outbound = setup.outbound.clone();
         let (clock, flow_log) =
             (BootClock::new(SystemHost), FlowLog::new(Capture::default().logger()));
-        let format = FakeFormat { parse_inbound: parse, ..FakeFormat::default() };
-        Self { relay: Relay::new(format, setup, Arc::new(state), clock, flow_log), messages }
+        let format = FakeFormat { parse_inbound: parse, parse_outbound, ..FakeFormat::default() };
+        let relay = Relay::new(format, setup, Arc::new(state), clock, flow_log);
+        Self { relay, messages, outbound }
+    }
+
+    /// Receives a segment from the upstream.
+    fn receive_outbound(&self, datagram: &[u8]) {
+        self.outbound.push(datagram.to_vec());
+        run_until_idle(self.relay.receive_outbound());
     }
 
     fn receive(&self, request: &Request, datagram: &[u8]) {
         self.messages.push(relay::encode(request, datagram).unwrap());
-        let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
-        runtime.block_on(async {
-            tokio::select! {
-                biased;
-                () = self.relay.receive_messages() => {}
-                () = future::ready(()) => {}
-            }
-        });
+        run_until_idle(self.relay.receive_messages());
     }
 
     fn offer(&self, caller: u8) {
@@ -113,16 +138,22 @@
         self.receive(&Request::Evacuation(notice), &[]);
     }
 
-    /// Lets the upstream report that it has just started and warms up.
-    fn report_warmup(&self) {
+    /// Sets the rate of upstreams that warm up, in flows per second.
+    fn limit_warmup(&self, per_second: u32) {
+        let warmup_rate = Some(FlowRate::from_hundredths(per_second * 100));
+        self.receive(&Request::Limits(ServiceLimits { max_flows: None, warmup_rate }), &[]);
+    }
+
+    /// Lets a run of the upstream report the rest of its warm-up.
+    fn report(&self, incarnation: u64, number: u64, warmup: Span) {
         let report = UpstreamReport {
             id: UpstreamId::new("upstream"),
-            incarnation: Incarnation::new(1),
-            number: ReportNumber::new(1),
+            incarnation: Incarnation::new(incarnation),
+            number: ReportNumber::new(number),
             target: target(),
             phase: UpstreamPhase::Ready,
             slots: Slots::new(2),
-            warmup: Span::from_secs(60),
+            warmup,
         };
         let age = Some(Span::from_millis(1));
         self.relay.state.monitor().handle_report(report, age, self.relay.clock.now());
@@ -166,9 +197,8 @@
 #[test]
 fn a_cold_upstream_takes_its_allowance() {
     let agent = Agent::new(Requirements { places: true, ..Requirements::default() });
-    agent.report_warmup();
-    let warmup_rate = Some(FlowRate::from_hundredths(200));
-    agent.receive(&Request::Limits(ServiceLimits { max_flows: None, warmup_rate }), &[]);
+    agent.report(1, 1, WARMUP);
+    agent.limit_warmup(2);
     // The default tolerance is one flow.
     (1..=3).for_each(|caller| agent.offer(caller));
     assert!(agent.is_offered(3) && !agent.relay.load(agent.relay.clock.now()).accepting);
@@ -176,6 +206,38 @@
     assert!(!agent.is_offered(4));
 }
 
+/// Guards against a burst at an upstream that has restarted beside a running agent and has not
+/// reported yet: what shows that it is a new run makes it cold, until a report says otherwise.
+#[test]
+fn an_upstream_is_cold_from_the_first_sign_of_a_new_run() {
+    let signs: [fn(&Agent); 3] = [
+        // Its port was closed and answers again.
+        |agent| {
+            let now = agent.relay.clock.now();
+            agent.relay.apply_port_check(now, ConnectResult::Refused, now);
+            agent.receive_outbound(b"a\x01");
+        },
+        // It returns a segment of an open flow.
+        |agent| agent.receive_outbound(b"bc\x01"),
+        // A run that appears to be older reports.
+        |agent| agent.report(1, 1, WARMUP),
+    ];
+    for (number, sign) in signs.iter().enumerate() {
+        let agent = Agent::new(Requirements { places: true, ..Requirements::default() });
+        agent.report(2, 1, Span::ZERO);
+        agent.limit_warmup(1);
+        agent.open(1);
+        sign(&agent);
+        // The default tolerance is one flow, and that of before the sign counts as well.
+        agent.offer(2);
+        agent.offer(3);
+        assert!(agent.is_offered(2) && !agent.is_offered(3), "sign {number}");
+        agent.report(2, 2, Span::ZERO);
+        agent.offer(3);
+        assert!(agent.is_offered(3), "sign {number}");
+    }
+}
+
 /// Guards against more flows than an upstream holds when a burst arrives within one handshake: each
 /// offer beyond the limit is passed on at once.
 #[test]
