--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -17,7 +17,7 @@
         backlog::Backlog,
         evacuation::Status,
         filter::{Filter, FilterChain, Verdict},
-        handshake::{self, Decision, FlowTable, ForwardReason, MAX_LATE_HOPS, Offer},
+        handshake::{self, Decision, FlowTable, ForwardReason, Intake, MAX_LATE_HOPS, Offer},
         limits::{Limiter, Tolerance, UpstreamState},
         outcome::Record,
         requirements::Requirements,
@@ -186,18 +186,23 @@
         if !self.requirements.places {
             return None;
         }
-        let upstream = {
-            let monitor = self.monitor();
-            let is_warming_up = monitor.remaining_warmup(now) > Span::ZERO;
-            UpstreamState {
-                is_warming_up: monitor.last_report().map(|_| is_warming_up),
-                had_earlier_agent: monitor.may_hold_unknown_flows(),
-                open: self.table.open_flows(),
-            }
-        };
+        let upstream = self.upstream_state(now);
         self.limiter().room(upstream, now)
     }
 
+    /// Returns the state of the upstream on which its limits depend. One that may have restarted
+    /// counts as cold until it reports.
+    fn upstream_state(&self, now: Moment) -> UpstreamState {
+        let monitor = self.monitor();
+        let is_warming_up =
+            monitor.may_have_restarted() || monitor.remaining_warmup(now) > Span::ZERO;
+        UpstreamState {
+            is_warming_up: monitor.last_report().map(|_| is_warming_up),
+            had_earlier_agent: monitor.may_hold_unknown_flows(),
+            held: self.table.held_flows(),
+        }
+    }
+
     /// Returns true if the agent accepts new flows and its upstream has room for one.
     pub fn takes_flow(&self, now: Moment) -> bool {
         self.is_accepting() && self.has_room(now)
@@ -268,6 +273,15 @@
         Workload::new(self.slots(), requests, service.mean)
     }
 
+    /// Returns the flows that the agent takes, as far as this one is concerned.
+    fn intake(&self, segment: &Segment, offer: &Offer, now: Moment) -> Intake {
+        if !self.is_accepting() || !self.admits(segment, offer, now) {
+            return Intake::Closed;
+        }
+        let limits = if self.requirements.places { self.limiter().limits() } else { None };
+        limits.and_then(|limits| limits.max_flows).map_or(Intake::Unlimited, Intake::UpTo)
+    }
+
     /// Returns true if the agent accepts a new flow, given what the flow's first request can expect. A
     /// request that would be late goes to another agent a few times, since the next one is probably
     /// less busy, and so does one that would wait for longer than it takes. One that would miss its
@@ -364,9 +378,8 @@
         let (table, segment, now) = (&self.0.table, &received.segment, received.now);
         Verdict::Done(match &received.context {
             Context::NewFlow(_, offer, datagram) => {
-                let takes_flow = self.0.is_accepting() && self.0.admits(segment, offer, now);
-                let decision =
-                    table.handle_opening(segment, datagram, offer.clone(), takes_flow, now);
+                let intake = self.0.intake(segment, offer, now);
+                let decision = table.handle_opening(segment, datagram, offer.clone(), intake, now);
                 if decision == Decision::Confirm {
                     lock(&self.0.accepted_flows).record(now);
                 }
