Count an overdue request that is reset as one failure

An upstream that hangs and then resets its flows was reported with nearly twice the failures it had: the silence was recorded as overdue and stayed in the record when the reset or the loss of the same request was recorded. A response withdrew the silence already.

The flow table now tells with the end of a flow whether its request was overdue, and the agent withdraws the silence before it records the other outcome.

The tests run an agent on a virtual clock; the clock and the sockets of the balancer's tests moved to support::host for that.

--- a/yuccacroft-core/src/handshake/action.rs
+++ b/yuccacroft-core/src/handshake/action.rs
@@ -67,6 +67,8 @@
     pub acknowledged: Sequence,
     /// Whether a request was in progress, or waited at the agent.
     pub busy: bool,
+    /// Whether [`Action::Overdue`] has been returned for the request in progress.
+    pub was_overdue: bool,
     /// The time of its opening segment, or that at which the agent discovered it.
     pub started_at: Moment,
 }
--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         action::{Action, LostFlow},
-        open_flow::OpenFlow,
+        open_flow::{OpenFlow, Request},
         state::State,
         table::{BOUNCE_TIMEOUT, FlowTable},
     },
@@ -103,10 +103,11 @@
                 // Without a segment of the caller no position is known, so any will do.
                 let acknowledged = open.acknowledged.unwrap_or_default();
                 let busy = open.request.is_some() || open.is_held;
+                let was_overdue = open.request.as_ref().is_some_and(Request::is_overdue);
                 let (flow, started_at) = (entry.flow, open.started_at);
                 // Without a segment of this upstream the flow may be that of another one.
                 if open.is_proven {
-                    lost.push(LostFlow { flow, acknowledged, busy, started_at });
+                    lost.push(LostFlow { flow, acknowledged, busy, was_overdue, started_at });
                 }
                 open.end(&self.counts);
                 false
--- a/yuccacroft-core/src/handshake/observation.rs
+++ b/yuccacroft-core/src/handshake/observation.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        open_flow::Request,
         state::{Entry, State},
         table::FlowTable,
     },
@@ -31,6 +32,8 @@
     pub age: Option<Span>,
     /// Whether a request was in progress.
     pub busy: bool,
+    /// Whether [`Action::Overdue`](super::Action::Overdue) has been returned for this request.
+    pub was_overdue: bool,
 }
 
 /// What an upstream did to end a flow.
@@ -62,8 +65,10 @@
     /// Returns how a segment of the upstream ends its flow, or `None` if it does not or if the flow
     /// has ended before. It is called before [`FlowTable::handle_reply`].
     pub fn upstream_end(&self, segment: &Segment, now: Moment) -> Option<UpstreamEnd> {
-        let end = |cause, since: Option<Moment>, busy| {
-            Some(UpstreamEnd { cause, age: since.map(|since| now.since(since)), busy })
+        let end = |cause, since: Option<Moment>, request: Option<&Request>| {
+            let (busy, was_overdue) = (request.is_some(), request.is_some_and(Request::is_overdue));
+            let age = since.map(|since| now.since(since));
+            Some(UpstreamEnd { cause, age, busy, was_overdue })
         };
         if !matches!(segment.control, Control::Reset | Control::Finish) {
             return None;
@@ -73,21 +78,21 @@
                 (_, Some(State::Closed(_))) => None,
                 (_, Some(State::Open(open))) if open.is_finished() => None,
                 (Control::Reset, Some(State::Open(open))) => {
-                    end(EndCause::Reset, Some(open.started_at), open.request.is_some())
+                    end(EndCause::Reset, Some(open.started_at), open.request.as_ref())
                 }
                 (Control::Finish, Some(State::Open(open))) => {
                     // Data with the last segment answers the request, and so does earlier data, which
                     // may arrive later.
                     let has_sent_data =
                         segment.length > 0 || open.acknowledged != Some(segment.sequence);
-                    let busy = open.request.is_some() && !has_sent_data;
-                    end(EndCause::Closed, Some(open.started_at), busy)
+                    let request = open.request.as_ref().filter(|_| !has_sent_data);
+                    end(EndCause::Closed, Some(open.started_at), request)
                 }
                 (
                     Control::Reset,
                     Some(State::Offered { changed_at, .. } | State::Accepted { changed_at, .. }),
-                ) => end(EndCause::Refused, Some(*changed_at), false),
-                (Control::Reset, _) => end(EndCause::UnknownFlow, None, false),
+                ) => end(EndCause::Refused, Some(*changed_at), None),
+                (Control::Reset, _) => end(EndCause::UnknownFlow, None, None),
                 _ => None,
             }
         })
--- a/yuccacroft-core/src/handshake/open_flow.rs
+++ b/yuccacroft-core/src/handshake/open_flow.rs
@@ -51,6 +51,13 @@
     pub was_overdue: bool,
 }
 
+impl Request {
+    /// Returns true if the request has had no response for longer than requests usually take.
+    pub fn is_overdue(&self) -> bool {
+        !self.is_counted
+    }
+}
+
 impl OpenFlow {
     /// Creates an open flow and counts it.
     pub fn new(
@@ -161,7 +168,7 @@
         let answer = request
             .map(|request| Answer {
                 service_time: now.since(request.started_at),
-                was_overdue: !request.is_counted,
+                was_overdue: request.is_overdue(),
             })
             .inspect(|answer| counts.record_service_time(answer.service_time));
         if segment.control == Control::Finish {
--- a/yuccacroft-core/src/outcome.rs
+++ b/yuccacroft-core/src/outcome.rs
@@ -95,8 +95,8 @@
         }
     }
 
-    /// Records the response to a request that has been recorded as overdue. Few requests take much
-    /// longer than the others, which is no failure.
+    /// Records that a request which has been recorded as overdue has another outcome now. A response
+    /// is no failure, since few requests take much longer than the others, and a reset counts instead.
     pub fn withdraw_overdue(&mut self, now: Moment) {
         *self = self.decayed(now);
         self.overdue = (self.overdue - 1.0).max(0.0);
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -174,9 +174,12 @@
     let table = FlowTable::new();
     let reset = |port| segment(port, Control::Reset, 501, 101, 0);
     let finish = segment(2, Control::Finish, 501, 151, 0);
-    let end =
-        |cause, age, busy| Some(UpstreamEnd { cause, age: Some(Span::from_millis(age)), busy });
-    let unknown = UpstreamEnd { cause: EndCause::UnknownFlow, age: None, busy: false };
+    let end = |cause, age, busy| {
+        let age = Some(Span::from_millis(age));
+        Some(UpstreamEnd { cause, age, busy, was_overdue: false })
+    };
+    let unknown =
+        UpstreamEnd { cause: EndCause::UnknownFlow, age: None, busy: false, was_overdue: false };
     assert_eq!(table.upstream_end(&reset(1), at(1)), Some(unknown));
     table.handle_opening(&opening(1), b"open", offer(&[]), true, START);
     assert_eq!(table.upstream_end(&reset(1), at(5)), end(EndCause::Refused, 5, false));
--- a/yuccacroft-segment/src/agent/relay/outcomes.rs
+++ b/yuccacroft-segment/src/agent/relay/outcomes.rs
@@ -24,16 +24,29 @@
         self.state.outcomes().record(outcome, now);
     }
 
+    /// Records that the upstream has ended the flow of a request in progress. One that was overdue
+    /// has been counted already.
+    pub(super) fn record_failed_request(&self, was_overdue: bool, outcome: Outcome, now: Moment) {
+        if was_overdue {
+            self.withdraw_overdue(now);
+        }
+        self.record_outcome(outcome, now);
+    }
+
+    fn withdraw_overdue(&self, now: Moment) {
+        if self.state.requirements.health {
+            self.state.outcomes().withdraw_overdue(now);
+        }
+    }
+
     /// Records the outcome if the segment begins a response. The last segment of the flow may have
     /// overtaken it, so the request need not be in progress.
     pub(super) fn record_response(&self, was_overdue: bool, datagram: &[u8], now: Moment) {
-        if !self.state.requirements.health {
-            return;
-        }
         if was_overdue {
-            self.state.outcomes().withdraw_overdue(now);
+            self.withdraw_overdue(now);
         }
-        if let Some(response) = self.format.response(datagram) {
+        let is_recorded = self.state.requirements.health;
+        if let Some(response) = self.format.response(datagram).filter(|_| is_recorded) {
             self.record_outcome(response.into(), now);
         }
     }
@@ -43,7 +56,7 @@
         match end.cause {
             EndCause::Refused => self.record_outcome(Outcome::OpeningRefused, now),
             EndCause::Reset | EndCause::Closed if end.busy => {
-                self.record_outcome(Outcome::Reset, now);
+                self.record_failed_request(end.was_overdue, Outcome::Reset, now);
             }
             EndCause::Reset | EndCause::Closed | EndCause::UnknownFlow => {}
         }
--- a/yuccacroft-segment/tests/support/balancer.rs
+++ b/yuccacroft-segment/tests/support/balancer.rs
@@ -3,18 +3,12 @@
 #![allow(dead_code, reason = "each test file uses a part of the module")]
 
 use {
-    super::{Capture, fakes::FakeFormat},
-    axum::Router,
-    slog::Logger,
-    std::{
-        collections::{HashMap, VecDeque},
-        io,
-        net::SocketAddrV4,
-        sync::{
-            Arc, Mutex,
-            atomic::{AtomicU64, Ordering},
-        },
+    super::{
+        Capture,
+        fakes::FakeFormat,
+        host::{ClockHost, QueueSocket, run},
     },
+    std::{collections::HashMap, net::SocketAddrV4, sync::Arc},
     yuccacroft_core::{
         flow::{AgentId, FlowKey},
         ids::{Domain, Incarnation, Instance, Revision},
@@ -24,14 +18,11 @@
         segment::{Control, Flow, Segment, Sequence},
         time::{Moment, Span},
         units::Slots,
-        upstream::ConnectResult,
     },
     yuccacroft_segment::{
         balancer::relay::{Relay, Setup},
         clock::BootClock,
-        errors::Result as StartResult,
         flow_log::FlowLog,
-        host::{Host, Server, Socket},
     },
     yuccacroft_wire::relay::{self, Body, FlowQuery, Reply, Request},
 };
@@ -48,22 +39,9 @@
     parse_inbound: parse,
     parse_outbound: |_| Err("not sent by upstreams"),
     encode_reset: |flow| flow.caller.port().to_le_bytes().to_vec(),
+    response: |_| None,
 };
 
-/// A host that has nothing but a clock, which the test advances.
-#[derive(Clone, Debug, Default)]
-struct ClockHost(Arc<AtomicU64>);
-
-/// A datagram and its receiver.
-type Sent = (SocketAddrV4, Vec<u8>);
-
-/// A socket with queues of received and sent datagrams.
-#[derive(Clone, Debug, Default)]
-struct QueueSocket {
-    received: Arc<Mutex<VecDeque<Vec<u8>>>>,
-    sent: Arc<Mutex<Vec<Sent>>>,
-}
-
 /// An agent that answers each message at once while it runs.
 #[derive(Debug)]
 pub struct Agent {
@@ -135,75 +113,6 @@
     datagram
 }
 
-impl Host for ClockHost {
-    type Socket = QueueSocket;
-
-    fn bind(&self, _: &'static str, _: SocketAddrV4) -> StartResult<QueueSocket> {
-        Ok(QueueSocket::default())
-    }
-
-    async fn serve(
-        &self,
-        _: &'static str,
-        _: SocketAddrV4,
-        _: Router,
-        _: &Logger,
-    ) -> StartResult<Server> {
-        Ok(Server::new(tokio::spawn(std::future::pending())))
-    }
-
-    async fn check_port(&self, _: SocketAddrV4) -> ConnectResult {
-        ConnectResult::Connected
-    }
-
-    fn wall_clock(&self) -> Span {
-        self.boot_clock()
-    }
-
-    fn boot_clock(&self) -> Span {
-        Span::from_micros(self.0.load(Ordering::Relaxed))
-    }
-
-    fn seed(&self) -> u64 {
-        0
-    }
-}
-
-impl Socket for QueueSocket {
-    async fn connect(self, _: SocketAddrV4) -> StartResult<Self> {
-        Ok(self)
-    }
-
-    /// Returns when all queued datagrams are received, so that a test can go on.
-    async fn receive(
-        &self,
-        mut on_datagram: impl FnMut(&mut [u8], SocketAddrV4) + Send,
-        _: impl FnMut(io::Error) + Send,
-    ) {
-        while let Some(mut datagram) = self.next_received() {
-            on_datagram(&mut datagram, address());
-        }
-    }
-
-    fn send(&self, datagram: &[u8], to: SocketAddrV4) {
-        self.sent.lock().unwrap().push((to, datagram.into()));
-    }
-
-    fn send_connected(&self, _: &[u8]) -> bool {
-        true
-    }
-}
-
-impl QueueSocket {
-    fn next_received(&self) -> Option<Vec<u8>> {
-        self.received.lock().unwrap().pop_front()
-    }
-
-    fn take_sent(&self) -> Vec<Sent> {
-        std::mem::take(&mut *self.sent.lock().unwrap())
-    }
-}
-
 impl Agent {
     fn answer(&mut self, request: &Request, datagram: &[u8]) -> Vec<(Body, Vec<u8>)> {
         let segment = parse(datagram).ok();
@@ -306,7 +215,7 @@
     /// Lets time pass, in ticks of the controllers.
     pub fn advance(&mut self, span: Span) {
         for _ in 0..span.as_micros() / TICK.as_micros() {
-            self.clock.0.fetch_add(TICK.as_micros(), Ordering::Relaxed);
+            self.clock.advance(TICK);
             let now = self.now();
             self.ticks += 1;
             self.relay.record_running(now);
@@ -320,7 +229,7 @@
 
     /// Lets time pass while the balancer is paused.
     pub fn stall(&self, span: Span) {
-        self.clock.0.fetch_add(span.as_micros(), Ordering::Relaxed);
+        self.clock.advance(span);
     }
 
     /// Sends a ping to an agent, which gets lost.
@@ -350,7 +259,7 @@
     /// Lets the balancer receive a segment and returns true if it resets its flow before time
     /// passes.
     pub fn receive(&mut self, segment: &Segment) -> bool {
-        self.callers.received.lock().unwrap().push_back(encode(segment));
+        self.callers.push(encode(segment));
         run(self.relay.receive_segments());
         self.exchange_messages();
         self.has_reset()
@@ -358,14 +267,14 @@
 
     /// Lets the balancer receive any bytes from its agents.
     pub fn receive_message(&mut self, datagram: Vec<u8>) {
-        self.messages.received.lock().unwrap().push_back(datagram);
+        self.messages.push(datagram);
         run(self.relay.receive_messages());
         self.exchange_messages();
     }
 
     /// Lets the balancer receive any bytes from callers.
     pub fn receive_bytes(&mut self, datagram: Vec<u8>) {
-        self.callers.received.lock().unwrap().push_back(datagram);
+        self.callers.push(datagram);
         run(self.relay.receive_segments());
         self.exchange_messages();
     }
@@ -410,11 +319,7 @@
             let newest_entry = Revision::default();
             let reply = Reply { from, load, age, version, newest_entry, body };
             let datagram = relay::encode(&reply, &returned).unwrap();
-            self.messages.received.lock().unwrap().push_back(datagram);
+            self.messages.push(datagram);
         }
     }
 }
-
-fn run(future: impl Future<Output = ()>) {
-    tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(future);
-}
--- a/yuccacroft-segment/tests/support/fakes.rs
+++ b/yuccacroft-segment/tests/support/fakes.rs
@@ -17,6 +17,7 @@
     pub parse_inbound: fn(&[u8]) -> Result<Segment, &'static str>,
     pub parse_outbound: fn(&[u8]) -> Result<Outbound, &'static str>,
     pub encode_reset: fn(Flow) -> Vec<u8>,
+    pub response: fn(&[u8]) -> Option<Response>,
 }
 
 /// A socket whose datagrams the test writes.
@@ -29,6 +30,7 @@
             parse_inbound: |_| Err("not a segment"),
             parse_outbound: |_| Err("not a segment"),
             encode_reset: |_| Vec::new(),
+            response: |_| None,
         }
     }
 }
@@ -52,8 +54,8 @@
         None
     }
 
-    fn response(&self, _: &[u8]) -> Option<Response> {
-        None
+    fn response(&self, datagram: &[u8]) -> Option<Response> {
+        (self.response)(datagram)
     }
 
     fn restore_bounced(&self, _: &mut [u8]) {}
--- a/yuccacroft-segment/tests/support/mod.rs
+++ b/yuccacroft-segment/tests/support/mod.rs
@@ -2,8 +2,10 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the module")]
 
+pub mod agent;
 pub mod balancer;
 pub mod fakes;
+pub mod host;
 
 use {
     slog::{Drain, KV, Key, Logger, Never, OwnedKVList, Record, Serializer, o},
