Readmit an ejected upstream by its probes only

An upstream that fails all requests of a service with ten requests a second came back eight times in two minutes without a good probe: the failures in its agent's record faded with time while the four assumed successes did not, so the reported share fell below the limit by itself. That the shares of many probes hid this is why it showed with little traffic only.

The share now stays until the next outcome is recorded. The time since the last one counts then, and the outcomes from before a pause keep the weight of one request, so that three good probes bring an upstream back and one does not. Since a share no longer fades, an admitted member gets a twentieth of the flows without regard to its failures; otherwise one of two upstreams, which are too few to be compared, stayed idle for an old failure.

--- a/yuccacroft-core/src/outcome.rs
+++ b/yuccacroft-core/src/outcome.rs
@@ -12,9 +12,12 @@
 
 /// Number of latest requests that determine the share of failures.
 const WINDOW_REQUESTS: f64 = 32.0;
-/// Time after which an outcome counts half, so that the record of an upstream that gets few requests
-/// does not stay as it is.
+/// Time after which an outcome counts half when the next one is recorded, so that the record of an
+/// upstream that gets few requests follows its latest ones.
 const HALF_LIFE: Span = Span::from_secs(2);
+/// The weight, in requests, that the outcomes before a pause keep, so that it takes more than one
+/// success to outweigh them.
+const MIN_WEIGHT_REQUESTS: f64 = 1.0;
 /// Number of successes that are assumed before the first outcome, so that a single failure does not
 /// make up the whole share.
 const ASSUMED_SUCCESSES: f64 = 4.0;
@@ -107,9 +110,10 @@
         self.silence_ignored_until = now + PAUSE_GRACE_PERIOD;
     }
 
-    /// Returns the share of the latest requests that failed, in hundredths.
-    pub fn failures(&self, now: Moment) -> Percent {
-        let Self { successes, failures, overdue, .. } = self.decayed(now);
+    /// Returns the share of the latest requests that failed, in hundredths. It stays as it is until the
+    /// next outcome: time alone does not show that an upstream works.
+    pub fn failures(&self) -> Percent {
+        let Self { successes, failures, overdue, .. } = *self;
         let failed = failures + overdue;
         let share = failed / (failed + successes + ASSUMED_SUCCESSES);
         Percent::new((share * 100.0).round() as u32)
@@ -118,8 +122,10 @@
     fn decayed(&self, now: Moment) -> Self {
         let half_lives =
             now.since(self.updated_at).as_micros() as f64 / HALF_LIFE.as_micros() as f64;
+        let weight = self.successes + self.failures + self.overdue;
+        let min_factor = (MIN_WEIGHT_REQUESTS / weight).min(1.0);
         let mut record = Self { updated_at: now, ..*self };
-        record.scale((-half_lives).exp2());
+        record.scale((-half_lives).exp2().max(min_factor));
         record
     }
 
--- a/yuccacroft-core/src/pool/cost.rs
+++ b/yuccacroft-core/src/pool/cost.rs
@@ -120,8 +120,7 @@
         let measures = self.measures.filter(|(_, at)| viewpoint.now.since(*at) < WAIT_TTL);
         let wait = measures.map_or(Span::ZERO, |(measures, _)| measures.wait);
         let mut cost = Cost { work, wait, busy, ..Cost::default() };
-        // A probe goes to an ejected member although its failures make it expensive.
-        if self.standing.is_admitted() {
+        if !self.standing.is_probe(viewpoint.key, self.entry.agent_id.instance) {
             cost.failures = self.failures(cost.total());
         }
         if self.entry.domain != *viewpoint.domain {
--- a/yuccacroft-core/src/pool/outlier.rs
+++ b/yuccacroft-core/src/pool/outlier.rs
@@ -164,9 +164,14 @@
         if self.is_admitted() {
             return true;
         }
-        // The lower half of the hash spreads the costs of members.
-        let position = (pair_hash(key, instance) >> u32::BITS) % (HUNDRED * HUNDRED);
-        position < u64::from(self.share().get()) * HUNDRED / self.peers
+        probe_position(key, instance) < u64::from(self.share().get()) * HUNDRED / self.peers
+    }
+
+    /// Returns true if a member with this standing gets the flow whatever it has failed before. An
+    /// ejected one gets no other flows, and a few go to an admitted one that others could replace, so
+    /// that a share of failures from before a pause does not last.
+    pub(super) fn is_probe(&self, key: FlowKey, instance: Instance) -> bool {
+        !self.is_admitted() || probe_position(key, instance) < u64::from(RETURN_STEPS[0]) * HUNDRED
     }
 
     fn eject(&mut self, peers: u64, now: Moment) {
@@ -340,6 +345,12 @@
     (failures * successes).isqrt().div_ceil(SAMPLE_ROOT)
 }
 
+/// Returns a number below ten thousand by which the probes of a member are chosen.
+fn probe_position(key: FlowKey, instance: Instance) -> u64 {
+    // The lower half of the hash spreads the costs of members.
+    (pair_hash(key, instance) >> u32::BITS) % (HUNDRED * HUNDRED)
+}
+
 fn median(mut values: Vec<u32>) -> u32 {
     values.sort_unstable();
     values.get(values.len() / 2).copied().unwrap_or_default()
--- a/yuccacroft-core/tests/outliers.rs
+++ b/yuccacroft-core/tests/outliers.rs
@@ -134,7 +134,7 @@
                 let mean = (busy[upstream].get() * 4 + active as u32 * 100) / 5;
                 busy[upstream] = Percent::new(mean);
                 pool.record_load(agent_id(upstream), load(active, busy[upstream]), now);
-                let failures = record.failures(now);
+                let failures = record.failures();
                 let measures = Measures { failures, ..Measures::default() };
                 pool.record_measures(agent_id(upstream), measures, now);
             }
@@ -218,6 +218,56 @@
     }
 }
 
+/// Guards against an upstream that comes back because time has passed: where there is little traffic no
+/// probe shows that it works.
+#[test]
+fn an_upstream_comes_back_by_its_probes_only() {
+    let fault = |attempt: &Attempt| (attempt.upstream == 3).then_some(ERRORS);
+    for interval_ms in [100, 500, 2_000] {
+        let results = run(true, interval_ms, 120_000, fault);
+        assert_eq!(results.ejections, 1, "{interval_ms} ms: {results:?}");
+        assert_eq!(results.readmissions, 0, "{interval_ms} ms: {results:?}");
+    }
+}
+
+/// Guards against an upstream that stays ejected after a fault, because its few probes weigh less than
+/// the failures before them.
+#[test]
+fn a_few_good_probes_suffice_after_a_pause() {
+    let mut record = Record::default();
+    let failed_at = Moment::new(1_000_000);
+    (0..32).for_each(|_| record.record(Outcome::ServerError, failed_at));
+    let at = |minutes: u64| failed_at + Span::from_secs(60 * minutes);
+    assert!(record.failures() > Percent::new(80));
+    (1..=3).for_each(|minutes| record.record(Outcome::Success, at(minutes)));
+    assert!(record.failures() <= Percent::new(4), "{}", record.failures());
+}
+
+/// Guards against a single success that hides an upstream which fails most requests.
+#[test]
+fn one_good_probe_is_no_proof() {
+    let mut record = Record::default();
+    (0..32).for_each(|_| record.record(Outcome::ServerError, Moment::new(1_000_000)));
+    record.record(Outcome::Success, Moment::new(61_000_000));
+    assert!(record.failures() >= Percent::new(10));
+}
+
+/// Guards against two upstreams of which one gets no request for an old failure, since too few are
+/// left to be compared.
+#[test]
+fn an_old_failure_does_not_keep_an_upstream_idle() {
+    let pool = new_pool(true);
+    let now = Moment::new(1_000_000);
+    let measures = Measures { failures: Percent::new(60), ..Measures::default() };
+    pool.record_measures(agent_id(3), measures, now);
+    let first = |key: u64| {
+        let key = FlowKey::new(key.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        pool.choose(target(), &domain(), key, 1, now)[0]
+    };
+    let count = (0..2_000).filter(|key| first(*key) == instance(3)).count();
+    assert!((1..200).contains(&count), "{count}");
+}
+
 /// Guards against an upstream that fails the callers of one failure domain only, a third of all: its
 /// share of failures is low, but far above that of its peers.
 #[test]
@@ -277,7 +327,7 @@
                 record.withdraw_overdue(now);
             }
             record.record(Outcome::Success, now);
-            prop_assert_eq!(record.failures(now), Percent::new(0));
+            prop_assert_eq!(record.failures(), Percent::new(0));
         }
     }
 }
@@ -289,7 +339,7 @@
     let mut record = Record::default();
     record.record_pause(Moment::new(1_000_000));
     (0..20).for_each(|_| record.record(Outcome::Overdue, Moment::new(1_100_000)));
-    assert_eq!(record.failures(Moment::new(1_100_000)), Percent::new(0));
+    assert_eq!(record.failures(), Percent::new(0));
     (0..20).for_each(|_| record.record(Outcome::Overdue, Moment::new(1_500_000)));
-    assert!(record.failures(Moment::new(1_500_000)) > Percent::new(50));
+    assert!(record.failures() > Percent::new(50));
 }
--- a/yuccacroft-segment/src/agent/relay/reply.rs
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -43,7 +43,7 @@
     /// Returns what the agent has measured of its upstream.
     pub fn measures(&self, now: Moment) -> Measures {
         let wait = self.state.expected_wait(now);
-        let failures = self.state.outcomes().failures(now);
+        let failures = self.state.outcomes().failures();
         Measures { wait, failures, room: self.state.room(now) }
     }
 
