Test the openings that an upstream refuses at the agent

With the requirement health an agent passes an opening segment on that its upstream resets or returns. No test ran that path.

--- a/yuccacroft-segment/tests/support/agent.rs
+++ b/yuccacroft-segment/tests/support/agent.rs
@@ -45,6 +45,7 @@
     parse_outbound,
     encode_reset: |flow| encode(Kind::Reset, flow.caller.port(), 0),
     response,
+    restore_bounced: |datagram| datagram[0] = Kind::Open as u8,
 };
 
 /// What a segment does.
--- a/yuccacroft-segment/tests/support/balancer.rs
+++ b/yuccacroft-segment/tests/support/balancer.rs
@@ -40,6 +40,7 @@
     parse_outbound: |_| Err("not sent by upstreams"),
     encode_reset: |flow| flow.caller.port().to_le_bytes().to_vec(),
     response: |_| None,
+    restore_bounced: |_| {},
 };
 
 /// An agent that answers each message at once while it runs.
--- a/yuccacroft-segment/tests/support/fakes.rs
+++ b/yuccacroft-segment/tests/support/fakes.rs
@@ -18,6 +18,7 @@
     pub parse_outbound: fn(&[u8]) -> Result<Outbound, &'static str>,
     pub encode_reset: fn(Flow) -> Vec<u8>,
     pub response: fn(&[u8]) -> Option<Response>,
+    pub restore_bounced: fn(&mut [u8]),
 }
 
 /// A socket whose datagrams the test writes.
@@ -31,6 +32,7 @@
             parse_outbound: |_| Err("not a segment"),
             encode_reset: |_| Vec::new(),
             response: |_| None,
+            restore_bounced: |_| {},
         }
     }
 }
@@ -58,7 +60,9 @@
         (self.response)(datagram)
     }
 
-    fn restore_bounced(&self, _: &mut [u8]) {}
+    fn restore_bounced(&self, datagram: &mut [u8]) {
+        (self.restore_bounced)(datagram);
+    }
 
     fn encode_reset(&self, flow: Flow, _: Sequence) -> Vec<u8> {
         (self.encode_reset)(flow)
