Drop the late refusal of an opening that was passed on

When an upstream leaves an opening segment unanswered for 60 ms, its agent passes the segment on. If the upstream then reset it, the agent knew no such flow and sent the reset to the caller, which ends a flow that another upstream may hold by then: while a flow opens, its caller accepts any reset.

Deployments without the requirement health are served as before.

a_late_refusal_does_not_reach_the_caller failed before. Found by writing the tests of refused openings.

--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -15,6 +15,7 @@
 mod observation;
 mod offer;
 mod open_flow;
+mod passed;
 mod state;
 mod table;
 
--- a/yuccacroft-core/src/handshake/decision.rs
+++ b/yuccacroft-core/src/handshake/decision.rs
@@ -82,6 +82,9 @@
     /// What to do with the opening segment that the upstream refuses with this one. The flow never
     /// opened here, so nothing has run.
     pub refused_opening: Option<Action>,
+    /// Whether the segment refuses an opening segment that was passed on before. Its caller must not get
+    /// it, since another agent may have the flow.
+    pub is_late_refusal: bool,
     /// The balancer that let the agent probe the upstream, if the segment proves that the upstream
     /// holds the flow. It gets an answer.
     pub prober: Option<SocketAddrV4>,
--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -77,12 +77,14 @@
                 State::Absent { changed_at } => now.since(*changed_at) < ABSENT_TTL,
             }
         });
+        self.passed.expire(now);
+        self.record_passed(&actions, now);
         actions
     }
 
     /// Passes every opening segment that is not accepted yet to its next candidate, because the
     /// upstream no longer takes new flows.
-    pub fn release_unaccepted(&self) -> Vec<Action> {
+    pub fn release_unaccepted(&self, now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
         self.entries.retain(|_, entry| {
             let State::Offered { offer, datagram, .. } = &entry.state else {
@@ -91,9 +93,18 @@
             actions.push(Action::pass_or_refuse(entry.flow, offer, datagram));
             false
         });
+        self.record_passed(&actions, now);
         actions
     }
 
+    fn record_passed(&self, actions: &[Action], now: Moment) {
+        for action in actions {
+            if let Action::Pass { flow, .. } | Action::Refuse { flow, .. } = action {
+                self.passed.record(flow.key(), now);
+            }
+        }
+    }
+
     /// Removes and returns the open flows that began before the given end of an upstream. Later
     /// flows belong to its next incarnation, which takes flows before its first report.
     pub fn remove_begun_before(&self, before: Moment) -> Vec<LostFlow> {
--- a/yuccacroft-core/src/handshake/table.rs
+++ b/yuccacroft-core/src/handshake/table.rs
@@ -7,6 +7,7 @@
         decision::{Decision, ForwardReason, Ownership, ReplyOutcome},
         offer::{self, Offer},
         open_flow::{Answer, OpenFlow},
+        passed::PassedOpenings,
         state::{Entry, State},
     },
     crate::{
@@ -27,6 +28,7 @@
 pub struct FlowTable {
     pub(super) entries: Shards<FlowKey, Entry>,
     pub(super) counts: Counts,
+    pub(super) passed: PassedOpenings,
 }
 
 impl FlowTable {
@@ -162,7 +164,11 @@
 
     /// Records a segment from the upstream to a caller.
     pub fn handle_reply(&self, segment: &Segment, now: Moment) -> ReplyOutcome {
-        self.entries.update(segment.flow.key(), |slot| {
+        let key = segment.flow.key();
+        let is_reset = segment.control == Control::Reset;
+        let was_passed = is_reset && self.passed.contains(key, now);
+        let outcome = self.entries.update(key, |slot| {
+            let is_late_refusal = was_passed && slot.is_none();
             let prober = match slot.as_ref().map(|entry| &entry.state) {
                 Some(State::Probed { origin, .. }) => Some(*origin),
                 _ => None,
@@ -174,9 +180,16 @@
                 service_time: answer.map(|answer| answer.service_time),
                 was_overdue: answer.is_some_and(|answer| answer.was_overdue),
                 refused_opening,
+                is_late_refusal,
                 prober: prober.filter(|_| is_open),
             }
-        })
+        });
+        if segment.control == Control::Accept {
+            self.passed.remove(key);
+        } else if outcome.refused_opening.is_some() {
+            self.passed.record(key, now);
+        }
+        outcome
     }
 
     /// Returns what to do with an opening segment that the upstream refuses with a reset.
@@ -257,7 +270,8 @@
 
     /// Decides about a segment that the upstream has returned.
     pub fn handle_bounce(&self, segment: &Segment, now: Moment) -> Decision {
-        self.entries.update(segment.flow.key(), |slot| {
+        let key = segment.flow.key();
+        let decision = self.entries.update(key, |slot| {
             let Some(entry) = slot.take() else { return Decision::Drop("unknown bounce") };
             let Entry { flow, opening, state } = entry;
             let absent_entry = Entry { flow, opening, state: State::Absent { changed_at: now } };
@@ -295,7 +309,11 @@
                     Decision::Drop("unknown bounce")
                 }
             }
-        })
+        });
+        if matches!(decision, Decision::Pass(..) | Decision::Refuse(_)) {
+            self.passed.record(key, now);
+        }
+        decision
     }
 
     /// Records that a held request goes to the upstream. Returns false if its flow has ended or
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -137,7 +137,7 @@
     }
     let passed_on = FlowTable::new();
     passed_on.handle_opening(&opening(1), b"open", offer(&[]), true, START);
-    assert_eq!(passed_on.release_unaccepted().len(), 1);
+    assert_eq!(passed_on.release_unaccepted(at(5)).len(), 1);
     passed_on.handle_reply(&accept, at(1));
     assert_eq!(deliver(&passed_on, &acknowledging, at(2)), Decision::Deliver);
 }
@@ -202,7 +202,7 @@
     table.handle_opening(&opening(1), b"open", offer(&[other()]), true, START);
     table.handle_reply(&segment(1, Control::Accept, 500, 101, 0), START);
     assert!(table.tick(at(500)).is_empty());
-    assert!(table.release_unaccepted().is_empty());
+    assert!(table.release_unaccepted(at(5)).is_empty());
 }
 
 /// Guards against accepted flows that disappear without a trace although their caller may hold them
--- a/yuccacroft-segment/src/agent/relay/outbound.rs
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -53,8 +53,12 @@
                         self.log_request("slow answer", &segment, datagram, Some(time), now);
                     }
                 }
-                match reply.refused_opening.filter(|_| self.state.requirements.health) {
+                let is_health_required = self.state.requirements.health;
+                match reply.refused_opening.filter(|_| is_health_required) {
                     Some(action) => self.perform(action, now),
+                    None if reply.is_late_refusal && is_health_required => {
+                        self.log_not_delivered(segment.flow, "drop", "late refusal", now);
+                    }
                     None => self.send_to_caller(Kind::Caller, segment.flow, datagram),
                 }
                 self.release_waiting(now);
--- a/yuccacroft-segment/src/agent/relay/reset.rs
+++ b/yuccacroft-segment/src/agent/relay/reset.rs
@@ -16,7 +16,7 @@
 impl<F: Format, S: Socket> Relay<F, S> {
     /// Passes the opening segments that the upstream has not accepted yet on to other agents.
     pub fn pass_on_unaccepted(&self, now: Moment) {
-        for action in self.state.table.release_unaccepted() {
+        for action in self.state.table.release_unaccepted(now) {
             self.perform(action, now);
         }
     }
--- a/yuccacroft-segment/tests/refused_openings.rs
+++ b/yuccacroft-segment/tests/refused_openings.rs
@@ -80,6 +80,48 @@
     assert!(refusals(&processes).is_empty());
 }
 
+/// Guards against a caller whose flow is reset although another agent has it: an upstream answers so
+/// late that its agent has passed the opening segment on, and then refuses it.
+#[test]
+fn a_late_refusal_does_not_reach_the_caller() {
+    let agent = Agent::new();
+    agent.offer(PORT, &[other_agent()]);
+    agent.advance(NO_ANSWER);
+    let (_, processes) = agent.take_sent();
+    assert_eq!(offers(&processes), [(other_agent(), opening())]);
+    agent.receive_upstream(Kind::Reset, PORT, 0);
+    let (callers, processes) = agent.take_sent();
+    assert!(callers.is_empty(), "{callers:?}");
+    assert!(offers(&processes).is_empty());
+}
+
+/// Guards against a caller that waits for an upstream which no longer holds its flow: it accepted late,
+/// and the caller may have answered it.
+#[test]
+fn a_reset_after_a_late_acceptance_goes_to_the_caller() {
+    let agent = Agent::new();
+    agent.offer(PORT, &[other_agent()]);
+    agent.advance(NO_ANSWER);
+    agent.receive_upstream(Kind::Accept, PORT, 0);
+    agent.take_sent();
+    agent.receive_upstream(Kind::Reset, PORT, 0);
+    assert_eq!(agent.take_sent().0, [encode(Kind::Reset, PORT, 0)]);
+}
+
+/// Guards against a reset that is dropped because an earlier flow from the same port was passed on.
+#[test]
+fn the_reset_of_a_later_flow_goes_to_the_caller() {
+    let agent = Agent::new();
+    agent.offer(PORT, &[other_agent()]);
+    agent.advance(NO_ANSWER);
+    agent.open(PORT);
+    agent.take_sent();
+    agent.receive_upstream(Kind::Reset, PORT, 0);
+    assert_eq!(agent.take_sent().0, [encode(Kind::Reset, PORT, 0)]);
+    agent.receive_upstream(Kind::Reset, PORT, 0);
+    assert_eq!(agent.take_sent().0, [encode(Kind::Reset, PORT, 0)]);
+}
+
 /// Guards against a change for deployments that do not ask for measured outcomes.
 #[test]
 fn without_the_requirement_the_refusal_goes_to_the_caller() {
