--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         action::{Action, LostFlow},
-        open_flow::OpenFlow,
+        open_flow::{OpenFlow, Request},
         state::State,
         table::{BOUNCE_TIMEOUT, FlowTable},
     },
@@ -79,12 +79,14 @@
                 State::Absent { changed_at } => now.since(*changed_at) < ABSENT_TTL,
             }
         });
+        self.passed.expire(now);
+        self.record_passed(&actions, now);
         actions
     }
 
     /// Passes every opening segment that is not accepted yet to its next candidate, because the
     /// upstream no longer takes new flows.
-    pub fn release_unaccepted(&self) -> Vec<Action> {
+    pub fn release_unaccepted(&self, now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
         self.entries.retain(|_, entry| {
             let State::Offered { offer, datagram, .. } = &entry.state else {
@@ -94,9 +96,18 @@
             actions.push(Action::pass_or_refuse(entry.flow, offer, datagram));
             false
         });
+        self.record_passed(&actions, now);
         actions
     }
 
+    fn record_passed(&self, actions: &[Action], now: Moment) {
+        for action in actions {
+            if let Action::Pass { flow, .. } | Action::Refuse { flow, .. } = action {
+                self.passed.record(flow.key(), now);
+            }
+        }
+    }
+
     /// Removes and returns the open flows that began before the given end of an upstream. Later
     /// flows belong to its next incarnation, which takes flows before its first report.
     pub fn remove_begun_before(&self, before: Moment) -> Vec<LostFlow> {
@@ -106,10 +117,11 @@
                 // Without a segment of the caller no position is known, so any will do.
                 let acknowledged = open.acknowledged.unwrap_or_default();
                 let busy = open.request.is_some() || open.is_held;
+                let was_overdue = open.request.as_ref().is_some_and(Request::is_overdue);
                 let (flow, started_at) = (entry.flow, open.started_at);
                 // Without a segment of this upstream the flow may be that of another one.
                 if open.is_proven {
-                    lost.push(LostFlow { flow, acknowledged, busy, started_at });
+                    lost.push(LostFlow { flow, acknowledged, busy, was_overdue, started_at });
                 }
                 open.end(&self.counts);
                 false
--- a/yuccacroft-core/tests/handshake.rs
+++ b/yuccacroft-core/tests/handshake.rs
@@ -139,7 +139,7 @@
     }
     let passed_on = FlowTable::new();
     passed_on.handle_opening(&opening(1), b"open", offer(&[]), Intake::Unlimited, START);
-    assert_eq!(passed_on.release_unaccepted().len(), 1);
+    assert_eq!(passed_on.release_unaccepted(at(5)).len(), 1);
     passed_on.handle_reply(&accept, at(1));
     assert_eq!(deliver(&passed_on, &acknowledging, at(2)), Decision::Deliver);
 }
@@ -176,9 +176,12 @@
     let table = FlowTable::new();
     let reset = |port| segment(port, Control::Reset, 501, 101, 0);
     let finish = segment(2, Control::Finish, 501, 151, 0);
-    let end =
-        |cause, age, busy| Some(UpstreamEnd { cause, age: Some(Span::from_millis(age)), busy });
-    let unknown = UpstreamEnd { cause: EndCause::UnknownFlow, age: None, busy: false };
+    let end = |cause, age, busy| {
+        let age = Some(Span::from_millis(age));
+        Some(UpstreamEnd { cause, age, busy, was_overdue: false })
+    };
+    let unknown =
+        UpstreamEnd { cause: EndCause::UnknownFlow, age: None, busy: false, was_overdue: false };
     assert_eq!(table.upstream_end(&reset(1), at(1)), Some(unknown));
     table.handle_opening(&opening(1), b"open", offer(&[]), Intake::Unlimited, START);
     assert_eq!(table.upstream_end(&reset(1), at(5)), end(EndCause::Refused, 5, false));
@@ -201,7 +204,7 @@
     table.handle_opening(&opening(1), b"open", offer(&[other()]), Intake::Unlimited, START);
     table.handle_reply(&segment(1, Control::Accept, 500, 101, 0), START);
     assert!(table.tick(at(500)).is_empty());
-    assert!(table.release_unaccepted().is_empty());
+    assert!(table.release_unaccepted(at(5)).is_empty());
 }
 
 /// Guards against accepted flows that disappear without a trace although their caller may hold them
@@ -511,7 +514,7 @@
         }
         table.remove_begun_before(now + Span::from_millis(1));
         prop_assert_eq!((table.open_flows().get(), table.active_requests()), (0, 0));
-        table.release_unaccepted();
+        table.release_unaccepted(now);
         prop_assert_eq!(table.held_flows().get(), 0);
     }
 }
--- a/yuccacroft-segment/tests/support/fakes.rs
+++ b/yuccacroft-segment/tests/support/fakes.rs
@@ -17,6 +17,8 @@
     pub parse_inbound: fn(&[u8]) -> Result<Segment, &'static str>,
     pub parse_outbound: fn(&[u8]) -> Result<Outbound, &'static str>,
     pub encode_reset: fn(Flow) -> Vec<u8>,
+    pub response: fn(&[u8]) -> Option<Response>,
+    pub restore_bounced: fn(&mut [u8]),
 }
 
 /// A socket whose datagrams the test writes.
@@ -29,6 +31,8 @@
             parse_inbound: |_| Err("not a segment"),
             parse_outbound: |_| Err("not a segment"),
             encode_reset: |_| Vec::new(),
+            response: |_| None,
+            restore_bounced: |_| {},
         }
     }
 }
@@ -52,11 +56,13 @@
         None
     }
 
-    fn response(&self, _: &[u8]) -> Option<Response> {
-        None
+    fn response(&self, datagram: &[u8]) -> Option<Response> {
+        (self.response)(datagram)
     }
 
-    fn restore_bounced(&self, _: &mut [u8]) {}
+    fn restore_bounced(&self, datagram: &mut [u8]) {
+        (self.restore_bounced)(datagram);
+    }
 
     fn encode_reset(&self, flow: Flow, _: Sequence) -> Vec<u8> {
         (self.encode_reset)(flow)
