State in the test of log fields that first answers prove no silence

a_lost_owner_is_described_by_its_silence expected the silence of two agents to be conclusive 40 ms after the first answer of a third. Since silence counts from the first answers only, it is conclusive after the loss timeout of 2 s. The test now checks both moments.

--- a/yuccacroft-segment/tests/grounds.rs
+++ b/yuccacroft-segment/tests/grounds.rs
@@ -179,11 +179,15 @@
     assert_eq!(["prompt", "late", "silent"].map(count), ["0", "0", "3"]);
     assert_eq!(count("silence_conclusive"), "false");
     assert!(!members.contains_key("loss_timeout"));
-    pool.record_query(instance(3), at(1_200));
-    pool.record_answer(agent_id(3), AgentLoad::default(), at(1_210));
-    let members = fields(Members::new(&pool, at(1_250)));
-    assert_eq!((&*members["prompt"], &*members["silence_conclusive"]), ("1", "true"));
-    assert_eq!(members["loss_timeout"], "2 s");
+    // The silence of the others is conclusive when the path has been sound for the loss timeout.
+    for (answered, conclusive) in [(1_210, "false"), (3_210, "true")] {
+        pool.record_query(instance(3), at(answered - 10));
+        pool.record_answer(agent_id(3), AgentLoad::default(), at(answered));
+        let members = fields(Members::new(&pool, at(answered + 40)));
+        assert_eq!((&*members["prompt"], &*members["silence_conclusive"]), ("1", conclusive));
+        let timeout = members.get("loss_timeout").map(|timeout| &**timeout);
+        assert_eq!(timeout, (conclusive == "true").then_some("2 s"));
+    }
 }
 
 /// Guards against repeated resets of a lost flow whose lines hide the age of the verdict.
