Trust the age of an upstream while the clock was steady

Callers saw: after a loss of power each flow that had ended with it kept its caller waiting for a reset for up to 3 s.

Cause: upstreams start some 0.2 s before their agents and have sent three or four reports in vain by then. An agent that did not get the first report was unsure, because the age of the upstream comes from a wall clock that may have been set back.

Change: the entry of an agent holds the readings of the wall clock and the boot clock at its start.

--- a/yuccacroft-core/src/lib.rs
+++ b/yuccacroft-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod arrival;
 pub mod backlog;
 pub mod capacity;
+pub mod clocks;
 pub mod contract;
 pub mod controller;
 pub mod directory;
--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -137,6 +137,8 @@
     candidate: Option<Candidate>,
     /// Runs that appear to be newer than the known one, which has replaced them.
     replaced: Vec<RunId>,
+    /// Whether the wall clock is known to have been steady since before the start of the upstream.
+    is_clock_steady: bool,
     /// Whether the upstream has shown signs of a new run since the last report of the known one.
     may_have_restarted: bool,
     silence: Silence,
@@ -161,8 +163,9 @@
     /// A time before which the run cannot have begun: zero, the start of the agent, if it may be
     /// older than the agent.
     begun_after: Moment,
-    /// Whether no earlier incarnation of the agent can have served this run of the upstream.
-    had_no_earlier_agent: bool,
+    /// The number of the first report to this agent, if by its age the run cannot have had the
+    /// confirmation of an earlier one; `None` if it may have had one.
+    unconfirmed: Option<ReportNumber>,
 }
 
 impl UpstreamId {
@@ -187,6 +190,7 @@
             run: None,
             candidate: None,
             replaced: Vec::new(),
+            is_clock_steady: false,
             may_have_restarted: false,
             silence: Silence::None,
             last_heard: Moment::default(),
@@ -419,16 +423,29 @@
     /// Before the first report the answer is always true.
     pub fn may_hold_unknown_flows(&self) -> bool {
         let is_younger_than_agent = self.begun_after() > Moment::default();
-        !is_younger_than_agent && !self.run.as_ref().is_some_and(|run| run.had_no_earlier_agent)
+        !is_younger_than_agent && !self.had_no_earlier_agent()
+    }
+
+    /// Records that the wall clock of the machine has not been set back since before the upstream
+    /// started, so that the age of the upstream by that clock is evidence.
+    pub fn record_steady_clock(&mut self) {
+        self.is_clock_steady = true;
+    }
+
+    /// Returns true if no earlier incarnation of the agent can have served this run of the upstream.
+    /// The age of the run alone does not prove it, since the wall clock may have been set back: the run
+    /// must not have reported before, or the clock must be known to have been steady.
+    fn had_no_earlier_agent(&self) -> bool {
+        let unconfirmed = self.run.as_ref().and_then(|run| run.unconfirmed);
+        unconfirmed.is_some_and(|number| number <= FIRST_REPORT || self.is_clock_steady)
     }
 
     fn begin_run(&mut self, report: UpstreamReport, age: Option<Span>, now: Moment) {
         let begun_after = self.earliest_begin(report.number, age, now);
-        // No earlier agent has confirmed a report before the first one, and the age shows that this
-        // one is not late. The age alone proves nothing, since the wall clock may have been set back.
-        let had_no_earlier_agent = report.phase == UpstreamPhase::Ready
-            && report.number <= FIRST_REPORT
+        // A confirmed report delays the next one, so a younger run has had none confirmed.
+        let is_young = report.phase == UpstreamPhase::Ready
             && age.is_some_and(|age| age < self.min_confirmed_interval());
+        let unconfirmed = is_young.then_some(report.number);
         let age = age.unwrap_or(UNKNOWN_AGE);
         self.candidate = None;
         self.may_have_restarted = false;
@@ -444,7 +461,7 @@
             age,
             first_seen: now,
             begun_after,
-            had_no_earlier_agent,
+            unconfirmed,
         });
         self.record_reply(now);
     }
--- a/yuccacroft-core/tests/upstream.rs
+++ b/yuccacroft-core/tests/upstream.rs
@@ -173,6 +173,28 @@
     assert_eq!(monitor.silence(), Silence::None);
 }
 
+/// Guards against a search of flows at every upstream after a loss of power: an upstream that reports
+/// in vain until its agent runs has had no earlier agent, but only a steady clock proves its age.
+#[test]
+fn a_young_upstream_holds_no_unknown_flow_if_the_clock_was_steady() {
+    let may_hold = |age, steady_first: bool| {
+        let mut monitor = Monitor::new(target(), INTERVAL);
+        if steady_first {
+            monitor.record_steady_clock();
+        }
+        monitor.handle_report(report(10, 4, UpstreamPhase::Ready), age, START);
+        assert!(steady_first || monitor.may_hold_unknown_flows(), "the clock may have been set");
+        monitor.record_steady_clock();
+        monitor.may_hold_unknown_flows()
+    };
+    for steady_first in [false, true] {
+        assert!(!may_hold(Some(Span::from_millis(240)), steady_first));
+        // The confirmation of an earlier report delays the next one for longer than that.
+        assert!(may_hold(Some(Span::from_millis(800)), steady_first));
+        assert!(may_hold(None, steady_first), "the wall clock is before the start");
+    }
+}
+
 /// Returns whether an upstream may hold unknown flows, whose first report to the agent has this
 /// number and age and arrives at `now`.
 fn may_hold(number: u64, phase: UpstreamPhase, age: Option<Span>, now: Moment) -> bool {
--- a/yuccacroft-segment/src/agent/announcer.rs
+++ b/yuccacroft-segment/src/agent/announcer.rs
@@ -10,10 +10,12 @@
         platform::{Platform, Socket},
         prefix_watcher::Backoff,
     },
+    serde::{Deserialize, Serialize},
     slog::{Logger, info, warn},
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
     yuccacroft_core::{
+        clocks::Reading,
         ids::Domain,
         lease::Id,
         pool::{AgentEntry, AgentPhase},
@@ -55,11 +57,23 @@
     Check,
 }
 
+/// The entry of an agent as it stands in the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredEntry {
+    #[serde(flatten)]
+    entry: AgentEntry,
+    /// The clocks of the machine at the start of the agent, for its next incarnation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    clocks: Option<Reading>,
+}
+
 /// Writes the entry of one agent and renews its lease.
 pub struct Announcer<P: Platform> {
     relay: Arc<Relay<P::Format, Socket<P>>>,
     controllers: Arc<Controllers<P>>,
     store: P::Store,
+    /// The clocks of the machine at the start of the agent.
+    clocks: Reading,
     domain: Domain,
     log: Logger,
     lease: Option<Id>,
@@ -82,6 +96,10 @@
     ) -> Self {
         Self {
             store: platform.store_client(settings.store.into()),
+            clocks: Reading {
+                wall: platform.host().wall_clock(),
+                boot: platform.host().boot_clock(),
+            },
             domain: settings.domain.clone(),
             log: relay.flow_log.log().clone(),
             backoff: Backoff::new(platform.host().seed(), MAX_DELAY),
@@ -220,11 +238,14 @@
         };
         // The entry of this process exists if the answer to an earlier attempt was lost.
         let earlier = found.and_then(|item| self.decode_entry(&item.value));
-        let earlier = earlier.filter(|found| found.agent_id != entry.agent_id);
+        let earlier = earlier.filter(|found| found.entry.agent_id != entry.agent_id);
         self.succeeds = Some(earlier.is_some());
-        if let Some(earlier) = earlier {
+        if let Some(StoredEntry { entry: earlier, clocks }) = earlier {
             self.relay.succeed(earlier.incarnation());
             self.relay.state.note_slots(earlier.slots);
+            if clocks.is_some_and(|clocks| self.clocks.is_steady_since(clocks)) {
+                self.relay.state.monitor().record_steady_clock();
+            }
         }
         Ok(false)
     }
@@ -233,9 +254,10 @@
     fn next_entry(&mut self) -> Result<(AgentEntry, String)> {
         self.entry_version += 1;
         let entry = self.current_entry();
-        let value = serde_json::to_string(&entry)
+        let stored = StoredEntry { entry, clocks: Some(self.clocks) };
+        let value = serde_json::to_string(&stored)
             .map_err(|error| Error::Protocol(error.to_string().into()))?;
-        Ok((entry, value))
+        Ok((stored.entry, value))
     }
 
     fn record_written(&self, entry: &AgentEntry, lease: Id) {
@@ -270,7 +292,7 @@
     /// write replaces.
     async fn read_entry(&self) -> Result<Option<AgentEntry>> {
         let found = self.store.get(&self.key()).await?;
-        let entry = found.and_then(|item| self.decode_entry(&item.value));
+        let entry = found.and_then(|item| self.decode_entry(&item.value)).map(|found| found.entry);
         if let Some(entry) = &entry {
             self.relay.succeed(entry.incarnation());
         }
@@ -314,8 +336,8 @@
 
     /// Decodes a stored entry of this agent. Returns `None` for one that cannot be decoded or is of
     /// another agent, which the next write replaces.
-    fn decode_entry(&self, value: &str) -> Option<AgentEntry> {
-        let entry: AgentEntry = serde_json::from_str(value).ok()?;
-        (entry.agent_id.instance == self.relay.agent_id().instance).then_some(entry)
+    fn decode_entry(&self, value: &str) -> Option<StoredEntry> {
+        let found: StoredEntry = serde_json::from_str(value).ok()?;
+        (found.entry.agent_id.instance == self.relay.agent_id().instance).then_some(found)
     }
 }
