Measure the use of other domains by slots, not by waiting requests

The share stopped at 12 percent because the other domains had no room left: their reported mean was 3.0 requests at 4 slots, at a true use of 48 percent.

The mean that agents report includes waiting requests, so bursts at upstreams that are half free count as full use. The limit of the sum to the slots did not help, since the mean stays below them. Ruled out: the service time, which the queue of the full domain inflates, only makes leaving more attractive.

The balancer now averages the slots in use itself, from the requests in the reports that agents send at a time of their own.

The measured wait was used at any age, and is no longer an input: while requests wait, all slots are in use. Members without a report no longer lower the mean service time of their domain.

Three new tests fail before the change: bursts elsewhere, answers to offers, members without a report. The test of a partition passes before and after it.

--- a/yuccacroft-bench/src/segments/domains.rs
+++ b/yuccacroft-bench/src/segments/domains.rs
@@ -218,7 +218,7 @@
     fn answer(&mut self, home: usize, upstream: usize, now: f64) {
         let active = self.upstreams[upstream].active(now);
         let load = AgentLoad { active, ..self.loads[upstream] };
-        self.pools[home].record_load(entry(upstream as u32).agent_id, load, moment(now));
+        self.pools[home].record_answer(entry(upstream as u32).agent_id, load, moment(now));
     }
 
     fn update(&self, now: f64) {
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -16,6 +16,7 @@
 mod supply;
 
 pub use self::{
+mod usage;
     cost::{Cost, Exclusion},
     member::{AgentEntry, AgentLoad, AgentPhase, Measures, Member, Reachability},
     path::AnswerCounts,
@@ -314,6 +315,11 @@
             member.load = Some((load, now));
             if load.stopping {
                 member.stopped_at = Some(now);
+            // Answers to offers show busy moments too often: a member that looks idle gets offers until
+            // an answer shows that it is busy.
+            if !is_answer {
+                member.record_usage(&load, now);
+            }
             }
             member.pending_offers.retain(|at| now.since(*at) < OFFER_LOAD_DELAY);
             true
--- a/yuccacroft-core/src/pool/cost.rs
+++ b/yuccacroft-core/src/pool/cost.rs
@@ -173,7 +173,7 @@
         if is_warming_up { slots * HUNDRED as f64 / WARMUP_COST_PERCENT as f64 } else { slots }
     }
 
-    fn slots(&self) -> u64 {
+    pub(super) fn slots(&self) -> u64 {
         u64::from(self.entry.slots.get().max(1))
     }
 }
--- a/yuccacroft-core/src/pool/member.rs
+++ b/yuccacroft-core/src/pool/member.rs
@@ -5,6 +5,7 @@
         indirect::{Contact, Report},
         outlier::{Peer, Standing},
         path::{Answer, LOSS_TIMEOUT, Timeliness},
+        usage::Usage,
     },
     crate::{
         flow::AgentId,
@@ -103,6 +104,8 @@
     /// The latest entry of the agent.
     pub entry: AgentEntry,
     pub(super) load: Option<(AgentLoad, Moment)>,
+    /// The mean use of the upstream's slots.
+    pub(super) usage: Usage,
     /// The latest measures that the agent has reported, and when.
     pub(super) measures: Option<(Measures, Moment)>,
     /// The part of the flows that the member gets, by its failures.
@@ -142,6 +145,7 @@
         Self {
             entry,
             load: None,
+            usage: Usage::default(),
             measures: None,
             standing: Standing::ADMITTED,
             answer: None,
@@ -300,6 +304,10 @@
         self.is_answer_overdue(timeout, now)
     }
 
+    pub(super) fn record_usage(&mut self, load: &AgentLoad, now: Moment) {
+        self.usage.record(load, self.slots() as f64, now);
+    }
+
     pub(super) fn record_query(&mut self, now: Moment) {
         self.unanswered_since.get_or_insert(now);
         self.unanswered_queries += 1;
--- a/yuccacroft-core/src/pool/supply.rs
+++ b/yuccacroft-core/src/pool/supply.rs
@@ -19,8 +19,6 @@
     },
 };
 
-const HUNDRED: f64 = 100.0;
-
 /// The spill-over of all services of one balancer.
 #[derive(Debug, Default)]
 pub(super) struct SpillOver {
@@ -57,9 +55,10 @@
 struct DomainSum {
     slots: f64,
     busy: f64,
-    /// The sums of service times and waits in microseconds, each weighted by the slots.
+    /// The slots of the members that have reported a service time, and the sum of these times in
+    /// microseconds, weighted by the slots.
+    measured_slots: f64,
     service_time: f64,
-    wait: f64,
     round_trips: Vec<Span>,
 }
 
@@ -139,7 +138,8 @@
 }
 
 impl ServiceSupplies {
-    /// Adds a member that takes flows. One whose load is not known yet counts as idle.
+    /// Adds a member that takes flows. One whose load is not known yet counts as idle, and its service
+    /// time as that of the others in its domain.
     fn add(&mut self, member: &Member, now: Moment) {
         if member.exclusion().is_some() || member.reachability(now) != Reachability::Good {
             return;
@@ -150,12 +150,12 @@
         }
         let Some(sum) = self.0.get_mut(&member.entry.domain) else { return };
         let slots = member.effective_slots();
-        let wait = member.measures.map_or(Span::ZERO, |(measures, _)| measures.wait);
         sum.slots += slots;
-        // A queue at one upstream takes no room at the others.
-        sum.busy += (f64::from(load.busy.get()) / HUNDRED).min(slots);
-        sum.service_time += slots * load.service_time.as_micros() as f64;
-        sum.wait += slots * wait.as_micros() as f64;
+        sum.busy += member.usage.mean(now).min(slots);
+        if load.service_time > Span::ZERO {
+            sum.measured_slots += slots;
+            sum.service_time += slots * load.service_time.as_micros() as f64;
+        }
         sum.round_trips.extend(member.answer.map(|answer| answer.delay));
     }
 
@@ -178,12 +178,11 @@
         // A lost message makes a single answer late, so the median is taken.
         let mut round_trips = self.round_trips.clone();
         round_trips.sort_unstable();
-        let mean = |sum: f64| Span::from_micros((sum / self.slots) as u64);
         Supply {
             slots: self.slots,
             busy: self.busy,
-            service_time: mean(self.service_time),
-            wait: mean(self.wait),
+            // Zero if no member has reported: the quotient is not a number then, which converts to zero.
+            service_time: Span::from_micros((self.service_time / self.measured_slots) as u64),
             round_trip: round_trips.get(round_trips.len() / 2).copied().unwrap_or_default(),
         }
     }
--- a/yuccacroft-core/src/spill_over.rs
+++ b/yuccacroft-core/src/spill_over.rs
@@ -62,12 +62,10 @@
 pub struct Supply {
     /// The number of requests that the upstreams process at the same time.
     pub slots: f64,
-    /// The mean number of requests in progress.
+    /// The mean number of slots in use.
     pub busy: f64,
     /// The mean service time of a request.
     pub service_time: Span,
-    /// The mean wait that the agents have measured; zero if they report none.
-    pub wait: Span,
     /// The round trip between this balancer and the agents.
     pub round_trip: Span,
 }
@@ -128,11 +126,9 @@
 }
 
 impl Supply {
-    /// Returns the utilization that the requests in progress or the measured wait show, at most one.
-    /// Requests beyond the slots are a queue, whose length says nothing about the rate of new ones.
+    /// Returns the mean utilization, at most one.
     pub fn utilization(&self) -> f64 {
-        let busy = (self.busy / self.slots).min(1.0);
-        busy.max(utilization_at(micros(self.wait), micros(self.service_time)))
+        (self.busy / self.slots).min(1.0)
     }
 
     /// Returns the expected wait of a new request, in microseconds.
--- a/yuccacroft-core/tests/spill_over.rs
+++ b/yuccacroft-core/tests/spill_over.rs
@@ -38,6 +38,8 @@
     reports: VecDeque<[f64; DOMAINS]>,
     balancers: Vec<Vec<Controller>>,
     plans: Vec<Vec<Plan>>,
+    /// The domains whose balancers do not see another domain, each with that one.
+    hidden: Vec<(usize, usize)>,
 }
 
 fn domains() -> [Domain; DOMAINS] {
@@ -56,6 +58,7 @@
             reports: vec![[0.0; DOMAINS]; report_age].into(),
             balancers: vec![controllers; DOMAINS],
             plans: vec![vec![Plan::default(); BALANCERS_PER_DOMAIN]; DOMAINS],
+            hidden: Vec::new(),
         }
     }
 
@@ -79,11 +82,13 @@
             slots: self.slots[domain],
             busy: known[domain],
             service_time: SERVICE_TIME,
-            wait: Span::ZERO,
             round_trip: Span::from_millis(1),
         };
         for home in 0..DOMAINS {
-            let others = (0..DOMAINS).filter(|other| *other != home && self.slots[*other] > 0.0);
+            let sees = |other: &usize| {
+                *other != home && self.slots[*other] > 0.0 && !self.hidden.contains(&(home, *other))
+            };
+            let others = (0..DOMAINS).filter(sees);
             let others: Vec<_> = others
                 .map(|other| {
                     (&names[other], Supply { round_trip: Span::from_millis(3), ..supply(other) })
@@ -247,6 +252,28 @@
     }
 }
 
+/// Guards against a partition in which a domain that sees only some of the others overloads these or
+/// gets flows back from them, or after which its share stays wrong.
+#[test]
+fn a_partition_overloads_no_domain() {
+    let [a, ..] = domains();
+    let cuts: [&[(usize, usize)]; 2] = [&[(0, 2)], &[(0, 1), (0, 2), (1, 0), (2, 0)]];
+    for hidden in cuts {
+        let mut world = World::new([130.0, 40.0, 40.0], [100.0; DOMAINS], 10);
+        let check = |world: &World| {
+            assert!(world.utilization(1).max(world.utilization(2)) < 1.0, "{hidden:?}");
+            let returns = |plan: &Plan| plan.share > Share::new(0) && plan.receivers.contains(&a);
+            assert!(!world.plans[1..].iter().flatten().any(returns), "{hidden:?}");
+        };
+        world.run(10, check);
+        world.hidden = hidden.to_vec();
+        world.run(20, check);
+        world.hidden.clear();
+        world.run(15, check);
+        assert!((0.7..0.95).contains(&world.utilization(0)), "{}", world.utilization(0));
+    }
+}
+
 /// Guards against flows that leave although the way costs more than the wait at home.
 #[test]
 fn a_price_or_a_long_way_keeps_flows_at_home() {
@@ -346,6 +373,74 @@
     (0..1_000).filter(is_in_b).count()
 }
 
+fn load(active: u32, service_time: Span) -> AgentLoad {
+    let busy = Percent::new(active * 100);
+    AgentLoad { accepting: true, active, busy, service_time, ..AgentLoad::default() }
+}
+
+/// Returns the plan of domain `a` after ten seconds in which its members are full. `report` reports
+/// the loads of the members in `b`; it gets the number of the step.
+fn plan_beside(report: impl Fn(&Pool, usize, Moment)) -> Plan {
+    let pool = Pool::new();
+    for number in 1..=6 {
+        let domain = if number <= 3 { "a" } else { "b" };
+        pool.upsert(entry(number, domain, AgentPhase::Ready), Moment::default());
+    }
+    let terms = [(target(), TERMS)].into();
+    for step in 0..100 {
+        let now = Moment::default() + STEP.saturating_mul(step as u64);
+        for number in 1..=3 {
+            let agent_id = entry(number, "a", AgentPhase::Ready).agent_id;
+            pool.record_load(agent_id, load(2, SERVICE_TIME), now);
+        }
+        report(&pool, step, now);
+        pool.update_spill_over(&domains()[0], &terms, now);
+    }
+    pool.spill_over_plans()[&target()].clone()
+}
+
+/// Guards against callers that wait at home because bursts make upstreams elsewhere look full: the
+/// mean of their requests is above their slots, half of which are free (found with the bench case
+/// `segments`).
+#[test]
+fn bursts_elsewhere_are_not_taken_for_full_use() {
+    let plan = plan_beside(|pool, step, now| {
+        let requests = if step % 4 < 2 { 6 } else { 0 };
+        for number in 4..=6 {
+            let load = AgentLoad { busy: Percent::new(300), ..load(requests, SERVICE_TIME) };
+            pool.record_load(entry(number, "b", AgentPhase::Ready).agent_id, load, now);
+        }
+    });
+    assert!(plan.share > Share::new(150), "{plan:?}");
+}
+
+/// Guards against callers that wait at home because a balancer knows the others by their answers to
+/// offers, which come at busy moments (found with the bench case `segments`).
+#[test]
+fn answers_to_offers_do_not_count_as_mean_use() {
+    let plan = plan_beside(|pool, step, now| {
+        for number in 4..=6 {
+            let agent_id = entry(number, "b", AgentPhase::Ready).agent_id;
+            if step % 2 == 0 {
+                pool.record_load(agent_id, load(0, SERVICE_TIME), now);
+            }
+            pool.record_answer(agent_id, load(2, SERVICE_TIME), now);
+        }
+    });
+    assert!(plan.share > Share::new(250), "{plan:?}");
+}
+
+/// Guards against flows that leave for slow upstreams because others beside these have not reported.
+#[test]
+fn members_without_a_report_do_not_lower_the_service_time() {
+    let slow = Span::from_millis(400);
+    let plan = plan_beside(|pool, _, now| {
+        let agent_id = entry(4, "b", AgentPhase::Ready).agent_id;
+        pool.record_load(agent_id, load(0, slow), now);
+    });
+    assert!(plan.inputs.remote_wait >= Some(slow), "{plan:?}");
+}
+
 /// Guards against crossing bytes because the few members at home are a little busier than others.
 #[test]
 fn a_pool_keeps_flows_at_home_while_it_has_room() {
