Explain the placement of a new flow by the code that places it

Operators see costs, exclusions and spill-over only in parts of logs and metrics, and cannot ask why a flow would go to one agent.

`Pool::explain` runs the order of members that `Pool::choose` takes its first ones from, and records costs part by part and the reason of each member that is left out. It then follows the offer from agent to agent. Whether an agent takes a flow at its turn moves from the agent's chain to `handshake::Turn`, so that both use one rule; the agent's decisions are the same.

The state dump of a balancer has all that a placement rests on, and `Pool::restore` builds an equal pool from it.

--- a/yuccacroft-core/src/admission/workload.rs
+++ b/yuccacroft-core/src/admission/workload.rs
@@ -9,6 +9,7 @@
         time::{Moment, Span},
         units::Slots,
     },
+    serde::Serialize,
     std::collections::VecDeque,
 };
 
@@ -34,7 +35,8 @@
 }
 
 /// What a request of a class can expect if it is accepted now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Outlook {
     /// Its response is expected within the objective.
     OnTime,
--- a/yuccacroft-core/src/handshake/offer.rs
+++ b/yuccacroft-core/src/handshake/offer.rs
@@ -2,7 +2,12 @@
 
 use {
     super::decision::Decision,
-    crate::{ids::Instance, route::TrafficClass},
+    crate::{
+        admission::workload::{Outlook, ServiceTime},
+        ids::Instance,
+        route::TrafficClass,
+        time::Span,
+    },
     std::net::SocketAddrV4,
 };
 
@@ -13,6 +18,19 @@
 /// further ones are as well, and each hop takes the time of one more agent.
 pub const MAX_LATE_HOPS: u8 = 3;
 
+/// Number of agents that pass a flow on because its request would wait although it would be on time.
+/// The balancer's first choices are the best ones, as far as it knows.
+const MAX_BUSY_HOPS: u8 = 2;
+
+/// The turn of one agent among those that a flow is offered to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turn {
+    /// The number of agents that the flow was offered to before.
+    hops: u8,
+    /// Whether no other agent may take the flow after this one.
+    is_last: bool,
+}
+
 /// The route of an opening segment through the candidate agents.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Offer {
@@ -26,10 +44,35 @@
     pub hops: u8,
 }
 
+impl Turn {
+    /// Creates the turn of an agent after `hops` others and before `rest` further candidates.
+    pub fn new(hops: u8, rest: usize) -> Self {
+        Self { hops, is_last: rest == 0 || hops.saturating_add(1) >= MAX_HOPS }
+    }
+
+    /// Returns true if no other agent may take the flow after this one.
+    pub fn is_last(self) -> bool {
+        self.is_last
+    }
+
+    /// Returns true if the agent takes the flow, given what the flow's first request can expect. A
+    /// request that would be late goes to another agent a few times, since the next one is probably
+    /// less busy, and so does one that would wait for longer than it takes. One that would miss its
+    /// timeout is not taken at all.
+    pub fn takes(self, outlook: Outlook, wait: Span, service: ServiceTime) -> bool {
+        match outlook {
+            Outlook::OnTime if self.is_last || self.hops >= MAX_BUSY_HOPS => true,
+            Outlook::OnTime => wait <= service.mean,
+            Outlook::Late => self.is_last || self.hops >= MAX_LATE_HOPS,
+            Outlook::PastTimeout => false,
+        }
+    }
+}
+
 impl Offer {
-    /// Returns true if no other agent may take the flow after the current one.
-    pub fn is_last(&self) -> bool {
-        self.rest.is_empty() || self.hops.saturating_add(1) >= MAX_HOPS
+    /// Returns the turn of the current agent.
+    pub fn turn(&self) -> Turn {
+        Turn::new(self.hops, self.rest.len())
     }
 }
 
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -6,6 +6,7 @@
 
 mod cost;
 mod evacuation;
+pub mod explanation;
 pub mod indirect;
 mod listing;
 mod member;
@@ -13,10 +14,11 @@
 mod path;
 mod placement;
 mod ring;
+pub mod snapshot;
 mod supply;
+mod usage;
 
 pub use self::{
-mod usage;
     cost::{Cost, Exclusion},
     member::{AgentEntry, AgentLoad, AgentPhase, Measures, Member, Reachability},
     path::AnswerCounts,
@@ -313,13 +315,13 @@
             member.restarted |=
                 member.has_entry() && agent_id.incarnation > member.entry.agent_id.incarnation;
             member.load = Some((load, now));
-            if load.stopping {
-                member.stopped_at = Some(now);
             // Answers to offers show busy moments too often: a member that looks idle gets offers until
             // an answer shows that it is busy.
             if !is_answer {
                 member.record_usage(&load, now);
             }
+            if load.stopping {
+                member.stopped_at = Some(now);
             }
             member.pending_offers.retain(|at| now.since(*at) < OFFER_LOAD_DELAY);
             true
--- a/yuccacroft-core/src/pool/cost.rs
+++ b/yuccacroft-core/src/pool/cost.rs
@@ -3,11 +3,14 @@
 use {
     super::member::{AgentLoad, AgentPhase, Member},
     crate::{
+        admission::workload::Workload,
         flow::FlowKey,
         ids::Domain,
         placement::pair_hash,
         time::{Moment, Span},
     },
+    serde::Serialize,
+    std::fmt::{Display, Formatter},
 };
 
 /// Cost of a member in another failure domain, in percent of a member in the balancer's own domain.
@@ -48,7 +51,7 @@
 }
 
 /// The cost of a new flow at a member, as a sum of times.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Cost {
     /// The service time of a request among those in progress.
     pub work: Span,
@@ -68,7 +71,7 @@
 }
 
 /// Why a member gets no new flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Exclusion {
     /// Its entry in the store names this phase.
     Phase(AgentPhase),
@@ -80,6 +83,17 @@
     Outlier,
 }
 
+impl Display for Exclusion {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Phase(phase) => write!(f, "its entry has the phase {phase:?}"),
+            Self::NotAccepting => f.write_str("its agent takes no new flow"),
+            Self::Evacuated => f.write_str("its failure domain is evacuated"),
+            Self::Outlier => f.write_str("its upstream fails more requests than others"),
+        }
+    }
+}
+
 impl Cost {
     /// Returns the sum of all parts, by which members are compared.
     pub fn total(&self) -> Span {
@@ -117,8 +131,7 @@
         let load = self.load.map(|(load, _)| load).unwrap_or_default();
         let work = self.work(&load);
         let busy = self.busy(&load, work);
-        let measures = self.measures.filter(|(_, at)| viewpoint.now.since(*at) < WAIT_TTL);
-        let wait = measures.map_or(Span::ZERO, |(measures, _)| measures.wait);
+        let wait = self.measured_wait(viewpoint.now).unwrap_or_default();
         let mut cost = Cost { work, wait, busy, ..Cost::default() };
         // A probe goes to an ejected member although its failures make it expensive.
         if self.standing.is_admitted() {
@@ -135,9 +148,30 @@
         Ok(cost)
     }
 
+    /// Returns the expected wait for a slot that the agent has measured, unless it is outdated.
+    fn measured_wait(&self, now: Moment) -> Option<Span> {
+        let measures = self.measures.filter(|(_, at)| now.since(*at) < WAIT_TTL);
+        measures.map(|(measures, _)| measures.wait)
+    }
+
+    /// Returns the work before a further request at the upstream: the measured wait, or else the
+    /// requests of the latest load.
+    pub(super) fn workload(&self, now: Moment) -> Workload {
+        let load = self.load.map(|(load, _)| load).unwrap_or_default();
+        let workload = Workload::new(self.entry.slots, load.active, service_time(&load));
+        match self.measured_wait(now) {
+            Some(wait) => Workload { ahead: wait.saturating_mul(self.slots()), ..workload },
+            None => workload,
+        }
+    }
+
+    /// Returns the mean service time of the upstream.
+    pub(super) fn service_time(&self) -> Span {
+        service_time(&self.load.map(|(load, _)| load).unwrap_or_default())
+    }
+
     fn work(&self, load: &AgentLoad) -> Span {
-        let is_known = load.service_time > Span::ZERO;
-        let service_time = if is_known { load.service_time } else { DEFAULT_SERVICE_TIME };
+        let service_time = service_time(load);
         let slots = self.slots();
         let pending_work = u64::from(load.active) + self.pending_offers.len() as u64 + 1;
         Span::from_micros(service_time.as_micros().saturating_mul(slots + pending_work) / slots)
@@ -178,6 +212,11 @@
     }
 }
 
+fn service_time(load: &AgentLoad) -> Span {
+    let is_known = load.service_time > Span::ZERO;
+    if is_known { load.service_time } else { DEFAULT_SERVICE_TIME }
+}
+
 /// Returns the part of a cost that has this number of hundredths of it.
 fn increase(cost: Span, hundredths: u64) -> Span {
     Span::from_micros(cost.as_micros().saturating_mul(hundredths) / HUNDRED)
--- a/yuccacroft-core/src/pool/member.rs
+++ b/yuccacroft-core/src/pool/member.rs
@@ -127,7 +127,7 @@
 }
 
 /// The reachability of a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub enum Reachability {
     /// The member answers, or no answer is outstanding.
     Good,
--- a/yuccacroft-core/src/pool/outlier.rs
+++ b/yuccacroft-core/src/pool/outlier.rs
@@ -14,6 +14,7 @@
         time::{Moment, Span},
         units::{Percent, Slots},
     },
+    serde::{Deserialize, Serialize},
 };
 
 /// Smallest number of members that can be compared: the median of fewer is not independent of the
@@ -62,6 +63,15 @@
     hold: Span,
 }
 
+/// The standing of an ejected member in a snapshot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ejection {
+    /// The step of its return.
+    step: usize,
+    /// The number of members among which the usual flows are divided.
+    peers: u64,
+}
+
 /// A member as it is compared with the other members of its service.
 #[derive(Clone, Copy, Debug)]
 pub struct Peer {
@@ -142,11 +152,28 @@
     }
 }
 
+impl Ejection {
+    /// Returns the standing, or `None` if there is no such step.
+    pub(super) fn standing(self) -> Option<Standing> {
+        let is_valid = self.step < RETURN_STEPS.len() && self.peers > 0;
+        is_valid.then_some(Standing {
+            step: Some(self.step),
+            peers: self.peers,
+            ..Standing::ADMITTED
+        })
+    }
+}
+
 impl Standing {
     /// The standing of a member that has never been ejected.
     pub const ADMITTED: Self =
         Self { step: None, peers: 1, changed_at: Moment::new(0), hold: Span::ZERO };
 
+    /// Returns the standing as part of a snapshot, or `None` if the member gets all flows.
+    pub(super) fn ejection(&self) -> Option<Ejection> {
+        self.step.map(|step| Ejection { step, peers: self.peers })
+    }
+
     /// Returns true if the member gets all flows.
     pub fn is_admitted(&self) -> bool {
         self.step.is_none()
--- a/yuccacroft-core/src/pool/placement.rs
+++ b/yuccacroft-core/src/pool/placement.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Member, Pool, Reachability,
-        cost::Viewpoint,
+        cost::{Cost, Exclusion, Viewpoint},
         supply::{DomainOrder, Rank},
     },
     crate::{
@@ -11,6 +11,7 @@
         handshake::MAX_LATE_HOPS,
         ids::{Domain, Instance},
         route::Target,
+        spill_over::Plan,
         time::{Moment, Span},
     },
     std::sync::PoisonError,
@@ -31,7 +32,7 @@
 const OTHER_SIDE_CANDIDATES: usize = 2;
 
 /// The order of members for one flow: reachability, side of the plan and cost.
-type MemberRank = (Reachability, Rank, Span);
+pub(super) type MemberRank = (Reachability, Rank, Span);
 
 impl Pool {
     /// Returns up to `count` members of a service for a new flow, by ascending cost. Members that
@@ -47,7 +48,21 @@
         now: Moment,
     ) -> Vec<Instance> {
         let plans = self.spill_over.plans();
-        let plan = plans.get(&target);
+        let members = self.rank(target, domain, key, plans.get(&target), now, |_, _| ());
+        members.into_iter().map(|(_, instance)| instance).take(count).collect()
+    }
+
+    /// Returns the members that a new flow may be offered to, in order. `record` gets the cost of
+    /// each member that was looked at, or why it was left out.
+    pub(super) fn rank(
+        &self,
+        target: Target,
+        domain: &Domain,
+        key: FlowKey,
+        plan: Option<&Plan>,
+        now: Moment,
+        mut record: impl FnMut(&Member, Result<Cost, Exclusion>),
+    ) -> Vec<(MemberRank, Instance)> {
         let viewpoint = Viewpoint { domain, key, now, is_spill_over_planned: plan.is_some() };
         let order = DomainOrder::new(plan, key);
         let mut costs = Vec::with_capacity(PLACEMENT_WINDOW);
@@ -56,9 +71,10 @@
             let is_last = window.len() < PLACEMENT_WINDOW;
             costs.extend(window.into_iter().filter_map(|instance| {
                 let cost = |member: &Member| {
-                    let cost = member.cost(&viewpoint).ok()?;
+                    let cost = member.cost(&viewpoint);
+                    record(member, cost);
                     let rank = order.rank(&member.entry.domain, domain);
-                    Some((member.reachability(now), rank, cost.total()))
+                    Some((member.reachability(now), rank, cost.ok()?.total()))
                 };
                 // The address may have been reused for another service.
                 let serves_target = |member: &&Member| member.entry.target == target;
@@ -80,7 +96,7 @@
         if plan.is_some() {
             advance_other_side(&mut costs);
         }
-        costs.into_iter().map(|(_, instance)| instance).take(count).collect()
+        costs
     }
 
     /// Returns the members of a service that own the flow of this key if none of them has joined or
--- a/yuccacroft-core/src/pool/supply.rs
+++ b/yuccacroft-core/src/pool/supply.rs
@@ -28,7 +28,7 @@
 }
 
 /// The order of failure domains for one flow.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(super) enum DomainOrder<'a> {
     /// All domains are compared by cost.
     ByCost,
@@ -117,6 +117,11 @@
         previous
     }
 
+    /// Sets the present spill-over of each service, until the next update.
+    pub(super) fn set_spill_over_plans(&self, plans: HashMap<Target, Plan>) {
+        *self.spill_over.plans.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(plans);
+    }
+
     /// Returns the present spill-over of each service.
     pub fn spill_over_plans(&self) -> Arc<HashMap<Target, Plan>> {
         self.spill_over.plans()
--- a/yuccacroft-core/src/requirements.rs
+++ b/yuccacroft-core/src/requirements.rs
@@ -1,10 +1,13 @@
 //! The requirements of a deployment, which switch on the parts of the system that answer them.
 
-use std::{convert::Infallible, str::FromStr};
+use {
+    serde::{Deserialize, Serialize},
+    std::{convert::Infallible, str::FromStr},
+};
 
 /// The requirements that a deployment's settings name. Without any of them placement rests on load
 /// alone, and no failure domain is evacuated.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Requirements {
     /// Upstreams may fail requests while their health checks succeed, or the reverse, so placement
     /// rests on the outcomes and the times that agents measure.
--- a/yuccacroft-core/src/route.rs
+++ b/yuccacroft-core/src/route.rs
@@ -48,7 +48,7 @@
 }
 
 /// The services that receive the new flows to an address.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// The services with their relative weights. The sum of the weights is greater than zero.
     pub shares: Box<[RouteShare]>,
@@ -57,7 +57,7 @@
 }
 
 /// A service of a route with its weight.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteShare {
     /// The service.
     pub target: Target,
@@ -159,6 +159,11 @@
         self.routes.get(address)
     }
 
+    /// Returns copies of all routes with their addresses.
+    pub fn entries(&self) -> impl Iterator<Item = (SocketAddrV4, Route)> + '_ {
+        self.routes.iter().map(|(address, route)| (*address, route.clone()))
+    }
+
     /// Returns all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.routes.values()
--- a/yuccacroft-core/src/spill_over.rs
+++ b/yuccacroft-core/src/spill_over.rs
@@ -13,7 +13,7 @@
         rendezvous::digest,
         time::{Moment, Span},
     },
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
 };
 
 /// Utilization up to which a domain serves its own callers only at home, and up to which it takes
@@ -80,7 +80,7 @@
 }
 
 /// The present decision for one service.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
     /// The share of the new flows that leaves the domain.
     pub share: Share,
@@ -91,7 +91,7 @@
 }
 
 /// What a decision rests on, for logs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Inputs {
     /// The expected wait at home; `None` if no upstream at home takes flows.
     pub home_wait: Option<Span>,
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -12,12 +12,12 @@
         admission::{
             service_times::ServiceTimes,
             unknown::UnknownRequests,
-            workload::{AcceptedFlows, Outlook, ServiceTime, Workload},
+            workload::{AcceptedFlows, ServiceTime, Workload},
         },
         backlog::Backlog,
         evacuation::Status,
         filter::{Filter, FilterChain, Verdict},
-        handshake::{self, Decision, FlowTable, ForwardReason, MAX_LATE_HOPS, Offer},
+        handshake::{self, Decision, FlowTable, ForwardReason, Offer},
         limits::{Limiter, Tolerance, UpstreamState},
         outcome::Record,
         requirements::Requirements,
@@ -38,9 +38,6 @@
 const MAX_SAMPLE: u32 = 10_000;
 /// Concurrent requests at an upstream in addition to its slots.
 const EXTRA_REQUESTS: u32 = 1;
-/// Number of agents that pass a flow on because its request would wait although it would be on time.
-/// The balancer's first choices are the best ones, as far as it knows.
-const MAX_BUSY_HOPS: u8 = 2;
 /// Slots that are assumed until the upstream reports its number. Responses report it as well, so the
 /// number is known after the first one.
 const DEFAULT_SLOTS: Slots = Slots::new(2);
@@ -268,10 +265,7 @@
         Workload::new(self.slots(), requests, service.mean)
     }
 
-    /// Returns true if the agent accepts a new flow, given what the flow's first request can expect. A
-    /// request that would be late goes to another agent a few times, since the next one is probably
-    /// less busy, and so does one that would wait for longer than it takes. One that would miss its
-    /// timeout is not accepted at all.
+    /// Returns true if the agent accepts a new flow, given what the flow's first request can expect.
     fn admits(&self, segment: &Segment, offer: &Offer, now: Moment) -> bool {
         // The upstream may accept a flow whose opening segment it has already.
         if self.table.offered_flow(segment.flow.key(), now).is_some() {
@@ -285,12 +279,7 @@
         let workload = self.workload(service, now);
         let outlook = workload.outlook(&class, service);
         metrics::counter!(OUTLOOKS_METRIC, "outlook" => outlook.name()).increment(1);
-        match outlook {
-            Outlook::OnTime if offer.is_last() || offer.hops >= MAX_BUSY_HOPS => true,
-            Outlook::OnTime => workload.wait() <= service.mean,
-            Outlook::Late => offer.is_last() || offer.hops >= MAX_LATE_HOPS,
-            Outlook::PastTimeout => false,
-        }
+        offer.turn().takes(outlook, workload.wait(), service)
     }
 
     /// Returns the number of open requests: those in progress and those that wait.
--- a/yuccacroft-segment/src/balancer/chain.rs
+++ b/yuccacroft-segment/src/balancer/chain.rs
@@ -16,7 +16,7 @@
 
 /// Limit of agents that one opening segment is offered to. It covers all agents of a small service,
 /// so that a flow that no agent takes has been offered to all of them.
-const MAX_CANDIDATES: usize = 8;
+pub const MAX_CANDIDATES: usize = 8;
 /// Time within which an agent confirms that it took an opening segment.
 const TAKE_TIMEOUT: Span = Span::from_millis(120);
 
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -173,24 +173,27 @@
         let routes = chain::current_routes(&relay.current_routes);
         let mut members = Vec::with_capacity(relay.pool.len());
         relay.pool.for_each(|member| {
-            let load = member.load(now);
             members.push(dump::Member {
-                entry: member.entry.clone(),
+                state: member.state(now),
                 listed: member.is_listed(),
                 reach: format!("{:?}", member.reachability(now)).into(),
-                load: load.map(|(load, _)| load),
-                load_age: load.map(|(_, age)| age),
             });
         });
-        members.sort_by_key(|member| member.entry.agent_id.instance);
+        members.sort_by_key(|member| member.state.entry.agent_id.instance);
         let (flows, lost_flows) = relay.table.count_by_agent();
         dump::Balancer {
             ready: self.is_ready(),
             isolated: self.isolated.load(Ordering::Relaxed),
             version: relay.version(),
             evacuated: self.evacuated_times(now),
-            routes: routes.map_or(0, |routes| routes.len()),
-            members,
+            routes: routes.as_ref().map_or(0, |routes| routes.len()),
+            placement: dump::Placement {
+                domain: relay.domain().clone(),
+                requirements: relay.pool.requirements(),
+                route_table: routes.iter().flat_map(|routes| routes.entries()).collect(),
+                spill_over: relay.pool.spill_over_plans().as_ref().clone().into_iter().collect(),
+                members,
+            },
             flows,
             lost_flows,
             searches: relay.searches.len(),
--- a/yuccacroft-segment/src/dump.rs
+++ b/yuccacroft-segment/src/dump.rs
@@ -2,12 +2,14 @@
 
 use {
     axum::{Json, Router, routing::get},
-    serde::Serialize,
-    std::collections::BTreeMap,
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, net::SocketAddrV4},
     yuccacroft_core::{
         ids::{Domain, Incarnation, Instance},
-        pool::{AgentEntry, AgentLoad},
-        route::ConfigVersion,
+        pool::{AgentLoad, snapshot::MemberState},
+        requirements::Requirements,
+        route::{ConfigVersion, Route, Target},
+        spill_over::Plan,
         time::Span,
         units::{Connections, Slots},
     },
@@ -28,8 +30,9 @@
     pub evacuated: BTreeMap<Domain, Span>,
     /// The number of routes in the configuration.
     pub routes: usize,
-    /// The known agents.
-    pub members: Vec<Member>,
+    /// What the placement of a new flow rests on.
+    #[serde(flatten)]
+    pub placement: Placement,
     /// The number of known flows of each agent that owns them or was offered them.
     pub flows: BTreeMap<Instance, usize>,
     /// The number of flows that are known to be lost.
@@ -40,19 +43,31 @@
     pub early: usize,
 }
 
+/// What the placement of a new flow at a balancer rests on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Placement {
+    /// The failure domain of the balancer.
+    pub domain: Domain,
+    /// The requirements of the deployment.
+    pub requirements: Requirements,
+    /// The routes in force by their addresses.
+    pub route_table: BTreeMap<SocketAddrV4, Route>,
+    /// The share of the new flows of each service that leaves the failure domain.
+    pub spill_over: BTreeMap<Target, Plan>,
+    /// The known agents.
+    pub members: Vec<Member>,
+}
+
 /// The state of an agent as a balancer knows it.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Member {
-    /// The latest entry that the agent published.
-    pub entry: AgentEntry,
+    /// What the placement rests on.
+    #[serde(flatten)]
+    pub state: MemberState,
     /// Whether the store lists the agent now.
     pub listed: bool,
     /// Whether the agent answers, as the name of a `Reachability` variant.
     pub reach: Box<str>,
-    /// The last reported load; `None` before the first report.
-    pub load: Option<AgentLoad>,
-    /// The time since the load was reported.
-    pub load_age: Option<Span>,
 }
 
 /// The state of an agent.
--- a/yuccacroft-segment/src/errors.rs
+++ b/yuccacroft-segment/src/errors.rs
@@ -8,16 +8,18 @@
     yuccacroft_rpc::{errors::SocketError, tasks::TaskEnd},
 };
 
-/// The result of starting a process.
+/// The result of starting a process or of explaining a placement.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// The reasons why a process cannot start or continue.
+/// The reasons why a process cannot start or continue, or a placement cannot be explained.
 #[derive(Debug)]
 pub enum Error {
     /// A socket could not be opened.
     Socket(SocketError),
     /// A task ended that should run as long as the process.
     Task(TaskEnd),
+    /// The state or the question does not allow to explain the placement of a flow.
+    Explanation(Box<str>),
 }
 
 impl Error {
@@ -32,6 +34,7 @@
         match self {
             Self::Socket(error) => write!(f, "{error}"),
             Self::Task(end) => write!(f, "{end}"),
+            Self::Explanation(cause) => f.write_str(cause),
         }
     }
 }
--- a/yuccacroft-segment/src/lib.rs
+++ b/yuccacroft-segment/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod dump;
 pub mod errors;
+pub mod explain;
 pub mod flow_log;
 pub mod host;
 pub mod platform;
