Add the command explain

`yuccacroft explain` tells where a new flow would go now and why, from the state of a balancer over its metrics address or from a saved dump, as text or JSON. It only reads the dump. Its exit status is 0 for a placed flow, 1 for one that goes nowhere and 2 for bad input.

The client can call an interface that asks for no token, as the metrics address of the segment front end does.

--- a/yuccacroft/src/cli.rs
+++ b/yuccacroft/src/cli.rs
@@ -1,6 +1,7 @@
 //! Command line: the subcommands and their dispatch.
 
 mod check;
+mod explain;
 mod operate;
 mod role;
 mod segment;
@@ -28,6 +29,7 @@
     Contract(operate::Contract),
     Drain(operate::Drain),
     Dump(operate::Dump),
+    Explain(explain::Explain),
     Check(check::Check),
     Demo(Demo),
 }
@@ -47,6 +49,7 @@
         Command::Contract(command) => runtime.block_on(command.run()),
         Command::Drain(command) => runtime.block_on(command.run()),
         Command::Dump(command) => runtime.block_on(command.run()),
+        Command::Explain(command) => runtime.block_on(command.run()),
         Command::Check(command) => command.run(),
         Command::Demo(Demo {}) => runtime.block_on(demo::run()),
     }
--- a/yuccacroft/src/client.rs
+++ b/yuccacroft/src/client.rs
@@ -30,18 +30,14 @@
 /// A client of the administration interface at one address.
 pub struct Client {
     address: SocketAddr,
-    token: Token,
+    token: Option<Token>,
     http: HttpClient<HttpConnector, Full<Bytes>>,
 }
 
 impl Client {
     /// Creates a client.
     pub fn new(address: SocketAddr, token: Token) -> Self {
-        // The library must not retry requests, since a change without an id must not be repeated.
-        let http = HttpClient::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build(HttpConnector::new());
-        Self { address, token, http }
+        Self { address, token: Some(token), http: http_client() }
     }
 
     /// Creates a client with the token in a file. Whitespace around the token is ignored.
@@ -97,11 +93,14 @@
     }
 
     async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes> {
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
-            .header(header::AUTHORIZATION, self.token.header())
-            .header(header::CONTENT_TYPE, "application/json")
+            .header(header::CONTENT_TYPE, "application/json");
+        if let Some(token) = &self.token {
+            request = request.header(header::AUTHORIZATION, token.header());
+        }
+        let request = request
             .body(Full::new(body))
             .map_err(|error| Error::Usage(error.to_string().into()))?;
         let answer = tokio::time::timeout(CALL_TIMEOUT, self.exchange(request)).await;
@@ -125,6 +124,19 @@
     }
 }
 
+/// Reads the text at a path of an interface that asks for no token.
+pub async fn get_public(address: SocketAddr, path: &str) -> Result<String> {
+    let client = Client { address, token: None, http: http_client() };
+    client.get_text(path).await
+}
+
+fn http_client() -> HttpClient<HttpConnector, Full<Bytes>> {
+    // The library must not retry requests, since a change without an id must not be repeated.
+    HttpClient::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .build(HttpConnector::new())
+}
+
 fn decode<A: DeserializeOwned>(bytes: &[u8]) -> Result<A> {
     serde_json::from_slice(bytes).map_err(|error| Error::Lost(error.to_string().into()))
 }
--- a/yuccacroft/src/errors.rs
+++ b/yuccacroft/src/errors.rs
@@ -10,6 +10,9 @@
 
 /// Exit status of a command that failed.
 const FAILURE_STATUS: u8 = 1;
+/// Exit status of an explanation that is not possible with this input. Its status 1 tells that the flow
+/// would go nowhere.
+const EXPLANATION_STATUS: u8 = 2;
 /// Exit status of a contract change that conflicts with another change.
 const CONFLICT_STATUS: u8 = 2;
 /// Exit status of a contract change whose outcome is unknown.
@@ -48,6 +51,10 @@
     Refused(Box<Problem>),
     /// A step of the demo failed.
     Demo(Box<str>),
+    /// The placement of a flow cannot be explained.
+    Explanation(Box<str>),
+    /// The explained flow would go nowhere.
+    NotPlaced(Box<str>),
 }
 
 impl Display for Error {
@@ -64,6 +71,8 @@
             Self::Lost(cause) => write!(f, "outcome unknown, the answer was lost: {cause}"),
             Self::Refused(problem) => write_problem(f, problem),
             Self::Demo(cause) => write!(f, "demo: {cause}"),
+            Self::Explanation(cause) => write!(f, "{cause}"),
+            Self::NotPlaced(cause) => write!(f, "not placed: {cause}"),
         }
     }
 }
@@ -80,6 +89,7 @@
                 _ => FAILURE_STATUS,
             },
             Self::Lost(_) => UNKNOWN_STATUS,
+            Self::Explanation(_) => EXPLANATION_STATUS,
             _ => FAILURE_STATUS,
         }
     }
--- a/yuccacroft/tests/platform/logs.rs
+++ b/yuccacroft/tests/platform/logs.rs
@@ -5,12 +5,19 @@
     crate::deployment::{
         BOOKING_SERVICE, Deployment, REQUEST_TIMEOUT, booking_address, default_behaviour,
     },
-    std::time::{Duration, Instant},
-    yuccacroft_core::time::Span,
+    std::{
+        net::SocketAddrV4,
+        time::{Duration, Instant},
+    },
+    yuccacroft_core::{ids::Instance, pool::explanation::Outcome, time::Span},
     yuccacroft_emulator::{
         caller::Failure, machine::Machine, operator::fetch, upstream::Behaviour,
     },
-    yuccacroft_segment::host::SystemHost,
+    yuccacroft_segment::{
+        dump::Placement,
+        explain::{Destination, Question},
+        host::SystemHost,
+    },
 };
 
 /// Returns the text of a request with this id.
@@ -247,7 +254,7 @@
 }
 
 /// Guards against state dumps that do not show what a process knows about agents, flows and its
-/// upstream.
+/// upstream, or from which the placement of a flow cannot be explained.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_dump_shows_members_flows_and_the_upstream() {
     let deployment = Deployment::start("dump", 1, 2).await;
@@ -264,6 +271,16 @@
     assert_eq!(balancer["members"].as_array().unwrap().len(), 2);
     let machine = deployment.agents[owner].node.machine;
     assert_eq!(balancer["flows"][machine.segments().to_string()], 1);
+    let state: Placement = serde_json::from_value(balancer).unwrap();
+    let question = Question {
+        caller: SocketAddrV4::new([100, 64, 0, 1].into(), 40_000),
+        destination: Destination::Address(booking_address()),
+        domain: None,
+    };
+    let answer = question.answer(state).unwrap();
+    let agents = deployment.agents.iter().map(|agent| agent.node.machine.segments());
+    let mut agents = agents.map(|address| Outcome::Placed(Instance::new(address)));
+    assert!(agents.any(|outcome| outcome == answer.explanation.outcome), "{answer:?}");
     let agent = dump(machine).await;
     assert_eq!(agent["upstream"]["id"], format!("upstream-{owner}"));
     assert_eq!(agent["load"]["open"], 1);
