Count no silence of an upstream while its request is incomplete

A long request over a lossy or slow link arrives segment by segment. The agent counted the silence of the upstream from the first segment, so an upload whose second segment was lost made the upstream overdue although it could not respond yet, and placement avoided it.

The silence now begins with the latest new data, and none counts while data before it is missing. When a request stops to count as in progress is unchanged.

a_request_with_a_missing_segment_is_not_overdue and a_request_that_still_arrives_is_not_overdue failed before, with a share of 20 hundredths instead of 0.

--- a/yuccacroft-core/src/handshake/action.rs
+++ b/yuccacroft-core/src/handshake/action.rs
@@ -43,8 +43,8 @@
         /// The balancer.
         origin: SocketAddrV4,
     },
-    /// Note that a request has had no response for longer than requests usually take. It no longer
-    /// counts as in progress.
+    /// Note that the upstream has had a request for longer than requests usually take without a
+    /// response.
     Overdue {
         /// The flow.
         flow: Flow,
--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -64,7 +64,8 @@
                     true
                 }
                 State::Open(open) => {
-                    if open.expire_request(stale_age, now, &self.counts) {
+                    open.expire_request(stale_age, now, &self.counts);
+                    if open.becomes_overdue(stale_age, MAX_STALE_REQUEST_AGE, now) {
                         actions.push(Action::Overdue { flow });
                     }
                     let is_kept = now.since(open.last_seen) < FLOW_IDLE_TIMEOUT;
--- a/yuccacroft-core/src/handshake/open_flow.rs
+++ b/yuccacroft-core/src/handshake/open_flow.rs
@@ -19,6 +19,8 @@
     /// flow.
     pub started_at: Moment,
     pub last_seen: Moment,
+    /// The position of the first missing data of the caller while later data has arrived.
+    missing: Option<Sequence>,
     /// The request that the upstream is processing.
     pub request: Option<Request>,
     /// Whether a request waits in the backlog.
@@ -41,20 +43,36 @@
     pub started_at: Moment,
     /// Whether the request counts among the requests in progress.
     pub is_counted: bool,
+    /// The time of its latest new data, since which the upstream may have been able to respond.
+    silent_since: Moment,
+    /// Whether it came in several segments, of which the last one may be lost on the way.
+    is_long: bool,
+    /// Whether its silence has been returned as [`Action::Overdue`](super::Action::Overdue).
+    is_overdue: bool,
 }
 
 /// The response to a request that was in progress.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Answer {
     pub service_time: Span,
-    /// Whether the request no longer counted among the requests in progress.
+    /// Whether the request was overdue.
     pub was_overdue: bool,
 }
 
 impl Request {
+    fn new(now: Moment) -> Self {
+        Self {
+            started_at: now,
+            is_counted: true,
+            silent_since: now,
+            is_long: false,
+            is_overdue: false,
+        }
+    }
+
     /// Returns true if the request has had no response for longer than requests usually take.
     pub fn is_overdue(&self) -> bool {
-        !self.is_counted
+        self.is_overdue
     }
 }
 
@@ -72,6 +90,7 @@
             received_end: None,
             started_at,
             last_seen: started_at,
+            missing: None,
             request: None,
             is_held: false,
             is_proven,
@@ -140,6 +159,7 @@
         }
         let end = Sequence::new(segment.sequence.get().wrapping_add(u32::from(segment.length)));
         let is_new_data = self.received_end.is_none_or(|received_end| end.is_after(received_end));
+        self.update_missing(segment, end);
         if is_new_data {
             self.received_end = Some(end);
             self.is_held |=
@@ -154,6 +174,20 @@
         true
     }
 
+    /// Follows which data of the caller is missing. The position of a second gap is not kept: the first
+    /// one to be filled counts as the end of both.
+    fn update_missing(&mut self, segment: &Segment, end: Sequence) {
+        let fills =
+            |missing: Sequence| !segment.sequence.is_after(missing) && end.is_after(missing);
+        match (self.missing, self.received_end) {
+            (Some(missing), _) if fills(missing) => self.missing = None,
+            (None, Some(received_end)) if segment.sequence.is_after(received_end) => {
+                self.missing = Some(received_end);
+            }
+            _ => {}
+        }
+    }
+
     /// Records a segment of the upstream. Its first data ends the request in progress. Returns its
     /// response.
     pub fn handle_upstream_segment(
@@ -177,26 +211,51 @@
         answer
     }
 
-    /// Records that a request goes to the upstream, unless one is in progress.
+    /// Records that new data goes to the upstream. It belongs to the request in progress, or begins
+    /// one.
     pub fn start_request(&mut self, now: Moment, counts: &Counts) {
-        if self.request.is_none() {
-            self.request = Some(Request { started_at: now, is_counted: true });
-            counts.add_active();
+        match &mut self.request {
+            Some(request) => {
+                request.silent_since = now;
+                request.is_long = true;
+            }
+            None => {
+                self.request = Some(Request::new(now));
+                counts.add_active();
+            }
         }
     }
 
-    /// No longer counts a request in progress that is at least `max_age` old. Returns true if it
-    /// counted until now.
-    pub fn expire_request(&mut self, max_age: Span, now: Moment, counts: &Counts) -> bool {
+    /// No longer counts a request in progress that is at least `max_age` old.
+    pub fn expire_request(&mut self, max_age: Span, now: Moment, counts: &Counts) {
         if let Some(request) = &mut self.request
             && request.is_counted
             && now.since(request.started_at) >= max_age
         {
             request.is_counted = false;
             counts.remove_active();
-            return true;
         }
-        false
+    }
+
+    /// Returns true if the request in progress has become overdue, because the upstream has had it for
+    /// `max_silence` without a response. While data is missing the link of the caller is late and not
+    /// the upstream. So is it if the last segment of several is lost, which does not show, so a request
+    /// of several segments has `max_long_silence`.
+    pub fn becomes_overdue(
+        &mut self,
+        max_silence: Span,
+        max_long_silence: Span,
+        now: Moment,
+    ) -> bool {
+        if self.missing.is_some() {
+            return false;
+        }
+        let Some(request) = self.request.as_mut().filter(|request| !request.is_overdue) else {
+            return false;
+        };
+        let limit = if request.is_long { max_long_silence } else { max_silence };
+        request.is_overdue = now.since(request.silent_since) >= limit;
+        request.is_overdue
     }
 
     /// Removes a flow from the counts before its entry is dropped.
--- a/yuccacroft-segment/tests/outcomes.rs
+++ b/yuccacroft-segment/tests/outcomes.rs
@@ -45,3 +45,47 @@
     agent.receive_upstream(Kind::Reset, 1, 0);
     assert_eq!(agent.failures(), ONE_FAILURE);
 }
+
+/// Guards against blame for an upstream whose caller's link loses a segment of a long request: the
+/// upstream cannot respond before it has all.
+#[test]
+fn a_request_with_a_missing_segment_is_not_overdue() {
+    let agent = Agent::new();
+    agent.open(1);
+    agent.carry(Kind::Request, 1, 0);
+    agent.carry(Kind::Part, 1, 2);
+    agent.advance(OVERDUE);
+    assert_eq!(agent.failures(), Percent::new(0));
+    agent.carry(Kind::Part, 1, 1);
+    agent.advance(OVERDUE);
+    assert_eq!(agent.failures(), ONE_FAILURE, "the upstream has all of it");
+}
+
+/// Guards against the same on a slow link, over which the segments of a long request come one by one.
+#[test]
+fn a_request_that_still_arrives_is_not_overdue() {
+    let agent = Agent::new();
+    agent.open(1);
+    agent.carry(Kind::Request, 1, 0);
+    for part in 1..=6 {
+        agent.advance(Span::from_millis(140));
+        agent.carry(Kind::Part, 1, part);
+    }
+    assert_eq!(agent.failures(), Percent::new(0));
+    agent.advance(OVERDUE);
+    assert_eq!(agent.failures(), ONE_FAILURE);
+}
+
+/// Guards against blame for the upstream when the machine of the agent is slow: its responses wait in
+/// the agent's socket. A reset is the upstream's own answer and counts.
+#[test]
+fn silence_on_a_slow_machine_is_no_failure() {
+    let agent = Agent::new();
+    agent.open(1);
+    agent.carry(Kind::Request, 1, 0);
+    agent.relay.state.outcomes().record_pause(agent.now());
+    agent.advance(Span::from_millis(300));
+    assert_eq!(agent.failures(), Percent::new(0));
+    agent.receive_upstream(Kind::Reset, 1, 0);
+    assert_eq!(agent.failures(), ONE_FAILURE);
+}
--- a/yuccacroft-segment/tests/support/agent.rs
+++ b/yuccacroft-segment/tests/support/agent.rs
@@ -55,6 +55,8 @@
     Accept,
     Acknowledge,
     Request,
+    /// A segment of the first request, after as many others as its number tells.
+    Part,
     Success,
     ServerError,
     Reset,
@@ -62,11 +64,12 @@
     ReturnedOpening,
 }
 
-const KINDS: [Kind; 8] = [
+const KINDS: [Kind; 9] = [
     Kind::Open,
     Kind::Accept,
     Kind::Acknowledge,
     Kind::Request,
+    Kind::Part,
     Kind::Success,
     Kind::ServerError,
     Kind::Reset,
@@ -114,6 +117,7 @@
         Kind::Accept => (Control::Accept, UPSTREAM_START, CALLER_START + 1, 0),
         Kind::Acknowledge => (Control::Continue, sent, answered, 0),
         Kind::Request => (Control::Continue, sent, answered, REQUEST_BYTES),
+        Kind::Part => (Control::Continue, sent, UPSTREAM_START + 1, REQUEST_BYTES),
         Kind::Success | Kind::ServerError => {
             (Control::Continue, answered, sent + u32::from(REQUEST_BYTES), RESPONSE_BYTES)
         }
