Send the flows of a class or domain that an upstream fails elsewhere

An upstream that fails one class of requests, or the callers of one failure domain, was ejected for all as long as the others had room, and went on failing the group where they had none.

Agents now keep the outcomes of each class and of each domain, 16 of each at most, beside those of the whole upstream. They pass the opening segments of a group on whose share of failures is thirty hundredths above that of the others, but for one in twenty. The share that goes to balancers leaves that group out, so the upstream stays for the rest. The domain of a caller is that of the balancer that got its opening segment; balancers tell theirs with the new message Request::Home, at the end of the kinds. Switched on by health.

--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -23,6 +23,6 @@
     action::{Action, LostFlow},
     decision::{Decision, ForwardReason, Ownership, ReplyOutcome},
     observation::{EndCause, OfferedFlow, UpstreamEnd},
-    offer::{MAX_HOPS, MAX_LATE_HOPS, Offer, pass_or_refuse},
+    offer::{FlowSource, MAX_HOPS, MAX_LATE_HOPS, Offer, pass_or_refuse},
     table::FlowTable,
 };
--- a/yuccacroft-core/src/handshake/action.rs
+++ b/yuccacroft-core/src/handshake/action.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         decision::Decision,
-        offer::{self, Offer},
+        offer::{self, FlowSource, Offer},
     },
     crate::{
         ids::Instance,
@@ -69,6 +69,8 @@
     pub busy: bool,
     /// Whether [`Action::Overdue`] has been returned for the request in progress.
     pub was_overdue: bool,
+    /// Where it comes from, if the agent has seen its opening segment.
+    pub source: Option<FlowSource>,
     /// The time of its opening segment, or that at which the agent discovered it.
     pub started_at: Moment,
 }
--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -117,9 +117,17 @@
                 let busy = open.request.is_some() || open.is_held;
                 let was_overdue = open.request.as_ref().is_some_and(Request::is_overdue);
                 let (flow, started_at) = (entry.flow, open.started_at);
+                let source = entry.opening.map(|opening| opening.source);
                 // Without a segment of this upstream the flow may be that of another one.
                 if open.is_proven {
-                    lost.push(LostFlow { flow, acknowledged, busy, was_overdue, started_at });
+                    lost.push(LostFlow {
+                        flow,
+                        acknowledged,
+                        busy,
+                        was_overdue,
+                        source,
+                        started_at,
+                    });
                 }
                 open.end(&self.counts);
                 false
--- a/yuccacroft-core/src/handshake/observation.rs
+++ b/yuccacroft-core/src/handshake/observation.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        offer::FlowSource,
         open_flow::Request,
         state::{Entry, State},
         table::FlowTable,
@@ -98,6 +99,11 @@
         })
     }
 
+    /// Returns where a flow comes from, or `None` if the agent has not seen its opening segment.
+    pub fn source(&self, key: FlowKey) -> Option<FlowSource> {
+        self.entries.read(&key, |entry| Some(entry?.opening?.source))
+    }
+
     /// Returns the state of a flow that is offered and not open, or `None` in any other state.
     pub fn offered_flow(&self, key: FlowKey, now: Moment) -> Option<OfferedFlow> {
         self.entries.read(&key, |entry| match entry {
--- a/yuccacroft-core/src/handshake/offer.rs
+++ b/yuccacroft-core/src/handshake/offer.rs
@@ -13,6 +13,15 @@
 /// further ones are as well, and each hop takes the time of one more agent.
 pub const MAX_LATE_HOPS: u8 = 3;
 
+/// Where a flow comes from, as its opening segment tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlowSource {
+    /// The class of the requests in the flow, if the balancer has named it.
+    pub class: Option<TrafficClass>,
+    /// The balancer that got the opening segment from the caller.
+    pub origin: SocketAddrV4,
+}
+
 /// The route of an opening segment through the candidate agents.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Offer {
@@ -27,6 +36,11 @@
 }
 
 impl Offer {
+    /// Returns where the flow comes from.
+    pub fn source(&self) -> FlowSource {
+        FlowSource { class: self.class, origin: self.origin }
+    }
+
     /// Returns true if no other agent may take the flow after the current one.
     pub fn is_last(&self) -> bool {
         self.rest.is_empty() || self.hops.saturating_add(1) >= MAX_HOPS
--- a/yuccacroft-core/src/handshake/state.rs
+++ b/yuccacroft-core/src/handshake/state.rs
@@ -1,7 +1,12 @@
 //! The entries of the flow table and their states.
 
 use {
-    super::{closed_flow::ClosedFlow, decision::Decision, offer::Offer, open_flow::OpenFlow},
+    super::{
+        closed_flow::ClosedFlow,
+        decision::Decision,
+        offer::{FlowSource, Offer},
+        open_flow::OpenFlow,
+    },
     crate::{
         segment::{Flow, Segment, Sequence},
         time::Moment,
@@ -13,12 +18,19 @@
 #[derive(Debug)]
 pub(super) struct Entry {
     pub flow: Flow,
-    /// The caller's first position in the latest opening segment, or `None` if the agent has seen
-    /// none. Another one means that the caller has begun a new flow.
-    pub opening: Option<Sequence>,
+    /// The latest opening segment, or `None` if the agent has seen none.
+    pub opening: Option<Opening>,
     pub state: State,
 }
 
+/// What is kept of an opening segment.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Opening {
+    /// The caller's first position. Another one means that the caller has begun a new flow.
+    pub sequence: Sequence,
+    pub source: FlowSource,
+}
+
 /// The state of a flow at its agent.
 #[derive(Debug)]
 pub(super) enum State {
@@ -40,18 +52,24 @@
 impl Entry {
     /// Returns the decision about an opening segment that may be a copy of the one of this flow, or
     /// `None` if it opens a new flow from the same port.
-    pub fn repeat_opening(&mut self, segment: &Segment, now: Moment) -> Option<Decision> {
+    pub fn repeat_opening(
+        &mut self,
+        segment: &Segment,
+        source: FlowSource,
+        now: Moment,
+    ) -> Option<Decision> {
+        let first_position = self.opening.map(|opening| opening.sequence);
         match &mut self.state {
-            State::Open(open) if open.may_have_begun_at(segment.sequence, self.opening) => {
+            State::Open(open) if open.may_have_begun_at(segment.sequence, first_position) => {
                 Some(Decision::Deliver)
             }
-            State::Closed(_) if self.opening == Some(segment.sequence) => {
+            State::Closed(_) if first_position == Some(segment.sequence) => {
                 Some(Decision::Drop("late copy"))
             }
             // A refusal would end a flow whose caller may be about to answer the upstream.
             State::Accepted { changed_at, .. } => {
                 *changed_at = now;
-                self.opening = Some(segment.sequence);
+                self.opening = Some(Opening { sequence: segment.sequence, source });
                 Some(Decision::Confirm)
             }
             _ => None,
--- a/yuccacroft-core/src/handshake/table.rs
+++ b/yuccacroft-core/src/handshake/table.rs
@@ -8,7 +8,7 @@
         offer::{self, Offer},
         open_flow::{Answer, OpenFlow},
         passed::PassedOpenings,
-        state::{Entry, State},
+        state::{Entry, Opening, State},
     },
     crate::{
         flow::FlowKey,
@@ -46,8 +46,10 @@
         accepting: bool,
         now: Moment,
     ) -> Decision {
+        let source = offer.source();
         self.entries.update(segment.flow.key(), |slot| {
-            if let Some(decision) = slot.as_mut().and_then(|e| e.repeat_opening(segment, now)) {
+            let repeat = |entry: &mut Entry| entry.repeat_opening(segment, source, now);
+            if let Some(decision) = slot.as_mut().and_then(repeat) {
                 return decision;
             }
             if !accepting {
@@ -58,7 +60,8 @@
                 open.end(&self.counts);
             }
             let state = State::Offered { offer, datagram: datagram.into(), changed_at: now };
-            *slot = Some(Entry { flow: segment.flow, opening: Some(segment.sequence), state });
+            let opening = Some(Opening { sequence: segment.sequence, source });
+            *slot = Some(Entry { flow: segment.flow, opening, state });
             Decision::Confirm
         })
     }
--- a/yuccacroft-core/tests/outliers.rs
+++ b/yuccacroft-core/tests/outliers.rs
@@ -7,7 +7,7 @@
     yuccacroft_core::{
         flow::{AgentId, FlowKey},
         ids::{Domain, Incarnation, Instance},
-        outcome::{Outcome, Record},
+        outcome::{Labels, Outcome, Outcomes, Record},
         pool::{AgentEntry, AgentLoad, AgentPhase, Measures, Pool, outlier::Cause},
         requirements::Requirements,
         route::{ServiceName, Target},
@@ -18,6 +18,8 @@
 
 const UPSTREAMS: usize = 10;
 const SLOTS: u32 = 4;
+/// Number of agents that a flow is offered to.
+const CANDIDATES: usize = 4;
 const SERVICE_TIME_MS: u64 = 25;
 const REPORT_INTERVAL_MS: u64 = 200;
 const REVIEW_INTERVAL_MS: u64 = 100;
@@ -46,6 +48,7 @@
     upstream: usize,
     ends_at: u64,
     outcome: Outcome,
+    labels: Labels,
 }
 
 /// A request of which the test decides whether it fails.
@@ -115,9 +118,20 @@
     interval_ms: u64,
     end_ms: u64,
     fault: impl Fn(&Attempt) -> Option<Failure>,
+) -> Results {
+    run_with_labels(health, interval_ms, end_ms, |_| Labels::default(), fault)
+}
+
+/// The same with requests of which the agents know what they have in common.
+fn run_with_labels(
+    health: bool,
+    interval_ms: u64,
+    end_ms: u64,
+    labels: impl Fn(u64) -> Labels,
+    fault: impl Fn(&Attempt) -> Option<Failure>,
 ) -> Results {
     let pool = new_pool(health);
-    let mut records = [Record::default(); UPSTREAMS];
+    let mut records: [Outcomes; UPSTREAMS] = Default::default();
     let mut busy = [Percent::default(); UPSTREAMS];
     let mut requests: Vec<Request> = Vec::new();
     let mut results = Results::default();
@@ -125,7 +139,7 @@
     for at_ms in 0..end_ms {
         let now = Moment::default() + Span::from_millis(at_ms);
         for request in requests.extract_if(.., |request| request.ends_at <= at_ms) {
-            records[request.upstream].record(request.outcome, now);
+            records[request.upstream].record(&request.labels, request.outcome, now);
             results.failed += u32::from(request.outcome != Outcome::Success);
         }
         if at_ms % REPORT_INTERVAL_MS == 0 {
@@ -154,14 +168,20 @@
         if at_ms % interval_ms == 0 {
             let number = at_ms / interval_ms;
             let key = FlowKey::new(number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-            let chosen = pool.choose(target(), &domain(), key, 1, now)[0];
-            let upstream = (0..UPSTREAMS).find(|each| instance(*each) == chosen).unwrap();
-            pool.record_offer(chosen, now);
+            let labels = labels(number);
+            let candidates = pool.choose(target(), &domain(), key, CANDIDATES, now);
+            let candidates = candidates.iter().map(|chosen| {
+                (0..UPSTREAMS).find(|upstream| instance(*upstream) == *chosen).unwrap()
+            });
+            let candidates: Vec<usize> = candidates.collect();
+            let accepts = |upstream: &&usize| !records[**upstream].diverts(&labels, key);
+            let upstream = *candidates.iter().find(accepts).or(candidates.last()).unwrap();
+            pool.record_offer(instance(upstream), now);
             results.sent[upstream] += 1;
             let failure = fault(&Attempt { upstream, at_ms, number });
             let outcome = failure.map_or(Outcome::Success, |failure| failure.outcome);
             let time = failure.map_or(SERVICE_TIME_MS, |failure| failure.after_ms);
-            requests.push(Request { upstream, ends_at: at_ms + time, outcome });
+            requests.push(Request { upstream, ends_at: at_ms + time, outcome, labels });
         }
     }
     results
@@ -281,6 +301,31 @@
     assert!(after.failed * 4 < before.failed, "{before:?} {after:?}");
 }
 
+/// Returns labels with the failure domain of the caller of a request.
+fn domain_labels(number: u64) -> Labels {
+    let domain = ["a", "b", "c"][number as usize % 3];
+    Labels { class: None, domain: Some(Domain::new(domain).unwrap()) }
+}
+
+/// Guards against upstreams that go on failing the callers of one domain because the others cannot
+/// carry the whole load without them: they serve the callers of the other domains.
+#[test]
+fn upstreams_that_fail_one_domain_serve_the_others() {
+    let fault = |attempt: &Attempt| {
+        let is_failing = attempt.upstream < 4 && is_fault_time(attempt);
+        (is_failing && attempt.number.is_multiple_of(3)).then_some(ERRORS)
+    };
+    let (before, ejecting) = (run(false, 1, 12_000, fault), run(true, 1, 12_000, fault));
+    let after = run_with_labels(true, 1, 12_000, domain_labels, fault);
+    assert!(after.failed * 5 < before.failed, "{before:?} {after:?}");
+    assert!(after.failed * 3 < ejecting.failed, "{ejecting:?} {after:?}");
+    // Without the callers of one domain each gets two thirds of its usual requests at least.
+    assert!(after.sent[..4].iter().all(|sent| sent * 15 > 12_000), "{after:?}");
+    let later = run_with_labels(true, 1, 20_000, domain_labels, fault);
+    let share = (later.sent[0] - after.sent[0]) * UPSTREAMS as u32;
+    assert!(share > 8_000 / 2, "{after:?} {later:?}");
+}
+
 /// Guards against an overload of the others: they carry the load of few ejected upstreams only.
 #[test]
 fn no_more_are_ejected_than_the_others_can_carry() {
@@ -336,10 +381,14 @@
 /// the agent's socket.
 #[test]
 fn silence_after_a_pause_of_the_agent_is_no_failure() {
-    let mut record = Record::default();
-    record.record_pause(Moment::new(1_000_000));
-    (0..20).for_each(|_| record.record(Outcome::Overdue, Moment::new(1_100_000)));
-    assert_eq!(record.failures(), Percent::new(0));
-    (0..20).for_each(|_| record.record(Outcome::Overdue, Moment::new(1_500_000)));
-    assert!(record.failures() > Percent::new(50));
+    let mut outcomes = Outcomes::default();
+    outcomes.record_pause(Moment::new(1_000_000));
+    let mut fall_silent = |micros| {
+        (0..20).for_each(|_| {
+            outcomes.record(&Labels::default(), Outcome::Overdue, Moment::new(micros));
+        });
+        outcomes.failures()
+    };
+    assert_eq!(fall_silent(1_100_000), Percent::new(0));
+    assert!(fall_silent(1_500_000) > Percent::new(50));
 }
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -17,12 +17,14 @@
         backlog::Backlog,
         evacuation::Status,
         filter::{Filter, FilterChain, Verdict},
-        handshake::{self, Decision, FlowTable, ForwardReason, MAX_LATE_HOPS, Offer},
+        handshake::{self, Decision, FlowSource, FlowTable, ForwardReason, MAX_LATE_HOPS, Offer},
+        ids::Domain,
         limits::{Limiter, Tolerance, UpstreamState},
-        outcome::Record,
+        outcome::{Labels, Outcomes},
         requirements::Requirements,
         route::{Target, TrafficClass},
         segment::Segment,
+        shards::Shards,
         time::{Moment, Span},
         units::{Connections, Percent, Slots},
         upstream::{Monitor, UpstreamReport},
@@ -45,6 +47,11 @@
 /// number is known after the first one.
 const DEFAULT_SLOTS: Slots = Slots::new(2);
 
+/// Limit of balancers whose failure domain is kept, so that untrusted senders cannot exhaust the memory.
+const MAX_HOMES: usize = 4_096;
+
+/// Metric: number of flows that were passed on because the upstream fails their class or domain.
+const DIVERTED_METRIC: &str = "yuccacroft_agent_diverted_flows_total";
 /// Metric: number of offered flows, labelled with what their first requests can expect.
 const OUTLOOKS_METRIC: &str = "yuccacroft_agent_outlooks_total";
 
@@ -80,7 +87,9 @@
     pub table: FlowTable,
     monitor: Mutex<Monitor>,
     backlog: Mutex<Backlog>,
-    outcomes: Mutex<Record>,
+    outcomes: Mutex<Outcomes>,
+    /// The failure domains of the balancers, as far as they have told them.
+    homes: Shards<SocketAddrV4, Domain>,
     service_times: Mutex<ServiceTimes>,
     unknown_requests: Mutex<UnknownRequests>,
     accepted_flows: Mutex<AcceptedFlows>,
@@ -118,6 +127,7 @@
             monitor: Mutex::new(monitor),
             backlog: Mutex::default(),
             outcomes: Mutex::default(),
+            homes: Shards::with_shards(1),
             service_times: Mutex::default(),
             unknown_requests: Mutex::default(),
             accepted_flows: Mutex::default(),
@@ -277,7 +287,7 @@
         if self.table.offered_flow(segment.flow.key(), now).is_some() {
             return true;
         }
-        if !self.has_room(now) {
+        if !self.has_room(now) || self.diverts(segment, offer) {
             return false;
         }
         let Some(class) = offer.class.filter(|_| self.requirements.health) else { return true };
@@ -317,10 +327,42 @@
     }
 
     /// Returns the locked record of the outcomes of requests.
-    pub fn outcomes(&self) -> MutexGuard<'_, Record> {
+    pub fn outcomes(&self) -> MutexGuard<'_, Outcomes> {
         lock(&self.outcomes)
     }
 
+    /// Records the failure domain of a balancer.
+    pub fn record_home(&self, balancer: SocketAddrV4, domain: Domain) {
+        if self.homes.len() < MAX_HOMES || self.homes.get(&balancer).is_some() {
+            self.homes.insert(balancer, domain);
+        }
+    }
+
+    /// Forgets the failure domains of balancers for which `is_known` returns false.
+    pub fn retain_homes(&self, is_known: impl Fn(SocketAddrV4) -> bool) {
+        self.homes.retain(|balancer, _| is_known(*balancer));
+    }
+
+    /// Returns what the requests of a flow have in common with others.
+    pub fn labels(&self, source: Option<FlowSource>) -> Labels {
+        let Some(FlowSource { class, origin }) = source else { return Labels::default() };
+        Labels { class, domain: self.homes.get(&origin) }
+    }
+
+    /// Returns true if the upstream fails the requests of such flows and serves others, and another
+    /// agent may take the flow.
+    fn diverts(&self, segment: &Segment, offer: &Offer) -> bool {
+        if !self.requirements.health || offer.is_last() || offer.hops >= MAX_LATE_HOPS {
+            return false;
+        }
+        let labels = self.labels(Some(offer.source()));
+        let diverts = self.outcomes().diverts(&labels, segment.flow.key());
+        if diverts {
+            metrics::counter!(DIVERTED_METRIC).increment(1);
+        }
+        diverts
+    }
+
     /// Returns the time since the start of the agent or of its upstream, whichever is longer.
     pub fn age(&self, now: Moment) -> Span {
         now.since(Moment::default()).max(self.monitor().age(now))
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -47,6 +47,7 @@
                 Context::NewFlow(target, offer, bytes.into())
             }
             Request::Limits(limits) => return self.handle_limits(limits, now),
+            Request::Home(domain) => return self.handle_home(domain, from, now),
             Request::Evacuation(notice) => return self.handle_evacuation(notice, from, now),
             Request::Search { key, acknowledged } => {
                 return self.answer_search(FlowQuery { key, acknowledged }, from, now);
@@ -172,7 +173,10 @@
             Action::Confirm { flow, origin } => {
                 self.reply(origin, Body::Owns(flow.key()), &[], now);
             }
-            Action::Overdue { .. } => self.record_outcome(Outcome::Overdue, now),
+            Action::Overdue { flow } => {
+                let source = self.state.table.source(flow.key());
+                self.record_outcome(source, Outcome::Overdue, now);
+            }
             Action::Expire { flow, accepted } => self.log_expired(flow, accepted, now),
         }
     }
--- a/yuccacroft-segment/src/agent/relay/outbound.rs
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -36,15 +36,16 @@
                         self.state.note_slots(slots);
                     }
                 }
+                let source = self.state.table.source(segment.flow.key());
                 if let Some(end) = self.state.table.upstream_end(&segment, now) {
                     self.log_upstream_end(segment.flow, end, now);
-                    self.record_end(end, now);
+                    self.record_end(source, end, now);
                 }
                 let reply = self.state.table.handle_reply(&segment, now);
                 if let Some(prober) = reply.prober {
                     self.reply(prober, Body::Owns(segment.flow.key()), &[], now);
                 }
-                self.record_response(reply.was_overdue, datagram, now);
+                self.record_response(source, reply.was_overdue, datagram, now);
                 if let Some(time) = reply.service_time {
                     self.state.record_service_time(time, now);
                     metrics::histogram!(SERVICE_SECONDS_METRIC)
--- a/yuccacroft-segment/src/agent/relay/reply.rs
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -7,7 +7,7 @@
         traffic::{Direction, Kind},
     },
     slog::info,
-    std::{net::SocketAddrV4, sync::atomic::Ordering},
+    std::{collections::HashSet, net::SocketAddrV4, sync::atomic::Ordering},
     yuccacroft_core::{
         ids::{Incarnation, Revision},
         pool::{AgentLoad, Measures},
@@ -50,10 +50,11 @@
     /// Sends the load to every balancer that sent a message recently.
     pub fn send_load(&self, now: Moment) {
         self.balancers.retain(|_, last_seen| now.since(*last_seen) < BALANCER_TIMEOUT);
-        let balancers = self.balancers.fold(Vec::new(), |mut balancers, balancer, _| {
-            balancers.push(*balancer);
+        let balancers = self.balancers.fold(HashSet::new(), |mut balancers, balancer, _| {
+            balancers.insert(*balancer);
             balancers
         });
+        self.state.retain_homes(|balancer| balancers.contains(&balancer));
         let body = if self.state.requirements.health {
             Body::Measures(self.measures(now))
         } else {
--- a/yuccacroft-segment/src/agent/relay/reset.rs
+++ b/yuccacroft-segment/src/agent/relay/reset.rs
@@ -49,9 +49,9 @@
             info!(self.flow_log.log(), "flows lost"; "count" => lost.len(), "cause" => cause,
                 "busy" => lost.iter().filter(|flow| flow.busy).count());
         }
-        for LostFlow { flow, acknowledged, started_at, busy, was_overdue } in lost {
+        for LostFlow { flow, acknowledged, started_at, busy, was_overdue, source } in lost {
             if busy {
-                self.record_failed_request(was_overdue, Outcome::Lost, now);
+                self.record_failed_request(source, was_overdue, Outcome::Lost, now);
             }
             self.state.backlog().remove(flow.key());
             self.reset(flow, acknowledged, cause, Some(now.since(started_at)), now);
--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -2,6 +2,7 @@
 //! check which agents answer.
 
 mod evacuation;
+mod home;
 mod limits;
 
 use {
@@ -262,6 +263,7 @@
         if ping_all {
             self.repeat_notices();
             self.repeat_limits();
+            self.repeat_home(now);
             let idle_timeout = chain::current_routes(&self.relay.current_routes)
                 .and_then(|routes| routes.idle_timeout);
             self.relay.table.expire(idle_timeout, now);
@@ -407,6 +409,7 @@
             self.relay.ping(agent_id.instance, now);
             self.notify_if_evacuated(agent_id.instance);
             self.send_limits_to(agent_id.instance);
+            self.relay.send_home(agent_id.instance);
         }
         Some(agent_id.instance)
     }
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -232,6 +232,13 @@
         self.ping(instance, now);
     }
 
+    /// Tells an agent the failure domain of this process, in which its callers are.
+    pub fn send_home(&self, instance: Instance) {
+        if self.pool.requirements().health {
+            self.send(instance, &Request::Home(self.setup.domain.clone()), &[]);
+        }
+    }
+
     /// Tells an agent the limits of its service.
     pub fn send_limits(&self, instance: Instance, limits: ServiceLimits) {
         self.send(instance, &Request::Limits(limits), &[]);
--- a/yuccacroft-segment/src/traffic.rs
+++ b/yuccacroft-segment/src/traffic.rs
@@ -135,7 +135,10 @@
             Request::Search { .. } => Self::Search,
             Request::Probe(_) if retry => Self::ProbeRetry,
             Request::Probe(_) => Self::Probe,
-            Request::Ping { .. } | Request::Evacuation(_) | Request::Limits(_) => Self::Ping,
+            Request::Ping { .. }
+            | Request::Evacuation(_)
+            | Request::Limits(_)
+            | Request::Home(_) => Self::Ping,
             Request::IndirectPing { .. } => Self::IndirectPing,
             Request::RelayedPing { .. } => Self::RelayedPing,
             Request::RelayedPong { .. } => Self::RelayedPong,
--- a/yuccacroft-segment/tests/malformed.rs
+++ b/yuccacroft-segment/tests/malformed.rs
@@ -13,7 +13,7 @@
     yuccacroft_core::{
         evacuation::Notice,
         flow::{AgentId, FlowKey},
-        ids::{Incarnation, Instance, Revision},
+        ids::{Domain, Incarnation, Instance, Revision},
         limits::{FlowRate, ServiceLimits},
         pool::{AgentLoad, Measures, indirect::Condition},
         route::{ConfigVersion, ServiceName, TrafficClass},
@@ -122,6 +122,7 @@
             let warmup_rate = has_rate.then_some(FlowRate::from_hundredths(n));
             Request::Limits(ServiceLimits { max_flows, warmup_rate })
         }),
+        Just(Request::Home(Domain::new("a").unwrap())),
         Just(Request::Carry(class)),
         Just(Request::Probe(class)),
         any_query()
--- a/yuccacroft-segment/tests/support/agent.rs
+++ b/yuccacroft-segment/tests/support/agent.rs
@@ -11,7 +11,8 @@
     std::{net::SocketAddrV4, sync::Arc},
     yuccacroft_core::{
         flow::AgentId,
-        ids::{Incarnation, Instance},
+        handshake::FlowSource,
+        ids::{Domain, Incarnation, Instance},
         requirements::Requirements,
         route::{ServiceName, Target, TrafficClass},
         segment::{Control, Flow, Outbound, Response, Segment, Sequence},
@@ -183,8 +184,17 @@
 
     /// Lets the agent receive an opening segment with the agents to offer it to next.
     pub fn offer(&self, port: u16, rest: &[Instance]) {
-        let class = TrafficClass::default();
-        let (origin, rest, hops) = (peer(), rest.into(), 0);
+        self.offer_from(port, peer(), TrafficClass::default(), rest);
+    }
+
+    pub fn offer_from(
+        &self,
+        port: u16,
+        origin: SocketAddrV4,
+        class: TrafficClass,
+        rest: &[Instance],
+    ) {
+        let (rest, hops) = (rest.into(), 0);
         let offer = Request::ClassifiedOffer { class, target: target(), origin, rest, hops };
         self.receive_message(&offer, Kind::Open, port, 0);
     }
@@ -194,6 +204,12 @@
         self.receive_message(&Request::Carry(TrafficClass::default()), kind, port, number);
     }
 
+    /// Lets the agent receive a message without a segment.
+    pub fn receive_request(&self, request: &Request) {
+        self.messages.push(relay::encode(request, &[]).unwrap());
+        run(self.relay.receive_messages());
+    }
+
     fn receive_message(&self, request: &Request, kind: Kind, port: u16, number: u8) {
         self.messages.push(relay::encode(request, &encode(kind, port, number)).unwrap());
         run(self.relay.receive_messages());
@@ -225,6 +241,12 @@
         (callers.into_iter().map(|(_, datagram)| datagram).collect(), processes)
     }
 
+    /// Returns the failure domain of a balancer, as far as the agent knows it.
+    pub fn domain_of(&self, balancer: SocketAddrV4) -> Option<Domain> {
+        let source = FlowSource { class: None, origin: balancer };
+        self.relay.state.labels(Some(source)).domain
+    }
+
     /// Returns the share of the latest requests that failed.
     pub fn failures(&self) -> Percent {
         self.relay.measures(self.now()).failures
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -16,7 +16,7 @@
     yuccacroft_core::{
         evacuation::Notice,
         flow::{AgentId, FlowKey},
-        ids::{Incarnation, Instance, Revision},
+        ids::{Domain, Incarnation, Instance, Revision},
         limits::ServiceLimits,
         pool::{AgentLoad, Measures, indirect::Condition},
         route::{ConfigVersion, Target, TrafficClass},
@@ -117,6 +117,8 @@
     Evacuation(Notice),
     /// The sender, a balancer, tells the limits of the receiver's service.
     Limits(ServiceLimits),
+    /// The sender, a balancer, tells its failure domain, in which its callers are.
+    Home(Domain),
 }
 
 /// A message of an agent to a balancer.
