Compare a group of requests with outcomes of the same time only

Where a whole upstream hung or restarted over and over, its agent judged that it fails one class: the class of long flows kept failing there, while the successes of the other class were from before the fault, since new flows went elsewhere. The judged class is left out of the share that goes to balancers, so these could admit the upstream.

The requests of other groups now count half in a comparison for each half second without an outcome.

a_group_is_not_compared_with_outcomes_from_before and a_judgement_ends_with_its_comparison failed before.

--- a/yuccacroft-core/src/outcome.rs
+++ b/yuccacroft-core/src/outcome.rs
@@ -135,10 +135,10 @@
             domain.as_ref().and_then(|domain| self.domains.record(domain, outcome, now));
         // The failures that led to the judgement are not those of the groups that stay.
         if let (Some(true), Some(class)) = (of_class, class) {
-            self.all = self.classes.others(class).limited();
+            self.all = self.classes.others(class, now).limited();
         }
         if let (Some(true), Some(domain)) = (of_domain, domain) {
-            self.all = self.domains.others(domain).limited();
+            self.all = self.domains.others(domain, now).limited();
         }
         if !self.fails(labels) {
             self.all.record(outcome, now);
@@ -219,11 +219,20 @@
     }
 
     fn decayed(&self, now: Moment) -> Self {
-        let half_lives =
-            now.since(self.updated_at).as_micros() as f64 / HALF_LIFE.as_micros() as f64;
-        let min_factor = (MIN_WEIGHT_REQUESTS / self.weight()).min(1.0);
+        let mut record = self.faded(HALF_LIFE, now);
+        let min_weight = MIN_WEIGHT_REQUESTS.min(self.weight());
+        if record.weight() < min_weight {
+            record = Self { updated_at: now, ..*self };
+            record.scale(min_weight / self.weight());
+        }
+        record
+    }
+
+    /// Returns the record with less weight, which is halved in each half-life since its last outcome.
+    fn faded(&self, half_life: Span, now: Moment) -> Self {
+        let idle = now.since(self.updated_at).as_micros() as f64;
         let mut record = Self { updated_at: now, ..*self };
-        record.scale((-half_lives).exp2().max(min_factor));
+        record.scale((-idle / half_life.as_micros() as f64).exp2());
         record
     }
 
--- a/yuccacroft-core/src/outcome/groups.rs
+++ b/yuccacroft-core/src/outcome/groups.rs
@@ -2,13 +2,16 @@
 
 use {
     super::{Outcome, Record},
-    crate::time::Moment,
+    crate::time::{Moment, Span},
 };
 
 /// Limit of groups of one kind, so that the memory is bounded.
 pub const MAX_GROUPS: usize = 16;
 /// Number of requests outside of a group from which on the group can be compared with them.
 const MIN_OTHER_REQUESTS: f64 = 8.0;
+/// Time without an outcome after which the requests of another group count half in a comparison. Those
+/// from before a fault of the whole upstream must not make one group look like the only failing one.
+const OTHERS_HALF_LIFE: Span = Span::from_millis(500);
 /// Distance between the share of failures of a group and that of all others, in hundredths, from which
 /// on the upstream fails the group. The share of the few requests of a group varies more than that of
 /// a whole upstream.
@@ -42,7 +45,7 @@
     pub fn record(&mut self, key: &K, outcome: Outcome, now: Moment) -> Option<bool> {
         let index = self.find_or_insert(key);
         self.groups[index].record.record(outcome, now);
-        self.update(index)
+        self.update(index, now)
     }
 
     /// Records that an overdue request of a group has another outcome.
@@ -81,13 +84,15 @@
 
     /// Returns the outcomes of all other groups that the upstream serves. What fails one group alone
     /// tells nothing about another.
-    pub(super) fn others(&self, key: &K) -> Record {
+    pub(super) fn others(&self, key: &K, now: Moment) -> Record {
         let others = self.groups.iter().filter(|group| group.key != *key && !group.is_failing);
-        others.fold(Record::default(), |sum, group| sum.plus(&group.record))
+        others.fold(Record::default(), |sum, group| {
+            sum.plus(&group.record.faded(OTHERS_HALF_LIFE, now))
+        })
     }
 
-    fn update(&mut self, index: usize) -> Option<bool> {
-        let others = self.others(&self.groups[index].key);
+    fn update(&mut self, index: usize, now: Moment) -> Option<bool> {
+        let others = self.others(&self.groups[index].key, now);
         let group = &mut self.groups[index];
         let distance = group.record.failures().get().saturating_sub(others.failures().get());
         let is_comparable = others.weight() >= MIN_OTHER_REQUESTS;
--- a/yuccacroft-core/tests/outcome_groups.rs
+++ b/yuccacroft-core/tests/outcome_groups.rs
@@ -81,6 +81,32 @@
     assert!(outcomes.failures() > Percent::new(80));
 }
 
+/// Guards against a whole upstream that hangs and counts as failing one class only, because nothing of
+/// the others has come since: its balancers would admit it for them.
+#[test]
+fn a_group_is_not_compared_with_outcomes_from_before() {
+    let mut outcomes = Outcomes::default();
+    record_in_turn(&mut outcomes, [&of_class(0), &of_class(1)], Outcome::Success, 0..100);
+    for number in 0..40 {
+        let later = at(150 + number);
+        assert_eq!(outcomes.record(&of_class(0), Outcome::Overdue, later), [], "{number}");
+    }
+    assert!(outcomes.failures() > Percent::new(50), "{}", outcomes.failures());
+}
+
+/// Guards against the same when the judgement was right at first and the others fall silent later.
+#[test]
+fn a_judgement_ends_with_its_comparison() {
+    let mut outcomes = Outcomes::default();
+    let groups = [&of_class(0), &of_class(1)];
+    let changes = record_in_turn(&mut outcomes, groups, Outcome::ServerError, 0..60);
+    assert_eq!(changes.len(), 1);
+    let record = |number: u64| outcomes.record(groups[0], Outcome::ServerError, at(200 + number));
+    let changes: Vec<GroupChange> = (0..40).flat_map(record).collect();
+    assert_eq!(changes, [GroupChange { labels: groups[0].clone(), is_failing: false }]);
+    assert!(outcomes.failures() > Percent::new(50), "{}", outcomes.failures());
+}
+
 /// Guards against a judgement without a comparison, where all callers are in one domain.
 #[test]
 fn a_group_without_others_is_not_judged() {
