Measure the expected utilization of upstreams after changes

The busiest of 47 upstreams over one minute divided by the mean contains the chance of the longest requests, and nothing measured the seconds after a change. The case segments now measures the expected utilization of the mixed fleet in the third and fourth second after an upstream is new, returns, is replaced or becomes slow, averaged over twelve changes and over the upstreams of one speed.

Placement is unchanged.

--- a/yuccacroft-bench/src/segments.rs
+++ b/yuccacroft-bench/src/segments.rs
@@ -2,6 +2,7 @@
 //! the cost of a pool by its number of agents, and the placement of flows within and between failure
 //! domains compared with other policies.
 
+mod changes;
 mod domains;
 mod placement;
 
@@ -45,6 +46,7 @@
         measure_pool(agents, &mut report);
     }
     placement::measure(seed, &mut report);
+    changes::measure(seed, &mut report);
     domains::measure(seed, &mut report);
     report
 }
--- a/yuccacroft-bench/src/segments/placement.rs
+++ b/yuccacroft-bench/src/segments/placement.rs
@@ -7,7 +7,7 @@
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{cmp::Reverse, collections::BinaryHeap},
     yuccacroft_core::{
-        flow::FlowKey,
+        flow::{AgentId, FlowKey},
         pool::{AgentEntry, AgentLoad, Pool},
         rendezvous::score,
         time::{Moment, Span},
@@ -15,26 +15,25 @@
     },
 };
 
-const FLEETS: [Fleet; 2] = [
-    Fleet {
-        name: "",
-        upstreams: 7,
-        slots: 4,
-        work_factors: &[0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7],
-        tail_share: 0.0,
-        long_flows: 300,
-        loads: &[0.5, 0.9, 1.3],
-    },
-    Fleet {
-        name: "mixed speeds, ",
-        upstreams: 47,
-        slots: 2,
-        work_factors: &[1.0 / 0.7, 1.0 / 0.7, 1.0 / 1.7],
-        tail_share: 0.03,
-        long_flows: 1_500,
-        loads: &[0.4, 0.6, 0.9],
-    },
-];
+const FLEETS: [Fleet; 2] = [SMALL_FLEET, MIXED_FLEET];
+const SMALL_FLEET: Fleet = Fleet {
+    name: "",
+    upstreams: 7,
+    slots: 4,
+    work_factors: &[0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7],
+    tail_share: 0.0,
+    long_flows: 300,
+    loads: &[0.5, 0.9, 1.3],
+};
+pub(super) const MIXED_FLEET: Fleet = Fleet {
+    name: "mixed speeds, ",
+    upstreams: 47,
+    slots: 2,
+    work_factors: &[1.0 / 0.7, 1.0 / 0.7, 1.0 / 1.7],
+    tail_share: 0.03,
+    long_flows: 1_500,
+    loads: &[0.4, 0.6, 0.9],
+};
 /// The factor by which a request of the tail takes longer than the others.
 const TAIL_FACTOR: f64 = 7.0;
 /// The share of requests that come on long flows.
@@ -51,13 +50,13 @@
 
 /// The upstreams of a service and their requests.
 #[derive(Clone, Copy, Debug)]
-struct Fleet {
+pub(super) struct Fleet {
     /// The name, as a prefix of the variants.
     name: &'static str,
-    upstreams: usize,
-    slots: usize,
+    pub upstreams: usize,
+    pub slots: usize,
     /// The factors by which the upstreams multiply the mean work of a request, in turn.
-    work_factors: &'static [f64],
+    pub work_factors: &'static [f64],
     /// The share of requests that take [`TAIL_FACTOR`] times as long.
     tail_share: f64,
     long_flows: usize,
@@ -67,7 +66,7 @@
 
 /// How a flow is placed.
 #[derive(Clone, Copy, Debug)]
-enum Policy {
+pub(super) enum Policy {
     /// The choice of the balancer's pool.
     Pool,
     /// A random upstream.
@@ -79,7 +78,10 @@
 }
 
 pub(super) struct Upstream {
-    work_factor: f64,
+    pub agent_id: AgentId,
+    pub work_factor: f64,
+    /// Whether the upstream takes new flows.
+    pub accepting: bool,
     tail_share: f64,
     /// The time at which each slot becomes free, in microseconds.
     free_at_micros: BinaryHeap<Reverse<u64>>,
@@ -92,15 +94,34 @@
     reported_active: u32,
 }
 
-struct Simulation {
+pub(super) struct Simulation {
     fleet: Fleet,
     policy: Policy,
-    pool: Pool,
-    upstreams: Vec<Upstream>,
+    pub pool: Pool,
+    pub upstreams: Vec<Upstream>,
     random: StdRng,
     next_key: u64,
 }
 
+/// The requests of a run, of which those on long flows stay at one upstream.
+pub(super) struct Traffic {
+    /// The number of requests per millisecond.
+    rate: f64,
+    /// The upstream of each long flow, and the number of its requests so far.
+    flows: Vec<(usize, u32)>,
+    /// The time of the latest request, in milliseconds.
+    pub now: f64,
+    next_report: f64,
+}
+
+/// A served request, with times in milliseconds.
+pub(super) struct Served {
+    pub upstream: usize,
+    pub arrived: f64,
+    pub began: f64,
+    pub ended: f64,
+}
+
 /// Measures each policy at each load.
 pub fn measure(seed: u64, report: &mut Report) {
     let policies = [
@@ -133,10 +154,14 @@
 }
 
 impl Simulation {
-    fn new(fleet: Fleet, policy: Policy, seed: u64) -> Self {
+    pub fn new(fleet: Fleet, policy: Policy, seed: u64) -> Self {
         let upstreams = fleet
             .work_factors()
-            .map(|work_factor| Upstream::new(work_factor, fleet.slots, fleet.tail_share))
+            .zip(0..)
+            .map(|(work_factor, number)| Upstream {
+                agent_id: entry(number).agent_id,
+                ..Upstream::new(work_factor, fleet.slots, fleet.tail_share)
+            })
             .collect();
         let pool = Pool::new();
         (0..fleet.upstreams as u32).for_each(|number| {
@@ -149,48 +174,68 @@
     /// Runs at `load`, a multiple of the total capacity. Returns the share of requests answered within
     /// the objective, and the work of the busiest upstream divided by the mean.
     fn run(&mut self, load: f64) -> (f64, f64) {
+        let mut traffic = self.begin(load);
+        let (mut in_time, mut total) = (0u32, 0u32);
+        let mut work = vec![0.0; self.fleet.upstreams];
+        while traffic.now < DURATION_MS {
+            let served = self.serve_next(&mut traffic);
+            work[served.upstream] += served.ended - served.began;
+            total += 1;
+            in_time += u32::from(served.ended - served.arrived <= LATENCY_OBJECTIVE_MS);
+        }
+        let mean = work.iter().sum::<f64>() / self.fleet.upstreams as f64;
+        let max_work = work.iter().copied().fold(0.0, f64::max);
+        (f64::from(in_time) / f64::from(total), max_work / mean)
+    }
+
+    /// Opens the long flows for a run at `load`, a multiple of the total capacity.
+    pub fn begin(&mut self, load: f64) -> Traffic {
         let fleet = self.fleet;
         let mean_work_ms = MEAN_WORK_MS * (1.0 + fleet.tail_share * (TAIL_FACTOR - 1.0));
         let capacity: f64 = fleet
             .work_factors()
             .map(|work_factor| fleet.slots as f64 / (mean_work_ms * work_factor))
             .sum();
-        let rate = load * capacity;
         let mut flows: Vec<(usize, u32)> = Vec::new();
         for _ in 0..fleet.long_flows {
             let requests_so_far = self.random.random_range(0..REQUESTS_PER_FLOW);
             flows.push((self.place_flow(0.0), requests_so_far));
         }
-        let (mut now, mut next_report) = (0.0, 0.0);
-        let (mut in_time, mut total) = (0u32, 0u32);
-        let mut work = vec![0.0; fleet.upstreams];
-        while now < DURATION_MS {
-            now += -self.random.random_range(f64::EPSILON..1.0f64).ln() / rate;
-            while next_report <= now {
-                self.report_loads(next_report);
-                next_report += LOAD_INTERVAL_MS;
+        Traffic { rate: load * capacity, flows, now: 0.0, next_report: 0.0 }
+    }
+
+    /// Lets the next request arrive and serves it.
+    pub fn serve_next(&mut self, traffic: &mut Traffic) -> Served {
+        traffic.now += -self.random.random_range(f64::EPSILON..1.0f64).ln() / traffic.rate;
+        let now = traffic.now;
+        while traffic.next_report <= now {
+            self.report_loads(traffic.next_report);
+            traffic.next_report += LOAD_INTERVAL_MS;
+        }
+        let upstream = if self.random.random_bool(LONG_SHARE) {
+            let index = self.random.random_range(0..self.fleet.long_flows);
+            if traffic.flows[index].1 >= REQUESTS_PER_FLOW {
+                self.upstreams[traffic.flows[index].0].open -= 1;
+                traffic.flows[index] = (self.place_flow(now), 0);
+            }
+            traffic.flows[index].1 += 1;
+            traffic.flows[index].0
+        } else {
+            let upstream = self.place_flow(now);
+            self.upstreams[upstream].open -= 1;
+            upstream
+        };
+        let (ended, work) = self.upstreams[upstream].serve(now, &mut self.random);
+        Served { upstream, arrived: now, began: ended - work, ended }
+    }
+
+    /// Opens the long flows of an upstream anew, since it has lost them.
+    pub fn reopen_flows(&mut self, upstream: usize, traffic: &mut Traffic) {
+        for index in 0..traffic.flows.len() {
+            if traffic.flows[index].0 == upstream {
+                traffic.flows[index] = (self.place_flow(traffic.now), traffic.flows[index].1);
             }
-            let upstream = if self.random.random_bool(LONG_SHARE) {
-                let index = self.random.random_range(0..fleet.long_flows);
-                if flows[index].1 >= REQUESTS_PER_FLOW {
-                    self.upstreams[flows[index].0].open -= 1;
-                    flows[index] = (self.place_flow(now), 0);
-                }
-                flows[index].1 += 1;
-                flows[index].0
-            } else {
-                let upstream = self.place_flow(now);
-                self.upstreams[upstream].open -= 1;
-                upstream
-            };
-            let (answered, request_work) = self.upstreams[upstream].serve(now, &mut self.random);
-            work[upstream] += request_work;
-            total += 1;
-            in_time += u32::from(answered - now <= LATENCY_OBJECTIVE_MS);
         }
-        let mean = work.iter().sum::<f64>() / fleet.upstreams as f64;
-        let max_work = work.iter().copied().fold(0.0, f64::max);
-        (f64::from(in_time) / f64::from(total), max_work / mean)
     }
 
     /// Opens a flow and returns the index of its upstream.
@@ -227,10 +272,10 @@
     }
 
     /// Reports the load of all upstreams to the pool.
-    fn report_loads(&mut self, now: f64) {
-        for (number, upstream) in self.upstreams.iter_mut().enumerate() {
+    pub fn report_loads(&mut self, now: f64) {
+        for upstream in &mut self.upstreams {
             let load = upstream.load(now);
-            self.pool.record_load(entry(number as u32).agent_id, load, moment(now));
+            self.pool.record_load(upstream.agent_id, load, moment(now));
         }
     }
 }
@@ -240,7 +285,9 @@
     /// its requests takes [`TAIL_FACTOR`] times as long.
     pub(super) fn new(work_factor: f64, slots: usize, tail_share: f64) -> Self {
         Self {
+            agent_id: entry(0).agent_id,
             work_factor,
+            accepting: true,
             tail_share,
             free_at_micros: (0..slots).map(|_| Reverse(0)).collect(),
             end_times: Vec::new(),
@@ -251,6 +298,15 @@
         }
     }
 
+    /// Forgets what the agent has measured, since it restarts with its upstream.
+    pub fn restart(&mut self, agent_id: AgentId) {
+        self.agent_id = agent_id;
+        self.service_ms = 0.0;
+        self.mean_active = 0.0;
+        self.end_times.clear();
+        self.free_at_micros = self.free_at_micros.iter().map(|_| Reverse(0)).collect();
+    }
+
     /// Serves a request on the first free slot. Returns the time of the answer and the work of the
     /// request, in milliseconds.
     pub(super) fn serve(&mut self, now: f64, random: &mut StdRng) -> (f64, f64) {
@@ -277,7 +333,7 @@
         self.mean_active += (f64::from(active) - self.mean_active) / 5.0;
         self.reported_active = active;
         AgentLoad {
-            accepting: true,
+            accepting: self.accepting,
             active,
             busy: Percent::new((self.mean_active * 100.0) as u32),
             open: Connections::new(self.open),
