--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -66,7 +66,8 @@
                     true
                 }
                 State::Open(open) => {
-                    if open.expire_request(stale_age, now, &self.counts) {
+                    open.expire_request(stale_age, now, &self.counts);
+                    if open.becomes_overdue(stale_age, MAX_STALE_REQUEST_AGE, now) {
                         actions.push(Action::Overdue { flow });
                     }
                     let is_kept = now.since(open.last_seen) < FLOW_IDLE_TIMEOUT;
@@ -119,9 +120,17 @@
                 let busy = open.request.is_some() || open.is_held;
                 let was_overdue = open.request.as_ref().is_some_and(Request::is_overdue);
                 let (flow, started_at) = (entry.flow, open.started_at);
+                let source = entry.opening.map(|opening| opening.source);
                 // Without a segment of this upstream the flow may be that of another one.
                 if open.is_proven {
-                    lost.push(LostFlow { flow, acknowledged, busy, was_overdue, started_at });
+                    lost.push(LostFlow {
+                        flow,
+                        acknowledged,
+                        busy,
+                        was_overdue,
+                        source,
+                        started_at,
+                    });
                 }
                 open.end(&self.counts);
                 false
--- a/yuccacroft-core/src/handshake/offer.rs
+++ b/yuccacroft-core/src/handshake/offer.rs
@@ -22,6 +22,15 @@
 /// The balancer's first choices are the best ones, as far as it knows.
 const MAX_BUSY_HOPS: u8 = 2;
 
+/// Where a flow comes from, as its opening segment tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlowSource {
+    /// The class of the requests in the flow, if the balancer has named it.
+    pub class: Option<TrafficClass>,
+    /// The balancer that got the opening segment from the caller.
+    pub origin: SocketAddrV4,
+}
+
 /// The turn of one agent among those that a flow is offered to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Turn {
@@ -55,6 +64,11 @@
         self.is_last
     }
 
+    /// Returns true if another agent can be expected to serve the flow better than a poor choice here.
+    pub fn has_alternatives(self) -> bool {
+        !self.is_last && self.hops < MAX_LATE_HOPS
+    }
+
     /// Returns true if the agent takes the flow, given what the flow's first request can expect. A
     /// request that would be late goes to another agent a few times, since the next one is probably
     /// less busy, and so does one that would wait for longer than it takes. One that would miss its
@@ -63,13 +77,18 @@
         match outlook {
             Outlook::OnTime if self.is_last || self.hops >= MAX_BUSY_HOPS => true,
             Outlook::OnTime => wait <= service.mean,
-            Outlook::Late => self.is_last || self.hops >= MAX_LATE_HOPS,
+            Outlook::Late => !self.has_alternatives(),
             Outlook::PastTimeout => false,
         }
     }
 }
 
 impl Offer {
+    /// Returns where the flow comes from.
+    pub fn source(&self) -> FlowSource {
+        FlowSource { class: self.class, origin: self.origin }
+    }
+
     /// Returns the turn of the current agent.
     pub fn turn(&self) -> Turn {
         Turn::new(self.hops, self.rest.len())
--- a/yuccacroft-core/src/handshake/table.rs
+++ b/yuccacroft-core/src/handshake/table.rs
@@ -8,7 +8,7 @@
         offer::{self, Offer},
         open_flow::{Answer, OpenFlow},
         passed::PassedOpenings,
-        state::{Entry, State},
+        state::{Entry, Opening, State},
     },
     crate::{
         flow::FlowKey,
@@ -61,9 +61,11 @@
         intake: Intake,
         now: Moment,
     ) -> Decision {
+        let source = offer.source();
         // The reservation counts the flow, so the count follows no change of the state here.
         self.entries.update(segment.flow.key(), |slot| {
-            if let Some(decision) = slot.as_mut().and_then(|e| e.repeat_opening(segment, now)) {
+            let repeat = |entry: &mut Entry| entry.repeat_opening(segment, source, now);
+            if let Some(decision) = slot.as_mut().and_then(repeat) {
                 return decision;
             }
             let is_counted = slot.as_ref().is_some_and(Entry::is_unopened);
@@ -77,7 +79,8 @@
                 open.end(&self.counts);
             }
             let state = State::Offered { offer, datagram: datagram.into(), changed_at: now };
-            *slot = Some(Entry { flow: segment.flow, opening: Some(segment.sequence), state });
+            let opening = Some(Opening { sequence: segment.sequence, source });
+            *slot = Some(Entry { flow: segment.flow, opening, state });
             Decision::Confirm
         })
     }
--- a/yuccacroft-segment/tests/support/agent.rs
+++ b/yuccacroft-segment/tests/support/agent.rs
@@ -11,7 +11,8 @@
     std::{net::SocketAddrV4, sync::Arc},
     yuccacroft_core::{
         flow::AgentId,
-        ids::{Incarnation, Instance},
+        handshake::FlowSource,
+        ids::{Domain, Incarnation, Instance},
         requirements::Requirements,
         route::{ServiceName, Target, TrafficClass},
         segment::{Control, Flow, Outbound, Response, Segment, Sequence},
@@ -55,6 +56,8 @@
     Accept,
     Acknowledge,
     Request,
+    /// A segment of the first request, after as many others as its number tells.
+    Part,
     Success,
     ServerError,
     Reset,
@@ -62,11 +65,12 @@
     ReturnedOpening,
 }
 
-const KINDS: [Kind; 8] = [
+const KINDS: [Kind; 9] = [
     Kind::Open,
     Kind::Accept,
     Kind::Acknowledge,
     Kind::Request,
+    Kind::Part,
     Kind::Success,
     Kind::ServerError,
     Kind::Reset,
@@ -114,6 +118,7 @@
         Kind::Accept => (Control::Accept, UPSTREAM_START, CALLER_START + 1, 0),
         Kind::Acknowledge => (Control::Continue, sent, answered, 0),
         Kind::Request => (Control::Continue, sent, answered, REQUEST_BYTES),
+        Kind::Part => (Control::Continue, sent, UPSTREAM_START + 1, REQUEST_BYTES),
         Kind::Success | Kind::ServerError => {
             (Control::Continue, answered, sent + u32::from(REQUEST_BYTES), RESPONSE_BYTES)
         }
@@ -179,8 +184,17 @@
 
     /// Lets the agent receive an opening segment with the agents to offer it to next.
     pub fn offer(&self, port: u16, rest: &[Instance]) {
-        let class = TrafficClass::default();
-        let (origin, rest, hops) = (peer(), rest.into(), 0);
+        self.offer_from(port, peer(), TrafficClass::default(), rest);
+    }
+
+    pub fn offer_from(
+        &self,
+        port: u16,
+        origin: SocketAddrV4,
+        class: TrafficClass,
+        rest: &[Instance],
+    ) {
+        let (rest, hops) = (rest.into(), 0);
         let offer = Request::ClassifiedOffer { class, target: target(), origin, rest, hops };
         self.receive_message(&offer, Kind::Open, port, 0);
     }
@@ -190,6 +204,12 @@
         self.receive_message(&Request::Carry(TrafficClass::default()), kind, port, number);
     }
 
+    /// Lets the agent receive a message without a segment.
+    pub fn receive_request(&self, request: &Request) {
+        self.messages.push(relay::encode(request, &[]).unwrap());
+        run(self.relay.receive_messages());
+    }
+
     fn receive_message(&self, request: &Request, kind: Kind, port: u16, number: u8) {
         self.messages.push(relay::encode(request, &encode(kind, port, number)).unwrap());
         run(self.relay.receive_messages());
@@ -221,6 +241,12 @@
         (callers.into_iter().map(|(_, datagram)| datagram).collect(), processes)
     }
 
+    /// Returns the failure domain of a balancer, as far as the agent knows it.
+    pub fn domain_of(&self, balancer: SocketAddrV4) -> Option<Domain> {
+        let source = FlowSource { class: None, origin: balancer };
+        self.relay.state.labels(Some(source)).domain
+    }
+
     /// Returns the share of the latest requests that failed.
     pub fn failures(&self) -> Percent {
         self.relay.measures(self.now()).failures
