Count requests on open flows against the limit of a cold upstream

The limit of a cold upstream counted opening segments alone. Callers that keep their flows send most requests on open ones, so a cold upstream got as many requests a second as its slots let through, whatever its rate.

The limiter now counts requests. A new flow takes the room of its first request when it opens, and that request moves the count to its own time, so it need not wait; one that comes after the window counts as any other. A request on an open flow without room waits at the agent, goes before new flows, and is released when the window has room. The count and the decision are one step under the limiter's lock, since three tasks forward requests. Before the first report of the upstream requests on open flows are counted and do not wait: they cannot go elsewhere, and most restarts of agents find a warm upstream.

A returned segment now shows a new run only if its flow was in use (a segment of the upstream within 5 s, opened within 50 s), so that an upstream which discards idle or old flows is not taken for a new run.

--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -21,7 +21,7 @@
 pub use self::{
     action::{Action, LostFlow},
     decision::{Decision, ForwardReason, Intake, Ownership, ReplyOutcome},
-    observation::{EndCause, OfferedFlow, UpstreamEnd},
+    observation::{EndCause, NewRequest, OfferedFlow, UpstreamEnd},
     offer::{MAX_HOPS, MAX_LATE_HOPS, Offer, pass_or_refuse},
     table::FlowTable,
 };
--- a/yuccacroft-core/src/handshake/observation.rs
+++ b/yuccacroft-core/src/handshake/observation.rs
@@ -21,6 +21,15 @@
     pub age: Span,
 }
 
+/// A request that a segment of a caller begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewRequest {
+    /// The time of the opening segment if this is the first request of its flow, or that at which the
+    /// agent discovered the flow; `None` for a later request and on a flow that the agent does not
+    /// know.
+    pub opened_at: Option<Moment>,
+}
+
 /// The end of a flow by its upstream, on which the agent has no influence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UpstreamEnd {
@@ -93,6 +102,38 @@
         })
     }
 
+    /// Returns the request that a segment of a caller begins if it goes to the upstream, or `None` if
+    /// it begins none. `unsure` is true if the upstream may hold flows that the agent does not know
+    /// of. It is called before [`FlowTable::handle_segment`].
+    pub fn new_request(&self, segment: &Segment, unsure: bool) -> Option<NewRequest> {
+        if segment.length == 0 {
+            return None;
+        }
+        self.entries.read(&segment.flow.key(), |entry| match entry.map(|entry| &entry.state) {
+            Some(State::Open(open)) if open.holds(segment) && open.begins_request(segment) => {
+                let is_first = open.received_end.is_none();
+                Some(NewRequest { opened_at: is_first.then_some(open.started_at) })
+            }
+            Some(State::Accepted { sequence, changed_at })
+                if segment.acknowledged == sequence.next() =>
+            {
+                Some(NewRequest { opened_at: Some(*changed_at) })
+            }
+            Some(State::Probed { .. }) => Some(NewRequest { opened_at: None }),
+            None if unsure => Some(NewRequest { opened_at: None }),
+            _ => None,
+        })
+    }
+
+    /// Returns true if the upstream still serves a flow as far as the agent knows, so that it must have
+    /// ended if it returns a segment of it. It is called before [`FlowTable::handle_bounce`].
+    pub fn is_in_use(&self, key: FlowKey, now: Moment) -> bool {
+        self.entries.read(&key, |entry| match entry.map(|entry| &entry.state) {
+            Some(State::Open(open)) => open.is_in_use(now),
+            _ => false,
+        })
+    }
+
     /// Returns the state of a flow that is offered and not open, or `None` in any other state.
     pub fn offered_flow(&self, key: FlowKey, now: Moment) -> Option<OfferedFlow> {
         self.entries.read(&key, |entry| match entry {
--- a/yuccacroft-core/src/handshake/open_flow.rs
+++ b/yuccacroft-core/src/handshake/open_flow.rs
@@ -8,6 +8,13 @@
     },
 };
 
+/// Time since the last segment of the upstream for which a flow is not idle: shorter than the idle
+/// timeouts of upstreams.
+const RECENT_ANSWER: Span = Span::from_secs(5);
+/// Age up to which an upstream discards no flow that is in use: less than the maximum lifetime of a
+/// flow.
+const MIN_LIFETIME: Span = Span::from_secs(50);
+
 /// A flow that the upstream holds, or is believed to hold.
 #[derive(Debug)]
 pub(super) struct OpenFlow {
@@ -19,6 +26,8 @@
     /// flow.
     pub started_at: Moment,
     pub last_seen: Moment,
+    /// The time of the last segment of the upstream, or `None` before the first one.
+    answered_at: Option<Moment>,
     /// The request that the upstream is processing.
     pub request: Option<Request>,
     /// Whether a request waits in the backlog.
@@ -51,6 +60,11 @@
     pub was_overdue: bool,
 }
 
+/// Returns the position after the data of a segment.
+fn end_of(segment: &Segment) -> Sequence {
+    Sequence::new(segment.sequence.get().wrapping_add(u32::from(segment.length)))
+}
+
 impl OpenFlow {
     /// Creates an open flow and counts it.
     pub fn new(
@@ -65,6 +79,7 @@
             received_end: None,
             started_at,
             last_seen: started_at,
+            answered_at: is_proven.then_some(started_at),
             request: None,
             is_held: false,
             is_proven,
@@ -95,6 +110,15 @@
         }
     }
 
+    /// Returns true if only the end of the upstream explains that it no longer holds the flow: both
+    /// ends use it, it is neither idle nor old.
+    pub fn is_in_use(&self, now: Moment) -> bool {
+        let is_recent = |at: Moment| now.since(at) < RECENT_ANSWER;
+        !self.is_finished()
+            && self.answered_at.is_some_and(is_recent)
+            && now.since(self.started_at) < MIN_LIFETIME
+    }
+
     /// Returns true once an end has sent its last byte.
     pub fn is_finished(&self) -> bool {
         self.finished.caller || self.finished.upstream
@@ -131,10 +155,9 @@
         if segment.length == 0 {
             return true;
         }
-        let end = Sequence::new(segment.sequence.get().wrapping_add(u32::from(segment.length)));
-        let is_new_data = self.received_end.is_none_or(|received_end| end.is_after(received_end));
+        let is_new_data = self.is_new_data(segment);
         if is_new_data {
-            self.received_end = Some(end);
+            self.received_end = Some(end_of(segment));
             self.is_held |=
                 self.request.is_none() && !self.is_finished() && counts.active() >= max_active;
         }
@@ -147,6 +170,16 @@
         true
     }
 
+    fn is_new_data(&self, segment: &Segment) -> bool {
+        let end = end_of(segment);
+        self.received_end.is_none_or(|received_end| end.is_after(received_end))
+    }
+
+    /// Returns true if a segment of the caller with data begins a request.
+    pub fn begins_request(&self, segment: &Segment) -> bool {
+        self.request.is_none() && !self.is_held && self.is_new_data(segment)
+    }
+
     /// Records a segment of the upstream. Its first data ends the request in progress. Returns its
     /// response.
     pub fn handle_upstream_segment(
@@ -156,6 +189,7 @@
         counts: &Counts,
     ) -> Option<Answer> {
         self.last_seen = now;
+        self.answered_at = Some(now);
         self.is_proven = true;
         let request = if segment.length > 0 { self.end_request(counts) } else { None };
         let answer = request
--- a/yuccacroft-core/src/limits.rs
+++ b/yuccacroft-core/src/limits.rs
@@ -1,8 +1,8 @@
 //! The limits of a service on the flows of each upstream, and the agent's count against them.
 //!
-//! An upstream that warms up takes only so many new flows a second. Its agent alone sees all of them,
-//! so the agent counts, and balancers learn how many more it takes. See
-//! `docs/design/cold-upstreams.md`.
+//! An upstream that warms up takes only so many requests a second. Its agent alone sees all of them,
+//! so the agent counts, and balancers learn how many more flows it takes. A new flow takes the room
+//! of its first request. See `docs/design/cold-upstreams.md`.
 
 use {
     crate::{
@@ -18,15 +18,15 @@
     },
 };
 
-/// Length of the window over which new flows are counted: a second, and the time by which a segment
+/// Length of the window over which requests are counted: a second, and the time by which a segment
 /// to the upstream may be late.
 const WINDOW: Span = Span::from_millis(1_050);
-/// Number of flows in one window up to which they are counted, so that the memory is bounded.
+/// Number of requests in one window up to which they are counted, so that the memory is bounded.
 const MAX_COUNTED: usize = 4_096;
 const HUNDRED: u64 = 100;
 
 quantity! {
-    /// New flows per second, in hundredths. As text it carries its unit, for example `2.50/s`.
+    /// Requests per second, in hundredths. As text it carries its unit, for example `2.50/s`.
     FlowRate(u32)
 }
 
@@ -35,29 +35,29 @@
 pub struct ServiceLimits {
     /// The number of flows that an upstream holds; `None` without a limit.
     pub max_flows: Option<Connections>,
-    /// The new flows that an upstream takes per second while it warms up; `None` without a limit.
+    /// The requests that an upstream takes per second while it warms up; `None` without a limit.
     pub warmup_rate: Option<FlowRate>,
 }
 
-/// By how much new flows may exceed the rate of an upstream that warms up.
+/// By how much requests may exceed the rate of an upstream that warms up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Tolerance {
     /// The factor on the rate.
     pub factor: Percent,
-    /// The flows in addition to that, in hundredths.
+    /// The requests in addition to that, in hundredths.
     pub slack: Percent,
 }
 
-/// Counts the new flows of one upstream against the limits of its service.
+/// Counts the new flows and the requests of one upstream against the limits of its service.
 #[derive(Debug)]
 pub struct Limiter {
     tolerance: Tolerance,
     /// The limits, once a balancer has told them.
     limits: Option<ServiceLimits>,
-    /// The times of the latest new flows, oldest first.
-    opened: VecDeque<Moment>,
-    /// The highest number of flows in one window since it was last taken.
-    most_opened: usize,
+    /// The times of the latest requests, and of the latest new flows without one, oldest first.
+    counted: VecDeque<Moment>,
+    /// The highest number of them in one window since it was last taken.
+    most_counted: usize,
 }
 
 /// The state of the upstream on which its limits depend.
@@ -69,10 +69,12 @@
     pub had_earlier_agent: bool,
     /// The number of its flows, with those that may open.
     pub held: Connections,
+    /// The number of requests on its flows that wait at the agent.
+    pub waiting: u32,
 }
 
 impl FlowRate {
-    /// Creates a rate from hundredths of a flow per second.
+    /// Creates a rate from hundredths of a request per second.
     pub const fn from_hundredths(hundredths: u32) -> Self {
         Self(hundredths)
     }
@@ -102,7 +104,7 @@
 }
 
 impl Tolerance {
-    /// Returns the number of flows that an upstream with this rate may get in one second.
+    /// Returns the number of requests that an upstream with this rate may get in one second.
     fn allowance(&self, rate: FlowRate) -> usize {
         let scaled = u64::from(rate.0) * u64::from(self.factor.get()) / HUNDRED;
         let flows = (scaled + u64::from(self.slack.get())) / HUNDRED;
@@ -113,7 +115,7 @@
 impl Limiter {
     /// Creates a limiter that knows no limits yet.
     pub fn new(tolerance: Tolerance) -> Self {
-        Self { tolerance, limits: None, opened: VecDeque::new(), most_opened: 0 }
+        Self { tolerance, limits: None, counted: VecDeque::new(), most_counted: 0 }
     }
 
     /// Sets the limits. Returns true if they have changed.
@@ -126,28 +128,68 @@
         self.limits
     }
 
-    /// Records a new flow.
-    pub fn record_opening(&mut self, now: Moment) {
-        while self.opened.front().is_some_and(|at| now.since(*at) >= WINDOW) {
-            self.opened.pop_front();
+    /// Counts a new flow, or a request, that goes to the upstream whether it has room or not.
+    pub fn record(&mut self, now: Moment) {
+        while self.counted.front().is_some_and(|at| now.since(*at) >= WINDOW) {
+            self.counted.pop_front();
         }
-        if self.opened.len() == MAX_COUNTED {
-            self.opened.pop_front();
+        if self.counted.len() == MAX_COUNTED {
+            self.counted.pop_front();
         }
-        self.opened.push_back(now);
-        self.most_opened = self.most_opened.max(self.opened.len());
+        self.counted.push_back(now);
+        self.most_counted = self.most_counted.max(self.counted.len());
     }
 
-    /// Returns the highest number of new flows in one window since the last call, for logs.
-    pub fn take_most_opened(&mut self) -> usize {
-        std::mem::take(&mut self.most_opened)
+    /// Counts a new flow if the upstream has room for it. Returns false if it has none.
+    pub fn take_opening(&mut self, upstream: UpstreamState, now: Moment) -> bool {
+        let has_room = self.room(upstream, now) != Some(Connections::new(0));
+        if has_room {
+            self.record(now);
+        }
+        has_room
+    }
+
+    /// Counts a request on a flow if the upstream has room for it. Returns false if it has none. The
+    /// first request of a flow that was counted at `opened_at` takes the room of its flow, unless it
+    /// comes so late that this room has been given to others.
+    ///
+    /// Before the first report of the upstream any request has room: unlike a new flow it cannot go to
+    /// another upstream, and most restarts of agents find a warm one.
+    pub fn take_request(
+        &mut self,
+        upstream: UpstreamState,
+        opened_at: Option<Moment>,
+        now: Moment,
+    ) -> bool {
+        let is_reserved = opened_at.is_some_and(|at| now.since(at) < WINDOW && self.release(at));
+        let is_unknown = upstream.is_warming_up.is_none();
+        let has_room = is_reserved || is_unknown || self.warmup_room(upstream, now) != Some(0);
+        if has_room {
+            self.record(now);
+        }
+        has_room
+    }
+
+    /// No longer counts a flow or request that was counted at this time, since it did not go to the
+    /// upstream. Returns false if none was.
+    pub fn release(&mut self, at: Moment) -> bool {
+        let index = self.counted.iter().rposition(|counted| *counted == at);
+        index.and_then(|index| self.counted.remove(index)).is_some()
+    }
+
+    /// Returns the highest number of requests in one window since the last call, for logs.
+    pub fn take_most_counted(&mut self) -> usize {
+        std::mem::take(&mut self.most_counted)
     }
 
     /// Returns the number of further flows that the upstream takes now; `None` without a limit.
+    /// Requests that wait on open flows go first.
     pub fn room(&self, upstream: UpstreamState, now: Moment) -> Option<Connections> {
         let max_flows = self.limits.and_then(|limits| limits.max_flows);
         let free = max_flows.map(|max| max.get().saturating_sub(upstream.held.get()));
-        let room = free.into_iter().chain(self.warmup_room(upstream, now)).min();
+        let warmup_room = self.warmup_room(upstream, now);
+        let after_waiting = warmup_room.map(|room| room.saturating_sub(upstream.waiting));
+        let room = free.into_iter().chain(after_waiting).min();
         room.map(Connections::new)
     }
 
@@ -165,7 +207,7 @@
         if upstream.had_earlier_agent && now.since(Moment::default()) < WINDOW {
             return Some(0);
         }
-        let counted = self.opened.iter().rev().take_while(|at| now.since(**at) < WINDOW).count();
+        let counted = self.counted.iter().rev().take_while(|at| now.since(**at) < WINDOW).count();
         let room = self.tolerance.allowance(rate).saturating_sub(counted);
         Some(u32::try_from(room).unwrap_or(u32::MAX))
     }
--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -298,7 +298,7 @@
         self.silence = Silence::None;
     }
 
-    /// Records that the upstream has returned a segment of a flow that it held: it may be a new run,
+    /// Records that the upstream has returned a segment of a flow that was in use: it may be a new run,
     /// which holds none of the flows of the last one.
     pub fn record_lost_flow(&mut self) {
         self.may_have_restarted = true;
--- a/yuccacroft-core/tests/limits.rs
+++ b/yuccacroft-core/tests/limits.rs
@@ -17,6 +17,7 @@
     is_warming_up: Some(true),
     had_earlier_agent: false,
     held: Connections::new(0),
+    waiting: 0,
 };
 
 fn warmup(per_second: u32) -> ServiceLimits {
@@ -47,7 +48,7 @@
         for pause in pauses {
             now = now + Span::from_millis(pause);
             if room(&limiter, COLD, now) != Some(0) {
-                limiter.record_opening(now);
+                limiter.record(now);
                 opened.push(now);
             }
         }
@@ -59,6 +60,90 @@
     }
 }
 
+/// What a caller does next on its flow, which it opens again once it is closed.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Request,
+    Close,
+}
+
+proptest! {
+    /// Guards against more requests in any one second than a cold upstream bears, when some come on new
+    /// flows and some on flows that have been open for long or idle since their opening.
+    #[test]
+    fn no_second_has_more_requests_than_allowed(
+        steps in prop::collection::vec(
+            (0u64..300, 0usize..8, prop_oneof![9 => Just(Step::Request), 1 => Just(Step::Close)]),
+            1..300,
+        ),
+        per_second in 1u32..20,
+    ) {
+        let mut limiter = limiter(warmup(per_second));
+        // For each flow the time of its opening, or `None` after its first request.
+        let mut flows: [Option<Option<Moment>>; 8] = [None; 8];
+        let (mut now, mut sent) = (START, Vec::new());
+        for (pause, index, step) in steps {
+            now = now + Span::from_millis(pause);
+            match (step, flows[index]) {
+                (Step::Close, _) => flows[index] = None,
+                (Step::Request, None) => {
+                    if limiter.take_opening(COLD, now) {
+                        flows[index] = Some(Some(now));
+                    }
+                }
+                (Step::Request, Some(opened_at)) => {
+                    if limiter.take_request(COLD, opened_at, now) {
+                        flows[index] = Some(None);
+                        sent.push(now);
+                    }
+                }
+            }
+        }
+        let allowed = f64::from(per_second) * 1.5 + 5.0;
+        for from in &sent {
+            let in_window = sent.iter().filter(|at| *at >= from && at.since(*from) <= SECOND);
+            prop_assert!(in_window.count() as f64 <= allowed);
+        }
+    }
+}
+
+/// Guards against a first request that waits although its flow was let in for it, and against one that
+/// uses room which others have been given since.
+#[test]
+fn a_first_request_has_the_room_of_its_flow_for_one_window() {
+    let at = |millis| START + Span::from_millis(millis);
+    let full = || {
+        let mut limiter = limiter(warmup(2));
+        (0..8).for_each(|_| assert!(limiter.take_opening(COLD, START)));
+        assert!(!limiter.take_opening(COLD, START));
+        limiter
+    };
+    assert!(full().take_request(COLD, Some(START), at(1_000)));
+    assert!(!full().take_request(COLD, None, at(1_000)));
+    let mut late = full();
+    (0..8).for_each(|_| assert!(late.take_opening(COLD, at(1_050))));
+    assert!(!late.take_request(COLD, Some(START), at(1_060)));
+}
+
+/// Guards against new flows that keep requests on open flows waiting.
+#[test]
+fn waiting_requests_go_before_new_flows() {
+    let waiting = UpstreamState { waiting: 7, ..COLD };
+    let mut limiter = limiter(warmup(2));
+    assert_eq!(room(&limiter, waiting, START), Some(1));
+    assert!(limiter.take_opening(waiting, START) && !limiter.take_opening(waiting, START));
+    assert!(limiter.take_request(waiting, None, START));
+}
+
+/// Guards against room that stays taken by a request that did not go to the upstream.
+#[test]
+fn room_that_is_not_used_is_given_back() {
+    let mut limiter = limiter(warmup(2));
+    assert!(limiter.take_request(COLD, None, START) && limiter.release(START));
+    assert!(!limiter.release(START));
+    assert_eq!(room(&limiter, COLD, START), Some(8));
+}
+
 /// Guards against an upstream that is spared for longer than its warm-up, or without a limit.
 #[test]
 fn a_warm_upstream_and_one_without_a_rate_have_no_limit() {
--- a/yuccacroft-segment/src/agent/chain.rs
+++ b/yuccacroft-segment/src/agent/chain.rs
@@ -93,6 +93,17 @@
     mean_requests: AtomicU32,
 }
 
+/// Whether a new flow or a request has room under the limits of the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reservation {
+    /// It needs no room.
+    NotNeeded,
+    /// Its room is counted.
+    Taken,
+    /// The upstream has no room for it, or it takes none because it repeats another one.
+    Refused,
+}
+
 /// Passes new flows of another service on to the next agent: the service at an address can change.
 struct Service(Arc<AgentState>);
 
@@ -193,6 +204,7 @@
     /// Returns the state of the upstream on which its limits depend. One that may have restarted
     /// counts as cold until it reports.
     fn upstream_state(&self, now: Moment) -> UpstreamState {
+        let waiting = self.backlog().len() as u32;
         let monitor = self.monitor();
         let is_warming_up =
             monitor.may_have_restarted() || monitor.remaining_warmup(now) > Span::ZERO;
@@ -200,6 +212,7 @@
             is_warming_up: monitor.last_report().map(|_| is_warming_up),
             had_earlier_agent: monitor.may_hold_unknown_flows(),
             held: self.table.held_flows(),
+            waiting,
         }
     }
 
@@ -273,13 +286,76 @@
         Workload::new(self.slots(), requests, service.mean)
     }
 
-    /// Returns the flows that the agent takes, as far as this one is concerned.
-    fn intake(&self, segment: &Segment, offer: &Offer, now: Moment) -> Intake {
+    /// Returns the flows that the agent takes, as far as this one is concerned, and its
+    /// on the room of the upstream.
+    fn intake(&self, segment: &Segment, offer: &Offer, now: Moment) -> (Intake, Reservation) {
         if !self.is_accepting() || !self.admits(segment, offer, now) {
-            return Intake::Closed;
+            return (Intake::Closed, self.limited(Reservation::Refused));
+        }
+        if !self.requirements.places {
+            return (Intake::Unlimited, Reservation::NotNeeded);
+        }
+        let upstream = self.upstream_state(now);
+        let mut limiter = self.limiter();
+        let max_flows = limiter.limits().and_then(|limits| limits.max_flows);
+        let intake = max_flows.map_or(Intake::Unlimited, Intake::UpTo);
+        // The upstream may accept a flow whose opening segment it has already.
+        if self.table.offered_flow(segment.flow.key(), now).is_some() {
+            return (intake, Reservation::Refused);
+        }
+        if limiter.take_opening(upstream, now) {
+            (intake, Reservation::Taken)
+        } else {
+            (Intake::Closed, Reservation::Refused)
+        }
+    }
+
+    /// Returns a reservation where upstreams have limits.
+    fn limited(&self, reservation: Reservation) -> Reservation {
+        if self.requirements.places { reservation } else { Reservation::NotNeeded }
+    }
+
+    /// Reserves room for the request that a segment of a caller begins.
+    fn reserve_request(&self, segment: &Segment, unsure: bool, now: Moment) -> Reservation {
+        if !self.requirements.places {
+            return Reservation::NotNeeded;
+        }
+        let Some(request) = self.table.new_request(segment, unsure) else {
+            return Reservation::NotNeeded;
+        };
+        let upstream = self.upstream_state(now);
+        let is_granted = self.limiter().take_request(upstream, request.opened_at, now);
+        if is_granted { Reservation::Taken } else { Reservation::Refused }
+    }
+
+    /// Counts what goes to the upstream without room, and gives the room back that is not used.
+    fn settle(&self, reservation: Reservation, is_delivered: bool, now: Moment) {
+        match reservation {
+            Reservation::Taken if !is_delivered => {
+                self.limiter().release(now);
+            }
+            Reservation::Refused if is_delivered => self.limiter().record(now),
+            _ => {}
         }
-        let limits = if self.requirements.places { self.limiter().limits() } else { None };
-        limits.and_then(|limits| limits.max_flows).map_or(Intake::Unlimited, Intake::UpTo)
+    }
+
+    /// Takes room for a request that waits. Returns false if the upstream has none.
+    pub fn take_room(&self, now: Moment) -> bool {
+        if !self.requirements.places {
+            return true;
+        }
+        let upstream = self.upstream_state(now);
+        self.limiter().take_request(upstream, None, now)
+    }
+
+    /// Gives the room back that [`AgentState::take_room`] has taken at this time.
+    pub fn return_room(&self, taken_at: Moment) {
+        self.settle(self.limited(Reservation::Taken), false, taken_at);
+    }
+
+    /// Counts a request that goes to the upstream whether it has room or not.
+    pub fn record_unlimited_request(&self, now: Moment) {
+        self.settle(self.limited(Reservation::Refused), true, now);
     }
 
     /// Returns true if the agent accepts a new flow, given what the flow's first request can expect. A
@@ -378,20 +454,27 @@
         let (table, segment, now) = (&self.0.table, &received.segment, received.now);
         Verdict::Done(match &received.context {
             Context::NewFlow(_, offer, datagram) => {
-                let intake = self.0.intake(segment, offer, now);
+                let (intake, reservation) = self.0.intake(segment, offer, now);
                 let decision = table.handle_opening(segment, datagram, offer.clone(), intake, now);
                 if decision == Decision::Confirm {
                     lock(&self.0.accepted_flows).record(now);
                 }
-                if self.0.requirements.places && decision == Decision::Confirm {
-                    self.0.limiter().record_opening(now);
-                }
+                self.0.settle(reservation, decision == Decision::Confirm, now);
                 decision
             }
             Context::Established(origin, reason, _) => {
-                let (unsure, max_concurrent) =
-                    (self.0.may_hold_unknown_flows(now), self.0.max_concurrent(now));
-                table.handle_segment(segment, *origin, *reason, unsure, max_concurrent, now)
+                let unsure = self.0.may_hold_unknown_flows(now);
+                let reservation = self.0.reserve_request(segment, unsure, now);
+                let max_concurrent = if reservation == Reservation::Refused {
+                    0
+                } else {
+                    self.0.max_concurrent(now)
+                };
+                let decision =
+                    table.handle_segment(segment, *origin, *reason, unsure, max_concurrent, now);
+                let is_delivered = matches!(decision, Decision::Deliver | Decision::Confirm);
+                self.0.settle(reservation, is_delivered, now);
+                decision
             }
         })
     }
--- a/yuccacroft-segment/src/agent/relay/backlog.rs
+++ b/yuccacroft-segment/src/agent/relay/backlog.rs
@@ -32,6 +32,7 @@
             || self.displace_for(segment, datagram, class, now);
         if !queued {
             self.state.table.drop_held(key);
+            self.state.record_unlimited_request(now);
             self.deliver(segment, datagram, now);
         }
         if reason != ForwardReason::Owner {
@@ -58,6 +59,7 @@
         let Some((key, datagrams)) = displaced else { return false };
         metrics::counter!(DECISIONS_METRIC, "outcome" => "displace").increment(1);
         self.state.table.drop_held(key);
+        self.state.record_unlimited_request(now);
         datagrams.iter().for_each(|datagram| self.forward(datagram, now));
         if let Some(log) = self.flow_log.failure(now) {
             info!(log, "waiting request displaced"; "key" => %key, "by" => %segment.flow);
@@ -65,20 +67,26 @@
         self.state.backlog().add(segment, datagram, class, now)
     }
 
-    /// Forwards waiting requests to the upstream while it is below its limit of concurrent
-    /// requests.
+    /// Forwards waiting requests to the upstream while it is below its limits.
     pub fn release_waiting(&self, now: Moment) {
-        while self.state.table.active_requests() < self.state.max_concurrent(now) {
+        while !self.state.backlog().is_empty()
+            && self.state.table.active_requests() < self.state.max_concurrent(now)
+            && self.state.take_room(now)
+        {
             let service = self.state.service_time();
-            let Some(release) = self.state.backlog().release(service, now) else { return };
+            let release = self.state.backlog().release(service, now);
             match release {
-                Release::Start(key, datagrams) => {
+                None => return self.state.return_room(now),
+                Some(Release::Start(key, datagrams)) => {
                     if self.state.table.start_held(key, now) {
                         datagrams.iter().for_each(|datagram| self.forward(datagram, now));
                         self.log_released(&datagrams, now);
+                    } else {
+                        self.state.return_room(now);
                     }
                 }
-                Release::Expired(key) => {
+                Some(Release::Expired(key)) => {
+                    self.state.return_room(now);
                     self.state.table.drop_held(key);
                     metrics::counter!(DECISIONS_METRIC, "outcome" => "expired").increment(1);
                     if let Some(log) = self.flow_log.failure(now) {
--- a/yuccacroft-segment/src/agent/relay/limits.rs
+++ b/yuccacroft-segment/src/agent/relay/limits.rs
@@ -34,7 +34,7 @@
         if self.was_warming_up.swap(is_warming_up, Ordering::Relaxed) == is_warming_up {
             return;
         }
-        let most_opened = self.state.limiter().take_most_opened();
+        let most_opened = self.state.limiter().take_most_counted();
         let room = self.state.room(now).map(|room| room.get());
         if is_warming_up {
             info!(self.flow_log.log(), "warm-up begins"; "remaining" => %remaining, "room" => room);
--- a/yuccacroft-segment/src/agent/relay/outbound.rs
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -62,11 +62,12 @@
             Ok(Outbound::Bounced(segment)) => {
                 self.record_activity(now);
                 self.format.restore_bounced(datagram);
+                let was_in_use = self.state.table.is_in_use(segment.flow.key(), now);
                 let decision = self.state.table.handle_bounce(&segment, now);
                 if segment.control == Control::Open {
                     self.record_returned_opening(&decision, now);
                 }
-                if matches!(decision, Decision::Reset(_)) {
+                if was_in_use && matches!(decision, Decision::Reset(_)) {
                     self.state.monitor().record_lost_flow();
                 }
                 self.log_bounce(&segment, &decision, now);
--- a/yuccacroft-segment/tests/places.rs
+++ b/yuccacroft-segment/tests/places.rs
@@ -36,6 +36,7 @@
 };
 
 const WARMUP: Span = Span::from_secs(60);
+const REQUEST_BYTES: u16 = 10;
 const CALLER: u16 = 40_001;
 /// The position that the upstream chooses for its side of a flow.
 const ACCEPTED: Sequence = Sequence::new(500);
@@ -55,9 +56,10 @@
     ServiceName::new("booking").target()
 }
 
-/// Decodes a datagram: the control information and the last byte of the caller's address.
+/// Decodes a datagram: the control information, the last byte of the caller's address, and the number
+/// of a request if the segment has data.
 fn parse(datagram: &[u8]) -> Result<Segment, &'static str> {
-    let [control, caller] = datagram else { return Err("not a segment") };
+    let [control, caller, request @ ..] = datagram else { return Err("not a segment") };
     let caller = SocketAddrV4::new([100, 64, 0, *caller].into(), 1_025);
     let (control, acknowledged) = match control {
         b'o' => (Control::Open, Sequence::default()),
@@ -65,7 +67,11 @@
         _ => (Control::Continue, ACCEPTED.next()),
     };
     let flow = Flow { caller, address: address("198.18.0.1:443") };
-    Ok(Segment { flow, control, sequence: ACCEPTED, acknowledged, length: 0 })
+    let Some(request) = request.first() else {
+        return Ok(Segment { flow, control, sequence: ACCEPTED, acknowledged, length: 0 });
+    };
+    let sequence = Sequence::new(101 + u32::from(*request) * u32::from(REQUEST_BYTES));
+    Ok(Segment { flow, control, sequence, acknowledged, length: REQUEST_BYTES })
 }
 
 /// Decodes a datagram of the upstream. One that begins with `b` is returned.
@@ -133,6 +139,18 @@
         self.receive(&Request::Carry(TrafficClass::default()), &[b'c', caller]);
     }
 
+    /// Sends a request on an open flow. Returns true if it waits at the agent.
+    fn request(&self, caller: u8, number: u8) -> bool {
+        let waiting = self.relay.state.backlog().len();
+        self.receive(&Request::Carry(TrafficClass::default()), &[b'c', caller, number]);
+        self.relay.state.backlog().len() > waiting
+    }
+
+    /// Answers the request in progress on a flow.
+    fn answer(&self, caller: u8) {
+        self.receive_outbound(&[b'c', caller, 0]);
+    }
+
     fn notify(&self, revision: u64, is_evacuated: bool) {
         let notice = Notice { revision: Revision::new(revision), is_evacuated };
         self.receive(&Request::Evacuation(notice), &[]);
@@ -206,6 +224,29 @@
     assert!(!agent.is_offered(4));
 }
 
+/// Guards against more requests than a cold upstream bears when they come on flows that are open
+/// already, and against new flows that take the room of requests which wait.
+#[test]
+fn requests_on_open_flows_count_against_the_limit_of_a_cold_upstream() {
+    let agent = Agent::new(Requirements { places: true, ..Requirements::default() });
+    agent.report(1, 1, WARMUP);
+    agent.limit_warmup(2);
+    // The default tolerance is one request.
+    (1..=2).for_each(|caller| agent.open(caller));
+    assert!(!agent.request(1, 0));
+    agent.answer(1);
+    assert!(!agent.request(1, 1));
+    agent.answer(1);
+    agent.offer(3);
+    assert!(!agent.is_offered(3));
+    assert!(!agent.request(2, 0), "a first request has the room of its flow");
+    assert!(agent.request(1, 2));
+    let later = agent.relay.clock.now() + Span::from_millis(1_100);
+    assert_eq!(agent.relay.state.room(later).map(Connections::get), Some(2));
+    agent.relay.release_waiting(later);
+    assert!(agent.relay.state.backlog().is_empty());
+}
+
 /// Guards against a burst at an upstream that has restarted beside a running agent and has not
 /// reported yet: what shows that it is a new run makes it cold, until a report says otherwise.
 #[test]
