--- a/yuccacroft/tests/platform/deployment.rs
+++ b/yuccacroft/tests/platform/deployment.rs
@@ -15,7 +15,7 @@
         caller::Callers,
         invariants::InvariantChecker,
         machine::{Machine, Network},
-        operator,
+        operator::{self, Limits},
         store::Store,
         upstream::{Behaviour, Upstream},
     },
@@ -63,6 +63,8 @@
     network: Network,
     folder: PathBuf,
     version: u64,
+    /// The limits of services that the configuration holds.
+    pub limits: Limits,
 }
 
 /// Returns the address of the route to [`BOOKING_SERVICE`].
@@ -77,6 +79,8 @@
         slots: 4,
         queue_limit: 8,
         service_time: Duration::from_millis(10),
+        warmup: None,
+        max_flows: usize::MAX,
     }
 }
 
@@ -105,6 +109,7 @@
             network,
             folder,
             version: 0,
+            limits: Limits::default(),
         };
         deployment.write_config(&[(booking_address(), BOOKING_SERVICE)]);
         for number in 0..agents {
@@ -165,7 +170,7 @@
     /// Writes a configuration with these routes to the store, as an operator does.
     pub fn write_config(&mut self, routes: &[(SocketAddrV4, &str)]) {
         self.version += 3;
-        operator::write_config(&self.store, self.version, routes);
+        operator::write_config_with(&self.store, self.version, routes, self.limits);
     }
 
     /// Sends a request on a new flow and returns the answer.
