--- a/yuccacroft-core/src/handshake.rs
+++ b/yuccacroft-core/src/handshake.rs
@@ -22,7 +22,7 @@
 pub use self::{
     action::{Action, LostFlow},
     decision::{Decision, ForwardReason, Intake, Ownership, ReplyOutcome},
-    observation::{EndCause, OfferedFlow, UpstreamEnd},
+    observation::{EndCause, NewRequest, OfferedFlow, UpstreamEnd},
     offer::{FlowSource, MAX_HOPS, MAX_LATE_HOPS, Offer, Turn, pass_or_refuse},
     table::FlowTable,
 };
