Ask agents for all their flows when many searches run

Cause: each search pays for 20 single messages and for its part of batches to all agents, in up to three waves a tick apart. With 1,200 flows or more to look up the budget of 2,500 queries a second is used up, and searches skip up to 100 ticks. Queries to agents that start later wait for a retry interval that doubles.

Change, where the requirement health is set: a balancer asks an agent for the list of its flows where that costs fewer tokens than the queries of a round. A list counts for searches that began before the question only, and a flow that it names is queried by its position. While the lists of all agents cost less than the queries of the first waves, all waves are asked at once and paid for by the messages that are sent. Beyond eight running searches a new one waits for the next round. A query is repeated once its agent has answered a later message. The budget has a module of its own.

--- a/yuccacroft-core/src/handshake/table.rs
+++ b/yuccacroft-core/src/handshake/table.rs
@@ -154,6 +154,20 @@
         })
     }
 
+    /// Returns the keys of all flows that the agent may own, in ascending order. It denies all others,
+    /// or is unsure of them. Those that its upstream has returned are left out: after a loss of power
+    /// there may be one for each search, and a probe of one of them is denied at once.
+    pub fn list_keys(&self) -> Vec<FlowKey> {
+        let mut keys = self.entries.fold(Vec::new(), |mut keys, key, entry| {
+            if !matches!(entry.state, State::Offered { .. } | State::Absent { .. }) {
+                keys.push(*key);
+            }
+            keys
+        });
+        keys.sort_unstable();
+        keys
+    }
+
     /// Compares the count of requests in progress with the number that the upstream reported in a
     /// response. The reported number includes the request of this response.
     pub fn reconcile_active(&self, reported: u32) {
--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -19,6 +19,7 @@
     cost::{Cost, Exclusion},
     member::{AgentEntry, AgentLoad, AgentPhase, Measures, Member, Reachability},
     path::AnswerCounts,
+    placement::SEARCH_WINDOW,
 };
 
 use {
--- a/yuccacroft-core/src/pool/member.rs
+++ b/yuccacroft-core/src/pool/member.rs
@@ -287,6 +287,11 @@
         self.unanswered_since
     }
 
+    /// Returns the time of the last answer to a message of this process.
+    pub fn answered_at(&self) -> Option<Moment> {
+        self.answer.map(|answer| answer.at)
+    }
+
     /// Returns the number of queries and offers since the last message of the member.
     pub fn unanswered_queries(&self) -> u32 {
         self.unanswered_queries
--- a/yuccacroft-core/src/pool/placement.rs
+++ b/yuccacroft-core/src/pool/placement.rs
@@ -24,7 +24,7 @@
 const MAX_PLACEMENT_SCAN: usize = 1_024;
 /// Number of members that a search queries first: those that the flow may have been placed at, and
 /// some that have joined since.
-const SEARCH_WINDOW: usize = 20;
+pub const SEARCH_WINDOW: usize = 20;
 
 /// Number of members on the other side of a plan that a flow may be passed on to before the rest of
 /// its own side.
--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -11,10 +11,12 @@
 //! agents each of them is unsure, and a probe carries a whole segment. A flow is lost once every agent has denied it or is known to have failed.
 //! It is not lost while its owner may merely be unreachable.
 
+pub mod budget;
 pub mod candidates;
 pub mod evidence;
 
 pub use self::{
+    budget::QueryBudget,
     candidates::list_candidates,
     evidence::{AgentFinding, Evidence, Finding},
 };
@@ -35,15 +37,9 @@
 const INITIAL_RETRY_INTERVAL: Span = Span::from_millis(60);
 /// Number of times that the retry interval doubles, up to 960 ms.
 const MAX_DOUBLINGS: u32 = 4;
-/// Mean time between two queries of the searches of one balancer. 2,500 queries a second and their
-/// answers take less than a fifth of either direction of a link of 10 Mbit/s.
-const QUERY_INTERVAL: Span = Span::from_micros(400);
-/// Maximum burst of queries after an idle time, and limit of the queries of one round: enough for a
-/// hundred flows among ten agents.
-const MAX_BURST_QUERIES: i64 = 1_000;
-/// Number of further flows in a message that cost as much as a message about one flow. Such a
-/// message and its answer have 147 bytes with the headers of IP and UDP, a further flow adds 23.
-const FLOWS_PER_QUERY: i64 = 6;
+/// Time after a query from which on an answer to any message shows that the query was lost: longer
+/// than a round trip between failure domains.
+const LATER_ANSWER: Span = Span::from_millis(20);
 /// Time after which the next wave starts although some agents have not answered: several round
 /// trips and one repeated query.
 const WAVE_TIMEOUT: Span = Span::from_millis(120);
@@ -80,8 +76,13 @@
 pub enum Event {
     /// An agent answered.
     Answered(AgentId, QueryAnswer),
+    /// An agent answered about all flows, whether this search has queried it or not.
+    Listed(AgentId, QueryAnswer),
     /// Time has passed. Carries the current list of agents.
     Tick(Box<[SearchCandidate]>),
+    /// Time has passed, and all agents are to be queried at once, as far as they have not been.
+    /// Carries the current list of agents.
+    Sweep(Box<[SearchCandidate]>),
     /// Time has passed, but the query budget has no tokens for this search.
     SkippedTick,
 }
@@ -102,6 +103,8 @@
     pub wave: Wave,
     /// The time since which it has owed an answer.
     pub unanswered_since: Option<Moment>,
+    /// The time of its last answer to any message, if that is to speed up the retry of queries.
+    pub answered_at: Option<Moment>,
 }
 
 /// The order in which agents are queried.
@@ -131,18 +134,6 @@
     TimedOut,
 }
 
-/// A token bucket that limits the queries of all searches of one balancer. Queries that share a
-/// message cost a fraction of single ones.
-#[derive(Clone, Copy, Debug)]
-pub struct QueryBudget {
-    /// The number of flows that may be asked about in messages that are sent anyway; a message with
-    /// one flow costs [`FLOWS_PER_QUERY`]. It is negative after a search that exceeded it.
-    tokens: i64,
-    /// What the present round may still cost.
-    round_tokens: i64,
-    refilled_at: Moment,
-}
-
 /// The controller of one search.
 #[derive(Clone, Debug)]
 pub struct Search {
@@ -196,57 +187,6 @@
     unanswered_since: Option<Moment>,
 }
 
-impl Default for QueryBudget {
-    fn default() -> Self {
-        let tokens = MAX_BURST_QUERIES * FLOWS_PER_QUERY;
-        Self { tokens, round_tokens: 0, refilled_at: Moment::default() }
-    }
-}
-
-impl QueryBudget {
-    /// Refills the bucket and returns true if queries may be sent.
-    pub fn has_tokens(&mut self, now: Moment) -> bool {
-        let new_tokens = now.since(self.refilled_at).as_micros() / QUERY_INTERVAL.as_micros();
-        // The rest of the last interval counts towards the next token.
-        self.refilled_at = self.refilled_at + QUERY_INTERVAL.saturating_mul(new_tokens);
-        let new_tokens = i64::try_from(new_tokens).unwrap_or(i64::MAX);
-        let new_tokens = new_tokens.saturating_mul(FLOWS_PER_QUERY);
-        let max_tokens = MAX_BURST_QUERIES * FLOWS_PER_QUERY;
-        self.tokens = self.tokens.saturating_add(new_tokens).min(max_tokens);
-        self.tokens > 0
-    }
-
-    /// Starts a round in which searches share messages. It may exceed the remaining tokens, since
-    /// each further search costs little: a round with few searches would spend most tokens on the
-    /// messages. The next round waits until the excess is made up for.
-    pub fn start_round(&mut self, now: Moment) {
-        let has_tokens = self.has_tokens(now);
-        self.round_tokens = if has_tokens { MAX_BURST_QUERIES * FLOWS_PER_QUERY } else { 0 };
-    }
-
-    /// Returns true if a further search may send queries in this round.
-    pub fn has_round_tokens(&self) -> bool {
-        self.round_tokens > 0
-    }
-
-    /// Deducts queries that were sent with a message each. One search may exceed the remaining
-    /// tokens, so that it can query all agents however many there are. The next one waits until the
-    /// excess is made up for.
-    pub fn spend(&mut self, queries: usize) {
-        self.deduct(i64::try_from(queries).unwrap_or(i64::MAX).saturating_mul(FLOWS_PER_QUERY));
-    }
-
-    /// Deducts queries that were added to messages with others.
-    pub fn spend_added(&mut self, queries: usize) {
-        self.deduct(i64::try_from(queries).unwrap_or(i64::MAX));
-    }
-
-    fn deduct(&mut self, tokens: i64) {
-        self.tokens = self.tokens.saturating_sub(tokens);
-        self.round_tokens = self.round_tokens.saturating_sub(tokens);
-    }
-}
-
 impl QueryAnswer {
     fn is_denial(self) -> bool {
         matches!(self, Self::Denies { .. })
@@ -305,6 +245,23 @@
         self.conclude(now)
     }
 
+    /// Counts an agent of a later wave as queried, since it has answered before its turn.
+    fn promote_deferred(&mut self, instance: Instance, now: Moment) {
+        let is_answering = |candidate: &SearchCandidate| candidate.agent_id.instance == instance;
+        let Some(position) = self.deferred.iter().position(is_answering) else { return };
+        let candidate = self.deferred.swap_remove(position);
+        let query = AgentQuery::new(candidate, now);
+        self.queries.insert(instance, query);
+    }
+
+    fn sweep(&mut self, candidates: &[SearchCandidate], now: Moment) -> Vec<Action> {
+        let mut actions = self.tick(candidates, now);
+        while !self.deferred.is_empty() {
+            actions.extend(self.start_next_wave(now));
+        }
+        actions
+    }
+
     fn tick(&mut self, candidates: &[SearchCandidate], now: Moment) -> Vec<Action> {
         if self.has_timed_out(now) {
             return vec![Action::TimedOut];
@@ -321,7 +278,7 @@
                     query.absent = candidate.absent;
                     query.restarted = candidate.restarted;
                     query.unanswered_since = candidate.unanswered_since;
-                    let retry = query.retry(candidate.agent_id, now);
+                    let retry = query.retry(candidate, now);
                     self.sent_retries += u32::from(retry.is_some());
                     actions.extend(retry);
                 }
@@ -369,21 +326,8 @@
     }
 
     fn query(&mut self, candidate: SearchCandidate, now: Moment) -> Action {
-        let SearchCandidate { agent_id, lost, absent, restarted, wave, unanswered_since } =
-            candidate;
-        let query = AgentQuery {
-            agent_id,
-            wave,
-            sent_at: now,
-            retries: 0,
-            probed: false,
-            answer: None,
-            lost,
-            absent,
-            restarted,
-            answered_at: None,
-            unanswered_since,
-        };
+        let agent_id = candidate.agent_id;
+        let query = AgentQuery::new(candidate, now);
         self.sent_queries += 1;
         self.queries.insert(agent_id.instance, query);
         Action::Query(agent_id)
@@ -435,6 +379,12 @@
         unprobed.into_iter().map(|query| query.start_probe(now)).collect()
     }
 
+    /// Returns true if the search has asked an agent and waits for its answer, or has still to ask it.
+    pub fn awaits(&self, instance: Instance) -> bool {
+        let query = self.queries.get(&instance);
+        query.is_none_or(|query| query.answer.is_none() && !query.probed)
+    }
+
     /// Returns true if only an agent that is missing from the list can still own the flow.
     pub fn awaits_list(&self) -> bool {
         self.awaits_list
@@ -510,6 +460,24 @@
 }
 
 impl AgentQuery {
+    fn new(candidate: SearchCandidate, now: Moment) -> Self {
+        let SearchCandidate { agent_id, lost, absent, restarted, wave, unanswered_since, .. } =
+            candidate;
+        Self {
+            agent_id,
+            wave,
+            sent_at: now,
+            retries: 0,
+            probed: false,
+            answer: None,
+            lost,
+            absent,
+            restarted,
+            answered_at: None,
+            unanswered_since,
+        }
+    }
+
     fn is_unsure(&self) -> bool {
         matches!(self.answer, Some(QueryAnswer::Unsure { .. }))
     }
@@ -533,11 +501,15 @@
     }
 
     /// Returns the query or probe again if its answer is overdue.
-    fn retry(&mut self, agent_id: AgentId, now: Moment) -> Option<Action> {
+    fn retry(&mut self, candidate: SearchCandidate, now: Moment) -> Option<Action> {
+        let agent_id = candidate.agent_id;
         let is_denied = self.answer.is_some_and(QueryAnswer::is_denial);
         let is_pending = self.answer.is_none() || self.probed;
         let interval = INITIAL_RETRY_INTERVAL.saturating_mul(1 << self.retries.min(MAX_DOUBLINGS));
-        if is_denied || !is_pending || now.since(self.sent_at) < interval {
+        // An agent that has answered a later message has started since or has lost this one.
+        let later = self.sent_at + LATER_ANSWER;
+        let answered_later = !self.probed && candidate.answered_at.is_some_and(|at| at >= later);
+        if is_denied || !is_pending || (now.since(self.sent_at) < interval && !answered_later) {
             return None;
         }
         self.retries += 1;
@@ -554,7 +526,12 @@
         self.awaits_list = false;
         match event {
             Event::Answered(from, answer) => self.handle_answer(from, answer, now),
+            Event::Listed(from, answer) => {
+                self.promote_deferred(from.instance, now);
+                self.handle_answer(from, answer, now)
+            }
             Event::Tick(candidates) => self.tick(&candidates, now),
+            Event::Sweep(candidates) => self.sweep(&candidates, now),
             Event::SkippedTick => self.skip_tick(now),
         }
     }
--- a/yuccacroft-core/src/search/candidates.rs
+++ b/yuccacroft-core/src/search/candidates.rs
@@ -30,6 +30,7 @@
             restarted: member.has_restarted(),
             wave,
             unanswered_since: member.unanswered_since(),
+            answered_at: member.answered_at().filter(|_| pool.requirements().health),
         });
     });
     candidates.into()
--- a/yuccacroft-core/tests/evidence.rs
+++ b/yuccacroft-core/tests/evidence.rs
@@ -34,6 +34,7 @@
         restarted: true,
         wave: Wave::Likely,
         unanswered_since: None,
+        answered_at: None,
     }
 }
 
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -12,6 +12,7 @@
     slog::info,
     std::{net::SocketAddrV4, sync::atomic::Ordering},
     yuccacroft_core::{
+        flow::FlowKey,
         handshake::{Action, Decision, ForwardReason, Offer, Ownership},
         outcome::Outcome,
         route::Target,
@@ -19,7 +20,7 @@
         time::Moment,
         upstream::ConnectResult,
     },
-    yuccacroft_wire::relay::{self, Body, FlowQuery, MAX_FLOW_QUERIES, Request},
+    yuccacroft_wire::relay::{self, Body, FlowQuery, MAX_FLOW_QUERIES, MAX_LISTED_FLOWS, Request},
 };
 
 impl<F: Format, S: Socket> Relay<F, S> {
@@ -52,6 +53,7 @@
                 return self.answer_search(FlowQuery { key, acknowledged }, from, now);
             }
             Request::SearchMany(queries) => return self.answer_searches(&queries, from, now),
+            Request::ListFlows { asked_at } => return self.list_flows(asked_at, from, now),
             Request::IndirectPing { suspect } => return self.relay_ping(suspect, from),
             Request::RelayedPing { origin } => return self.answer_relayed_ping(origin, from),
             Request::RelayedPong { origin, from, condition } => {
@@ -114,6 +116,26 @@
         }
     }
 
+    /// Tells a balancer all flows of this agent, in as many messages as their keys need.
+    fn list_flows(&self, asked_at: Moment, to: SocketAddrV4, now: Moment) {
+        let unsure = self.state.may_hold_unknown_flows(now);
+        let keys = self.state.table.list_keys();
+        let mut lists = keys.chunks(MAX_LISTED_FLOWS).peekable();
+        let mut first = FlowKey::new(0);
+        loop {
+            let list = lists.next().unwrap_or_default();
+            let is_last = lists.peek().is_none();
+            let last = list.last().filter(|_| !is_last).copied();
+            let last = last.unwrap_or(FlowKey::new(u64::MAX));
+            let body = Body::Flows { asked_at, first, last, unsure };
+            self.reply(to, body, &relay::encode_keys(list), now);
+            if is_last {
+                return;
+            }
+            first = FlowKey::new(last.get().saturating_add(1));
+        }
+    }
+
     fn find_ownership(&self, query: FlowQuery, from: SocketAddrV4, now: Moment) -> Ownership {
         let FlowQuery { key, acknowledged } = query;
         let unsure = self.state.may_hold_unknown_flows(now);
--- a/yuccacroft-segment/src/balancer/relay.rs
+++ b/yuccacroft-segment/src/balancer/relay.rs
@@ -125,6 +125,7 @@
             ),
         );
         let current_routes = Arc::new(CurrentRoutes::default());
+        let uses_lists = setup.requirements.health;
         let chain = chain::build_chain(
             table.clone(),
             pool.clone(),
@@ -139,7 +140,7 @@
             openings: OpeningTable::new(),
             pool,
             current_routes,
-            searches: Searches::default(),
+            searches: Searches::default().with_lists(uses_lists),
             pending: PendingSegments::default(),
             config_outdated: Notify::new(),
             list_outdated: Notify::new(),
@@ -247,11 +248,11 @@
 
     /// Runs the timers of all searches and sends their queries.
     pub fn tick_searches(&self, now: Moment) {
-        for key in self.searches.start_round(now) {
+        for key in self.searches.start_round(&self.pool, now) {
             let steps = self.searches.tick(key, &self.pool, now);
             self.perform(key, steps, now);
         }
-        for QueryMessage { to, request, retry } in self.searches.end_round() {
+        for QueryMessage { to, request, retry } in self.searches.end_round(&self.pool, now) {
             self.pool.record_query(to, now);
             self.send_as(Kind::of_request(&request, retry), to, &request, &[]);
         }
--- a/yuccacroft-segment/src/balancer/relay/messages.rs
+++ b/yuccacroft-segment/src/balancer/relay/messages.rs
@@ -6,6 +6,7 @@
         balancer::{
             chain::{self, Decision, ReceivedSegment},
             grounds::Grounds,
+            searches::FlowList,
         },
         host::Socket,
         traffic::{Direction, Kind},
@@ -74,6 +75,18 @@
                     self.perform(key, steps.unwrap_or_default(), now);
                 }
             }
+            Body::Flows { asked_at, first, last, unsure } => {
+                let keys = match relay::decode_keys(segment) {
+                    Ok(keys) => keys,
+                    Err(error) => return self.log_junk("agents", &error, datagram, now),
+                };
+                let answer = denial(unsure, reply.age);
+                let range = first..=last;
+                let list = FlowList { from: reply.from, asked_at, range, keys, answer };
+                for (key, steps) in self.searches.apply_list(&list, &self.pool, now) {
+                    self.perform(key, steps, now);
+                }
+            }
             Body::Denies { key, unsure } => {
                 let answer = denial(unsure, reply.age);
                 match self.searches.apply_answer(key, reply.from, answer, &self.pool, now) {
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -3,22 +3,26 @@
 use {
     super::{
         grounds::Grounds,
-        query_batch::{QueryBatch, QueryMessage},
+        query_batch::{ListRequests, QueryBatch, QueryMessage},
     },
-    std::sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+    std::{
+        ops::RangeInclusive,
+        sync::{
+            Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
     },
     yuccacroft_core::{
         controller::Controller,
         flow::{AgentId, FlowKey},
         ids::Instance,
-        pool::{EvidenceVersion, Pool},
+        pool::{EvidenceVersion, Member, Pool, SEARCH_WINDOW},
         route::{Target, TrafficClass},
-        search::{self, Action, Event, QueryAnswer, QueryBudget, Search},
+        search::{self, Action, Event, QueryAnswer, QueryBudget, Search, budget},
         segment::{Segment, Sequence},
         shards::Shards,
         time::{Moment, Span},
+        units::Connections,
     },
     yuccacroft_wire::relay::FlowQuery,
 };
@@ -29,6 +33,9 @@
 /// Time after a search without a result during which no other search for the same flow is started:
 /// callers retransmit segments more often than the result can change.
 const RETRY_DELAY: Span = Span::from_millis(1_000);
+/// Number of running searches up to which a new one queries agents at once, with a message for each.
+/// With more of them it waits for the next round, whose messages are shared.
+const MAX_DIRECT_SEARCHES: usize = 8;
 /// Limit of running searches, so that untrusted senders cannot exhaust the memory.
 const MAX_SEARCHES: usize = 4_096;
 
@@ -103,6 +110,21 @@
     Batched,
 }
 
+/// The flows of an agent whose keys are in a range.
+#[derive(Clone, Debug)]
+pub struct FlowList {
+    /// The agent.
+    pub from: AgentId,
+    /// The time at which the agent was asked.
+    pub asked_at: Moment,
+    /// The range.
+    pub range: RangeInclusive<FlowKey>,
+    /// The keys of the flows, in ascending order.
+    pub keys: Vec<FlowKey>,
+    /// The answer of the agent about all other flows of the range.
+    pub answer: QueryAnswer,
+}
+
 /// All running searches.
 #[derive(Debug, Default)]
 pub struct Searches {
@@ -115,18 +137,28 @@
     skipped_ticks: AtomicU64,
     /// Whether searches wait for the query budget.
     has_backlog: AtomicBool,
+    /// Whether agents may be asked for all their flows.
+    uses_lists: bool,
+    /// Whether the searches of this round query all agents at once.
+    is_sweep: AtomicBool,
 }
 
 impl RunningSearch {
     /// Returns the event of a tick with the present list of agents.
-    fn tick(&mut self, key: FlowKey, pool: &Pool, now: Moment) -> Event {
+    fn tick(&mut self, key: FlowKey, pool: &Pool, is_sweep: bool, now: Moment) -> Event {
         // Read before the state of the members, so that no change between both is missed.
         self.evidence = pool.evidence_version();
-        Event::Tick(search::list_candidates(pool, self.params.target, key, now))
+        let candidates = search::list_candidates(pool, self.params.target, key, now);
+        if is_sweep { Event::Sweep(candidates) } else { Event::Tick(candidates) }
     }
 }
 
 impl Searches {
+    /// Lets searches ask agents for all their flows where that costs less than single queries.
+    pub fn with_lists(self, uses_lists: bool) -> Self {
+        Self { uses_lists, ..self }
+    }
+
     /// Starts a search for the owner of a segment's flow, or adds the segment to the running one.
     /// Returns false if there are too many searches, or when a search for this flow has recently
     /// ended without a result.
@@ -183,7 +215,10 @@
         if self.has_backlog.load(Ordering::Relaxed) || !self.budget().has_tokens(now) {
             return self.skip_tick(key, pool, now);
         }
-        let tick = |running: &mut RunningSearch| running.tick(key, pool, now);
+        if self.uses_lists && self.running.len() > MAX_DIRECT_SEARCHES {
+            return Vec::new();
+        }
+        let tick = |running: &mut RunningSearch| running.tick(key, pool, false, now);
         self.step(key, tick, Delivery::Direct, pool, now).unwrap_or_default()
     }
 
@@ -193,13 +228,68 @@
         if !self.budget().has_round_tokens() {
             return self.skip_tick(key, pool, now);
         }
-        let tick = |running: &mut RunningSearch| running.tick(key, pool, now);
+        let is_sweep = self.is_sweep.load(Ordering::Relaxed);
+        let tick = |running: &mut RunningSearch| running.tick(key, pool, is_sweep, now);
         self.step(key, tick, Delivery::Batched, pool, now).unwrap_or_default()
     }
 
     /// Ends a round and returns the messages with the queries of all searches since the last one.
-    pub fn end_round(&self) -> Vec<QueryMessage> {
-        self.batch().take_messages()
+    pub fn end_round(&self, pool: &Pool, now: Moment) -> Vec<QueryMessage> {
+        let mut batch = std::mem::take(&mut *self.batch());
+        if !self.uses_lists {
+            return batch.take_messages();
+        }
+        let flows = |instance| pool.get(instance).map(|member| flows_of(&member, now));
+        let ListRequests { mut messages, cost, replaced_cost } =
+            batch.take_list_requests(flows, now);
+        let mut budget = self.budget();
+        if self.is_sweep.load(Ordering::Relaxed) {
+            budget.spend_tokens(cost.saturating_add(batch.cost()));
+        } else {
+            budget.refund(replaced_cost - cost);
+        }
+        messages.extend(batch.take_messages());
+        messages
+    }
+
+    /// Applies the list of an agent's flows to the searches that had begun when it was asked for, and
+    /// returns the next steps of each. A listed flow may be an earlier one between the same addresses,
+    /// so the agent is queried about it.
+    pub fn apply_list(
+        &self,
+        list: &FlowList,
+        pool: &Pool,
+        now: Moment,
+    ) -> Vec<(FlowKey, Vec<Step>)> {
+        let FlowList { from, asked_at, ref range, ref keys, answer } = *list;
+        // The answer to an earlier process at this address may name a time that has not come yet.
+        if asked_at > now {
+            return Vec::new();
+        }
+        let open = self.running.fold(Vec::new(), |mut open, key, running| {
+            let is_covered = running.started <= asked_at && range.contains(key);
+            if is_covered && running.search.awaits(from.instance) {
+                open.push((*key, running.acknowledged));
+            }
+            open
+        });
+        let mut steps = Vec::with_capacity(open.len());
+        for (key, acknowledged) in open {
+            if keys.binary_search(&key).is_ok() {
+                self.query_listed(from.instance, FlowQuery { key, acknowledged });
+                continue;
+            }
+            let event = |_: &mut RunningSearch| Event::Listed(from, answer);
+            let next = self.step(key, event, Delivery::Batched, pool, now);
+            steps.push((key, next.unwrap_or_default()));
+        }
+        steps
+    }
+
+    fn query_listed(&self, to: Instance, query: FlowQuery) {
+        let shares_message = self.batch().add_listed(to, query);
+        let mut budget = self.budget();
+        if shares_message { budget.spend_added(1) } else { budget.spend(1) }
     }
 
     /// Removes the records of searches whose retry delay is over.
@@ -227,8 +317,10 @@
     }
 
     /// Starts a round of ticks and returns the flow keys of all running searches, oldest first.
-    pub fn start_round(&self, now: Moment) -> Vec<FlowKey> {
+    pub fn start_round(&self, pool: &Pool, now: Moment) -> Vec<FlowKey> {
         self.budget().start_round(now);
+        let is_sweep = self.uses_lists && is_sweep_worthwhile(self.running.len(), pool, now);
+        self.is_sweep.store(is_sweep, Ordering::Relaxed);
         self.has_backlog.store(false, Ordering::Relaxed);
         let mut keys = self.running.fold(Vec::new(), |mut keys, key, running| {
             keys.push((running.started, *key));
@@ -260,11 +352,11 @@
             let running = slot.as_mut()?;
             running.search.set_list_outdated(pool.is_list_outdated());
             let event = event(running);
-            let is_answer = matches!(event, Event::Answered(..));
+            let is_answer = matches!(event, Event::Answered(..) | Event::Listed(..));
             let mut actions = running.search.step(event, now);
             if is_answer && actions.contains(&Action::NotFound) {
                 // Agents may have joined since the last tick, so the result needs the present list.
-                let tick = running.tick(key, pool, now);
+                let tick = running.tick(key, pool, false, now);
                 actions = running.search.step(tick, now);
             }
             let class = running.params.class;
@@ -319,7 +411,7 @@
     /// Takes the tokens for all queries of a search. Queries that are not sent at once are moved to
     /// the batch.
     fn pay_for_queries(&self, key: FlowKey, steps: Vec<Step>, delivery: Delivery) -> Vec<Step> {
-        let (mut messages, mut added) = (0, 0);
+        let (mut messages, mut added, mut sent_at_once) = (0, 0, 0);
         let mut remaining = Vec::with_capacity(steps.len());
         let mut batch = self.batch();
         for step in steps {
@@ -333,15 +425,40 @@
                     messages += usize::from(!shares_message);
                 }
                 step => {
-                    messages += usize::from(matches!(step, Step::Query(_)));
+                    let is_query = matches!(step, Step::Query(_));
+                    messages += usize::from(is_query);
+                    sent_at_once += usize::from(is_query);
                     remaining.push(step);
                 }
             }
         }
         drop(batch);
+        // In a sweep lists replace most queries, so the batch is paid for as a whole.
+        if self.is_sweep.load(Ordering::Relaxed) {
+            (messages, added) = (sent_at_once, 0);
+        }
         let mut budget = self.budget();
         budget.spend(messages);
         budget.spend_added(added);
         remaining
     }
 }
+
+/// Returns the number of flows that an agent has by its last report. One that has not reported may
+/// have just started.
+fn flows_of(member: &Member, now: Moment) -> Connections {
+    member.load(now).map_or(Connections::new(0), |(load, _)| load.open)
+}
+
+/// Returns true if the lists of all agents cost less than the queries of the first waves of so many
+/// searches.
+fn is_sweep_worthwhile(searches: usize, pool: &Pool, now: Moment) -> bool {
+    let first_wave = pool.len().min(SEARCH_WINDOW);
+    let queries = i64::try_from(searches.saturating_mul(first_wave)).unwrap_or(i64::MAX);
+    if queries == 0 {
+        return false;
+    }
+    let mut lists = 0_i64;
+    pool.for_each(|member| lists += budget::cost_of_list(flows_of(member, now)));
+    lists < queries
+}
--- a/yuccacroft-segment/src/traffic.rs
+++ b/yuccacroft-segment/src/traffic.rs
@@ -56,6 +56,10 @@
     SearchMany,
     /// Several flows are not owned by the sender.
     DeniesMany,
+    /// A question for all flows of an agent.
+    ListFlows,
+    /// The flows of the sender.
+    Flows,
 }
 
 /// The direction of a datagram.
@@ -101,7 +105,7 @@
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 24] = [
         Self::Ping,
         Self::Offer,
         Self::Carry,
@@ -124,6 +128,8 @@
         Self::IndirectPong,
         Self::SearchMany,
         Self::DeniesMany,
+        Self::ListFlows,
+        Self::Flows,
     ];
 
     /// Returns the kind of a message to an agent. `retry` is true if it repeats an earlier one.
@@ -136,6 +142,7 @@
             Request::Probe(_) if retry => Self::ProbeRetry,
             Request::Probe(_) => Self::Probe,
             Request::Ping { .. } | Request::Evacuation(_) | Request::Limits(_) => Self::Ping,
+            Request::ListFlows { .. } => Self::ListFlows,
             Request::IndirectPing { .. } => Self::IndirectPing,
             Request::RelayedPing { .. } => Self::RelayedPing,
             Request::RelayedPong { .. } => Self::RelayedPong,
@@ -154,6 +161,7 @@
             Body::Denies { .. } => Self::Denies,
             Body::IndirectPong { .. } => Self::IndirectPong,
             Body::DeniesMany { .. } => Self::DeniesMany,
+            Body::Flows { .. } => Self::Flows,
         }
     }
 
@@ -182,6 +190,8 @@
             Self::IndirectPong => "indirect_pong",
             Self::SearchMany => "search_many",
             Self::DeniesMany => "denies_many",
+            Self::ListFlows => "list_flows",
+            Self::Flows => "flows",
         }
     }
 }
--- a/yuccacroft-wire/src/relay.rs
+++ b/yuccacroft-wire/src/relay.rs
@@ -21,7 +21,7 @@
         pool::{AgentLoad, Measures, indirect::Condition},
         route::{ConfigVersion, Target, TrafficClass},
         segment::Sequence,
-        time::Span,
+        time::{Moment, Span},
     },
 };
 
@@ -34,6 +34,9 @@
 /// Limit of flows that one message asks about, so that the header is not too long.
 pub const MAX_FLOW_QUERIES: usize = 16;
 
+/// Limit of flows in one message with a list of flows: their keys fit into a datagram with the header.
+pub const MAX_LISTED_FLOWS: usize = 128;
+
 /// A question about the owner of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FlowQuery {
@@ -117,6 +120,12 @@
     Evacuation(Notice),
     /// The sender, a balancer, tells the limits of the receiver's service.
     Limits(ServiceLimits),
+    /// The sender, a balancer, searches for the owners of so many flows that it asks for all flows of
+    /// the receiver.
+    ListFlows {
+        /// The time of the question on the clock of the sender, which the answer repeats.
+        asked_at: Moment,
+    },
 }
 
 /// A message of an agent to a balancer.
@@ -173,6 +182,32 @@
     },
     /// The load, which the sender reports on its own, with what it has measured of its upstream.
     Measures(Measures),
+    /// The flows of the sender whose keys are in a range. Their keys follow the header, see
+    /// [`encode_keys`]. The sender owns no other flow of the range.
+    Flows {
+        /// The time of the question on the clock of the receiver.
+        asked_at: Moment,
+        /// The first key of the range.
+        first: FlowKey,
+        /// The last key of the range.
+        last: FlowKey,
+        /// Whether the sender's upstream may know other flows of the range nevertheless.
+        unsure: bool,
+    },
+}
+
+/// Encodes the keys of flows for the message [`Body::Flows`].
+pub fn encode_keys(keys: &[FlowKey]) -> Vec<u8> {
+    keys.iter().flat_map(|key| key.get().to_be_bytes()).collect()
+}
+
+/// Decodes the keys of flows. Bytes after the last whole key are an error.
+pub fn decode_keys(bytes: &[u8]) -> Result<Vec<FlowKey>> {
+    let (keys, rest) = bytes.as_chunks();
+    if !rest.is_empty() {
+        return Err(Error::Truncated);
+    }
+    Ok(keys.iter().map(|key| FlowKey::new(u64::from_be_bytes(*key))).collect())
 }
 
 /// Encodes a header and the segment after it.
