--- a/yuccacroft-core/src/pool.rs
+++ b/yuccacroft-core/src/pool.rs
@@ -22,6 +22,7 @@
     cost::{Cost, Exclusion},
     member::{AgentEntry, AgentLoad, AgentPhase, Measures, Member, Reachability},
     path::AnswerCounts,
+    placement::SEARCH_WINDOW,
 };
 
 use {
