Let the soak evacuate, return cold, fail requests and burst

The soak had no evacuations, cold upstreams, upstreams that fail requests while their reports are good, or bursts. A scenario of its own now brings them about beside faults of machines, with the requirements health and places, three failure domains and limits of services.

--- a/yuccacroft/tests/platform/soak.rs
+++ b/yuccacroft/tests/platform/soak.rs
@@ -2,13 +2,16 @@
 //!
 //! Processes are killed, paused and stopped by signals. The store refuses calls, does not answer or
 //! loses answers, and a proxy stalls connections to it. Upstreams crash, drain and are
-//! replaced. In one scenario, the paths between balancers and agents have faults as well. Meanwhile
+//! replaced. In one scenario, the paths between balancers and agents have faults as well; in another,
+//! failure domains are evacuated or come back cold, upstreams fail requests, and callers burst. Meanwhile
 //! callers send requests, and what they and the upstreams observe is checked.
 
+mod demand;
 mod paths;
 
 use {
     crate::deployment::{Deployment, default_behaviour},
+    demand::DemandEvents,
     paths::PathFaults,
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
@@ -57,6 +60,8 @@
     Paths,
     /// Faults of machines among many processes.
     Many,
+    /// Faults of machines, evacuations, cold returns, failing upstreams and bursts.
+    Demand,
 }
 
 /// Action that ends a fault.
@@ -71,12 +76,26 @@
     ReplaceUpstream(usize),
 }
 
+impl Recovery {
+    /// Returns the agent whose machine is affected until then.
+    fn agent(&self) -> Option<usize> {
+        match self {
+            Self::StartAgent(index)
+            | Self::ResumeAgent(index)
+            | Self::StartUpstream(index)
+            | Self::ReplaceUpstream(index) => Some(*index),
+            _ => None,
+        }
+    }
+}
+
 impl Scenario {
     /// Returns the seed of the run in CI.
     fn ci_seed(self) -> u64 {
         match self {
             Self::Machines | Self::Many => 1,
             Self::Paths => 2,
+            Self::Demand => 3,
         }
     }
 
@@ -86,13 +105,14 @@
             Self::Machines => "soak",
             Self::Paths => "soak-paths",
             Self::Many => "soak-many",
+            Self::Demand => "soak-demand",
         }
     }
 
     /// Returns the number of balancers.
     fn balancers(self) -> u8 {
         match self {
-            Self::Machines | Self::Paths => 3,
+            Self::Machines | Self::Paths | Self::Demand => 3,
             Self::Many => 20,
         }
     }
@@ -101,7 +121,7 @@
     fn draw_fault_count(self, random: &mut StdRng) -> u32 {
         match self {
             Self::Machines => 1,
-            Self::Paths => u32::from(random.random_bool(MACHINE_FAULT_PROBABILITY)),
+            Self::Paths | Self::Demand => u32::from(random.random_bool(MACHINE_FAULT_PROBABILITY)),
             Self::Many => FAULTS_AMONG_MANY,
         }
     }
@@ -110,7 +130,7 @@
     fn agents_per_service(self) -> [u8; 2] {
         match self {
             Self::Machines => [3, 2],
-            Self::Paths => [6, 3],
+            Self::Paths | Self::Demand => [6, 3],
             Self::Many => [50, 20],
         }
     }
@@ -125,6 +145,8 @@
     pending: Vec<(Instant, Recovery)>,
     /// The faults of paths, which draw from random numbers of their own.
     paths: Option<PathFaults>,
+    /// The events of demand, which draw from random numbers of their own.
+    demand: Option<DemandEvents>,
     started_upstreams: u32,
     added_routes: usize,
 }
@@ -134,6 +156,9 @@
         let [booking_agents, pack_agents] = scenario.agents_per_service();
         let mut deployment =
             Deployment::start(scenario.name(), scenario.balancers(), booking_agents).await;
+        if scenario == Scenario::Demand {
+            deployment.limits = demand::LIMITS;
+        }
         deployment
             .write_config(&[(service_address(0), SERVICES[0]), (service_address(1), SERVICES[1])]);
         for number in 0..pack_agents {
@@ -141,15 +166,20 @@
             deployment.agents.push(agent);
         }
         let paths = match scenario {
-            Scenario::Machines | Scenario::Many => None,
+            Scenario::Machines | Scenario::Many | Scenario::Demand => None,
             Scenario::Paths => Some(PathFaults::start(&mut deployment, seed).await),
         };
+        let demand = match scenario {
+            Scenario::Machines | Scenario::Many | Scenario::Paths => None,
+            Scenario::Demand => Some(DemandEvents::start(&mut deployment, seed).await),
+        };
         Self {
             scenario,
             deployment,
             random: StdRng::seed_from_u64(seed),
             pending: Vec::new(),
             paths,
+            demand,
             started_upstreams: 0,
             added_routes: 0,
         }
@@ -175,13 +205,7 @@
     }
 
     fn pick_agent(&mut self) -> Option<usize> {
-        self.pick_machine(self.deployment.agents.len(), |recovery| match recovery {
-            Recovery::StartAgent(index)
-            | Recovery::ResumeAgent(index)
-            | Recovery::StartUpstream(index)
-            | Recovery::ReplaceUpstream(index) => Some(*index),
-            _ => None,
-        })
+        self.pick_machine(self.deployment.agents.len(), Recovery::agent)
     }
 
     /// Schedules the end of a fault after a random time.
@@ -292,6 +316,16 @@
         }
     }
 
+    /// Ends the events of demand that are due, and begins new ones at times.
+    async fn change_demand(&mut self, load: &Arc<LoadGenerator<demand::Socket>>) {
+        let Some(demand) = &mut self.demand else { return };
+        let affected: Vec<_> =
+            self.pending.iter().filter_map(|(_, recovery)| recovery.agent()).collect();
+        let is_store_up =
+            !self.pending.iter().any(|(_, recovery)| matches!(recovery, Recovery::RepairStore));
+        demand.step(&mut self.deployment, load, &affected, is_store_up).await;
+    }
+
     fn set_store_fault(&self, fault: Fault) {
         self.deployment.store.set_fault(fault);
         self.paths.iter().for_each(|paths| paths.set_store_fault(fault));
@@ -303,8 +337,11 @@
         let id = format!("upstream-{index}-{}", self.started_upstreams);
         let [booking_agents, _] = self.scenario.agents_per_service();
         let service = SERVICES[usize::from(index >= usize::from(booking_agents))];
-        let upstream =
-            self.deployment.start_upstream(machine, &id, default_behaviour(service)).await;
+        let behaviour = match self.scenario {
+            Scenario::Demand => demand::cold_behaviour(service),
+            _ => default_behaviour(service),
+        };
+        let upstream = self.deployment.start_upstream(machine, &id, behaviour).await;
         self.deployment.agents[index].upstream = Some(upstream);
     }
 }
@@ -362,6 +399,7 @@
         update_routers();
         soak.recover(false).await;
         soak.paths.iter_mut().for_each(PathFaults::step);
+        soak.change_demand(&load_generator).await;
         for _ in 0..scenario.draw_fault_count(&mut soak.random) {
             // A fault is skipped if another one affects its machine.
             let _ = soak.inject_fault().await;
@@ -369,6 +407,9 @@
     }
     soak.recover(true).await;
     soak.paths.iter_mut().for_each(PathFaults::repair_all);
+    if let Some(demand) = &mut soak.demand {
+        demand.end_all(&soak.deployment);
+    }
     let recovered_at = started_at.elapsed() + RECOVERY_TIME;
     while started_at.elapsed() < recovered_at + MEASUREMENT_TIME {
         tokio::time::sleep(Duration::from_millis(100)).await;
@@ -420,6 +461,13 @@
     run_seeds(Scenario::Machines).await;
 }
 
+/// Guards against new flows in evacuated failure domains, too many requests at cold upstreams, and the
+/// other violations, while demand changes and machines fail.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_of_demand_violate_no_guarantee() {
+    run_seeds(Scenario::Demand).await;
+}
+
 /// Guards against balancers that take agents for lost to which only their own path is disturbed,
 /// and reset open flows whose upstreams live, while other faults overlap.
 #[tokio::test(flavor = "multi_thread")]
