--- a/yuccacroft-core/src/upstream.rs
+++ b/yuccacroft-core/src/upstream.rs
@@ -299,9 +299,9 @@
     }
 
     /// Records that the upstream has returned a segment of a flow that was in use: it may be a new run,
-    /// which holds none of the flows of the last one.
-    pub fn record_lost_flow(&mut self) {
-        self.may_have_restarted = true;
+    /// which holds none of the flows of the last one. Returns true if this is its first sign.
+    pub fn record_lost_flow(&mut self) -> bool {
+        !std::mem::replace(&mut self.may_have_restarted, true)
     }
 
     /// Restarts the timeouts of all outstanding answers and of the reports, after this process
--- a/yuccacroft-segment/src/agent/relay/outbound.rs
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -68,7 +68,11 @@
                     self.record_returned_opening(&decision, now);
                 }
                 if was_in_use && matches!(decision, Decision::Reset(_)) {
-                    self.state.monitor().record_lost_flow();
+                    let is_first_sign = self.state.monitor().record_lost_flow();
+                    if is_first_sign {
+                        info!(self.flow_log.log(), "upstream may have restarted";
+                            "flow" => %segment.flow);
+                    }
                 }
                 self.log_bounce(&segment, &decision, now);
                 self.apply_bounce_decision(&segment, decision, datagram, now);
