Judge by waits as well whether a domain sends or receives

Upstreams there differ in speed: requests wait at the slow ones while others have free slots, so a domain below 75 percent can still serve callers late.

The load of a domain is now the higher of its utilization and the one at which requests wait for as long as its agents report. Whether the domain sends and whether it begins or ceases to receive rest on this one figure. The room of a receiver stays what its slots leave, since bursts made that figure wrong.

--- a/yuccacroft-core/src/pool/cost.rs
+++ b/yuccacroft-core/src/pool/cost.rs
@@ -149,7 +149,7 @@
     }
 
     /// Returns the expected wait for a slot that the agent has measured, unless it is outdated.
-    fn measured_wait(&self, now: Moment) -> Option<Span> {
+    pub(super) fn measured_wait(&self, now: Moment) -> Option<Span> {
         let measures = self.measures.filter(|(_, at)| now.since(*at) < WAIT_TTL);
         measures.map(|(measures, _)| measures.wait)
     }
--- a/yuccacroft-core/src/pool/supply.rs
+++ b/yuccacroft-core/src/pool/supply.rs
@@ -59,6 +59,8 @@
     /// microseconds, weighted by the slots.
     measured_slots: f64,
     service_time: f64,
+    /// The sum of the waits in microseconds, weighted by the slots.
+    wait: f64,
     round_trips: Vec<Span>,
 }
 
@@ -161,6 +163,8 @@
             sum.measured_slots += slots;
             sum.service_time += slots * load.service_time.as_micros() as f64;
         }
+        let wait = member.measured_wait(now).unwrap_or_default();
+        sum.wait += slots * wait.as_micros() as f64;
         sum.round_trips.extend(member.answer.map(|answer| answer.delay));
     }
 
@@ -188,6 +192,7 @@
             busy: self.busy,
             // Zero if no member has reported: the quotient is not a number then, which converts to zero.
             service_time: Span::from_micros((self.service_time / self.measured_slots) as u64),
+            wait: Span::from_micros((self.wait / self.slots) as u64),
             round_trip: round_trips.get(round_trips.len() / 2).copied().unwrap_or_default(),
         }
     }
--- a/yuccacroft-core/src/spill_over.rs
+++ b/yuccacroft-core/src/spill_over.rs
@@ -66,6 +66,8 @@
     pub busy: f64,
     /// The mean service time of a request.
     pub service_time: Span,
+    /// The mean wait that the agents measure now; zero if they report none.
+    pub wait: Span,
     /// The round trip between this balancer and the agents.
     pub round_trip: Span,
 }
@@ -131,20 +133,28 @@
         (self.busy / self.slots).min(1.0)
     }
 
+    /// Returns the utilization by which the domain is judged as a sender and a receiver: the mean one,
+    /// or that at which requests wait for as long as they do now. Where upstreams differ in speed
+    /// requests wait at the slow ones while others have free slots.
+    fn load(&self) -> f64 {
+        self.utilization().max(utilization_at(micros(self.wait), micros(self.service_time)))
+    }
+
     /// Returns the expected wait of a new request, in microseconds.
     fn expected_wait(&self) -> f64 {
-        wait_at(self.utilization(), micros(self.service_time))
+        wait_at(self.load(), micros(self.service_time))
     }
 
-    /// Returns true if flows of other domains may be sent there, now or still.
+    /// Returns true if flows of other domains may be sent there, now or still. A domain that sends
+    /// some of its own is none, so it is judged by the same load.
     fn is_receiver(&self, was_receiver: bool) -> bool {
         let limit =
             if was_receiver { MAX_RECEIVER_UTILIZATION } else { MAX_NEW_RECEIVER_UTILIZATION };
-        self.utilization() < limit
+        self.load() < limit
     }
 
     /// Returns the number of requests in progress that fit in beside those of the domain's own
-    /// callers.
+    /// callers. Waits in bursts take no room.
     fn room(&self) -> f64 {
         (ROOM_UTILIZATION - self.utilization()) * self.slots
     }
@@ -240,7 +250,7 @@
         terms: &Terms,
     ) -> f64 {
         let settled = self.settled.min(MAX_SETTLED_SHARE);
-        let demand = home.utilization() * home.slots / (1.0 - settled);
+        let demand = home.load() * home.slots / (1.0 - settled);
         if demand <= 0.0 {
             return 0.0;
         }
@@ -262,7 +272,7 @@
         let inputs = Inputs {
             home_wait: home.map(|home| span(home.expected_wait())),
             remote_wait: (!self.receivers.is_empty()).then(|| span(remote_wait.max(0.0))),
-            home_utilization: home.map_or(0.0, Supply::utilization),
+            home_utilization: home.map_or(0.0, Supply::load),
             room: destination.room,
         };
         let share = Share::new((self.share * THOUSAND).round() as u32);
--- a/yuccacroft-core/tests/spill_over.rs
+++ b/yuccacroft-core/tests/spill_over.rs
@@ -6,7 +6,7 @@
     yuccacroft_core::{
         flow::{AgentId, FlowKey},
         ids::{Domain, Incarnation, Instance},
-        pool::{AgentEntry, AgentLoad, AgentPhase, Pool},
+        pool::{AgentEntry, AgentLoad, AgentPhase, Measures, Pool},
         route::{ServiceName, Target},
         spill_over::{Controller, Plan, Share, Supply, Terms},
         time::{Moment, Span},
@@ -82,6 +82,7 @@
             slots: self.slots[domain],
             busy: known[domain],
             service_time: SERVICE_TIME,
+            wait: Span::ZERO,
             round_trip: Span::from_millis(1),
         };
         for home in 0..DOMAINS {
@@ -441,6 +442,37 @@
     assert!(plan.inputs.remote_wait >= Some(slow), "{plan:?}");
 }
 
+/// Guards against callers that wait at slow upstreams of their domain, and against waits that decide
+/// although they are outdated.
+#[test]
+fn waits_at_home_count_while_they_are_fresh() {
+    let plan = |measured_at: Moment| {
+        let pool = Pool::new();
+        let terms = [(target(), TERMS)].into();
+        for number in 1..=6 {
+            let domain = if number <= 3 { "a" } else { "b" };
+            let entry = entry(number, domain, AgentPhase::Ready);
+            let agent_id = entry.agent_id;
+            pool.upsert(entry, Moment::default());
+            pool.record_load(
+                agent_id,
+                load(u32::from(number <= 3), SERVICE_TIME),
+                Moment::default(),
+            );
+            let wait = Span::from_millis(if number <= 3 { 120 } else { 0 });
+            pool.record_measures(agent_id, Measures { wait, ..Measures::default() }, measured_at);
+        }
+        for step in 0..40 {
+            let now = Moment::default() + STEP.saturating_mul(step);
+            pool.update_spill_over(&domains()[0], &terms, now);
+        }
+        pool.spill_over_plans()[&target()].share
+    };
+    assert_eq!(plan(Moment::default()), Share::new(0));
+    let fresh = plan(Moment::default() + Span::from_secs(4));
+    assert!(fresh > Share::new(50), "{fresh}");
+}
+
 /// Guards against crossing bytes because the few members at home are a little busier than others.
 #[test]
 fn a_pool_keeps_flows_at_home_while_it_has_room() {
