Report the requests of a full member in the test of spill-over records

The test reported a mean use of two slots and no request in progress, which no agent does. Since a balancer averages the requests in progress itself, so this member looked idle after a second and nothing left. The test failed since then. The report now has both figures; what is asserted stays as it was.

--- a/yuccacroft-segment/tests/spill_over.rs
+++ b/yuccacroft-segment/tests/spill_over.rs
@@ -61,6 +61,7 @@
         relay.pool.upsert(entry, Moment::default());
         let load = AgentLoad {
             accepting: true,
+            active: busy / 100,
             busy: Percent::new(busy),
             service_time: Span::from_millis(30),
             ..AgentLoad::default()
