Split the explanation of a candidate from that of the placement

The closure that records members did two things at once. Candidates and what admission rests on there have constructors now; the result is the same.

--- a/yuccacroft-core/src/pool/explanation.rs
+++ b/yuccacroft-core/src/pool/explanation.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        Cost, Exclusion, Pool, Reachability,
+        Cost, Exclusion, Member, Pool, Reachability,
         supply::{DomainOrder, Rank},
     },
     crate::{
@@ -164,32 +164,14 @@
         let mut compared: HashMap<Instance, Candidate> = HashMap::new();
         let mut excluded = Vec::new();
         let ranked = self.rank(flow.target, flow.domain, flow.key, plan, now, |member, cost| {
-            let (instance, domain) = (member.entry.agent_id.instance, member.entry.domain.clone());
+            let instance = member.entry.agent_id.instance;
             match cost {
-                Err(cause) => excluded.push(Excluded { instance, domain, cause }),
                 Ok(cost) => {
-                    let workload = member.workload(now);
-                    let mean = member.service_time();
-                    let service = ServiceTime { mean, tail: mean };
-                    let expectation = Expectation {
-                        wait: workload.wait(),
-                        service_time: mean,
-                        outlook: workload.outlook(&flow.class, service),
-                        room: member.measures.and_then(|(measures, _)| measures.room),
-                    };
-                    compared.insert(
-                        instance,
-                        Candidate {
-                            instance,
-                            domain,
-                            reachability: member.reachability(now),
-                            is_on_side: true,
-                            cost,
-                            total: cost.total(),
-                            expectation,
-                            answer: Answer::NotOffered,
-                        },
-                    );
+                    compared.insert(instance, Candidate::new(member, cost, &flow.class, now));
+                }
+                Err(cause) => {
+                    let domain = member.entry.domain.clone();
+                    excluded.push(Excluded { instance, domain, cause });
                 }
             }
         });
@@ -236,7 +218,34 @@
     }
 }
 
+impl Candidate {
+    /// Creates a candidate on the flow's side that is not offered the flow.
+    fn new(member: &Member, cost: Cost, class: &TrafficClass, now: Moment) -> Self {
+        Self {
+            instance: member.entry.agent_id.instance,
+            domain: member.entry.domain.clone(),
+            reachability: member.reachability(now),
+            is_on_side: true,
+            cost,
+            total: cost.total(),
+            expectation: Expectation::new(member, class, now),
+            answer: Answer::NotOffered,
+        }
+    }
+}
+
 impl Expectation {
+    fn new(member: &Member, class: &TrafficClass, now: Moment) -> Self {
+        let (workload, mean) = (member.workload(now), member.service_time());
+        let service = ServiceTime { mean, tail: mean };
+        Self {
+            wait: workload.wait(),
+            service_time: mean,
+            outlook: workload.outlook(class, service),
+            room: member.measures.and_then(|(measures, _)| measures.room),
+        }
+    }
+
     /// Returns the answer of an agent at this turn. Without the requirement `health` agents do not
     /// judge the wait.
     fn answer(&self, turn: Turn, is_judged: bool) -> Answer {
