Repeat the first call to the store beside an unanswered one

Change, where the requirement health is set: the first listing is asked for once more after 250 ms, and the first answer counts.

--- a/yuccacroft-segment/src/balancer/controllers.rs
+++ b/yuccacroft-segment/src/balancer/controllers.rs
@@ -58,6 +58,9 @@
 /// Longest delay between failed reads of the configuration: a change must be in force seconds after
 /// the store is available again.
 const MAX_CONFIGURATION_DELAY: Duration = Duration::from_millis(700);
+/// Time after which a balancer that starts asks the store once more, without the end of the first call:
+/// many response times of the store, and well below the second that early segments are kept.
+const FIRST_LISTING_HEDGE_DELAY: Duration = Duration::from_millis(250);
 /// Longest delay between failed reads of the members, which stay in use meanwhile.
 const MAX_MEMBERS_DELAY: Duration = Duration::from_millis(2_000);
 /// Time between ticks.
@@ -122,6 +125,7 @@
             max_delay: MAX_CONFIGURATION_DELAY,
             urgent: &Notify::new(),
             refresh: &self.relay.config_outdated,
+            hedge_delay: self.hedge_delay(),
             seed: self.platform.host().seed(),
             log: self.relay.flow_log.log(),
         };
@@ -141,12 +145,18 @@
             max_delay: MAX_MEMBERS_DELAY,
             urgent: &self.relay.list_needed,
             refresh: &self.relay.list_outdated,
+            hedge_delay: self.hedge_delay(),
             seed: self.platform.host().seed(),
             log: self.relay.flow_log.log(),
         };
         watcher.run(store, &MembersHandler(self)).await;
     }
 
+    /// Returns the time after which the first call to the store is repeated beside the unanswered one.
+    fn hedge_delay(&self) -> Option<Duration> {
+        self.relay.pool.requirements().health.then_some(FIRST_LISTING_HEDGE_DELAY)
+    }
+
     /// Runs the timers of searches, waiting segments and members. It does not return.
     pub async fn run_timers(&self) {
         let mut ticker = Ticker::new(TICK_INTERVAL, self.relay.clock.clone());
--- a/yuccacroft-segment/src/lib.rs
+++ b/yuccacroft-segment/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dump;
 pub mod errors;
 pub mod flow_log;
+pub mod hedge;
 pub mod host;
 pub mod platform;
 pub mod prefix_watcher;
--- a/yuccacroft-segment/src/prefix_watcher.rs
+++ b/yuccacroft-segment/src/prefix_watcher.rs
@@ -1,6 +1,7 @@
 //! Lists and watches the keys of the store that have a common prefix.
 
 use {
+    crate::hedge::hedged,
     rand::{RngExt, SeedableRng, rngs::StdRng},
     slog::{Logger, info, warn},
     std::time::Duration,
@@ -53,6 +54,9 @@
     pub urgent: &'a Notify,
     /// Requests a new listing when it is notified, unless the watch delivers the changes first.
     pub refresh: &'a Notify,
+    /// Time after which the first listing is asked for once more, beside the call that has not been
+    /// answered; `None` for one call at a time.
+    pub hedge_delay: Option<Duration>,
     /// The seed of the random jitter of delays.
     pub seed: u64,
     /// The logger for changes of the store's availability.
@@ -116,7 +120,11 @@
         handler: &impl WatchHandler,
         progress: &mut Progress,
     ) -> Result<(), Error> {
-        let listing = store.list(self.prefix).await?;
+        let hedge_delay = self.hedge_delay.filter(|_| !progress.has_listed);
+        let listing = match hedge_delay {
+            Some(delay) => hedged(|| store.list(self.prefix), delay).await?,
+            None => store.list(self.prefix).await?,
+        };
         let revision = listing.revision;
         progress.has_listed = true;
         if std::mem::take(&mut progress.failures) > 0 {
