--- a/yuccacroft-wire/tests/relay.rs
+++ b/yuccacroft-wire/tests/relay.rs
@@ -10,12 +10,12 @@
         pool::{AgentLoad, indirect::Condition},
         route::{ConfigVersion, Target, TrafficClass},
         segment::Sequence,
-        time::Span,
+        time::{Moment, Span},
         units::{Connections, Percent},
     },
     yuccacroft_wire::{
         errors::Error,
-        relay::{self, Body, FlowQuery, MAX_FLOW_QUERIES, Reply, Request},
+        relay::{self, Body, FlowQuery, MAX_FLOW_QUERIES, MAX_LISTED_FLOWS, Reply, Request},
     },
 };
 
@@ -188,3 +188,29 @@
     let datagram = relay::encode(&reply, b"").unwrap();
     assert_eq!(relay::decode::<Reply>(&datagram), Ok((reply, &b""[..])));
 }
+
+/// The data of a datagram that passes a link with the usual packet size, beside the headers of IP and
+/// UDP.
+const MAX_DATAGRAM_BYTES: usize = 1_472;
+
+/// Guards against lists of flows that lose a key, which would reset its flow, and against full ones
+/// that are fragmented.
+#[test]
+fn a_full_list_of_flows_fits_into_a_datagram() {
+    let keys: Vec<_> = (0..MAX_LISTED_FLOWS as u64).map(|n| FlowKey::new(u64::MAX - n)).collect();
+    let (first, last) = (FlowKey::new(u64::MAX), FlowKey::new(u64::MAX));
+    let asked_at = Moment::new(u64::MAX);
+    let list = reply(Body::Flows { asked_at, first, last, unsure: true });
+    let datagram = relay::encode(&list, &relay::encode_keys(&keys)).unwrap();
+    assert!(datagram.len() <= MAX_DATAGRAM_BYTES, "{}", datagram.len());
+    let (decoded, rest) = relay::decode::<Reply>(&datagram).unwrap();
+    assert_eq!((decoded, relay::decode_keys(rest)), (list, Ok(keys)));
+}
+
+/// Guards against a list that was cut off and is taken for a complete one.
+#[test]
+fn a_list_with_a_part_of_a_key_is_malformed() {
+    let bytes = relay::encode_keys(&[FlowKey::new(1), FlowKey::new(2)]);
+    assert_eq!(relay::decode_keys(&bytes[..12]), Err(Error::Truncated));
+    assert_eq!(relay::decode_keys(&[]), Ok(Vec::new()));
+}
