--- a/yuccacroft-segment/src/lib.rs
+++ b/yuccacroft-segment/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod errors;
 pub mod explain;
 pub mod flow_log;
+pub mod hedge;
 pub mod host;
 pub mod platform;
 pub mod prefix_watcher;
