Give the state of an agent modules of its own

The state now stands in agent/state.rs, what the agent takes in state/admission.rs and the load in state/workload.rs.

--- a/yuccacroft-segment/src/agent.rs
+++ b/yuccacroft-segment/src/agent.rs
@@ -7,5 +7,6 @@
 pub mod process;
 pub mod relay;
 pub mod rewrite_limit;
+pub mod state;
 
 pub use {self::process::Settings, crate::process::Process};
--- a/yuccacroft-segment/src/agent/process.rs
+++ b/yuccacroft-segment/src/agent/process.rs
@@ -3,9 +3,9 @@
 use {
     super::{
         announcer::Announcer,
-        chain::AgentState,
         controllers::Controllers,
         relay::{Relay, Setup},
+        state::AgentState,
     },
     crate::{
         clock::BootClock,
--- a/yuccacroft-segment/src/agent/relay.rs
+++ b/yuccacroft-segment/src/agent/relay.rs
@@ -13,7 +13,10 @@
 mod status;
 
 use {
-    super::chain::{self, AgentState, ReceivedSegment},
+    super::{
+        chain::{self, ReceivedSegment},
+        state::AgentState,
+    },
     crate::{clock::BootClock, flow_log::FlowLog, host::Socket, traffic::Traffic},
     slog::{error, info},
     std::{
--- a/yuccacroft-segment/tests/admission.rs
+++ b/yuccacroft-segment/tests/admission.rs
@@ -12,7 +12,10 @@
         units::Slots,
         upstream::Monitor,
     },
-    yuccacroft_segment::agent::chain::{self, AgentState, Context, ReceivedSegment},
+    yuccacroft_segment::agent::{
+        chain::{self, Context, ReceivedSegment},
+        state::AgentState,
+    },
 };
 
 const NOW: Moment = Moment::new(1_000_000);
--- a/yuccacroft-segment/tests/malformed.rs
+++ b/yuccacroft-segment/tests/malformed.rs
@@ -24,8 +24,8 @@
     },
     yuccacroft_segment::{
         agent::{
-            chain::AgentState,
             relay::{Relay, Setup},
+            state::AgentState,
         },
         clock::BootClock,
         flow_log::FlowLog,
