Count the first request of a flow from the first copy of its opening

Callers saw: after a loss of power at the peak nearly every request of the next two seconds was late, also the new ones, because the requests that had waited for the end of the outage were first in the queues of the agents.

Change, where the requirement health is set: the opening segment carries the number of copies that its caller sent before. The agent keeps it, and a waiting first request has that much less of its objective and timeout left. One that is late already then goes after those that can be on time.

--- a/yuccacroft-core/src/handshake/observation.rs
+++ b/yuccacroft-core/src/handshake/observation.rs
@@ -113,6 +113,13 @@
         self.entries.read(&key, |entry| Some(entry?.opening?.source))
     }
 
+    /// Returns the copy number of the opening segment if this segment carries the first data of its
+    /// flow, or `None` if it does not or the agent has not seen the opening.
+    pub fn opening_copy(&self, segment: &Segment) -> Option<u32> {
+        let opening = self.entries.read(&segment.flow.key(), |entry| entry?.opening);
+        opening.filter(|o| o.sequence.next() == segment.sequence).map(|o| o.copy_number)
+    }
+
     /// Returns the request that a segment of a caller begins if it goes to the upstream, or `None` if
     /// it begins none. `unsure` is true if the upstream may hold flows that the agent does not know
     /// of. It is called before [`FlowTable::handle_segment`].
--- a/yuccacroft-core/src/handshake/state.rs
+++ b/yuccacroft-core/src/handshake/state.rs
@@ -28,9 +28,17 @@
 pub(super) struct Opening {
     /// The caller's first position. Another one means that the caller has begun a new flow.
     pub sequence: Sequence,
+    /// The number of copies that the caller sent before.
+    pub copy_number: u32,
     pub source: FlowSource,
 }
 
+impl Opening {
+    pub fn new(segment: &Segment, source: FlowSource) -> Self {
+        Self { sequence: segment.sequence, copy_number: segment.copy_number(), source }
+    }
+}
+
 /// The state of a flow at its agent.
 #[derive(Debug)]
 pub(super) enum State {
@@ -74,7 +82,7 @@
             // A refusal would end a flow whose caller may be about to answer the upstream.
             State::Accepted { changed_at, .. } => {
                 *changed_at = now;
-                self.opening = Some(Opening { sequence: segment.sequence, source });
+                self.opening = Some(Opening::new(segment, source));
                 Some(Decision::Confirm)
             }
             _ => None,
--- a/yuccacroft-core/src/handshake/table.rs
+++ b/yuccacroft-core/src/handshake/table.rs
@@ -79,7 +79,7 @@
                 open.end(&self.counts);
             }
             let state = State::Offered { offer, datagram: datagram.into(), changed_at: now };
-            let opening = Some(Opening { sequence: segment.sequence, source });
+            let opening = Some(Opening::new(segment, source));
             *slot = Some(Entry { flow: segment.flow, opening, state });
             Decision::Confirm
         })
--- a/yuccacroft-core/src/route.rs
+++ b/yuccacroft-core/src/route.rs
@@ -47,6 +47,14 @@
     pub timeout: Span,
 }
 
+impl TrafficClass {
+    /// Returns the targets that are left to a request whose caller has waited for this time already.
+    pub fn after(self, waited: Span) -> Self {
+        let (objective, timeout) = (self.objective - waited, self.timeout - waited);
+        Self { objective, timeout, ..self }
+    }
+}
+
 /// The services that receive the new flows to an address.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
--- a/yuccacroft-core/src/segment.rs
+++ b/yuccacroft-core/src/segment.rs
@@ -5,7 +5,7 @@
 //! independent of the encoding.
 
 use {
-    crate::{flow::FlowKey, rendezvous::digest, units::Slots},
+    crate::{flow::FlowKey, rendezvous::digest, time::Span, units::Slots},
     std::{
         fmt::{Debug, Display, Formatter},
         net::SocketAddrV4,
@@ -107,6 +107,11 @@
     /// Returns the outcome of a request if the datagram begins its response.
     fn response(&self, datagram: &[u8]) -> Option<Response>;
 
+    /// Returns the time from the first copy of an opening segment to the one with this number.
+    fn copy_delay(&self, _number: u32) -> Span {
+        Span::ZERO
+    }
+
     /// Returns the slots of the upstream, if the datagram begins a response that reports them.
     fn reported_slots(&self, _datagram: &[u8]) -> Option<Slots> {
         None
--- a/yuccacroft-core/tests/backlog.rs
+++ b/yuccacroft-core/tests/backlog.rs
@@ -70,6 +70,18 @@
     assert_eq!(order, [key(3), key(4), key(2), key(1)]);
 }
 
+/// Guards against an outage after which every request is late: those whose callers have waited for it
+/// to end would go first, by their order of arrival, and keep later ones from being on time.
+#[test]
+fn a_request_that_was_late_on_arrival_does_not_delay_others() {
+    let mut backlog = Backlog::default().with_shares();
+    backlog.add(&segment(1, 0), b"repeated", class(1, 300).after(Span::from_millis(600)), START);
+    backlog.add(&segment(2, 0), b"repeated", class(1, 300).after(Span::from_millis(200)), START);
+    backlog.add(&segment(3, 0), b"new", class(1, 300), START);
+    let order: Vec<_> = std::iter::from_fn(|| next(&mut backlog, at(10))).collect();
+    assert_eq!(order, [key(2), key(3), key(1)]);
+}
+
 /// Guards against a request that reaches the upstream incomplete or twice.
 #[test]
 fn a_request_keeps_its_segments_once_and_in_order() {
--- a/yuccacroft-segment/src/agent/relay/backlog.rs
+++ b/yuccacroft-segment/src/agent/relay/backlog.rs
@@ -10,7 +10,7 @@
         handshake::ForwardReason,
         route::TrafficClass,
         segment::{Format, Segment},
-        time::Moment,
+        time::{Moment, Span},
     },
     yuccacroft_wire::relay::Body,
 };
@@ -28,6 +28,7 @@
     ) {
         metrics::counter!(DECISIONS_METRIC, "outcome" => "hold").increment(1);
         let key = segment.flow.key();
+        let class = class.after(self.waited_for_opening(segment));
         let queued = self.state.backlog().add(segment, datagram, class, now)
             || self.displace_for(segment, datagram, class, now);
         if !queued {
@@ -46,6 +47,15 @@
         }
     }
 
+    /// Returns the time for which the caller of a flow's first request had to repeat its opening
+    /// segment, where the requirements ask for measured numbers. After an outage the requests that
+    /// can no longer be on time would otherwise go first and make all later ones late.
+    fn waited_for_opening(&self, segment: &Segment) -> Span {
+        let copy_number = self.state.table.opening_copy(segment);
+        let copy_number = copy_number.filter(|_| self.state.requirements.health);
+        copy_number.map_or(Span::ZERO, |number| self.format.copy_delay(number))
+    }
+
     /// Queues a segment in place of a request of a caller that has more requests waiting. The
     /// displaced request goes to the upstream, which refuses it if its own queue is full.
     fn displace_for(
--- a/yuccacroft-segment/tests/support/agent.rs
+++ b/yuccacroft-segment/tests/support/agent.rs
@@ -37,6 +37,8 @@
 const REQUEST_BYTES: u16 = 50;
 const RESPONSE_BYTES: u16 = 80;
 const CALLER_PORT: u16 = 443;
+/// Time between two copies of an opening segment.
+pub const COPY_DELAY: Span = Span::from_millis(200);
 /// Time between two ticks of the timers of an agent.
 const TICK: Span = Span::from_millis(20);
 
@@ -47,6 +49,7 @@
     encode_reset: |flow| encode(Kind::Reset, flow.caller.port(), 0),
     response,
     restore_bounced: |datagram| datagram[0] = Kind::Open as u8,
+    copy_delay: |number| COPY_DELAY.saturating_mul(number.into()),
 };
 
 /// What a segment does.
@@ -114,7 +117,7 @@
     let sent = CALLER_START + 1 + number * u32::from(REQUEST_BYTES);
     let answered = UPSTREAM_START + 1 + number * u32::from(RESPONSE_BYTES);
     let (control, sequence, acknowledged, length) = match kind {
-        Kind::Open | Kind::ReturnedOpening => (Control::Open, CALLER_START, 0, 0),
+        Kind::Open | Kind::ReturnedOpening => (Control::Open, CALLER_START, number, 0),
         Kind::Accept => (Control::Accept, UPSTREAM_START, CALLER_START + 1, 0),
         Kind::Acknowledge => (Control::Continue, sent, answered, 0),
         Kind::Request => (Control::Continue, sent, answered, REQUEST_BYTES),
@@ -204,6 +207,21 @@
         self.receive_message(&Request::Carry(TrafficClass::default()), kind, port, number);
     }
 
+    /// Opens a flow at the upstream with a copy of its opening segment.
+    pub fn open_with_copy(&self, port: u16, copy_number: u8) {
+        let (class, origin) = (TrafficClass::default(), peer());
+        let rest = Box::default();
+        let offer = Request::ClassifiedOffer { class, target: target(), origin, rest, hops: 0 };
+        self.receive_message(&offer, Kind::Open, port, copy_number);
+        self.receive_upstream(Kind::Accept, port, 0);
+        self.carry(Kind::Acknowledge, port, 0);
+    }
+
+    /// Lets the agent receive the first request of a flow, of this class.
+    pub fn request(&self, port: u16, class: TrafficClass) {
+        self.receive_message(&Request::Carry(class), Kind::Request, port, 0);
+    }
+
     /// Lets the agent receive a message without a segment.
     pub fn receive_request(&self, request: &Request) {
         self.messages.push(relay::encode(request, &[]).unwrap());
--- a/yuccacroft-segment/tests/support/balancer.rs
+++ b/yuccacroft-segment/tests/support/balancer.rs
@@ -41,6 +41,7 @@
     encode_reset: |flow| flow.caller.port().to_le_bytes().to_vec(),
     response: |_| None,
     restore_bounced: |_| {},
+    copy_delay: |_| Span::ZERO,
 };
 
 /// An agent that answers each message at once while it runs.
--- a/yuccacroft-segment/tests/support/fakes.rs
+++ b/yuccacroft-segment/tests/support/fakes.rs
@@ -7,7 +7,10 @@
         net::SocketAddrV4,
         sync::{Arc, Mutex},
     },
-    yuccacroft_core::segment::{Flow, Format, Outbound, Response, Segment, Sequence},
+    yuccacroft_core::{
+        segment::{Flow, Format, Outbound, Response, Segment, Sequence},
+        time::Span,
+    },
     yuccacroft_segment::{errors::Result as StartResult, host::Socket},
 };
 
@@ -19,6 +22,7 @@
     pub encode_reset: fn(Flow) -> Vec<u8>,
     pub response: fn(&[u8]) -> Option<Response>,
     pub restore_bounced: fn(&mut [u8]),
+    pub copy_delay: fn(u32) -> Span,
 }
 
 /// A socket whose datagrams the test writes.
@@ -33,6 +37,7 @@
             encode_reset: |_| Vec::new(),
             response: |_| None,
             restore_bounced: |_| {},
+            copy_delay: |_| Span::ZERO,
         }
     }
 }
@@ -60,6 +65,10 @@
         (self.response)(datagram)
     }
 
+    fn copy_delay(&self, number: u32) -> Span {
+        (self.copy_delay)(number)
+    }
+
     fn restore_bounced(&self, datagram: &mut [u8]) {
         (self.restore_bounced)(datagram);
     }
