Charge the query budget once, and mend what a reading of the diff found

The batch now records what was deducted for it, and the end of a round charges the difference.

Further: no shard lock is taken while the limiter is locked, as design.md asks; a search that has timed out starts no further wave; a failing group of requests is not evicted for the age of its outcomes; the slots that an upstream reports cannot overflow. Comments and names that contradicted the code or needed explaining are reworded. The tests of core and segment pass.

--- a/yuccacroft-core/src/clocks.rs
+++ b/yuccacroft-core/src/clocks.rs
@@ -7,8 +7,8 @@
     serde::{Deserialize, Serialize},
 };
 
-/// Difference between the clocks that is no step: the drift and the slewing of the wall clock in a
-/// day are below it, and an upstream reports at longer intervals.
+/// Largest difference between the clocks that does not count as a step. The drift and the slewing of
+/// the wall clock in a day are smaller, and the report interval of upstreams is longer.
 const MAX_DRIFT: Span = Span::from_millis(250);
 /// Largest step by which the wall clock of a running machine is set back. A larger difference shows
 /// that the machine has restarted, where the boot clock begins anew.
@@ -24,10 +24,11 @@
 }
 
 impl Reading {
-    /// Returns true if the wall clock has not been set back between an earlier reading on the same
-    /// machine and this one, as far as both clocks tell.
+    /// Returns true unless the wall clock was set back by more than [`MAX_DRIFT`] and at most
+    /// [`MAX_STEP`] since an earlier reading on the same machine. A larger difference is taken for a
+    /// restart of the machine, and so is a boot clock that went back.
     pub fn is_steady_since(&self, earlier: Self) -> bool {
-        // The machine has restarted in between, which shows a boot clock that went back.
+        // A boot clock that went back shows that the machine has restarted in between.
         if self.boot < earlier.boot {
             return true;
         }
--- a/yuccacroft-core/src/handshake/offer.rs
+++ b/yuccacroft-core/src/handshake/offer.rs
@@ -31,7 +31,7 @@
     pub origin: SocketAddrV4,
 }
 
-/// The turn of one agent among those that a flow is offered to.
+/// The position of one agent among those that a flow is offered to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Turn {
     /// The number of agents that the flow was offered to before.
@@ -64,7 +64,8 @@
         self.is_last
     }
 
-    /// Returns true if another agent can be expected to serve the flow better than a poor choice here.
+    /// Returns true if the agent may pass the flow on because it would serve it badly: it is not the last
+    /// candidate, and fewer than [`MAX_LATE_HOPS`] agents came before.
     pub fn has_alternatives(self) -> bool {
         !self.is_last && self.hops < MAX_LATE_HOPS
     }
--- a/yuccacroft-core/src/outcome/groups.rs
+++ b/yuccacroft-core/src/outcome/groups.rs
@@ -17,7 +17,8 @@
 /// a whole upstream.
 const FAILING_DISTANCE: u32 = 30;
 /// Distance below which the upstream serves the group again, so that a group near the other distance
-/// does not go back and forth.
+/// does not go back and forth. It also counts as served while there are too few other requests to
+/// compare it with.
 const RECOVERED_DISTANCE: u32 = 15;
 
 /// The outcomes of the groups of one kind. Those without a recent outcome make room for new ones.
@@ -75,7 +76,12 @@
             return index;
         }
         if self.groups.len() >= MAX_GROUPS {
-            let oldest = (0..MAX_GROUPS).min_by_key(|index| self.groups[*index].record.updated_at);
+            // A failing group gets few flows, so its outcomes are the oldest ones, and it is kept.
+            let age = |index: &usize| {
+                let group = &self.groups[*index];
+                (group.is_failing, group.record.updated_at)
+            };
+            let oldest = (0..MAX_GROUPS).min_by_key(age);
             self.groups.swap_remove(oldest.unwrap_or_default());
         }
         self.groups.push(Group { key: key.clone(), record: Record::default(), is_failing: false });
--- a/yuccacroft-core/src/pool/explanation.rs
+++ b/yuccacroft-core/src/pool/explanation.rs
@@ -53,7 +53,7 @@
     pub excluded: Vec<Excluded>,
 }
 
-/// The end of a new flow's way.
+/// The result of the placement of a new flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
--- a/yuccacroft-core/src/pool/outlier.rs
+++ b/yuccacroft-core/src/pool/outlier.rs
@@ -194,9 +194,10 @@
         probe_position(key, instance) < u64::from(self.share().get()) * HUNDRED / self.peers
     }
 
-    /// Returns true if a member with this standing gets the flow whatever it has failed before. An
-    /// ejected one gets no other flows, and a few go to an admitted one that others could replace, so
-    /// that a share of failures from before a pause does not last.
+    /// Returns true if a member with this standing gets the flow as a probe, whatever it has failed
+    /// before. All flows that an ejected member gets are probes. An admitted member that others could
+    /// replace gets a fixed part of the flows as probes, so that a share of failures from before a pause
+    /// is measured again.
     pub(super) fn is_probe(&self, key: FlowKey, instance: Instance) -> bool {
         !self.is_admitted() || probe_position(key, instance) < u64::from(RETURN_STEPS[0]) * HUNDRED
     }
--- a/yuccacroft-core/src/pool/path.rs
+++ b/yuccacroft-core/src/pool/path.rs
@@ -66,8 +66,8 @@
 /// The history of the path.
 #[derive(Debug, Default)]
 pub(super) struct Path {
-    /// The time at which the path was last congested, cut or not known yet, in microseconds; 0 for
-    /// never.
+    /// The last time at which the path was congested or cut, or no answer had shown its state yet, in
+    /// microseconds; 0 for never.
     impaired_at: AtomicU64,
     /// The timeouts that the silent members required within the last [`LOSS_TIMEOUT`], and when, in
     /// the order of time. A timeout that a later one exceeds is dropped.
--- a/yuccacroft-core/src/pool/usage.rs
+++ b/yuccacroft-core/src/pool/usage.rs
@@ -20,8 +20,8 @@
 }
 
 impl Usage {
-    /// Records a load that the agent of an upstream with this number of slots has sent at a time of
-    /// its own.
+    /// Records a load that the agent of an upstream with this number of slots has sent at its
+    /// regular interval, not as an answer.
     pub fn record(&mut self, load: &AgentLoad, slots: f64, now: Moment) {
         // A balancer that has just started begins with the mean of the agent.
         self.mean = match self.latest {
--- a/yuccacroft-core/src/search.rs
+++ b/yuccacroft-core/src/search.rs
@@ -76,11 +76,11 @@
 pub enum Event {
     /// An agent answered.
     Answered(AgentId, QueryAnswer),
-    /// An agent answered about all flows, whether this search has queried it or not.
+    /// An agent's list of its flows does not contain this one. The search need not have queried it.
     Listed(AgentId, QueryAnswer),
     /// Time has passed. Carries the current list of agents.
     Tick(Box<[SearchCandidate]>),
-    /// Time has passed, and all agents are to be queried at once, as far as they have not been.
+    /// Time has passed, and all agents that have not been queried are to be queried now, without waves.
     /// Carries the current list of agents.
     Sweep(Box<[SearchCandidate]>),
     /// Time has passed, but the query budget has no tokens for this search.
@@ -246,7 +246,7 @@
     }
 
     /// Counts an agent of a later wave as queried, since it has answered before its turn.
-    fn promote_deferred(&mut self, instance: Instance, now: Moment) {
+    fn mark_deferred_as_queried(&mut self, instance: Instance, now: Moment) {
         let is_answering = |candidate: &SearchCandidate| candidate.agent_id.instance == instance;
         let Some(position) = self.deferred.iter().position(is_answering) else { return };
         let candidate = self.deferred.swap_remove(position);
@@ -256,6 +256,9 @@
 
     fn sweep(&mut self, candidates: &[SearchCandidate], now: Moment) -> Vec<Action> {
         let mut actions = self.tick(candidates, now);
+        if actions.contains(&Action::TimedOut) {
+            return actions;
+        }
         while !self.deferred.is_empty() {
             actions.extend(self.start_next_wave(now));
         }
@@ -500,13 +503,15 @@
         }
     }
 
-    /// Returns the query or probe again if its answer is overdue.
+    /// Returns the query or probe again if its answer is overdue, or the query if the agent has answered
+    /// a later message.
     fn retry(&mut self, candidate: SearchCandidate, now: Moment) -> Option<Action> {
         let agent_id = candidate.agent_id;
         let is_denied = self.answer.is_some_and(QueryAnswer::is_denial);
         let is_pending = self.answer.is_none() || self.probed;
         let interval = INITIAL_RETRY_INTERVAL.saturating_mul(1 << self.retries.min(MAX_DOUBLINGS));
-        // An agent that has answered a later message has started since or has lost this one.
+        // An agent that has answered a later message but not this query did not get the query, or has
+        // started since.
         let later = self.sent_at + LATER_ANSWER;
         let answered_later = !self.probed && candidate.answered_at.is_some_and(|at| at >= later);
         if is_denied || !is_pending || (now.since(self.sent_at) < interval && !answered_later) {
@@ -527,7 +532,7 @@
         match event {
             Event::Answered(from, answer) => self.handle_answer(from, answer, now),
             Event::Listed(from, answer) => {
-                self.promote_deferred(from.instance, now);
+                self.mark_deferred_as_queried(from.instance, now);
                 self.handle_answer(from, answer, now)
             }
             Event::Tick(candidates) => self.tick(&candidates, now),
--- a/yuccacroft-core/src/search/budget.rs
+++ b/yuccacroft-core/src/search/budget.rs
@@ -70,27 +70,23 @@
         self.deduct(i64::try_from(queries).unwrap_or(i64::MAX).saturating_mul(FLOWS_PER_QUERY));
     }
 
-    /// Deducts queries that were added to messages with others.
-    pub fn spend_added(&mut self, queries: usize) {
-        self.deduct(i64::try_from(queries).unwrap_or(i64::MAX));
-    }
-
-    /// Deducts the tokens of messages whose cost has been computed.
+    /// Deducts the tokens of messages whose cost has been computed. A negative number gives tokens
+    /// back that were deducted before.
     pub fn spend_tokens(&mut self, tokens: i64) {
         self.deduct(tokens);
     }
 
-    /// Returns the tokens that queries would have cost beyond those of the lists that replace them.
-    pub fn refund(&mut self, tokens: i64) {
-        self.deduct(-tokens.max(0));
-    }
-
     fn deduct(&mut self, tokens: i64) {
         self.tokens = self.tokens.saturating_sub(tokens);
         self.round_tokens = self.round_tokens.saturating_sub(tokens);
     }
 }
 
+/// Returns the tokens that one more query costs.
+pub const fn cost_of_query(shares_message: bool) -> i64 {
+    if shares_message { 1 } else { FLOWS_PER_QUERY }
+}
+
 /// Returns the tokens that this number of queries to one agent cost if they are sent in messages of
 /// `per_message` flows.
 pub fn cost_of_queries(queries: usize, per_message: usize) -> i64 {
--- a/yuccacroft-core/src/spill_over.rs
+++ b/yuccacroft-core/src/spill_over.rs
@@ -146,7 +146,7 @@
     }
 
     /// Returns true if flows of other domains may be sent there, now or still. A domain that sends
-    /// some of its own is none, so it is judged by the same load.
+    /// flows out does not receive any, so both decisions use the same utilization.
     fn is_receiver(&self, was_receiver: bool) -> bool {
         let limit =
             if was_receiver { MAX_RECEIVER_UTILIZATION } else { MAX_NEW_RECEIVER_UTILIZATION };
@@ -154,7 +154,8 @@
     }
 
     /// Returns the number of requests in progress that fit in beside those of the domain's own
-    /// callers. Waits in bursts take no room.
+    /// callers. It uses the mean utilization, since requests that wait in a burst
+    /// occupy no slot.
     fn room(&self) -> f64 {
         (ROOM_UTILIZATION - self.utilization()) * self.slots
     }
--- a/yuccacroft-segment/src/agent/relay/backlog.rs
+++ b/yuccacroft-segment/src/agent/relay/backlog.rs
@@ -33,7 +33,7 @@
             || self.displace_for(segment, datagram, class, now);
         if !queued {
             self.state.table.drop_held(key);
-            self.state.record_unlimited_request(now);
+            self.state.record_request_over_limit(now);
             self.deliver(segment, datagram, now);
         }
         if reason != ForwardReason::Owner {
@@ -69,7 +69,7 @@
         let Some((key, datagrams)) = displaced else { return false };
         metrics::counter!(DECISIONS_METRIC, "outcome" => "displace").increment(1);
         self.state.table.drop_held(key);
-        self.state.record_unlimited_request(now);
+        self.state.record_request_over_limit(now);
         datagrams.iter().for_each(|datagram| self.forward(datagram, now));
         if let Some(log) = self.flow_log.failure(now) {
             info!(log, "waiting request displaced"; "key" => %key, "by" => %segment.flow);
--- a/yuccacroft-segment/src/agent/relay/outcomes.rs
+++ b/yuccacroft-segment/src/agent/relay/outcomes.rs
@@ -22,7 +22,7 @@
     pub(super) fn handle_home(&self, domain: Domain, from: SocketAddrV4, now: Moment) {
         if self.state.requirements.health {
             self.balancers.insert(from, now);
-            self.state.record_home(from, domain);
+            self.state.record_balancer_domain(from, domain);
         }
     }
 
--- a/yuccacroft-segment/src/agent/relay/reply.rs
+++ b/yuccacroft-segment/src/agent/relay/reply.rs
@@ -54,7 +54,7 @@
             balancers.insert(*balancer);
             balancers
         });
-        self.state.retain_homes(|balancer| balancers.contains(&balancer));
+        self.state.retain_balancer_domains(|balancer| balancers.contains(&balancer));
         let body = if self.state.requirements.health {
             Body::Measures(self.measures(now))
         } else {
--- a/yuccacroft-segment/src/agent/state.rs
+++ b/yuccacroft-segment/src/agent/state.rs
@@ -35,7 +35,7 @@
 /// start: the longest lifetime of a flow.
 const MAX_FLOW_LIFETIME: Span = Span::from_secs(60);
 /// Limit of balancers whose failure domain is kept, so that untrusted senders cannot exhaust the memory.
-const MAX_HOMES: usize = 4_096;
+const MAX_BALANCER_DOMAINS: usize = 4_096;
 
 /// The state of an agent: its flows, its upstream and the waiting requests.
 #[derive(Debug)]
@@ -44,7 +44,7 @@
     pub target: Target,
     /// The requirements of the deployment.
     pub requirements: Requirements,
-    /// The open flows.
+    /// The flows, offered ones included.
     pub table: FlowTable,
     monitor: Mutex<Monitor>,
     backlog: Mutex<Backlog>,
@@ -136,7 +136,7 @@
         lock(&self.evacuation)
     }
 
-    /// Returns the locked count of new flows against the limits of the service.
+    /// Returns the locked count of flows and requests against the limits of the service.
     pub fn limiter(&self) -> MutexGuard<'_, Limiter> {
         lock(&self.limiter)
     }
@@ -152,14 +152,14 @@
     }
 
     /// Records the failure domain of a balancer.
-    pub fn record_home(&self, balancer: SocketAddrV4, domain: Domain) {
-        if self.homes.len() < MAX_HOMES || self.homes.get(&balancer).is_some() {
+    pub fn record_balancer_domain(&self, balancer: SocketAddrV4, domain: Domain) {
+        if self.homes.len() < MAX_BALANCER_DOMAINS || self.homes.get(&balancer).is_some() {
             self.homes.insert(balancer, domain);
         }
     }
 
     /// Forgets the failure domains of balancers for which `is_known` returns false.
-    pub fn retain_homes(&self, is_known: impl Fn(SocketAddrV4) -> bool) {
+    pub fn retain_balancer_domains(&self, is_known: impl Fn(SocketAddrV4) -> bool) {
         self.homes.retain(|balancer, _| is_known(*balancer));
     }
 
--- a/yuccacroft-segment/src/agent/state/admission.rs
+++ b/yuccacroft-segment/src/agent/state/admission.rs
@@ -24,7 +24,7 @@
     NotNeeded,
     /// Its room is counted.
     Taken,
-    /// The upstream has no room for it, or it takes none because it repeats another one.
+    /// No room is counted for it: the upstream has none, or it repeats an opening segment.
     Refused,
 }
 
@@ -77,11 +77,12 @@
             return (Intake::Unlimited, Reservation::NotNeeded);
         }
         let upstream = self.upstream_state(now);
+        // The upstream may accept a flow whose opening segment it has already.
+        let is_repeated = self.table.offered_flow(segment.flow.key(), now).is_some();
         let mut limiter = self.limiter();
         let max_flows = limiter.limits().and_then(|limits| limits.max_flows);
         let intake = max_flows.map_or(Intake::Unlimited, Intake::UpTo);
-        // The upstream may accept a flow whose opening segment it has already.
-        if self.table.offered_flow(segment.flow.key(), now).is_some() {
+        if is_repeated {
             return (intake, Reservation::Refused);
         }
         if limiter.take_opening(upstream, now) {
@@ -145,7 +146,7 @@
     }
 
     /// Counts a request that goes to the upstream whether it has room or not.
-    pub fn record_unlimited_request(&self, now: Moment) {
+    pub fn record_request_over_limit(&self, now: Moment) {
         self.settle(self.limited(Reservation::Refused), true, now);
     }
 
--- a/yuccacroft-segment/src/agent/state/workload.rs
+++ b/yuccacroft-segment/src/agent/state/workload.rs
@@ -29,10 +29,10 @@
     pub fn max_concurrent(&self, now: Moment) -> u32 {
         if !self.requirements.health {
             let slots = self.reported_slots();
-            return slots.map_or(u32::MAX, |slots| slots.get() + EXTRA_REQUESTS);
+            return slots.map_or(u32::MAX, |slots| slots.get().saturating_add(EXTRA_REQUESTS));
         }
         let unknown = lock(&self.unknown_requests).count(now);
-        (self.slots().get() + EXTRA_REQUESTS).saturating_sub(unknown)
+        self.slots().get().saturating_add(EXTRA_REQUESTS).saturating_sub(unknown)
     }
 
     /// Returns the slots of the upstream, by its report if there is one.
--- a/yuccacroft-segment/src/balancer/query_batch.rs
+++ b/yuccacroft-segment/src/balancer/query_batch.rs
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub struct QueryBatch {
     queries: BTreeMap<Instance, Vec<BatchedQuery>>,
+    /// The tokens that were deducted when queries were added.
+    paid: i64,
 }
 
 /// A message with queries.
@@ -35,8 +37,6 @@
     pub messages: Vec<QueryMessage>,
     /// The tokens that they cost.
     pub cost: i64,
-    /// The tokens that the replaced queries cost.
-    pub replaced_cost: i64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -82,7 +82,6 @@
             if queries_cost <= list_cost {
                 return true;
             }
-            requests.replaced_cost += queries_cost;
             requests.cost += list_cost;
             let retry = queries.iter().all(|batched| batched.retry);
             let request = Request::ListFlows { asked_at: now };
@@ -93,6 +92,16 @@
         requests
     }
 
+    /// Records tokens that were deducted for queries of the batch.
+    pub fn record_paid(&mut self, tokens: i64) {
+        self.paid = self.paid.saturating_add(tokens);
+    }
+
+    /// Returns the tokens that were deducted for queries of the batch.
+    pub fn paid(&self) -> i64 {
+        self.paid
+    }
+
     /// Returns the tokens that the queries cost.
     pub fn cost(&self) -> i64 {
         let lens = self.queries.values().map(Vec::len);
@@ -102,6 +111,7 @@
     /// Removes all queries and returns the messages with them.
     pub fn take_messages(&mut self) -> Vec<QueryMessage> {
         let mut messages = Vec::new();
+        self.paid = 0;
         for (to, queries) in std::mem::take(&mut self.queries) {
             messages.extend(queries.chunks(MAX_FLOW_QUERIES).map(|chunk| QueryMessage {
                 to,
--- a/yuccacroft-segment/src/balancer/searches.rs
+++ b/yuccacroft-segment/src/balancer/searches.rs
@@ -240,14 +240,9 @@
             return batch.take_messages();
         }
         let flows = |instance| pool.get(instance).map(|member| flows_of(&member, now));
-        let ListRequests { mut messages, cost, replaced_cost } =
-            batch.take_list_requests(flows, now);
-        let mut budget = self.budget();
-        if self.is_sweep.load(Ordering::Relaxed) {
-            budget.spend_tokens(cost.saturating_add(batch.cost()));
-        } else {
-            budget.refund(replaced_cost - cost);
-        }
+        let ListRequests { mut messages, cost } = batch.take_list_requests(flows, now);
+        let unpaid = cost.saturating_add(batch.cost()).saturating_sub(batch.paid());
+        self.budget().spend_tokens(unpaid);
         messages.extend(batch.take_messages());
         messages
     }
@@ -287,9 +282,11 @@
     }
 
     fn query_listed(&self, to: Instance, query: FlowQuery) {
-        let shares_message = self.batch().add_listed(to, query);
-        let mut budget = self.budget();
-        if shares_message { budget.spend_added(1) } else { budget.spend(1) }
+        let mut batch = self.batch();
+        let cost = budget::cost_of_query(batch.add_listed(to, query));
+        batch.record_paid(cost);
+        drop(batch);
+        self.budget().spend_tokens(cost);
     }
 
     /// Removes the records of searches whose retry delay is over.
@@ -409,9 +406,9 @@
     }
 
     /// Takes the tokens for all queries of a search. Queries that are not sent at once are moved to
-    /// the batch.
+    /// the batch. In a sweep lists replace most of them, so these are paid for at the end of the round.
     fn pay_for_queries(&self, key: FlowKey, steps: Vec<Step>, delivery: Delivery) -> Vec<Step> {
-        let (mut messages, mut added, mut sent_at_once) = (0, 0, 0);
+        let (mut messages, mut batched_cost) = (0, 0);
         let mut remaining = Vec::with_capacity(steps.len());
         let mut batch = self.batch();
         for step in steps {
@@ -420,26 +417,22 @@
                     if delivery == Delivery::Batched =>
                 {
                     let query = FlowQuery { key, acknowledged };
-                    let shares_message = batch.add(to.instance, query, retry);
-                    added += usize::from(shares_message);
-                    messages += usize::from(!shares_message);
+                    batched_cost += budget::cost_of_query(batch.add(to.instance, query, retry));
                 }
                 step => {
-                    let is_query = matches!(step, Step::Query(_));
-                    messages += usize::from(is_query);
-                    sent_at_once += usize::from(is_query);
+                    messages += usize::from(matches!(step, Step::Query(_)));
                     remaining.push(step);
                 }
             }
         }
-        drop(batch);
-        // In a sweep lists replace most queries, so the batch is paid for as a whole.
         if self.is_sweep.load(Ordering::Relaxed) {
-            (messages, added) = (sent_at_once, 0);
+            batched_cost = 0;
         }
+        batch.record_paid(batched_cost);
+        drop(batch);
         let mut budget = self.budget();
         budget.spend(messages);
-        budget.spend_added(added);
+        budget.spend_tokens(batched_cost);
         remaining
     }
 }
--- a/yuccacroft-segment/tests/failing_groups.rs
+++ b/yuccacroft-segment/tests/failing_groups.rs
@@ -55,7 +55,7 @@
 fn new_agent() -> Agent {
     let agent = Agent::new();
     agent.receive_request(&Request::Home(Domain::new("a").unwrap()));
-    agent.relay.state.record_home(other_balancer(), Domain::new("b").unwrap());
+    agent.relay.state.record_balancer_domain(other_balancer(), Domain::new("b").unwrap());
     agent
 }
 
