--- a/yuccacroft-core/src/handshake/expiry.rs
+++ b/yuccacroft-core/src/handshake/expiry.rs
@@ -39,13 +39,12 @@
         // upstream received before the agent started.
         let stale_age = self.service_time().saturating_mul(STALE_REQUEST_FACTOR);
         let stale_age = stale_age.clamp(MIN_STALE_REQUEST_AGE, MAX_STALE_REQUEST_AGE);
-        self.entries.retain(|_, entry| {
+        self.retain(|entry| {
             let flow = entry.flow;
             match &mut entry.state {
                 State::Accepted { sequence, changed_at } => {
                     let is_kept = now.since(*changed_at) < FIRST_SEGMENT_TIMEOUT;
                     if !is_kept {
-                        self.counts.remove_unopened();
                         actions.push(Action::Expire { flow, accepted: *sequence });
                     }
                     is_kept
@@ -54,7 +53,6 @@
                     if now.since(*changed_at) < ACCEPT_TIMEOUT {
                         return true;
                     }
-                    self.counts.remove_unopened();
                     actions.push(Action::pass_or_refuse(flow, offer, datagram));
                     false
                 }
@@ -89,11 +87,10 @@
     /// upstream no longer takes new flows.
     pub fn release_unaccepted(&self, now: Moment) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.entries.retain(|_, entry| {
+        self.retain(|entry| {
             let State::Offered { offer, datagram, .. } = &entry.state else {
                 return true;
             };
-            self.counts.remove_unopened();
             actions.push(Action::pass_or_refuse(entry.flow, offer, datagram));
             false
         });
@@ -113,7 +110,7 @@
     /// flows belong to its next incarnation, which takes flows before its first report.
     pub fn remove_begun_before(&self, before: Moment) -> Vec<LostFlow> {
         let mut lost = Vec::new();
-        self.entries.retain(|_, entry| match &mut entry.state {
+        self.retain(|entry| match &mut entry.state {
             State::Open(open) if open.started_at < before => {
                 // Without a segment of the caller no position is known, so any will do.
                 let acknowledged = open.acknowledged.unwrap_or_default();
@@ -135,13 +132,7 @@
                 open.end(&self.counts);
                 false
             }
-            State::Accepted { changed_at, .. } => {
-                let is_kept = *changed_at >= before;
-                if !is_kept {
-                    self.counts.remove_unopened();
-                }
-                is_kept
-            }
+            State::Accepted { changed_at, .. } => *changed_at >= before,
             State::Offered { .. } | State::Open(_) => true,
             State::Probed { .. } | State::Closed(_) | State::Absent { .. } => false,
         });
--- a/yuccacroft-core/src/handshake/table.rs
+++ b/yuccacroft-core/src/handshake/table.rs
@@ -52,6 +52,19 @@
         })
     }
 
+    /// Keeps the entries for which `keep` returns true, and counts the unopened flows among the others
+    /// no longer. `keep` does not open a flow.
+    pub(super) fn retain(&self, mut keep: impl FnMut(&mut Entry) -> bool) {
+        self.entries.retain(|_, entry| {
+            let was_unopened = entry.is_unopened();
+            let is_kept = keep(entry);
+            if was_unopened && !is_kept {
+                self.counts.remove_unopened();
+            }
+            is_kept
+        });
+    }
+
     /// Decides about an opening segment. `intake` tells whether the upstream takes another flow.
     pub fn handle_opening(
         &self,
