--- a/yuccacroft-segment/src/explain.rs
+++ b/yuccacroft-segment/src/explain.rs
@@ -10,7 +10,6 @@
     serde::Serialize,
     std::net::SocketAddrV4,
     yuccacroft_core::{
-        flow::FlowKey,
         ids::Domain,
         pool::{
             Pool,
@@ -85,7 +84,9 @@
         let pool = Pool::restore(requirements, members, plans, NOW)
             .map_err(|error| Error::Explanation(error.to_string().into()))?;
         let class = route.class;
-        let explanation = explain(&pool, service, class, key, &domain);
+        let max_offers = MAX_CANDIDATES;
+        let flow = NewFlow { target: service, class, key, domain: &domain, max_offers };
+        let explanation = pool.explain(&flow, NOW);
         Ok(Answer { caller: self.caller, address, domain, service, class, explanation })
     }
 
@@ -114,14 +115,3 @@
         }
     }
 }
-
-fn explain(
-    pool: &Pool,
-    target: Target,
-    class: TrafficClass,
-    key: FlowKey,
-    domain: &Domain,
-) -> Explanation {
-    let flow = NewFlow { target, class, key, domain, max_offers: MAX_CANDIDATES };
-    pool.explain(&flow, NOW)
-}
