--- a/yuccacroft-segment/tests/support/agent.rs
+++ b/yuccacroft-segment/tests/support/agent.rs
@@ -196,10 +196,21 @@
         origin: SocketAddrV4,
         class: TrafficClass,
         rest: &[Instance],
+    ) {
+        self.offer_copy(port, 0, origin, class, rest);
+    }
+
+    fn offer_copy(
+        &self,
+        port: u16,
+        copy_number: u8,
+        origin: SocketAddrV4,
+        class: TrafficClass,
+        rest: &[Instance],
     ) {
         let (rest, hops) = (rest.into(), 0);
         let offer = Request::ClassifiedOffer { class, target: target(), origin, rest, hops };
-        self.receive_message(&offer, Kind::Open, port, 0);
+        self.receive_message(&offer, Kind::Open, port, copy_number);
     }
 
     /// Lets the agent receive a segment of an open flow.
@@ -207,16 +218,6 @@
         self.receive_message(&Request::Carry(TrafficClass::default()), kind, port, number);
     }
 
-    /// Opens a flow at the upstream with a copy of its opening segment.
-    pub fn open_with_copy(&self, port: u16, copy_number: u8) {
-        let (class, origin) = (TrafficClass::default(), peer());
-        let rest = Box::default();
-        let offer = Request::ClassifiedOffer { class, target: target(), origin, rest, hops: 0 };
-        self.receive_message(&offer, Kind::Open, port, copy_number);
-        self.receive_upstream(Kind::Accept, port, 0);
-        self.carry(Kind::Acknowledge, port, 0);
-    }
-
     /// Lets the agent receive the first request of a flow, of this class.
     pub fn request(&self, port: u16, class: TrafficClass) {
         self.receive_message(&Request::Carry(class), Kind::Request, port, 0);
@@ -241,7 +242,12 @@
 
     /// Opens a flow at the upstream.
     pub fn open(&self, port: u16) {
-        self.offer(port, &[]);
+        self.open_with_copy(port, 0);
+    }
+
+    /// Opens a flow at the upstream with a copy of its opening segment.
+    pub fn open_with_copy(&self, port: u16, copy_number: u8) {
+        self.offer_copy(port, copy_number, peer(), TrafficClass::default(), &[]);
         self.receive_upstream(Kind::Accept, port, 0);
         self.carry(Kind::Acknowledge, port, 0);
     }
