Read the state of a flow only where it is used

The agent read the source of a flow for each segment of its upstream, and the copy number of its opening for each waiting request, also in deployments that record no outcomes; a balancer there went through its members once a second for a message that it does not send. An offer was looked up in the flow table twice. No behaviour changes.

--- a/yuccacroft-segment/src/agent/relay/backlog.rs
+++ b/yuccacroft-segment/src/agent/relay/backlog.rs
@@ -51,8 +51,10 @@
     /// segment, where the requirements ask for measured numbers. After an outage the requests that
     /// can no longer be on time would otherwise go first and make all later ones late.
     fn waited_for_opening(&self, segment: &Segment) -> Span {
+        if !self.state.requirements.health {
+            return Span::ZERO;
+        }
         let copy_number = self.state.table.opening_copy(segment);
-        let copy_number = copy_number.filter(|_| self.state.requirements.health);
         copy_number.map_or(Span::ZERO, |number| self.format.copy_delay(number))
     }
 
--- a/yuccacroft-segment/src/agent/relay/inbound.rs
+++ b/yuccacroft-segment/src/agent/relay/inbound.rs
@@ -196,7 +196,7 @@
                 self.reply(origin, Body::Owns(flow.key()), &[], now);
             }
             Action::Overdue { flow } => {
-                let source = self.state.table.source(flow.key());
+                let source = self.outcome_source(flow.key());
                 self.record_outcome(source, Outcome::Overdue, now);
             }
             Action::Expire { flow, accepted } => self.log_expired(flow, accepted, now),
--- a/yuccacroft-segment/src/agent/relay/outbound.rs
+++ b/yuccacroft-segment/src/agent/relay/outbound.rs
@@ -36,7 +36,7 @@
                         self.state.note_slots(slots);
                     }
                 }
-                let source = self.state.table.source(segment.flow.key());
+                let source = self.outcome_source(segment.flow.key());
                 if let Some(end) = self.state.table.upstream_end(&segment, now) {
                     self.log_upstream_end(segment.flow, end, now);
                     self.record_end(source, end, now);
--- a/yuccacroft-segment/src/agent/relay/outcomes.rs
+++ b/yuccacroft-segment/src/agent/relay/outcomes.rs
@@ -6,6 +6,7 @@
     slog::info,
     std::net::SocketAddrV4,
     yuccacroft_core::{
+        flow::FlowKey,
         handshake::{Decision, EndCause, FlowSource, UpstreamEnd},
         ids::Domain,
         outcome::{GroupChange, Labels, Outcome},
@@ -42,6 +43,11 @@
         }
     }
 
+    /// Returns where a flow comes from, if the outcomes of its requests are recorded.
+    pub(super) fn outcome_source(&self, key: FlowKey) -> Option<FlowSource> {
+        if self.state.requirements.health { self.state.table.source(key) } else { None }
+    }
+
     /// Records that the upstream has ended the flow of a request in progress. One that was overdue
     /// has been counted already.
     pub(super) fn record_failed_request(
--- a/yuccacroft-segment/src/agent/state/admission.rs
+++ b/yuccacroft-segment/src/agent/state/admission.rs
@@ -70,15 +70,15 @@
         offer: &Offer,
         now: Moment,
     ) -> (Intake, Reservation) {
-        if !self.is_accepting() || !self.admits(segment, offer, now) {
+        // The upstream may accept a flow whose opening segment it has already.
+        let is_repeated = self.table.offered_flow(segment.flow.key(), now).is_some();
+        if !self.is_accepting() || !(is_repeated || self.admits(segment, offer, now)) {
             return (Intake::Closed, self.limited(Reservation::Refused));
         }
         if !self.requirements.places {
             return (Intake::Unlimited, Reservation::NotNeeded);
         }
         let upstream = self.upstream_state(now);
-        // The upstream may accept a flow whose opening segment it has already.
-        let is_repeated = self.table.offered_flow(segment.flow.key(), now).is_some();
         let mut limiter = self.limiter();
         let max_flows = limiter.limits().and_then(|limits| limits.max_flows);
         let intake = max_flows.map_or(Intake::Unlimited, Intake::UpTo);
@@ -152,10 +152,6 @@
 
     /// Returns true if the agent accepts a new flow, given what the flow's first request can expect.
     fn admits(&self, segment: &Segment, offer: &Offer, now: Moment) -> bool {
-        // The upstream may accept a flow whose opening segment it has already.
-        if self.table.offered_flow(segment.flow.key(), now).is_some() {
-            return true;
-        }
         if !self.has_room(now) || self.diverts(segment, offer) {
             return false;
         }
--- a/yuccacroft-segment/src/balancer/controllers/home.rs
+++ b/yuccacroft-segment/src/balancer/controllers/home.rs
@@ -13,6 +13,9 @@
     /// Tells a part of the agents again, so that all have been told within [`REPEAT_SECONDS`]. It is
     /// called once a second.
     pub(super) fn repeat_home(&self, now: Moment) {
+        if !self.relay.pool.requirements().health {
+            return;
+        }
         let second = now.since(Moment::default()).as_micros() / Span::from_secs(1).as_micros();
         let mut due = Vec::new();
         self.relay.pool.for_each(|member| {
