--- a/review/standin-2/backend.rs
+++ b/review/standin-2/backend.rs
@@ -124,7 +124,8 @@
         let body = format!(
             "{{\"service\":\"{service}\",\"address\":\"{app}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"warmupLeftMs\":0,\"sequence\":{sequence},\"born\":{born}}}"
         );
-        let _ = http::call((*control).into(), "POST", &format!("/api/Backends.Heartbeat/{id}"), &body);
+        let _ =
+            http::call((*control).into(), "POST", &format!("/api/Backends.Heartbeat/{id}"), &body);
         thread::sleep(HEARTBEAT);
     }
 }
@@ -158,7 +159,8 @@
 
     fn handle(&mut self, packet: Packet, bytes: &mut [u8]) {
         if !packet.is_intact() {
-            self.record.line(&format!("{} got an altered packet of {}", self.settings.id, packet.from));
+            self.record
+                .line(&format!("{} got an altered packet of {}", self.settings.id, packet.from));
             return;
         }
         let id = (packet.from, packet.to);
@@ -200,7 +202,8 @@
             if !flow.is_open {
                 flow.is_open = true;
                 self.seen.lock().unwrap().open.insert(id);
-                self.record.line(&format!("{} opens the flow {} to {}", self.settings.id, id.0, id.1));
+                self.record
+                    .line(&format!("{} opens the flow {} to {}", self.settings.id, id.0, id.1));
             }
         } else if !flow.is_open {
             return;
@@ -218,7 +221,8 @@
         if packet.seq == flow.expected {
             flow.expected = flow.expected.wrapping_add(packet.data.len() as u32);
             let text = String::from_utf8_lossy(&packet.data);
-            let request = text.lines().find_map(|line| line.strip_prefix("Yuccacroft-Request-Id: "));
+            let request =
+                text.lines().find_map(|line| line.strip_prefix("Yuccacroft-Request-Id: "));
             let request = request.unwrap_or_default().to_owned();
             self.seen.lock().unwrap().runs.push(request.clone());
             self.record.line(&format!("{} runs {request}", self.settings.id));
@@ -235,7 +239,8 @@
                 self.settings.id,
                 body.len()
             );
-            let packet = Packet::new(id.1, id.0, ACK, flow.next, flow.expected).with_data(text.as_bytes());
+            let packet =
+                Packet::new(id.1, id.0, ACK, flow.next, flow.expected).with_data(text.as_bytes());
             flow.next = flow.next.wrapping_add(text.len() as u32);
             flow.unacknowledged = Some((packet.clone(), now, 0));
             self.send(&packet);
--- a/review/standin-2/consumer.rs
+++ b/review/standin-2/consumer.rs
@@ -200,7 +200,10 @@
             let is_open = flow.report.opened_at.is_some();
             // Outside of this distance a reset of an open flow is not taken.
             let distance = packet.seq.wrapping_sub(flow.expected) as i32;
-            let line = format!("flow {} is reset by {source}, open {is_open}, distance {distance}", flow.report.id.0);
+            let line = format!(
+                "flow {} is reset by {source}, open {is_open}, distance {distance}",
+                flow.report.id.0
+            );
             self.record.line(&line);
             if !is_open || distance.unsigned_abs() <= 76_800 {
                 self.end(port, End::Reset);
@@ -262,8 +265,8 @@
                     "GET /board HTTP/1.1\r\nHost: {}\r\nYuccacroft-Request-Id: {request}\r\n\r\n",
                     id.1
                 );
-                let packet =
-                    Packet::new(id.0, id.1, ACK, flow.next, flow.expected).with_data(text.as_bytes());
+                let packet = Packet::new(id.0, id.1, ACK, flow.next, flow.expected)
+                    .with_data(text.as_bytes());
                 flow.next = flow.next.wrapping_add(text.len() as u32);
                 let sent = Outstanding {
                     request: request.clone(),
--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -66,7 +66,14 @@
             let (class, third) = if role == "agent" { ("side", 2) } else { ("frontend", 1) };
             let ip = Ipv4Addr::new(127, net, third, index + 1);
             let service = if role == "agent" { SERVICE } else { "" };
-            Machine::new(&format!("{class}-{}", index + 1), role, ip, &zone(index), service, &folder)
+            Machine::new(
+                &format!("{class}-{}", index + 1),
+                role,
+                ip,
+                &zone(index),
+                service,
+                &folder,
+            )
         };
         let balancers: Vec<_> = (0..balancers).map(|index| machine("balancer", index)).collect();
         let agents: Vec<_> = (0..agents).map(|index| machine("agent", index)).collect();
--- a/review/standin-2/packet.rs
+++ b/review/standin-2/packet.rs
@@ -56,7 +56,8 @@
 
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let head = bytes.get(..HEAD_BYTES)?;
-        let word = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
+        let word =
+            |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
         let half = |at: usize| u16::from_be_bytes([head[at], head[at + 1]]);
         let end = |at: usize| SocketAddrV4::new(Ipv4Addr::from_bits(word(at)), half(at + 4));
         let data = bytes[HEAD_BYTES..].to_vec();
--- a/review/standin-2/router.rs
+++ b/review/standin-2/router.rs
@@ -35,7 +35,8 @@
             let checking = router.clone();
             thread::spawn(move || {
                 loop {
-                    let answer = http::call(checking.nodes[index].ready.into(), "GET", "/api/ready", "");
+                    let answer =
+                        http::call(checking.nodes[index].ready.into(), "GET", "/api/ready", "");
                     let is_ready = answer.is_ok_and(|(status, _)| status == 200);
                     let mut misses = checking.misses.lock().unwrap();
                     misses[index] = if is_ready { 0 } else { misses[index].saturating_add(1) };
@@ -53,7 +54,13 @@
     }
 
     /// Sends a packet of a consumer to the node that the hash selects, and returns its index.
-    pub fn send(&self, socket: &UdpSocket, from: SocketAddrV4, to: SocketAddrV4, bytes: &[u8]) -> usize {
+    pub fn send(
+        &self,
+        socket: &UdpSocket,
+        from: SocketAddrV4,
+        to: SocketAddrV4,
+        bytes: &[u8],
+    ) -> usize {
         let misses = self.misses.lock().unwrap().clone();
         let mut indices: Vec<usize> = (0..misses.len()).filter(|&i| misses[i] < MISSES).collect();
         // With fewer than half in rotation, all nodes of the zone are used.
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -64,7 +64,12 @@
 impl Store {
     /// Starts the store without an address.
     pub fn start() -> Self {
-        let store = Self { shared: Arc::new((Mutex::new(Data { revision: 10, ..Data::default() }), Condvar::new())) };
+        let store = Self {
+            shared: Arc::new((
+                Mutex::new(Data { revision: 10, ..Data::default() }),
+                Condvar::new(),
+            )),
+        };
         let expiring = store.clone();
         thread::spawn(move || {
             loop {
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -45,7 +45,14 @@
 }
 
 impl Machine {
-    pub fn new(name: &str, role: &'static str, ip: Ipv4Addr, zone: &str, service: &str, folder: &Path) -> Self {
+    pub fn new(
+        name: &str,
+        role: &'static str,
+        ip: Ipv4Addr,
+        zone: &str,
+        service: &str,
+        folder: &Path,
+    ) -> Self {
         let [a, b, c, d] = ip.octets();
         // The store has an address for each machine.
         let store = SocketAddrV4::new(Ipv4Addr::new(a, b, c.wrapping_add(100), d), STORE_PORT);
@@ -130,7 +137,8 @@
     fn spawn(&self, number: u32) -> std::io::Result<Child> {
         let fields = self.fields();
         let deploy = fs::read_to_string("deploy/system.toml")?;
-        let role = deploy.split("[roles.").find(|part| part.starts_with(self.role)).unwrap_or_default();
+        let role =
+            deploy.split("[roles.").find(|part| part.starts_with(self.role)).unwrap_or_default();
         let setting = |key: &str| {
             let line = role.lines().find_map(|line| line.strip_prefix(&format!("{key} = \"")));
             line.map(|line| line.trim_end_matches('"').to_owned()).unwrap_or_default()
@@ -154,7 +162,8 @@
     pub fn signal(&self, name: &str) {
         let id = self.process.lock().unwrap().child.as_ref().map(Child::id);
         if let Some(id) = id {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status();
+            // The shell has `kill` built in.
+            let _ = Command::new("sh").arg("-c").arg(format!("kill -{name} {id}")).status();
         }
     }
 
